Add design page and the core packages

Cause: the repository was empty. Change: design page; error kinds, clock, store interface with lost-answer resolution, wire frames and messages, task life cycle, plan document, scheduling tables with a first filter and score, lease arithmetic, request gate, task ledger, platform stand-ins, history checker. Conclusion: interfaces are in place for the first whole path.

--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,101 @@
+// Package ledger is the agent's authoritative record of what its VM is committed to.
+package ledger
+
+import (
+	"sync"
+
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/task"
+)
+
+// Entry is one admitted attempt.
+type Entry struct {
+	ID       string
+	Attempt  uint32
+	Reserved task.Resources
+}
+
+// Ledger admits attempts against the real capacity of the VM. It is safe for concurrent use.
+type Ledger struct {
+	capacity task.Resources
+
+	mu       sync.Mutex
+	reserved task.Resources
+	entries  map[string]Entry
+	// ended holds the highest ended attempt of each task, so that a late start of it is refused.
+	ended map[string]uint32
+	epoch uint64
+}
+
+// New returns a ledger for a VM on which the service already holds an amount.
+func New(capacity, serviceHeld task.Resources) *Ledger {
+	return &Ledger{capacity: capacity, reserved: serviceHeld, entries: make(map[string]Entry), ended: make(map[string]uint32)}
+}
+
+// Observe raises the owner epoch and reports whether epoch is the highest seen.
+func (l *Ledger) Observe(epoch uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if epoch < l.epoch {
+		return false
+	}
+	l.epoch = epoch
+	return true
+}
+
+// Admit commits the VM to the attempt. Admitting the same attempt again is not an error.
+func (l *Ledger) Admit(epoch uint64, e Entry) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if epoch < l.epoch {
+		return errkind.New(errkind.StaleEpoch, "epoch %d is older than %d", epoch, l.epoch)
+	}
+	l.epoch = epoch
+	if cur, ok := l.entries[e.ID]; ok {
+		if cur.Attempt == e.Attempt {
+			return nil
+		}
+		return errkind.New(errkind.StaleAttempt, "attempt %d of task %s is on the VM", cur.Attempt, e.ID)
+	}
+	if e.Attempt <= l.ended[e.ID] {
+		return errkind.New(errkind.StaleAttempt, "attempt %d of task %s has ended", e.Attempt, e.ID)
+	}
+	if total := l.reserved.Add(e.Reserved); !total.Fits(l.capacity) {
+		return errkind.New(errkind.CapacityExceeded, "free capacity is %+v", l.capacity.Sub(l.reserved))
+	}
+	l.reserved = l.reserved.Add(e.Reserved)
+	l.entries[e.ID] = e
+	return nil
+}
+
+// End releases the attempt and refuses later starts of it.
+func (l *Ledger) End(id string, attempt uint32) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended[id] = max(l.ended[id], attempt)
+	if cur, ok := l.entries[id]; ok && cur.Attempt <= attempt {
+		l.reserved = l.reserved.Sub(cur.Reserved)
+		delete(l.entries, id)
+	}
+}
+
+// Reserved returns the sum of reservations, the service included.
+func (l *Ledger) Reserved() task.Resources {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reserved
+}
+
+// Capacity returns the real capacity of the VM.
+func (l *Ledger) Capacity() task.Resources { return l.capacity }
+
+// Entries returns the admitted attempts.
+func (l *Ledger) Entries() []Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]Entry, 0, len(l.entries))
+	for _, e := range l.entries {
+		out = append(out, e)
+	}
+	return out
+}
--- /dev/null
+++ b/plan/plan.go
@@ -0,0 +1,137 @@
+// Package plan defines the two lists that operators maintain: customers' plans
+// and what each plan may use. Both form one document with one generation.
+package plan
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/chicorystand/chicorystand/errkind"
+)
+
+// Bounds of the document.
+const (
+	MaxCustomers = 10_000
+	MaxPlans     = 100
+	MaxPriority  = 9
+)
+
+// CustomerPlan assigns a customer to a plan.
+type CustomerPlan struct {
+	Customer string `yaml:"customer" json:"customer" msgpack:"c"`
+	Plan     string `yaml:"plan" json:"plan" msgpack:"p"`
+}
+
+// Limit is what a plan may use. Zero means unlimited for each amount.
+type Limit struct {
+	Plan string `yaml:"plan" json:"plan" msgpack:"p"`
+	// Priority orders shedding: 0 is shed first, MaxPriority last.
+	Priority int `yaml:"priority" json:"priority" msgpack:"pr"`
+	// RequestsPerSecond and Concurrency bound one customer's requests at one entry.
+	RequestsPerSecond float64 `yaml:"requests_per_second" json:"requests_per_second" msgpack:"rs"`
+	Concurrency       int     `yaml:"concurrency" json:"concurrency" msgpack:"co"`
+	// CPUMilli, MemoryMiB and Accelerators bound one customer's running tasks.
+	CPUMilli     int64 `yaml:"cpu_milli" json:"cpu_milli" msgpack:"cm"`
+	MemoryMiB    int64 `yaml:"memory_mib" json:"memory_mib" msgpack:"mm"`
+	Accelerators int64 `yaml:"accelerators" json:"accelerators" msgpack:"ac"`
+	// ShareWeight is the customer's weight in fair sharing; 0 counts as 1.
+	ShareWeight float64 `yaml:"share_weight" json:"share_weight" msgpack:"sw"`
+}
+
+// Document holds both lists and the generation under which they were accepted.
+type Document struct {
+	// Generation is 0 before any change was accepted and increases by 1 with each change.
+	Generation uint64         `yaml:"generation" json:"generation" msgpack:"g"`
+	Plans      []CustomerPlan `yaml:"plans" json:"plans" msgpack:"pl"`
+	Limits     []Limit        `yaml:"limits" json:"limits" msgpack:"li"`
+}
+
+// Parse reads a YAML document strictly and validates it. Errors name file, line and field.
+func Parse(file string, data []byte) (Document, error) {
+	var doc Document
+	dec := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict(), yaml.DisallowUnknownField())
+	if err := dec.Decode(&doc); err != nil && err != io.EOF {
+		return Document{}, errkind.New(errkind.InvalidArgument, "%s: %s", file, yaml.FormatError(err, false, true))
+	}
+	if err := doc.Validate(); err != nil {
+		return Document{}, errkind.Wrap(errkind.InvalidArgument, err, "%s", file)
+	}
+	return doc, nil
+}
+
+// Validate checks the whole document and reports all errors at once.
+func (d Document) Validate() error {
+	var problems []string
+	report := func(format string, args ...any) { problems = append(problems, fmt.Sprintf(format, args...)) }
+	if len(d.Plans) > MaxCustomers {
+		report("plans: %d entries, at most %d", len(d.Plans), MaxCustomers)
+	}
+	if len(d.Limits) > MaxPlans {
+		report("limits: %d entries, at most %d", len(d.Limits), MaxPlans)
+	}
+	limits := d.validateLimits(report)
+	d.validatePlans(limits, report)
+	if len(problems) > 0 {
+		return errkind.New(errkind.InvalidArgument, "%s", strings.Join(problems, "; "))
+	}
+	return nil
+}
+
+func (d Document) validateLimits(report func(string, ...any)) map[string]bool {
+	seen := make(map[string]bool, len(d.Limits))
+	for i, l := range d.Limits {
+		if l.Plan == "" {
+			report("limits[%d].plan: must not be empty", i)
+		}
+		if seen[l.Plan] {
+			report("limits[%d].plan: duplicate name %q", i, l.Plan)
+		}
+		seen[l.Plan] = true
+		if l.Priority < 0 || l.Priority > MaxPriority {
+			report("limits[%d].priority: %d is outside 0..%d", i, l.Priority, MaxPriority)
+		}
+		if l.RequestsPerSecond < 0 || l.Concurrency < 0 || l.CPUMilli < 0 || l.MemoryMiB < 0 || l.Accelerators < 0 || l.ShareWeight < 0 {
+			report("limits[%d]: amounts of plan %q must not be negative", i, l.Plan)
+		}
+	}
+	return seen
+}
+
+func (d Document) validatePlans(limits map[string]bool, report func(string, ...any)) {
+	seen := make(map[string]bool, len(d.Plans))
+	for i, p := range d.Plans {
+		if p.Customer == "" {
+			report("plans[%d].customer: must not be empty", i)
+		}
+		if seen[p.Customer] {
+			report("plans[%d].customer: duplicate name %q", i, p.Customer)
+		}
+		seen[p.Customer] = true
+		if !limits[p.Plan] {
+			report("plans[%d].plan: no limit names plan %q", i, p.Plan)
+		}
+	}
+}
+
+// LimitOf returns the limit of the customer's plan and whether the customer is listed.
+func (d Document) LimitOf(customer string) (Limit, bool) {
+	for _, p := range d.Plans {
+		if p.Customer == customer {
+			return d.limit(p.Plan)
+		}
+	}
+	return Limit{}, false
+}
+
+func (d Document) limit(name string) (Limit, bool) {
+	for _, l := range d.Limits {
+		if l.Plan == name {
+			return l, true
+		}
+	}
+	return Limit{}, false
+}
--- /dev/null
+++ b/store/httpstore/client.go
@@ -0,0 +1,154 @@
+// Package httpstore is the client of the platform's table service and object
+// store over HTTP.
+package httpstore
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/store"
+)
+
+// Paths and headers of the service.
+const (
+	PathGet     = "/v1/table/get"
+	PathScan    = "/v1/table/scan"
+	PathCommit  = "/v1/table/commit"
+	PathObjects = "/v1/objects/"
+	HeaderKind  = "X-Error-Kind"
+)
+
+// MaxObject is the largest request or object body in bytes.
+const MaxObject = 16 << 20
+
+// requestTimeout bounds one call. It is shorter than the shard lease renewal
+// interval of 5 s, so that a slow store leaves time for a second renewal.
+const requestTimeout = 4 * time.Second
+
+// GetRequest is the body of PathGet.
+type GetRequest struct {
+	Keys []string `msgpack:"k"`
+}
+
+// ScanRequest is the body of PathScan.
+type ScanRequest struct {
+	Prefix string `msgpack:"p"`
+	After  string `msgpack:"a"`
+	Limit  int    `msgpack:"l"`
+}
+
+// Client implements store.Table and store.Objects. Objects returns the latter view.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the service at base, for example http://127.0.0.1:7000.
+// A nil transport uses a dedicated transport with default settings.
+func New(base string, transport http.RoundTripper) *Client {
+	if transport == nil {
+		transport = &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
+	}
+	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: transport, Timeout: requestTimeout}}
+}
+
+// Get implements store.Table.
+func (c *Client) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
+	var rows []store.Row
+	err := c.post(ctx, PathGet, GetRequest{Keys: keys}, &rows)
+	return rows, asUnavailable(err)
+}
+
+// Scan implements store.Table.
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]store.Row, error) {
+	var rows []store.Row
+	err := c.post(ctx, PathScan, ScanRequest{Prefix: prefix, After: after, Limit: limit}, &rows)
+	return rows, asUnavailable(err)
+}
+
+// Commit implements store.Table.
+func (c *Client) Commit(ctx context.Context, txn store.Txn) ([]uint64, error) {
+	var versions []uint64
+	err := c.post(ctx, PathCommit, txn, &versions)
+	return versions, err
+}
+
+// asUnavailable turns the ambiguous kind into unavailable for reads, which have no effect.
+func asUnavailable(err error) error {
+	if errkind.Of(err) == errkind.StoreAmbiguous {
+		return errkind.Wrap(errkind.StoreUnavailable, err, "read failed")
+	}
+	return err
+}
+
+func (c *Client) post(ctx context.Context, path string, body, into any) error {
+	data, err := msgpack.Marshal(body)
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err, "encode request")
+	}
+	out, err := c.do(ctx, http.MethodPost, path, data)
+	if err != nil {
+		return err
+	}
+	return errkind.Wrap(errkind.Internal, msgpack.Unmarshal(out, into), "decode answer")
+}
+
+func (c *Client) do(ctx context.Context, method, path string, data []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, errkind.Wrap(errkind.Internal, err, "build request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, errkind.Wrap(transportKind(err), err, "%s %s", method, path)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	out, err := io.ReadAll(io.LimitReader(resp.Body, MaxObject))
+	if err != nil {
+		return nil, errkind.Wrap(errkind.StoreAmbiguous, err, "%s %s: answer cut", method, path)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errkind.New(errkind.Parse(resp.Header.Get(HeaderKind)), "%s", strings.TrimSpace(string(out)))
+	}
+	return out, nil
+}
+
+// transportKind is StoreUnavailable when the connection could not be opened, so
+// that nothing was sent, and StoreAmbiguous otherwise.
+func transportKind(err error) errkind.Kind {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errkind.StoreUnavailable
+	}
+	return errkind.StoreAmbiguous
+}
+
+// Objects returns the object store view of the client.
+func (c *Client) Objects() store.Objects { return objects{c} }
+
+type objects struct{ c *Client }
+
+func (o objects) Put(ctx context.Context, key string, data []byte) error {
+	_, err := o.c.do(ctx, http.MethodPut, PathObjects+url.PathEscape(key), data)
+	return err
+}
+
+func (o objects) Get(ctx context.Context, key string) ([]byte, error) {
+	out, err := o.c.do(ctx, http.MethodGet, PathObjects+url.PathEscape(key), nil)
+	return out, asUnavailable(err)
+}
+
+func (o objects) Delete(ctx context.Context, key string) error {
+	_, err := o.c.do(ctx, http.MethodDelete, PathObjects+url.PathEscape(key), nil)
+	return err
+}
--- /dev/null
+++ b/wire/messages.go
@@ -0,0 +1,422 @@
+package wire
+
+import (
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/plan"
+	"github.com/chicorystand/chicorystand/task"
+)
+
+// Type identifies a message on the wire. Values must not be reordered.
+type Type uint8
+
+// Message types.
+const (
+	TypeError Type = iota + 1
+	TypeAck
+	TypeLocate
+	TypeLocateReply
+	TypeAnnounce
+	TypeAnnounceReply
+	TypeHeartbeat
+	TypeGrant
+	TypeStartTask
+	TypeStopTask
+	TypeTaskEvent
+	TypeRequest
+	TypeReceipt
+	TypeResponse
+	TypeResolve
+	TypeDigest
+	TypePullMembers
+	TypeMembers
+	TypeHold
+	TypeHoldReply
+	TypeConfigPush
+	TypeSubmit
+	TypeSubmitReply
+	TypeCancel
+	TypeLookup
+	TypeLookupReply
+	TypeDrain
+)
+
+func newMessage(t Type) Message {
+	switch t {
+	case TypeError:
+		return new(Error)
+	case TypeAck:
+		return new(Ack)
+	case TypeLocate:
+		return new(Locate)
+	case TypeLocateReply:
+		return new(LocateReply)
+	case TypeAnnounce:
+		return new(Announce)
+	case TypeAnnounceReply:
+		return new(AnnounceReply)
+	case TypeHeartbeat:
+		return new(Heartbeat)
+	case TypeGrant:
+		return new(Grant)
+	case TypeStartTask:
+		return new(StartTask)
+	case TypeStopTask:
+		return new(StopTask)
+	case TypeTaskEvent:
+		return new(TaskEvent)
+	case TypeRequest:
+		return new(Request)
+	case TypeReceipt:
+		return new(Receipt)
+	case TypeResponse:
+		return new(Response)
+	case TypeResolve:
+		return new(Resolve)
+	case TypeDigest:
+		return new(Digest)
+	case TypePullMembers:
+		return new(PullMembers)
+	case TypeMembers:
+		return new(Members)
+	case TypeHold:
+		return new(Hold)
+	case TypeHoldReply:
+		return new(HoldReply)
+	case TypeConfigPush:
+		return new(ConfigPush)
+	case TypeSubmit:
+		return new(Submit)
+	case TypeSubmitReply:
+		return new(SubmitReply)
+	case TypeCancel:
+		return new(Cancel)
+	case TypeLookup:
+		return new(Lookup)
+	case TypeLookupReply:
+		return new(LookupReply)
+	case TypeDrain:
+		return new(Drain)
+	}
+	return nil
+}
+
+// Error is an error reply.
+type Error struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Kind     errkind.Kind
+	Msg      string
+}
+
+// Ack is an empty successful reply.
+type Ack struct {
+	_msgpack struct{} `msgpack:",as_array"`
+}
+
+// Locate asks an entry which entry owns the shard of a VM.
+type Locate struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Zone     string
+	VM       string
+}
+
+// LocateReply names the owner's address. Addr is empty when no owner is known.
+type LocateReply struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Shard    string
+	Epoch    uint64
+	Addr     string
+}
+
+// TaskStatus is the state of an attempt on a VM.
+type TaskStatus struct {
+	_msgpack   struct{} `msgpack:",as_array"`
+	ID         string
+	Attempt    uint32
+	State      string
+	Reserved   task.Resources
+	Checkpoint string
+	ProgressMS int64
+}
+
+// Announce introduces an agent with its full ledger to the shard owner.
+type Announce struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	VM          string
+	Incarnation uint64
+	Zone        string
+	Rack        string
+	Capacity    task.Resources
+	// Service is the name of the upstream beside the agent; empty when there is none.
+	Service     string
+	ServiceHeld task.Resources
+	Slots       uint16
+	Conns       uint16
+	DataAddr    string
+	Draining    bool
+	Tasks       []TaskStatus
+}
+
+// AnnounceReply accepts an agent into a shard.
+type AnnounceReply struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Shard    string
+	Epoch    uint64
+}
+
+// Usage is the measured use of one task, lagging by LagMS.
+type Usage struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	ID       string
+	CPU      uint32
+	MemMiB   uint32
+}
+
+// Heartbeat asks the owner for a new grant.
+type Heartbeat struct {
+	_msgpack  struct{} `msgpack:",as_array"`
+	Seq       uint32
+	ConfigGen uint64
+	// TailPermille is the service's p99 as thousandths of its target.
+	TailPermille uint16
+	// LoadPermille is the used share of slots.
+	LoadPermille uint16
+	LagMS        uint16
+	Usage        []Usage
+}
+
+// Grant allows the agent to run batch tasks for TTLMS from the time it sent heartbeat Seq.
+type Grant struct {
+	_msgpack  struct{} `msgpack:",as_array"`
+	Seq       uint32
+	Epoch     uint64
+	TTLMS     uint32
+	ConfigGen uint64
+}
+
+// StartTask starts one attempt. The reply is Ack or Error.
+type StartTask struct {
+	_msgpack   struct{} `msgpack:",as_array"`
+	Epoch      uint64
+	ID         string
+	Customer   string
+	JobClass   string
+	Class      task.Class
+	Attempt    uint32
+	Reserved   task.Resources
+	DurationMS int64
+	ProgressMS int64
+	Checkpoint string
+}
+
+// StopMode selects what happens to a stopped attempt.
+type StopMode uint8
+
+// Stop modes.
+const (
+	StopCancel StopMode = iota
+	StopEvict
+)
+
+// StopTask stops one attempt. The reply is Ack when the attempt does not run any more.
+type StopTask struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Epoch    uint64
+	ID       string
+	Attempt  uint32
+	Mode     StopMode
+}
+
+// TaskEvent reports a change of an attempt. The agent repeats it until it is acknowledged.
+type TaskEvent struct {
+	_msgpack   struct{} `msgpack:",as_array"`
+	VM         string
+	ID         string
+	Attempt    uint32
+	Event      string
+	Checkpoint string
+	ProgressMS int64
+	Reason     errkind.Kind
+	Detail     string
+}
+
+// RequestID identifies a request attempt across connections.
+type RequestID struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Entry    uint64
+	Seq      uint64
+}
+
+// Request asks the agent to run a request on its upstream. The agent sends a
+// Receipt notification at once and a Response as reply.
+type Request struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	ID          RequestID
+	Incarnation uint64
+	ConfigGen   uint64
+	Customer    string
+	Method      string
+	Path        string
+	ContentType string
+	Idempotent  bool
+	// DeadlineMS is the remaining time when the frame was written.
+	DeadlineMS uint32
+	Body       []byte
+}
+
+// Receipt tells that the agent has received a request.
+type Receipt struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	ID       RequestID
+}
+
+// Outcome of a request at the agent.
+type Outcome uint8
+
+// Outcomes.
+const (
+	OutcomeAnswer Outcome = iota
+	OutcomeNotRun
+	OutcomeRunning
+	OutcomeFailed
+	OutcomeUnknown
+)
+
+// Response is the agent's answer to a Request or Resolve.
+type Response struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	ID          RequestID
+	Incarnation uint64
+	Outcome     Outcome
+	Kind        errkind.Kind
+	Detail      string
+	Status      uint16
+	ContentType string
+	Body        []byte
+	// Checksum is the xxhash64 of Body.
+	Checksum  uint64
+	FreeSlots uint16
+}
+
+// Resolve asks for the outcome of a request whose answer has not arrived. The
+// agent fences a request that it does not know before it answers not-run.
+type Resolve struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	ID          RequestID
+	Incarnation uint64
+}
+
+// Upstream is one member of the routing table.
+type Upstream struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	VM          string
+	Incarnation uint64
+	Zone        string
+	Service     string
+	Slots       uint16
+	Conns       uint16
+	DataAddr    string
+	Draining    bool
+}
+
+// ShardDigest summarises the membership list of a shard.
+type ShardDigest struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Shard    string
+	Epoch    uint64
+	Version  uint64
+}
+
+// Digest is exchanged between entries.
+type Digest struct {
+	_msgpack  struct{} `msgpack:",as_array"`
+	Entry     string
+	ConfigGen uint64
+	Shards    []ShardDigest
+}
+
+// PullMembers asks the owner of a shard for its membership list.
+type PullMembers struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Shard    string
+}
+
+// Members is the membership list of a shard.
+type Members struct {
+	_msgpack  struct{} `msgpack:",as_array"`
+	Digest    ShardDigest
+	Upstreams []Upstream
+}
+
+// Hold asks an entry to promise that it will not take over the shards for TTLMS.
+type Hold struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Entry    string
+	Shards   []string
+	TTLMS    uint32
+}
+
+// HoldReply grants or denies a hold.
+type HoldReply struct {
+	_msgpack  struct{} `msgpack:",as_array"`
+	Granted   bool
+	ConfigGen uint64
+}
+
+// ConfigPush carries the limits list and generation to agents.
+type ConfigPush struct {
+	_msgpack   struct{} `msgpack:",as_array"`
+	Generation uint64
+	Limits     []plan.Limit
+}
+
+// Submit forwards task submissions to the shard owner.
+type Submit struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Shard    string
+	Specs    []task.Spec
+}
+
+// TaskResult is the result for one task of a batch operation.
+type TaskResult struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	ID       string
+	Kind     errkind.Kind
+	Detail   string
+}
+
+// SubmitReply answers Submit and Cancel in the order of the request.
+type SubmitReply struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Results  []TaskResult
+}
+
+// Cancel cancels tasks by id.
+type Cancel struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Shard    string
+	Customer string
+	IDs      []string
+}
+
+// Lookup asks the owner for task records; no ids means all of the customer, up to Limit.
+type Lookup struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Shard    string
+	Customer string
+	IDs      []string
+	Limit    uint16
+}
+
+// LookupReply carries task records and the reasons why pending ones wait.
+type LookupReply struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Records  []task.Record
+	Waiting  []TaskResult
+}
+
+// Drain tells the owner that the agent is leaving, or asks an agent to leave.
+type Drain struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	VM       string
+	Undo     bool
+}
