--- /dev/null
+++ b/command/chicorybench/root.go
@@ -0,0 +1,71 @@
+// Package chicorybench implements the chicory-bench command: load generators and
+// experiments, one subcommand for each benchmark.
+package chicorybench
+
+import (
+	"context"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"github.com/chicorystand/chicorystand/bench"
+	"github.com/chicorystand/chicorystand/errkind"
+)
+
+// runFunc runs a benchmark with a seed.
+type runFunc func(ctx context.Context, seed uint64) (*bench.Result, error)
+
+// subcommands lists the constructors of all benchmark commands.
+var subcommands []func() *cobra.Command
+
+// New returns the root command.
+func New() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "chicory-bench",
+		Short:         "Measure the system and compare with a naive baseline",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	for _, c := range subcommands {
+		root.AddCommand(c())
+	}
+	return root
+}
+
+// benchCommand returns a command with the flags that all benchmarks share.
+// Additional flags are added to the returned command.
+func benchCommand(use, short string, run runFunc) *cobra.Command {
+	var asJSON, check bool
+	var seed uint64
+	cmd := &cobra.Command{
+		Use:     use,
+		Short:   short,
+		Example: "  chicory-bench " + use + " --check --json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			res, err := run(cmd.Context(), seed)
+			if err != nil {
+				return err
+			}
+			write := res.WriteText
+			if asJSON {
+				write = res.WriteJSON
+			}
+			if err := write(cmd.OutOrStdout()); err != nil {
+				return err
+			}
+			if missed := res.Missed(); check && len(missed) > 0 {
+				names := make([]string, len(missed))
+				for i, c := range missed {
+					names[i] = c.Name
+				}
+				return errkind.New(errkind.Internal, "bounds missed: %s", strings.Join(names, ", "))
+			}
+			return nil
+		},
+	}
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print machine-readable figures")
+	cmd.Flags().BoolVar(&check, "check", false, "exit with code 1 when a bound is missed")
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of random choices")
+	return cmd
+}
--- /dev/null
+++ b/devenv/deployment.go
@@ -0,0 +1,82 @@
+// Package devenv runs a whole deployment in one process over loopback: the
+// platform stand-ins, entries, agents and upstreams.
+package devenv
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/chicorystand/chicorystand/deploy"
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/plan"
+	"github.com/chicorystand/chicorystand/task"
+)
+
+// Deployment describes an example deployment.
+type Deployment struct {
+	Name        string        `yaml:"name"`
+	Zones       []string      `yaml:"zones"`
+	ZoneDelay   time.Duration `yaml:"zone_delay"`
+	ClientDelay time.Duration `yaml:"client_delay"`
+	Service     Service       `yaml:"service"`
+	Workers     Workers       `yaml:"workers"`
+	Objective   Objective     `yaml:"objective"`
+	Batch       Job           `yaml:"batch"`
+	Watcher     Job           `yaml:"watcher"`
+	Config      plan.Document `yaml:"config"`
+}
+
+// Service describes the latency-critical service of a deployment.
+type Service struct {
+	Name        string         `yaml:"name"`
+	Executors   int            `yaml:"executors"`
+	Slots       int            `yaml:"slots"`
+	Connections int            `yaml:"connections"`
+	ServiceTime time.Duration  `yaml:"service_time"`
+	Held        task.Resources `yaml:"held"`
+	Request     Request        `yaml:"request"`
+}
+
+// Request describes the requests that the demo sends.
+type Request struct {
+	Name       string `yaml:"name"`
+	Idempotent bool   `yaml:"idempotent"`
+}
+
+// Workers describes the VMs.
+type Workers struct {
+	Count    int            `yaml:"count"`
+	PerRack  int            `yaml:"per_rack"`
+	Guards   bool           `yaml:"guards"`
+	Capacity task.Resources `yaml:"capacity"`
+}
+
+// Objective weighs tail latency (1) against batch throughput and evictions (0).
+type Objective struct {
+	TailWeight float64 `yaml:"tail_weight"`
+}
+
+// Job describes the tasks that the demo submits.
+type Job struct {
+	JobClass string         `yaml:"job_class"`
+	Declared task.Resources `yaml:"declared"`
+	Duration time.Duration  `yaml:"duration"`
+	Deadline time.Duration  `yaml:"deadline"`
+}
+
+// Load reads an example deployment by name.
+func Load(name string) (Deployment, error) {
+	file := name + ".yaml"
+	data, err := deploy.Files.ReadFile(file)
+	if err != nil {
+		return Deployment{}, errkind.New(errkind.NotFound, "no deployment %q", name)
+	}
+	var d Deployment
+	dec := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
+	if err := dec.Decode(&d); err != nil {
+		return Deployment{}, errkind.New(errkind.InvalidArgument, "%s: %s", file, yaml.FormatError(err, false, true))
+	}
+	return d, d.Config.Validate()
+}
--- /dev/null
+++ b/devenv/env.go
@@ -0,0 +1,234 @@
+package devenv
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chicorystand/chicorystand/agent"
+	"github.com/chicorystand/chicorystand/clock"
+	"github.com/chicorystand/chicorystand/entry"
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/history"
+	"github.com/chicorystand/chicorystand/platform/standin"
+	"github.com/chicorystand/chicorystand/store/httpstore"
+)
+
+// Config configures an environment.
+type Config struct {
+	Deployment Deployment
+	// Entries is the number of entry processes.
+	Entries int
+	Log     zerolog.Logger
+	// CheckpointInterval is the time between periodic checkpoints of batch tasks.
+	CheckpointInterval time.Duration
+	Behaviors          map[string]standin.Behavior
+}
+
+// Env is a running environment.
+type Env struct {
+	cfg      Config
+	Clock    clock.Clock
+	Recorder *history.Recorder
+	Table    *standin.Table
+	Objects  *standin.Objects
+	Store    string
+	Entries  []*Entry
+	Agents   []*Agent
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	mu     sync.Mutex
+	zones  map[string]string
+}
+
+// Entry is an entry process of the environment.
+type Entry struct {
+	ID      string
+	Zone    string
+	Control string
+	URL     string
+	Process *entry.Entry
+	cancel  context.CancelFunc
+	done    chan struct{}
+}
+
+// Agent is an agent process with its VM.
+type Agent struct {
+	VM       string
+	Zone     string
+	Process  *agent.Agent
+	Worker   *standin.Worker
+	cancel   context.CancelFunc
+	cancelVM context.CancelFunc
+	done     chan struct{}
+}
+
+// Start runs the environment until Stop.
+func Start(ctx context.Context, cfg Config) (*Env, error) {
+	if cfg.Entries == 0 {
+		cfg.Entries = 2
+	}
+	e := &Env{cfg: cfg, Clock: clock.Boottime{}, Objects: standin.NewObjects(), zones: make(map[string]string),
+		Table: standin.NewTable(standin.DefaultWritesPerSecond, standin.DefaultReadsPerSecond)}
+	e.Recorder = history.NewRecorder(e.Clock.Now)
+	e.ctx, e.cancel = context.WithCancel(ctx)
+	if err := e.startStore(); err != nil {
+		return nil, err
+	}
+	for i := range cfg.Entries {
+		if err := e.startEntry(i); err != nil {
+			e.Stop()
+			return nil, err
+		}
+	}
+	for i := range cfg.Deployment.Workers.Count {
+		if err := e.startAgent(i); err != nil {
+			e.Stop()
+			return nil, err
+		}
+	}
+	return e, nil
+}
+
+// Stop ends every process at once and waits for them.
+func (e *Env) Stop() {
+	e.cancel()
+	e.wg.Wait()
+}
+
+func listen() (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return l, errkind.Wrap(errkind.Internal, err, "listen on loopback")
+}
+
+func (e *Env) serve(h http.Handler) (string, error) {
+	l, err := listen()
+	if err != nil {
+		return "", err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	e.wg.Add(2)
+	go func() { defer e.wg.Done(); _ = s.Serve(l) }()
+	go func() { defer e.wg.Done(); <-e.ctx.Done(); _ = s.Close() }()
+	return "http://" + l.Addr().String(), nil
+}
+
+func (e *Env) startStore() error {
+	url, err := e.serve(standin.Handler(e.Table, e.Objects))
+	e.Store = url
+	return err
+}
+
+func (e *Env) zone(i int) string { return e.cfg.Deployment.Zones[i%len(e.cfg.Deployment.Zones)] }
+
+func (e *Env) zoneOf(addr string) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.zones[addr]
+}
+
+func (e *Env) setZone(addr, zone string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.zones[addr] = zone
+}
+
+func (e *Env) startEntry(i int) error {
+	control, err := listen()
+	if err != nil {
+		return err
+	}
+	web, err := listen()
+	if err != nil {
+		return err
+	}
+	id, zone := fmt.Sprintf("entry-%d", i), e.zone(i)
+	e.setZone(control.Addr().String(), zone)
+	p := entry.New(entry.Config{ID: id, Zone: zone, Incarnation: uint64(time.Now().UnixNano()), ShardsPerZone: 1,
+		Table: httpstore.New(e.Store, nil), Clock: e.Clock, Recorder: e.Recorder,
+		Log: e.cfg.Log.With().Str("entry", id).Logger(), Dial: e.delayDialer(zone)})
+	ctx, cancel := context.WithCancel(e.ctx)
+	en := &Entry{ID: id, Zone: zone, Control: control.Addr().String(), URL: "http://" + web.Addr().String(),
+		Process: p, cancel: cancel, done: make(chan struct{})}
+	e.Entries = append(e.Entries, en)
+	e.wg.Add(1)
+	go func() {
+		defer e.wg.Done()
+		defer close(en.done)
+		_ = p.Run(ctx, control, web)
+	}()
+	return nil
+}
+
+func (e *Env) startAgent(i int) error {
+	d := e.cfg.Deployment
+	vm, zone := fmt.Sprintf("vm-%02d", i), e.zone(i)
+	incarnation := uint64(time.Now().UnixNano())
+	vmCtx, cancelVM := context.WithCancel(e.ctx)
+	worker := standin.NewWorker(standin.WorkerConfig{VM: vm, Capacity: d.Workers.Capacity, Clock: e.Clock,
+		Objects: httpstore.New(e.Store, nil).Objects(), Recorder: e.Recorder, Behaviors: e.cfg.Behaviors, Lag: 2 * time.Second})
+	url, err := e.serve(&standin.Upstream{VM: vm, Incarnation: incarnation, ServiceTime: d.Service.ServiceTime,
+		Slowdown: worker.Slowdown, Recorder: e.Recorder})
+	if err != nil {
+		cancelVM()
+		return err
+	}
+	data, err := listen()
+	if err != nil {
+		cancelVM()
+		return err
+	}
+	e.setZone(data.Addr().String(), zone)
+	var entries []string
+	for j := range e.Entries {
+		entries = append(entries, e.Entries[(i+j)%len(e.Entries)].Control)
+	}
+	p := agent.New(agent.Config{VM: vm, Zone: zone, Rack: fmt.Sprintf("rack-%d", i/d.Workers.PerRack), Incarnation: incarnation,
+		Entries: entries, Service: d.Service.Name, ServiceHeld: d.Service.Held, UpstreamURL: url, Slots: d.Service.Slots,
+		Conns: d.Service.Connections, CheckpointInterval: e.cfg.CheckpointInterval, Clock: e.Clock, Worker: worker,
+		Recorder: e.Recorder, Log: e.cfg.Log.With().Str("vm", vm).Logger(), Dial: e.delayDialer(zone)})
+	ctx, cancel := context.WithCancel(vmCtx)
+	a := &Agent{VM: vm, Zone: zone, Process: p, Worker: worker, cancel: cancel, cancelVM: cancelVM, done: make(chan struct{})}
+	e.Agents = append(e.Agents, a)
+	e.wg.Add(2)
+	go func() { defer e.wg.Done(); worker.Run(vmCtx) }()
+	go func() {
+		defer e.wg.Done()
+		defer close(a.done)
+		_ = p.Run(ctx, data)
+	}()
+	return nil
+}
+
+// Kill ends the entry without a graceful stop.
+func (en *Entry) Kill() {
+	en.cancel()
+	<-en.done
+}
+
+// Stop ends the entry gracefully.
+func (en *Entry) Stop(ctx context.Context) {
+	en.Process.Shutdown(ctx)
+	en.Kill()
+}
+
+// Stop drains the agent and then ends it.
+func (a *Agent) Stop(ctx context.Context) {
+	a.Process.Drain(ctx)
+	a.cancel()
+	<-a.done
+}
+
+// Fail ends the agent, its tasks and its VM at once.
+func (a *Agent) Fail() {
+	a.Worker.Fail()
+	a.cancelVM()
+	<-a.done
+}
--- a/scheduler/tables/tables.go
+++ b/scheduler/tables/tables.go
@@ -111,7 +111,7 @@
 	v.Reserved = v.ServiceHeld
 	t.VMs[v.ID] = v
 	for id, tk := range t.Tasks {
-		if tk.Record.VM == v.ID && holds(tk.Record.State) {
+		if tk.Record.VM == v.ID && Holds(tk.Record.State) {
 			v.Tasks[id] = struct{}{}
 			v.Reserved = v.Reserved.Add(tk.Reserved)
 		}
@@ -152,8 +152,8 @@
 	}
 }
 
-// holds reports whether a task in the state occupies its VM.
-func holds(state string) bool {
+// Holds reports whether a task in the state occupies its VM.
+func Holds(state string) bool {
 	return state == task.Assigned || state == task.Running || state == task.Suspended
 }
 
@@ -162,7 +162,7 @@
 	if tk.Record.State == task.Pending {
 		t.Pending[id] = struct{}{}
 	}
-	if !holds(tk.Record.State) {
+	if !Holds(tk.Record.State) {
 		return
 	}
 	c := t.Customer(tk.Record.Spec.Customer)
@@ -176,7 +176,7 @@
 func (t *Tables) unindex(tk *Task) {
 	id := tk.Record.Spec.ID
 	delete(t.Pending, id)
-	if !holds(tk.Record.State) {
+	if !Holds(tk.Record.State) {
 		return
 	}
 	c := t.Customer(tk.Record.Spec.Customer)
--- /dev/null
+++ b/shard/owner.go
@@ -0,0 +1,302 @@
+// Package shard runs the owner of a shard: a set of VMs and a queue of tasks. An
+// owner holds the shard through a lease row with a fencing epoch, keeps the
+// scheduling tables in memory, commits task records in groups, and starts and
+// stops attempts through the agents.
+package shard
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chicorystand/chicorystand/clock"
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/history"
+	"github.com/chicorystand/chicorystand/lease"
+	"github.com/chicorystand/chicorystand/plan"
+	"github.com/chicorystand/chicorystand/scheduler"
+	"github.com/chicorystand/chicorystand/scheduler/tables"
+	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+// Timing of the owner loop.
+const (
+	// TickInterval separates scheduling ticks.
+	TickInterval = 100 * time.Millisecond
+	// commitRetryDelay separates commit attempts while the store is unavailable.
+	commitRetryDelay = 250 * time.Millisecond
+	// callTimeout bounds a call to an agent.
+	callTimeout = 2 * time.Second
+)
+
+// Caller is the control connection to an agent, as the owner uses it.
+type Caller interface {
+	Call(ctx context.Context, m wire.Message) (wire.Message, error)
+	Close()
+}
+
+// Config configures an owner.
+type Config struct {
+	Shard string
+	Epoch uint64
+	// EpochCond is the condition that fences every commit of this owner.
+	EpochCond store.Cond
+	Table     store.Table
+	Writer    *store.Writer
+	Clock     clock.Clock
+	Recorder  *history.Recorder
+	Log       zerolog.Logger
+	// Valid reports whether the shard lease is held at this moment.
+	Valid func() bool
+	// OnMembers is called after the membership list changed.
+	OnMembers func(wire.Members)
+	// OnLost is called when a commit shows that another entry owns the shard.
+	OnLost func()
+	// OnEvict is called for every eviction with its cause.
+	OnEvict func(cause errkind.Kind)
+}
+
+// Owner is the actor that owns one shard. All state is used by its loop goroutine only.
+type Owner struct {
+	cfg    Config
+	inbox  chan func()
+	tables *tables.Tables
+	sched  *scheduler.Scheduler
+	agents map[string]*agentLink
+
+	dirty       map[string]*dirtyRow
+	inFlight    bool
+	storeFailed bool
+	retryAt     time.Duration
+	memberVer   uint64
+	rebuilt     time.Duration
+	doc         plan.Document
+	lost        bool
+}
+
+type agentLink struct {
+	caller   Caller
+	upstream wire.Upstream
+}
+
+// dirtyRow is a task whose record must be written.
+type dirtyRow struct {
+	// created marks a submission that is not accepted yet.
+	created bool
+	done    []func(error)
+}
+
+// NewOwner returns an owner that has not loaded its tables.
+func NewOwner(cfg Config) *Owner {
+	return &Owner{cfg: cfg, inbox: make(chan func(), 256), tables: tables.New(), sched: scheduler.New(),
+		agents: make(map[string]*agentLink), dirty: make(map[string]*dirtyRow)}
+}
+
+// Prefix returns the key prefix of the shard's task rows.
+func Prefix(shard string) string { return "task/" + shard + "/" }
+
+// scanPage is the number of rows read at once while loading a shard.
+const scanPage = 500
+
+// Load reads the shard's task rows. It must be called before Run.
+func (o *Owner) Load(ctx context.Context) error {
+	now := o.cfg.Clock.Now()
+	after := ""
+	for {
+		rows, err := o.cfg.Table.Scan(ctx, Prefix(o.cfg.Shard), after, scanPage)
+		if err != nil {
+			return err
+		}
+		for _, r := range rows {
+			rec, err := decodeRecord(r.Value)
+			if err != nil {
+				return err
+			}
+			o.tables.Put(&tables.Task{Record: rec, Version: r.Version, Submitted: now, Reserved: rec.Reserved})
+		}
+		if len(rows) < scanPage {
+			break
+		}
+		after = rows[len(rows)-1].Key
+	}
+	o.rebuilt = now
+	return nil
+}
+
+// Run executes the owner until ctx ends.
+func (o *Owner) Run(ctx context.Context) {
+	tick := time.NewTicker(TickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			o.shutdown()
+			return
+		case f := <-o.inbox:
+			f()
+		case <-tick.C:
+			o.tick(ctx)
+		}
+		o.flush(ctx)
+	}
+}
+
+func (o *Owner) shutdown() {
+	for _, row := range o.dirty {
+		row.finish(errkind.New(errkind.NotOwner, "shard %s is being released", o.cfg.Shard))
+	}
+	for _, l := range o.agents {
+		go l.caller.Close()
+	}
+}
+
+func (r *dirtyRow) finish(err error) {
+	for _, f := range r.done {
+		f(err)
+	}
+	r.done = nil
+}
+
+// Do runs f on the owner's goroutine.
+func (o *Owner) Do(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	select {
+	case o.inbox <- func() { f(); close(done) }:
+	case <-ctx.Done():
+		return errkind.Wrap(errkind.DeadlineExceeded, ctx.Err(), "shard %s is busy", o.cfg.Shard)
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errkind.Wrap(errkind.OutcomeUnknown, ctx.Err(), "shard %s", o.cfg.Shard)
+	}
+}
+
+func (o *Owner) post(ctx context.Context, f func()) {
+	select {
+	case o.inbox <- f:
+	case <-ctx.Done():
+	}
+}
+
+func (o *Owner) tick(ctx context.Context) {
+	if o.lost {
+		return
+	}
+	o.requeueUnreachable()
+	if o.storeFailed || !o.cfg.Valid() {
+		return
+	}
+	for _, e := range o.sched.Tick(o.tables, o.cfg.Clock.Now()) {
+		o.apply(ctx, e)
+	}
+}
+
+// apply stages the effect. The agent is contacted after the record is durable.
+func (o *Owner) apply(ctx context.Context, e scheduler.Effect) {
+	tk, ok := o.tables.Tasks[e.Task]
+	if !ok {
+		return
+	}
+	switch e.Kind {
+	case scheduler.Assign:
+		o.change(tk, task.EventAssign, func(t *tables.Task) {
+			t.Record.Attempt++
+			t.Record.VM = e.VM
+			t.Record.Reserved = e.Reservation
+			t.Reserved = e.Reservation
+		}, func(err error) {
+			if err == nil {
+				o.start(ctx, tk)
+			}
+		})
+	case scheduler.Reject:
+		o.end(tk, task.EventReject, e.Reason, e.Detail, nil)
+	case scheduler.Park:
+		o.end(tk, task.EventPark, e.Reason, e.Detail, nil)
+	case scheduler.Evict:
+		o.evict(ctx, tk, e.Reason)
+	}
+}
+
+// change moves the task through a life cycle event and marks its row dirty.
+func (o *Owner) change(tk *tables.Task, event string, mutate func(*tables.Task), done func(error)) bool {
+	if _, err := task.Next(tk.Record.State, event); err != nil {
+		return false
+	}
+	o.tables.Update(tk, func(t *tables.Task) {
+		_ = t.Record.Apply(event)
+		if mutate != nil {
+			mutate(t)
+		}
+	})
+	o.markDirty(tk, false, done)
+	return true
+}
+
+func (o *Owner) markDirty(tk *tables.Task, created bool, done func(error)) {
+	id := tk.Record.Spec.ID
+	row, ok := o.dirty[id]
+	if !ok {
+		row = &dirtyRow{created: created}
+		o.dirty[id] = row
+	}
+	if done != nil {
+		row.done = append(row.done, done)
+	}
+}
+
+// end records a final or parked state.
+func (o *Owner) end(tk *tables.Task, event string, reason errkind.Kind, detail string, done func(error)) bool {
+	return o.change(tk, event, func(t *tables.Task) {
+		t.Record.Reason, t.Record.Detail = reason, detail
+	}, func(err error) {
+		if err == nil {
+			o.recordTerminal(tk)
+		}
+		if done != nil {
+			done(err)
+		}
+	})
+}
+
+func (o *Owner) recordTerminal(tk *tables.Task) {
+	kind := history.TaskTerminal
+	switch {
+	case tk.Record.State == task.Succeeded:
+		kind = history.TaskCompleted
+	case !task.Terminal(tk.Record.State):
+		return
+	}
+	o.cfg.Recorder.Record(history.Event{Kind: kind, Task: tk.Record.Spec.ID, Attempt: tk.Record.Attempt})
+}
+
+// requeueUnreachable makes tasks of VMs pending again whose grants have certainly lapsed.
+func (o *Owner) requeueUnreachable() {
+	now := o.cfg.Clock.Now()
+	for _, tk := range o.tables.Tasks {
+		if !tables.Holds(tk.Record.State) {
+			continue
+		}
+		v, ok := o.tables.VMs[tk.Record.VM]
+		switch {
+		case ok && v.Connected:
+		case ok && now < v.GrantedUntil:
+		case !ok && now < o.rebuilt+lease.ObserverWait(lease.GrantTTL):
+		default:
+			o.requeue(tk)
+		}
+	}
+}
+
+// requeue makes the task pending; its next start has a new attempt number.
+func (o *Owner) requeue(tk *tables.Task) {
+	o.change(tk, task.EventRequeue, func(t *tables.Task) {
+		t.Record.VM = ""
+		t.Reserved, t.Record.Reserved = task.Resources{}, task.Resources{}
+	}, nil)
+}
--- a/task/task.go
+++ b/task/task.go
@@ -68,6 +68,8 @@
 	// Attempt counts starts. A start is valid only for the attempt of the row.
 	Attempt uint32 `msgpack:"at" json:"attempt"`
 	VM      string `msgpack:"vm" json:"vm,omitempty"`
+	// Reserved is the amount reserved on the VM.
+	Reserved Resources `msgpack:"rv" json:"reserved"`
 	// Checkpoint is the object key of the latest checkpoint.
 	Checkpoint string `msgpack:"cp" json:"checkpoint,omitempty"`
 	// Progress is the work done at the latest checkpoint.
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -8,6 +8,7 @@
 package wire
 
 import (
+	"bytes"
 	"encoding/binary"
 	"io"
 
@@ -44,7 +45,7 @@
 }
 
 func encodeFrame(flag byte, corr uint32, msg Message) ([]byte, error) {
-	body, err := msgpack.Marshal(msg)
+	body, err := encodeBody(msg)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.Internal, err, "encode message type %d", msg.Type())
 	}
@@ -59,6 +60,19 @@
 	return append(buf, body...), nil
 }
 
+// encodeBody encodes structs as arrays, without field names. New fields may only
+// be added at the end of a message.
+func encodeBody(msg Message) ([]byte, error) {
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	var buf bytes.Buffer
+	enc.Reset(&buf)
+	enc.UseArrayEncodedStructs(true)
+	enc.UseCompactInts(true)
+	err := enc.Encode(msg)
+	return buf.Bytes(), err
+}
+
 // readFrame reads one frame. It returns errkind.TooLarge for an oversized length
 // before it allocates the body, and io errors unchanged.
 func readFrame(r io.Reader) (frame, error) {
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -102,34 +102,29 @@
 
 // Error is an error reply.
 type Error struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Kind     errkind.Kind
-	Msg      string
+	Kind errkind.Kind
+	Msg  string
 }
 
 // Ack is an empty successful reply.
 type Ack struct {
-	_msgpack struct{} `msgpack:",as_array"`
 }
 
 // Locate asks an entry which entry owns the shard of a VM.
 type Locate struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Zone     string
-	VM       string
+	Zone string
+	VM   string
 }
 
 // LocateReply names the owner's address. Addr is empty when no owner is known.
 type LocateReply struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Shard    string
-	Epoch    uint64
-	Addr     string
+	Shard string
+	Epoch uint64
+	Addr  string
 }
 
 // TaskStatus is the state of an attempt on a VM.
 type TaskStatus struct {
-	_msgpack   struct{} `msgpack:",as_array"`
 	ID         string
 	Attempt    uint32
 	State      string
@@ -140,7 +135,6 @@
 
 // Announce introduces an agent with its full ledger to the shard owner.
 type Announce struct {
-	_msgpack    struct{} `msgpack:",as_array"`
 	VM          string
 	Incarnation uint64
 	Zone        string
@@ -158,22 +152,19 @@
 
 // AnnounceReply accepts an agent into a shard.
 type AnnounceReply struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Shard    string
-	Epoch    uint64
+	Shard string
+	Epoch uint64
 }
 
 // Usage is the measured use of one task, lagging by LagMS.
 type Usage struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	ID       string
-	CPU      uint32
-	MemMiB   uint32
+	ID     string
+	CPU    uint32
+	MemMiB uint32
 }
 
 // Heartbeat asks the owner for a new grant.
 type Heartbeat struct {
-	_msgpack  struct{} `msgpack:",as_array"`
 	Seq       uint32
 	ConfigGen uint64
 	// TailPermille is the service's p99 as thousandths of its target.
@@ -186,7 +177,6 @@
 
 // Grant allows the agent to run batch tasks for TTLMS from the time it sent heartbeat Seq.
 type Grant struct {
-	_msgpack  struct{} `msgpack:",as_array"`
 	Seq       uint32
 	Epoch     uint64
 	TTLMS     uint32
@@ -195,7 +185,6 @@
 
 // StartTask starts one attempt. The reply is Ack or Error.
 type StartTask struct {
-	_msgpack   struct{} `msgpack:",as_array"`
 	Epoch      uint64
 	ID         string
 	Customer   string
@@ -219,16 +208,22 @@
 
 // StopTask stops one attempt. The reply is Ack when the attempt does not run any more.
 type StopTask struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Epoch    uint64
-	ID       string
-	Attempt  uint32
-	Mode     StopMode
+	Epoch   uint64
+	ID      string
+	Attempt uint32
+	Mode    StopMode
 }
 
+// Events of TaskEvent.
+const (
+	TaskSucceeded    = "succeeded"
+	TaskFailed       = "failed"
+	TaskCheckpointed = "checkpoint"
+	TaskStopped      = "stopped"
+)
+
 // TaskEvent reports a change of an attempt. The agent repeats it until it is acknowledged.
 type TaskEvent struct {
-	_msgpack   struct{} `msgpack:",as_array"`
 	VM         string
 	ID         string
 	Attempt    uint32
@@ -241,19 +236,19 @@
 
 // RequestID identifies a request attempt across connections.
 type RequestID struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Entry    uint64
-	Seq      uint64
+	Entry uint64
+	Seq   uint64
 }
 
 // Request asks the agent to run a request on its upstream. The agent sends a
 // Receipt notification at once and a Response as reply.
 type Request struct {
-	_msgpack    struct{} `msgpack:",as_array"`
 	ID          RequestID
 	Incarnation uint64
 	ConfigGen   uint64
 	Customer    string
+	// Name is the name the caller gave its request, forwarded to the upstream.
+	Name        string
 	Method      string
 	Path        string
 	ContentType string
@@ -265,8 +260,7 @@
 
 // Receipt tells that the agent has received a request.
 type Receipt struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	ID       RequestID
+	ID RequestID
 }
 
 // Outcome of a request at the agent.
@@ -283,7 +277,6 @@
 
 // Response is the agent's answer to a Request or Resolve.
 type Response struct {
-	_msgpack    struct{} `msgpack:",as_array"`
 	ID          RequestID
 	Incarnation uint64
 	Outcome     Outcome
@@ -300,14 +293,12 @@
 // Resolve asks for the outcome of a request whose answer has not arrived. The
 // agent fences a request that it does not know before it answers not-run.
 type Resolve struct {
-	_msgpack    struct{} `msgpack:",as_array"`
 	ID          RequestID
 	Incarnation uint64
 }
 
 // Upstream is one member of the routing table.
 type Upstream struct {
-	_msgpack    struct{} `msgpack:",as_array"`
 	VM          string
 	Incarnation uint64
 	Zone        string
@@ -320,15 +311,13 @@
 
 // ShardDigest summarises the membership list of a shard.
 type ShardDigest struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Shard    string
-	Epoch    uint64
-	Version  uint64
+	Shard   string
+	Epoch   uint64
+	Version uint64
 }
 
 // Digest is exchanged between entries.
 type Digest struct {
-	_msgpack  struct{} `msgpack:",as_array"`
 	Entry     string
 	ConfigGen uint64
 	Shards    []ShardDigest
@@ -336,63 +325,54 @@
 
 // PullMembers asks the owner of a shard for its membership list.
 type PullMembers struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Shard    string
+	Shard string
 }
 
 // Members is the membership list of a shard.
 type Members struct {
-	_msgpack  struct{} `msgpack:",as_array"`
 	Digest    ShardDigest
 	Upstreams []Upstream
 }
 
 // Hold asks an entry to promise that it will not take over the shards for TTLMS.
 type Hold struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Entry    string
-	Shards   []string
-	TTLMS    uint32
+	Entry  string
+	Shards []string
+	TTLMS  uint32
 }
 
 // HoldReply grants or denies a hold.
 type HoldReply struct {
-	_msgpack  struct{} `msgpack:",as_array"`
 	Granted   bool
 	ConfigGen uint64
 }
 
 // ConfigPush carries the limits list and generation to agents.
 type ConfigPush struct {
-	_msgpack   struct{} `msgpack:",as_array"`
 	Generation uint64
 	Limits     []plan.Limit
 }
 
 // Submit forwards task submissions to the shard owner.
 type Submit struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Shard    string
-	Specs    []task.Spec
+	Shard string
+	Specs []task.Spec
 }
 
 // TaskResult is the result for one task of a batch operation.
 type TaskResult struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	ID       string
-	Kind     errkind.Kind
-	Detail   string
+	ID     string
+	Kind   errkind.Kind
+	Detail string
 }
 
 // SubmitReply answers Submit and Cancel in the order of the request.
 type SubmitReply struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Results  []TaskResult
+	Results []TaskResult
 }
 
 // Cancel cancels tasks by id.
 type Cancel struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	Shard    string
 	Customer string
 	IDs      []string
@@ -400,7 +380,6 @@
 
 // Lookup asks the owner for task records; no ids means all of the customer, up to Limit.
 type Lookup struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	Shard    string
 	Customer string
 	IDs      []string
@@ -409,14 +388,12 @@
 
 // LookupReply carries task records and the reasons why pending ones wait.
 type LookupReply struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Records  []task.Record
-	Waiting  []TaskResult
+	Records []task.Record
+	Waiting []TaskResult
 }
 
 // Drain tells the owner that the agent is leaving, or asks an agent to leave.
 type Drain struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	VM       string
-	Undo     bool
+	VM   string
+	Undo bool
 }
--- a/wire/types.go
+++ b/wire/types.go
@@ -80,4 +80,3 @@
 
 // Type implements Message.
 func (*Drain) Type() Type { return TypeDrain }
-
