--- a/agent/agent.go
+++ b/agent/agent.go
@@ -61,7 +61,7 @@
 	owner    *wire.Peer
 	outbox   map[outboxKey]*wire.TaskEvent
 	dataAddr string
-	peers    map[*wire.Peer]struct{}
+	conns    dataConns
 	left     chan struct{}
 	leftOnce sync.Once
 }
@@ -87,9 +87,8 @@
 		cfg:    cfg,
 		gate:   gate.New(cfg.Incarnation, cfg.Slots),
 		ledger: ledger.New(cfg.Worker.Capacity(), cfg.ServiceHeld),
-		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: cfg.Conns, MaxIdleConnsPerHost: cfg.Conns}},
+		client: newUpstreamClient(cfg.Conns),
 		outbox: make(map[outboxKey]*wire.TaskEvent),
-		peers:  make(map[*wire.Peer]struct{}),
 		left:   make(chan struct{}),
 	}
 }
@@ -127,50 +126,33 @@
 	}
 }
 
-func (a *Agent) acceptLoop(ctx context.Context, l net.Listener) {
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
-		p := wire.NewPeer(conn, func(p *wire.Peer, m wire.Message, reply wire.Reply) { a.handleData(ctx, p, m, reply) })
-		a.mu.Lock()
-		a.peers[p] = struct{}{}
-		a.mu.Unlock()
-		go func() {
-			<-p.Done()
-			a.mu.Lock()
-			delete(a.peers, p)
-			a.mu.Unlock()
-		}()
-	}
-}
-
 func (a *Agent) closePeers() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for p := range a.peers {
-		go p.Close()
-	}
+	a.conns.close()
 	if a.owner != nil {
 		go a.owner.Close()
 	}
 }
 
 // Drain makes the upstream leave: the owner is told, the gate closes, and Drain
-// returns when no request is in progress or ctx ends.
+// returns when no request is in progress, ctx ends, or the drain is undone.
 func (a *Agent) Drain(ctx context.Context) {
 	a.cfg.Recorder.Record(history.Event{Kind: history.DrainBegan, VM: a.cfg.VM, Incarnation: a.cfg.Incarnation})
-	idle := a.gate.Drain(a.cfg.Clock.Now())
+	finished, reopened := a.gate.Drain(a.cfg.Clock.Now())
+	notice := &wire.Drain{VM: a.cfg.VM}
+	a.conns.notify(notice)
 	a.mu.Lock()
 	owner := a.owner
 	a.mu.Unlock()
 	if owner != nil {
-		_ = owner.Notify(&wire.Drain{VM: a.cfg.VM})
+		_ = owner.Notify(notice)
 	}
 	select {
-	case <-idle:
+	case <-finished:
 	case <-ctx.Done():
+	case <-reopened:
+		return
 	}
 	a.leftOnce.Do(func() { close(a.left) })
 }
--- a/agent/tasks.go
+++ b/agent/tasks.go
@@ -26,7 +26,7 @@
 		a.cfg.Recorder.Record(history.Event{Kind: history.ConfigInForce, Process: a.cfg.VM, Generation: a.gate.Generation()})
 		reply(&wire.Ack{})
 	default:
-		a.handleData(ctx, nil, m, reply)
+		a.handleData(ctx, m, reply)
 	}
 }
 
--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,307 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/route"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+// Timing of one attempt.
+const (
+	// receiptTimeout is how long the receipt of a frame may be missing before the
+	// connection counts as silent.
+	receiptTimeout = time.Second
+	// minReceiptTimeout is the lower limit of the receipt timeout of requests with a
+	// short deadline, several round trips between availability zones.
+	minReceiptTimeout = 50 * time.Millisecond
+	// probeInterval is how long a connection with a request in progress may be quiet
+	// before it is probed.
+	probeInterval = 250 * time.Millisecond
+	// resolvePause separates attempts to reach the agent for a Resolve.
+	resolvePause = 50 * time.Millisecond
+	// resolveGrace is how long an entry continues to resolve a request after its deadline.
+	resolveGrace = 250 * time.Millisecond
+	// proofLifetime is the age of a request up to which the agent's not-run is
+	// believed. The agent keeps results for a minute; an entry that was suspended
+	// longer could otherwise take a forgotten request for one that was not run.
+	proofLifetime = 45 * time.Second
+)
+
+// errLost is the cause of the cancellation of the slower one of two hedged attempts.
+var errLost = errors.New("the other attempt was faster")
+
+// outcome is the result of an attempt.
+type outcome struct {
+	resp *wire.Response
+	err  error
+}
+
+// attemptHedged attempts an idempotent request on a second upstream when the
+// first one is slower than usual and the retry budget allows it.
+func (e *Entry) attemptHedged(ctx context.Context, c *call, u wire.Upstream) (*wire.Response, error) {
+	if !c.req.Idempotent {
+		o := e.attempt(ctx, c, u)
+		c.failed(u, o.err)
+		return o.resp, o.err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(errLost)
+	results := make(chan hedged, 2)
+	start := func(u wire.Upstream) {
+		go func() { results <- hedged{e.attempt(ctx, c, u), u} }()
+	}
+	start(u)
+	timer := time.NewTimer(c.service.hedge.Delay())
+	defer timer.Stop()
+	running := 1
+	for {
+		select {
+		case r := <-results:
+			c.failed(r.upstream, r.err)
+			running--
+			if r.err == nil || running == 0 {
+				return r.resp, r.err
+			}
+		case <-timer.C:
+			if second, ok := e.hedge(c, u); ok {
+				running++
+				start(second)
+			}
+		}
+	}
+}
+
+type hedged struct {
+	outcome
+	upstream wire.Upstream
+}
+
+// hedge chooses the upstream of a second attempt. It never waits for a slot and
+// leaves free slots to waiting requests.
+func (e *Entry) hedge(c *call, first wire.Upstream) (wire.Upstream, bool) {
+	if c.service.queue.Len() > 0 || !c.service.budget.Take() {
+		return wire.Upstream{}, false
+	}
+	out := c.service.outliers
+	u, _, v := e.table.Pick(c.service.name, func(u *wire.Upstream) bool {
+		return u.VM == first.VM || c.excluded[u.VM] || out.Ejected(route.KeyOf(u))
+	})
+	if v != route.Picked {
+		c.service.budget.Refund()
+		return wire.Upstream{}, false
+	}
+	e.requests.metrics.Hedges.Inc()
+	return u, true
+}
+
+// failed notes the failure of an attempt and keeps later attempts away from its
+// upstream. A full upstream may be tried again.
+func (c *call) failed(u wire.Upstream, err error) {
+	kind := errkind.Of(err)
+	if kind.Answer().Execution != errkind.ExecutionNotRun && err != nil {
+		c.mayHaveRun = err
+	}
+	if err == nil || kind == errkind.SlotsFull || kind == errkind.ConfigStale {
+		return
+	}
+	if c.excluded == nil {
+		c.excluded = make(map[string]bool)
+	}
+	c.excluded[u.VM] = true
+}
+
+// attempt sends the request to one upstream on which pick has counted it. The
+// error's kind tells whether it ran.
+func (e *Entry) attempt(ctx context.Context, c *call, u wire.Upstream) outcome {
+	start := time.Now()
+	resp, err := e.send(ctx, c, &u)
+	if err == nil {
+		c.service.hedge.Observe(time.Since(start))
+	}
+	if context.Cause(ctx) == errLost {
+		// An abandoned attempt says nothing about the upstream.
+		e.table.Done(&u, -1)
+		c.service.queue.Wake(1)
+	} else {
+		e.finish(c, &u, resp, err)
+	}
+	return outcome{resp, err}
+}
+
+func (e *Entry) send(ctx context.Context, c *call, u *wire.Upstream) (*wire.Response, error) {
+	conn, err := e.pool.get(ctx, u.DataAddr)
+	if err != nil {
+		return nil, err
+	}
+	a := &attempt{entry: e, conn: conn, upstream: u, req: c.req, deadline: c.deadline, sentAt: e.cfg.Clock.Now()}
+	a.req.Incarnation = u.Incarnation
+	remaining := time.Until(c.deadline)
+	a.req.DeadlineMS = uint32(max(remaining.Milliseconds(), 0))
+	a.receiptTimeout = min(receiptTimeout, max(minReceiptTimeout, remaining/3))
+	a.req.ID = wire.RequestID{Entry: e.cfg.Incarnation, Seq: e.seq.Add(1)}
+	call, err := conn.peer.Start(&a.req)
+	if err != nil {
+		return nil, err
+	}
+	defer call.Abandon()
+	return a.await(ctx, call)
+}
+
+// attempt is one request frame whose answer is awaited.
+type attempt struct {
+	entry          *Entry
+	conn           *dataConn
+	upstream       *wire.Upstream
+	req            wire.Request
+	deadline       time.Time
+	receiptTimeout time.Duration
+	// sentAt is on the entry's clock, which includes suspend.
+	sentAt time.Duration
+	probed bool
+}
+
+// await waits for the answer on the connection of the request. When that fails,
+// is silent, or the deadline passes, it also resolves the request on another
+// connection; the first answer of either kind wins.
+func (a *attempt) await(ctx context.Context, call *wire.Pending) (*wire.Response, error) {
+	timer := time.NewTimer(a.receiptTimeout)
+	defer timer.Stop()
+	replies, ended := call.Result(), ctx.Done()
+	var resolved chan outcome
+	var grace <-chan time.Time
+	resolve := func() {
+		if resolved == nil {
+			resolved = make(chan outcome, 1)
+			go func() { resolved <- a.resolve(ctx) }()
+		}
+	}
+	for {
+		select {
+		case r := <-replies:
+			if r.Err == nil {
+				return a.check(r.Msg)
+			}
+			replies = nil
+			resolve()
+		case o := <-resolved:
+			return o.resp, o.err
+		case <-timer.C:
+			if resolved == nil && a.silent(call) {
+				resolve()
+			}
+			timer.Reset(a.nextLook())
+		case <-ended:
+			if errors.Is(ctx.Err(), context.Canceled) {
+				return nil, errkind.New(errkind.OutcomeUnknown, "the caller no longer waits")
+			}
+			ended, grace = nil, time.After(resolveGrace)
+			resolve()
+		case <-grace:
+			return nil, errkind.New(errkind.OutcomeUnknown, "the outcome was not known at the deadline")
+		}
+	}
+}
+
+func (a *attempt) nextLook() time.Duration {
+	if a.probed {
+		return receiptTimeout
+	}
+	return probeInterval
+}
+
+// silent reports whether the connection of the request counts as silent. A
+// connection that was quiet since the receipt is probed first.
+func (a *attempt) silent(call *wire.Pending) bool {
+	quiet := a.conn.peer.Idle() >= probeInterval
+	switch {
+	case call.Received() && !quiet:
+		a.probed = false
+		return false
+	case call.Received() && !a.probed:
+		// Only the receipt of the probe matters; the answer arrives on its own.
+		a.probed = true
+		if probe, err := a.conn.peer.Start(a.question()); err == nil {
+			time.AfterFunc(receiptTimeout, probe.Abandon)
+		}
+		return false
+	}
+	if a.entry.pool.retire(a.upstream.DataAddr, a.conn) {
+		a.entry.requests.metrics.SilentConns.Inc()
+	}
+	return true
+}
+
+func (a *attempt) question() *wire.Resolve {
+	return &wire.Resolve{ID: a.req.ID, Incarnation: a.req.Incarnation, Conn: a.conn.seq}
+}
+
+// resolve asks the agent on another connection what became of the request, until
+// it knows or the time is over.
+func (a *attempt) resolve(ctx context.Context) outcome {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), a.deadline.Add(resolveGrace))
+	defer cancel()
+	for ctx.Err() == nil {
+		resp, err := a.ask(ctx)
+		if err == nil && resp.Outcome != wire.OutcomeRunning {
+			resp, err = a.check(resp)
+			a.entry.requests.metrics.Resolves.WithLabelValues(errkind.Of(err).Answer().Execution.String()).Inc()
+			return outcome{resp, err}
+		}
+		if err != nil {
+			sleep(ctx, resolvePause)
+		}
+	}
+	a.entry.requests.metrics.Resolves.WithLabelValues(errkind.ExecutionUnknown.String()).Inc()
+	return outcome{nil, errkind.New(errkind.OutcomeUnknown, "the outcome was not known at the deadline")}
+}
+
+func (a *attempt) ask(ctx context.Context) (*wire.Response, error) {
+	conn, err := a.entry.pool.get(ctx, a.upstream.DataAddr)
+	if err != nil {
+		return nil, err
+	}
+	callCtx, cancel := context.WithTimeout(ctx, receiptTimeout)
+	defer cancel()
+	m, err := conn.peer.Call(callCtx, a.question())
+	if err != nil {
+		if callCtx.Err() != nil && ctx.Err() == nil {
+			a.entry.pool.retire(a.upstream.DataAddr, conn)
+		}
+		return nil, err
+	}
+	resp, ok := m.(*wire.Response)
+	if !ok {
+		return nil, errkind.New(errkind.Internal, "unexpected reply type %d", m.Type())
+	}
+	return resp, nil
+}
+
+// check turns an agent's response into an answer or an error of its kind. A
+// response to another request is never used.
+func (a *attempt) check(m wire.Message) (*wire.Response, error) {
+	r, ok := m.(*wire.Response)
+	if !ok || r.ID != a.req.ID {
+		return nil, errkind.New(errkind.OutcomeUnknown, "the reply does not belong to the request")
+	}
+	switch r.Outcome {
+	case wire.OutcomeAnswer:
+		if xxhash.Sum64(r.Body) != r.Checksum || r.Status < 200 || r.Status > 999 {
+			return r, errkind.New(errkind.OutcomeUnknown, "the answer was damaged on the way")
+		}
+		return r, nil
+	case wire.OutcomeNotRun:
+		if a.entry.cfg.Clock.Now()-a.sentAt > proofLifetime || r.Kind.Answer().Execution != errkind.ExecutionNotRun {
+			return r, errkind.New(errkind.OutcomeUnknown, "the agent's answer came too late to be a proof")
+		}
+		return r, errkind.New(r.Kind, "refused by the upstream's agent: %s", r.Detail)
+	case wire.OutcomeFailed:
+		return r, errkind.New(errkind.UpstreamFailed, "%s", r.Detail)
+	}
+	return r, errkind.New(errkind.OutcomeUnknown, "%s", r.Detail)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -41,23 +41,26 @@
 
 // Entry is a running entry.
 type Entry struct {
-	cfg     Config
-	addr    string
-	table   *route.Table
-	manager *shard.Manager
-	pool    *pool
-	metrics *metrics.Entry
-	seq     atomic.Uint64
-	ctx     context.Context
+	cfg      Config
+	addr     string
+	table    *route.Table
+	manager  *shard.Manager
+	pool     *pool
+	metrics  *metrics.Entry
+	requests *requests
+	seq      atomic.Uint64
+	ctx      context.Context
 
 	mu       sync.Mutex
 	doc      plan.Document
 	docVer   uint64
 	ready    bool
 	draining bool
-	active   sync.WaitGroup
-	peers    map[string]*wire.Peer
-	conns    map[*wire.Peer]struct{}
+	// leaving is set from the beginning of Shutdown.
+	leaving bool
+	active  sync.WaitGroup
+	peers   map[string]*wire.Peer
+	conns   map[*wire.Peer]struct{}
 }
 
 // New returns an entry that has not started.
@@ -68,8 +71,11 @@
 			return d.DialContext(ctx, "tcp", addr)
 		}
 	}
-	return &Entry{cfg: cfg, table: route.NewTable(cfg.Zone, cfg.Incarnation), pool: newPool(cfg.Dial), metrics: metrics.NewEntry(),
+	e := &Entry{cfg: cfg, table: route.NewTable(cfg.Zone, cfg.Incarnation), metrics: metrics.NewEntry(),
 		peers: make(map[string]*wire.Peer), conns: make(map[*wire.Peer]struct{})}
+	e.requests = newRequests(e.metrics)
+	e.pool = newPool(cfg.Dial, cfg.Incarnation, e.agentNotice)
+	return e
 }
 
 // Run serves until ctx ends. control is the listener for agents and entries;
@@ -82,12 +88,12 @@
 		OnMembers: e.membersChanged,
 		OnEvict:   func(k errkind.Kind) { e.metrics.Evictions.WithLabelValues(k.String()).Inc() },
 	})
-	server := &http.Server{Handler: e.handler(), ReadHeaderTimeout: 5 * time.Second}
+	server := &http.Server{Handler: e.handler(), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 64 << 10}
 	var wg sync.WaitGroup
 	for _, loop := range []func(){
 		func() { e.manager.Run(ctx) },
 		func() { e.acceptLoop(control) },
-		func() { _ = server.Serve(web) },
+		func() { _ = server.Serve(&boundedListener{Listener: web}) },
 		func() { e.configLoop(ctx) },
 		func() { e.registrationLoop(ctx) },
 	} {
@@ -102,6 +108,13 @@
 	return nil
 }
 
+// Bounds of accepted control connections. Agents and entries send their first
+// message within one digest interval.
+const (
+	firstFrameTimeout = 2 * digestInterval
+	maxControlConns   = 1024
+)
+
 // readyzLead is how long /readyz fails before requests are refused, so that the
 // balancer has taken the entry out.
 const readyzLead = 2 * time.Second
@@ -110,7 +123,7 @@
 // requests in progress finish, and shards are released.
 func (e *Entry) Shutdown(ctx context.Context) {
 	e.mu.Lock()
-	e.ready = false
+	e.ready, e.leaving = false, true
 	e.mu.Unlock()
 	select {
 	case <-ctx.Done():
@@ -147,10 +160,14 @@
 		if err != nil {
 			return
 		}
-		p := wire.NewPeer(conn, e.handleControl)
+		p := wire.Accept(conn, e.handleControl, firstFrameTimeout)
 		e.mu.Lock()
 		e.conns[p] = struct{}{}
+		full := len(e.conns) > maxControlConns
 		e.mu.Unlock()
+		if full {
+			p.Close()
+		}
 		go func() {
 			<-p.Done()
 			e.mu.Lock()
@@ -210,7 +227,7 @@
 	if changed {
 		e.doc, e.docVer = doc, version
 	}
-	if !e.draining {
+	if !e.leaving {
 		e.ready = true
 	}
 	e.mu.Unlock()
--- /dev/null
+++ b/route/budget.go
@@ -0,0 +1,60 @@
+package route
+
+import (
+	"sync"
+	"time"
+)
+
+// BudgetConfig configures a Budget.
+type BudgetConfig struct {
+	// Ratio is the number of retries that each first attempt pays for.
+	Ratio float64
+	// PerSecond is the number of retries per second allowed without any traffic.
+	PerSecond float64
+	// Max is the largest number of retries that can be saved up.
+	Max float64
+}
+
+// DefaultBudget allows 10% more attempts than requests, and 2 retries/s for
+// services with little traffic.
+func DefaultBudget() BudgetConfig { return BudgetConfig{Ratio: 0.1, PerSecond: 2, Max: 50} }
+
+// Budget bounds the retries and hedges of a service to a share of its requests,
+// so that retries cannot multiply an overload. It is safe for concurrent use.
+type Budget struct {
+	cfg    BudgetConfig
+	mu     sync.Mutex
+	tokens float64
+	filled time.Time
+}
+
+// NewBudget returns a full budget.
+func NewBudget(cfg BudgetConfig) *Budget {
+	return &Budget{cfg: cfg, tokens: cfg.Max, filled: time.Now()}
+}
+
+// Request notes a first attempt.
+func (b *Budget) Request() { b.add(b.cfg.Ratio) }
+
+// Refund returns a retry that was taken and not used.
+func (b *Budget) Refund() { b.add(1) }
+
+func (b *Budget) add(n float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.cfg.Max, b.tokens+n)
+}
+
+// Take takes one retry and reports whether the budget allowed it.
+func (b *Budget) Take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.tokens = min(b.cfg.Max, b.tokens+b.cfg.PerSecond*now.Sub(b.filled).Seconds())
+	b.filled = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/route/limiter.go
@@ -0,0 +1,96 @@
+package route
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/plan"
+)
+
+// burstTime is the share of a second's requests that may arrive at once.
+const burstTime = 100 * time.Millisecond
+
+// Limiter bounds the rate and the concurrency of each customer's requests at one
+// entry, as plan.Limit states. It is safe for concurrent use; the zero value is ready.
+type Limiter struct {
+	mu        sync.Mutex
+	customers map[string]*customer
+	swept     time.Time
+}
+
+type customer struct {
+	limit    plan.Limit
+	rate     *rate.Limiter
+	inFlight int
+	lastUsed time.Time
+}
+
+// customerIdle is how long an unused customer's state is kept. The rate limiter is
+// full again long before, so dropping the state changes no decision.
+const customerIdle = time.Minute
+
+// Acquire admits one request of a customer under the limit in force. The caller
+// calls release at the end of the request. The error kind is errkind.RateLimited or
+// errkind.ConcurrencyLimited.
+func (l *Limiter) Acquire(name string, limit plan.Limit) (release func(), err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	c := l.customer(name, now)
+	c.apply(limit, now)
+	c.lastUsed = now
+	if limit.Concurrency > 0 && c.inFlight >= limit.Concurrency {
+		return nil, errkind.New(errkind.ConcurrencyLimited, "customer %q has %d requests in progress", name, c.inFlight)
+	}
+	if c.rate != nil && !c.rate.AllowN(now, 1) {
+		return nil, errkind.New(errkind.RateLimited, "customer %q exceeds %g requests/s", name, limit.RequestsPerSecond)
+	}
+	c.inFlight++
+	return func() { l.release(c) }, nil
+}
+
+func (l *Limiter) release(c *customer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.inFlight--
+}
+
+func (l *Limiter) customer(name string, now time.Time) *customer {
+	if l.customers == nil {
+		l.customers = make(map[string]*customer)
+	}
+	if now.Sub(l.swept) > customerIdle {
+		l.swept = now
+		for n, c := range l.customers {
+			if c.inFlight == 0 && now.Sub(c.lastUsed) > customerIdle {
+				delete(l.customers, n)
+			}
+		}
+	}
+	c, ok := l.customers[name]
+	if !ok {
+		c = &customer{}
+		l.customers[name] = c
+	}
+	return c
+}
+
+// apply puts a changed limit in force. Tokens already used stay used.
+func (c *customer) apply(limit plan.Limit, now time.Time) {
+	perSecond := limit.RequestsPerSecond
+	burst := max(1, int(math.Ceil(perSecond*burstTime.Seconds())))
+	switch {
+	case perSecond <= 0:
+		c.rate = nil
+	case c.rate == nil:
+		c.rate = rate.NewLimiter(rate.Limit(perSecond), burst)
+	case c.limit.RequestsPerSecond != perSecond:
+		c.rate.SetLimitAt(now, rate.Limit(perSecond))
+		c.rate.SetBurstAt(now, burst)
+	}
+	c.limit = limit
+}
--- /dev/null
+++ b/route/outlier.go
@@ -0,0 +1,95 @@
+package route
+
+import (
+	"sync"
+	"time"
+)
+
+// OutlierConfig configures an Outliers detector.
+type OutlierConfig struct {
+	// Consecutive is the number of failures in a row that eject an upstream.
+	Consecutive int
+	// Base and Max bound the ejection time, which doubles with each ejection in a row.
+	Base time.Duration
+	Max  time.Duration
+	// Floor is the share of upstreams that always stay in use.
+	Floor float64
+}
+
+// DefaultOutliers ejects after 5 failures in a row for 1 s to 30 s and keeps half
+// of the upstreams in use.
+func DefaultOutliers() OutlierConfig {
+	return OutlierConfig{Consecutive: 5, Base: time.Second, Max: 30 * time.Second, Floor: 0.5}
+}
+
+// Outliers takes upstreams that keep failing out of use for a while. After an
+// ejection one failure is enough for the next one, and one success ends the
+// series. It is safe for concurrent use.
+type Outliers struct {
+	cfg OutlierConfig
+	mu  sync.Mutex
+	all map[Key]*outlier
+}
+
+type outlier struct {
+	failures  int
+	ejections int
+	until     time.Time
+}
+
+// NewOutliers returns a detector without ejected upstreams.
+func NewOutliers(cfg OutlierConfig) *Outliers {
+	return &Outliers{cfg: cfg, all: make(map[Key]*outlier)}
+}
+
+// Success notes an answer of an upstream.
+func (o *Outliers) Success(k Key) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.all, k)
+}
+
+// Failure notes a failure of an upstream, one of total in use, and reports
+// whether it is ejected now.
+func (o *Outliers) Failure(k Key, total int) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	s, ok := o.all[k]
+	if !ok {
+		s = &outlier{}
+		o.all[k] = s
+	}
+	s.failures++
+	if now.Before(s.until) || (s.ejections == 0 && s.failures < o.cfg.Consecutive) {
+		return false
+	}
+	if float64(total-o.ejected(now)-1) < o.cfg.Floor*float64(total) {
+		return false
+	}
+	s.until = now.Add(min(o.cfg.Max, o.cfg.Base<<min(s.ejections, 10)))
+	s.ejections++
+	return true
+}
+
+// ejected counts the ejected upstreams and drops those whose ejection ended long ago.
+func (o *Outliers) ejected(now time.Time) int {
+	n := 0
+	for k, s := range o.all {
+		switch {
+		case now.Before(s.until):
+			n++
+		case s.ejections > 0 && now.Sub(s.until) > o.cfg.Max:
+			delete(o.all, k)
+		}
+	}
+	return n
+}
+
+// Ejected reports whether an upstream is out of use.
+func (o *Outliers) Ejected(k Key) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s, ok := o.all[k]
+	return ok && time.Now().Before(s.until)
+}
--- a/route/table.go
+++ b/route/table.go
@@ -3,121 +3,160 @@
 package route
 
 import (
-	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/chicorystand/chicorystand/wire"
 )
 
+const (
+	// takeoverGrace is how long upstreams stay in use that a new owner of their shard
+	// has not listed yet. Agents announce themselves to a new owner within this time.
+	takeoverGrace = 10 * time.Second
+	// drainMark is how long a drain is remembered that was learnt from the agent
+	// itself. The membership list or the agent's next refusal renews it.
+	drainMark = 5 * time.Second
+)
+
 // Table is the routing table of an entry, built from the membership lists of all
 // shards. It is safe for concurrent use.
 type Table struct {
-	zone string
+	picker *Picker
 
-	mu     sync.Mutex
-	rand   *rand.Rand
-	shards map[string]wire.Members
-	load   map[string]*load
+	mu        sync.RWMutex
+	shards    map[string]shardMembers
+	byService map[string][]wire.Upstream
+	draining  map[Key]time.Time
 }
 
-// load is what an entry knows about an upstream from its own traffic.
-type load struct {
-	inFlight int
-	free     int
-	known    bool
+// shardMembers is the list of a shard and what a previous owner listed beyond it.
+type shardMembers struct {
+	list     wire.Members
+	previous []wire.Upstream
+	until    time.Time
 }
 
 // NewTable returns an empty table of an entry in the availability zone.
 func NewTable(zone string, seed uint64) *Table {
-	return &Table{zone: zone, rand: rand.New(rand.NewPCG(seed, 0)), shards: make(map[string]wire.Members), load: make(map[string]*load)}
+	return &Table{picker: NewPicker(zone, seed), shards: make(map[string]shardMembers),
+		byService: make(map[string][]wire.Upstream), draining: make(map[Key]time.Time)}
 }
 
-// Apply replaces the list of a shard unless it is older than the known one.
+// Apply replaces the list of a shard unless it is older than the known one. A new
+// owner starts with an empty list; upstreams of the previous owner stay in use until
+// they are listed, restarted, or takeoverGrace has passed.
 func (t *Table) Apply(m wire.Members) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	old := t.shards[m.Digest.Shard].Digest
-	if m.Digest.Epoch < old.Epoch || (m.Digest.Epoch == old.Epoch && m.Digest.Version <= old.Version) {
+	now := time.Now()
+	old := t.shards[m.Digest.Shard]
+	d := old.list.Digest
+	if m.Digest.Epoch < d.Epoch || (m.Digest.Epoch == d.Epoch && m.Digest.Version <= d.Version) {
 		return false
 	}
-	t.shards[m.Digest.Shard] = m
+	next := shardMembers{list: m, previous: old.previous, until: old.until}
+	if m.Digest.Epoch > d.Epoch && len(old.list.Upstreams) > 0 {
+		next.previous, next.until = old.list.Upstreams, now.Add(takeoverGrace)
+		time.AfterFunc(takeoverGrace, t.refresh)
+	}
+	t.shards[m.Digest.Shard] = next
+	t.rebuild(now)
 	return true
 }
 
-// Known returns the digest of a shard's list.
-func (t *Table) Known(shard string) wire.ShardDigest {
+func (t *Table) refresh() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.shards[shard].Digest
+	t.rebuild(time.Now())
+}
+
+// rebuild computes the lists for each service. Slices that readers hold are not changed.
+func (t *Table) rebuild(now time.Time) {
+	t.byService = make(map[string][]wire.Upstream)
+	listed := make(map[Key]bool)
+	vms := make(map[string]bool)
+	for _, s := range t.shards {
+		for _, u := range s.list.Upstreams {
+			vms[u.VM], listed[KeyOf(&u)] = true, true
+			t.byService[u.Service] = append(t.byService[u.Service], u)
+		}
+	}
+	for id, s := range t.shards {
+		if !now.Before(s.until) {
+			s.previous = nil
+			t.shards[id] = s
+		}
+		for _, u := range s.previous {
+			if !vms[u.VM] {
+				listed[KeyOf(&u)] = true
+				t.byService[u.Service] = append(t.byService[u.Service], u)
+			}
+		}
+	}
+	for k, at := range t.draining {
+		if now.Sub(at) > drainMark {
+			delete(t.draining, k)
+		}
+	}
+	t.picker.Retain(listed)
+}
+
+// Known returns the digest of a shard's list.
+func (t *Table) Known(shard string) wire.ShardDigest {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.shards[shard].list.Digest
 }
 
 // Upstreams returns all members.
 func (t *Table) Upstreams() []wire.Upstream {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	t.mu.RLock()
+	defer t.mu.RUnlock()
 	var out []wire.Upstream
-	for _, m := range t.shards {
-		out = append(out, m.Upstreams...)
+	for _, list := range t.byService {
+		out = append(out, list...)
 	}
 	return out
 }
 
-// Pick chooses the least loaded upstream of the service that is not excluded and
-// counts a request on it. Upstreams in the entry's own zone win ties.
-func (t *Table) Pick(service string, exclude map[string]bool) (wire.Upstream, bool) {
+// Service returns the members that serve a service. The caller must not change the slice.
+func (t *Table) Service(service string) []wire.Upstream {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.byService[service]
+}
+
+// SetDraining notes that an upstream told this entry that it is leaving, or has
+// withdrawn that. It holds until the membership list agrees.
+func (t *Table) SetDraining(k Key, draining bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var best wire.Upstream
-	bestScore, found := 0.0, false
-	for _, m := range t.shards {
-		for _, u := range m.Upstreams {
-			if u.Service != service || u.Draining || exclude[u.VM] {
-				continue
-			}
-			if score := t.score(u); !found || score < bestScore {
-				best, bestScore, found = u, score, true
-			}
-		}
+	if draining {
+		t.draining[k] = time.Now()
+	} else {
+		delete(t.draining, k)
 	}
-	if found {
-		t.loadOf(best.VM).inFlight++
-	}
-	return best, found
 }
 
-// zonePenalty is the load difference at which another zone becomes preferable.
-const zonePenalty = 0.25
-
-func (t *Table) score(u wire.Upstream) float64 {
-	l := t.loadOf(u.VM)
-	used := float64(l.inFlight)
-	if l.known {
-		used = max(used, float64(int(u.Slots)-l.free))
+// Draining reports whether u is leaving as far as this entry knows.
+func (t *Table) Draining(u *wire.Upstream) bool {
+	if u.Draining {
+		return true
 	}
-	score := used/float64(max(u.Slots, 1)) + t.rand.Float64()*0.01
-	if u.Zone != t.zone {
-		score += zonePenalty
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if len(t.draining) == 0 {
+		return false
 	}
-	return score
+	at, ok := t.draining[KeyOf(u)]
+	return ok && time.Since(at) < drainMark
 }
 
-func (t *Table) loadOf(vm string) *load {
-	l, ok := t.load[vm]
-	if !ok {
-		l = &load{}
-		t.load[vm] = l
-	}
-	return l
+// Pick chooses the least loaded upstream of the service that is not leaving and
+// for which skip returns false; see Picker.Pick.
+func (t *Table) Pick(service string, skip func(*wire.Upstream) bool) (wire.Upstream, int, Verdict) {
+	return t.picker.Pick(t.Service(service), func(u *wire.Upstream) bool { return t.Draining(u) || skip(u) }, time.Now())
 }
 
-// Done ends a request counted by Pick. free is the number of free slots that the
-// agent reported, or -1 when it is not known.
-func (t *Table) Done(vm string, free int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	l := t.loadOf(vm)
-	l.inFlight--
-	if free >= 0 {
-		l.free, l.known = free, true
-	}
-}
+// Done ends a request counted by Pick; see Picker.Done.
+func (t *Table) Done(u *wire.Upstream, free int) { t.picker.Done(u, free, time.Now()) }
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -3,7 +3,7 @@
 //
 //	bytes 0-3  body length, big endian
 //	byte  4    message type
-//	byte  5    flags: 0 notification, 1 call, 2 reply, 3 error reply
+//	byte  5    flags: 0 notification, 1 call, 2 reply, 3 error reply, 4 receipt
 //	bytes 6-9  correlation id, big endian
 package wire
 
@@ -11,6 +11,7 @@
 	"bytes"
 	"encoding/binary"
 	"io"
+	"sync"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -29,6 +30,8 @@
 	flagCall
 	flagReply
 	flagError
+	// flagReceipt tells that the call with the same correlation id has arrived. It has no body.
+	flagReceipt
 )
 
 // Message is a typed message of this package.
@@ -44,35 +47,54 @@
 	body []byte
 }
 
-func encodeFrame(flag byte, corr uint32, msg Message) ([]byte, error) {
-	body, err := encodeBody(msg)
-	if err != nil {
-		return nil, errkind.Wrap(errkind.Internal, err, "encode message type %d", msg.Type())
-	}
-	if len(body) > MaxBody {
-		return nil, errkind.New(errkind.TooLarge, "message body of %d bytes exceeds %d", len(body), MaxBody)
-	}
-	buf := make([]byte, headerSize, headerSize+len(body))
-	binary.BigEndian.PutUint32(buf[0:4], uint32(len(body)))
-	buf[4] = byte(msg.Type())
-	buf[5] = flag
-	binary.BigEndian.PutUint32(buf[6:10], corr)
-	return append(buf, body...), nil
-}
+// maxPooledBuffer is the largest buffer in bytes that is kept for reuse, so that
+// one large body does not stay allocated.
+const maxPooledBuffer = 64 << 10
+
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
-// encodeBody encodes structs as arrays, without field names. New fields may only
-// be added at the end of a message.
-func encodeBody(msg Message) ([]byte, error) {
+// encodeFrame encodes a frame into a pooled buffer, which the caller returns with
+// releaseBuffer. Structs are encoded as arrays, without field names, so new fields
+// may only be added at the end of a message.
+func encodeFrame(flag byte, corr uint32, msg Message) (*bytes.Buffer, error) {
+	buf, _ := buffers.Get().(*bytes.Buffer)
+	buf.Reset()
+	var h [headerSize]byte
+	buf.Write(h[:])
 	enc := msgpack.GetEncoder()
 	defer msgpack.PutEncoder(enc)
-	var buf bytes.Buffer
-	enc.Reset(&buf)
+	enc.Reset(buf)
 	enc.UseArrayEncodedStructs(true)
 	enc.UseCompactInts(true)
-	err := enc.Encode(msg)
-	return buf.Bytes(), err
+	if err := enc.Encode(msg); err != nil {
+		releaseBuffer(buf)
+		return nil, errkind.Wrap(errkind.Internal, err, "encode message type %d", msg.Type())
+	}
+	n := buf.Len() - headerSize
+	if n > MaxBody {
+		releaseBuffer(buf)
+		return nil, errkind.New(errkind.TooLarge, "message body of %d bytes exceeds %d", n, MaxBody)
+	}
+	putHeader(buf.Bytes(), uint32(n), msg.Type(), flag, corr)
+	return buf, nil
+}
+
+func releaseBuffer(buf *bytes.Buffer) {
+	if buf.Cap() <= maxPooledBuffer {
+		buffers.Put(buf)
+	}
+}
+
+func putHeader(h []byte, n uint32, t Type, flag byte, corr uint32) {
+	binary.BigEndian.PutUint32(h[0:4], n)
+	h[4], h[5] = byte(t), flag
+	binary.BigEndian.PutUint32(h[6:10], corr)
 }
 
+// readChunk is the step in bytes in which a large body is read, so that a length
+// field alone does not make the receiver allocate the whole body.
+const readChunk = 64 << 10
+
 // readFrame reads one frame. It returns errkind.TooLarge for an oversized length
 // before it allocates the body, and io errors unchanged.
 func readFrame(r io.Reader) (frame, error) {
@@ -84,11 +106,12 @@
 	if n > MaxBody {
 		return frame{}, errkind.New(errkind.TooLarge, "frame body of %d bytes exceeds %d", n, MaxBody)
 	}
-	if h[5] > flagError {
+	if h[5] > flagReceipt {
 		return frame{}, errkind.New(errkind.InvalidArgument, "frame flag %d is not defined", h[5])
 	}
-	f := frame{typ: Type(h[4]), flag: h[5], corr: binary.BigEndian.Uint32(h[6:10]), body: make([]byte, n)}
-	if _, err := io.ReadFull(r, f.body); err != nil {
+	f := frame{typ: Type(h[4]), flag: h[5], corr: binary.BigEndian.Uint32(h[6:10])}
+	var err error
+	if f.body, err = readBody(r, int(n)); err != nil {
 		if err == io.EOF {
 			err = io.ErrUnexpectedEOF
 		}
@@ -97,11 +120,34 @@
 	return f, nil
 }
 
+func readBody(r io.Reader, n int) ([]byte, error) {
+	body := make([]byte, min(n, readChunk))
+	read := 0
+	for {
+		m, err := io.ReadFull(r, body[read:])
+		read += m
+		if err != nil || read == n {
+			return body, err
+		}
+		grown := make([]byte, min(n, 2*len(body)))
+		copy(grown, body)
+		body = grown
+	}
+}
+
 func decodeBody(f frame) (Message, error) {
 	msg := newMessage(f.typ)
 	if msg == nil {
 		return nil, errkind.New(errkind.InvalidArgument, "message type %d is not defined", f.typ)
 	}
+	switch f.typ {
+	case TypeHello, TypeRequest, TypeResponse, TypeResolve:
+		// Without arrays; the decoder allocates byte strings in steps.
+	default:
+		if err := checkLengths(f.body); err != nil {
+			return nil, err
+		}
+	}
 	if err := msgpack.Unmarshal(f.body, msg); err != nil {
 		return nil, errkind.Wrap(errkind.InvalidArgument, err, "decode message type %d", f.typ)
 	}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -23,6 +23,7 @@
 	TypeStopTask
 	TypeTaskEvent
 	TypeRequest
+	// TypeReceipt is reserved: receipts are frames of their own flag, without a body.
 	TypeReceipt
 	TypeResponse
 	TypeResolve
@@ -38,6 +39,7 @@
 	TypeLookup
 	TypeLookupReply
 	TypeDrain
+	TypeHello
 )
 
 func newMessage(t Type) Message {
@@ -66,8 +68,6 @@
 		return new(TaskEvent)
 	case TypeRequest:
 		return new(Request)
-	case TypeReceipt:
-		return new(Receipt)
 	case TypeResponse:
 		return new(Response)
 	case TypeResolve:
@@ -96,6 +96,8 @@
 		return new(LookupReply)
 	case TypeDrain:
 		return new(Drain)
+	case TypeHello:
+		return new(Hello)
 	}
 	return nil
 }
@@ -240,8 +242,15 @@
 	Seq   uint64
 }
 
-// Request asks the agent to run a request on its upstream. The agent sends a
-// Receipt notification at once and a Response as reply.
+// Hello names a data connection. It is the first frame on it. Conn is unique
+// among the connections of one entry incarnation and is never used again.
+type Hello struct {
+	Entry uint64
+	Conn  uint64
+}
+
+// Request asks the agent to run a request on its upstream. The receiving peer
+// sends a receipt at once; the reply is a Response.
 type Request struct {
 	ID          RequestID
 	Incarnation uint64
@@ -256,11 +265,8 @@
 	// DeadlineMS is the remaining time when the frame was written.
 	DeadlineMS uint32
 	Body       []byte
-}
-
-// Receipt tells that the agent has received a request.
-type Receipt struct {
-	ID RequestID
+	// Checksum is the xxhash64 of Body.
+	Checksum uint64
 }
 
 // Outcome of a request at the agent.
@@ -290,11 +296,13 @@
 	FreeSlots uint16
 }
 
-// Resolve asks for the outcome of a request whose answer has not arrived. The
-// agent fences a request that it does not know before it answers not-run.
+// Resolve asks for the outcome of a request whose answer has not arrived. Conn
+// is the connection on which the request was written. Before the agent answers
+// not-run it closes that connection and refuses it for the rest of its incarnation.
 type Resolve struct {
 	ID          RequestID
 	Incarnation uint64
+	Conn        uint64
 }
 
 // Upstream is one member of the routing table.
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/binary"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -11,9 +12,17 @@
 	"github.com/chicorystand/chicorystand/errkind"
 )
 
-// writeTimeout bounds one frame write. A peer that stops reading is closed
-// instead of blocking the writers of other messages.
-const writeTimeout = 5 * time.Second
+// Bounds of a connection. A peer that exceeds one is closed, so that it cannot
+// block the work of others.
+const (
+	// writeTimeout bounds the write of one batch of frames.
+	writeTimeout = time.Second
+	// frameTimeout bounds the time from the first to the last byte of a received frame.
+	frameTimeout = 5 * time.Second
+	// maxQueued is the number of bytes that may wait behind a write in progress.
+	maxQueued  = 8 << 20
+	readBuffer = 16 << 10
+)
 
 // Reply sends the answer to a call. It must be called at most once. For
 // notifications it does nothing.
@@ -27,12 +36,21 @@
 type Peer struct {
 	conn    net.Conn
 	handler Handler
+	start   time.Time
+	// lastRead is the time of the last received frame since start.
+	lastRead atomic.Int64
 
 	writeMu sync.Mutex
-	corr    atomic.Uint32
+	queue   []byte
+	spare   []byte
+	writing bool
+	broken  bool
+	// corked is true while the read goroutine handles frames; it flushes afterwards.
+	corked bool
 
+	corr    atomic.Uint32
 	mu      sync.Mutex
-	pending map[uint32]chan callResult
+	pending map[uint32]*Pending
 	err     error
 	done    chan struct{}
 
@@ -40,15 +58,45 @@
 	Value atomic.Value
 }
 
-type callResult struct {
-	msg Message
-	err error
+// Result is the end of a call.
+type Result struct {
+	Msg Message
+	Err error
+}
+
+// Pending is a call whose reply has not arrived.
+type Pending struct {
+	peer     *Peer
+	corr     uint32
+	result   chan Result
+	received atomic.Bool
 }
 
+// Result delivers the reply or the error once.
+func (c *Pending) Result() <-chan Result { return c.result }
+
+// Received reports whether the other end has confirmed the receipt of the call.
+// Receipts are sent for Request and Resolve only.
+func (c *Pending) Received() bool { return c.received.Load() }
+
+// Abandon drops the reply when it arrives.
+func (c *Pending) Abandon() { c.peer.unregister(c.corr) }
+
 // NewPeer starts reading from conn. handler may be nil when only replies are expected.
-func NewPeer(conn net.Conn, handler Handler) *Peer {
-	p := &Peer{conn: conn, handler: handler, pending: make(map[uint32]chan callResult), done: make(chan struct{})}
-	go p.readLoop()
+func NewPeer(conn net.Conn, handler Handler) *Peer { return newPeer(conn, handler, 0) }
+
+// Accept is NewPeer for an accepted connection, which is closed when its first
+// frame has not arrived within firstFrame.
+func Accept(conn net.Conn, handler Handler, firstFrame time.Duration) *Peer {
+	return newPeer(conn, handler, firstFrame)
+}
+
+func newPeer(conn net.Conn, handler Handler, firstFrame time.Duration) *Peer {
+	p := &Peer{conn: conn, handler: handler, start: time.Now(), pending: make(map[uint32]*Pending), done: make(chan struct{})}
+	if firstFrame > 0 {
+		_ = conn.SetReadDeadline(time.Now().Add(firstFrame))
+	}
+	go p.readLoop(firstFrame > 0)
 	return p
 }
 
@@ -58,40 +106,53 @@
 // RemoteAddr returns the address of the other end.
 func (p *Peer) RemoteAddr() string { return p.conn.RemoteAddr().String() }
 
+// Idle returns how long no frame has arrived.
+func (p *Peer) Idle() time.Duration { return time.Since(p.start) - time.Duration(p.lastRead.Load()) }
+
 // Close ends the connection; pending calls fail with errkind.OutcomeUnknown.
 func (p *Peer) Close() { p.fail(errkind.New(errkind.OutcomeUnknown, "connection closed")) }
 
 // Notify sends msg without expecting a reply.
-func (p *Peer) Notify(msg Message) error { return p.write(flagNotify, 0, msg) }
+func (p *Peer) Notify(msg Message) error { return p.send(flagNotify, 0, msg) }
 
 // Call sends msg and waits for the reply. The error kind is that of the remote
 // error, errkind.OutcomeUnknown when the connection broke or ctx ended after the
 // frame may have been written, or errkind.NotReady when nothing was written.
 func (p *Peer) Call(ctx context.Context, msg Message) (Message, error) {
-	corr := p.corr.Add(1)
-	ch := make(chan callResult, 1)
-	if !p.register(corr, ch) {
-		return nil, errkind.New(errkind.NotReady, "connection is closed; nothing was sent")
-	}
-	defer p.unregister(corr)
-	if err := p.write(flagCall, corr, msg); err != nil {
+	c, err := p.Start(msg)
+	if err != nil {
 		return nil, err
 	}
+	defer c.Abandon()
 	select {
-	case r := <-ch:
-		return r.msg, r.err
+	case r := <-c.result:
+		return r.Msg, r.Err
 	case <-ctx.Done():
 		return nil, errkind.Wrap(errkind.OutcomeUnknown, ctx.Err(), "no reply from %s", p.RemoteAddr())
 	}
 }
 
-func (p *Peer) register(corr uint32, ch chan callResult) bool {
+// Start sends msg as a call. An error means that nothing was written. A failure
+// after that is delivered through Pending.Result with errkind.OutcomeUnknown.
+func (p *Peer) Start(msg Message) (*Pending, error) {
+	c := &Pending{peer: p, corr: p.corr.Add(1), result: make(chan Result, 1)}
+	if !p.register(c) {
+		return nil, errkind.New(errkind.NotReady, "connection is closed; nothing was sent")
+	}
+	if err := p.send(flagCall, c.corr, msg); err != nil {
+		c.Abandon()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (p *Peer) register(c *Pending) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.err != nil {
 		return false
 	}
-	p.pending[corr] = ch
+	p.pending[c.corr] = c
 	return true
 }
 
@@ -101,55 +162,164 @@
 	delete(p.pending, corr)
 }
 
-func (p *Peer) write(flag byte, corr uint32, msg Message) error {
+// send queues a frame and writes it unless another goroutine is writing, which
+// then writes it in its next batch. It returns an error only when the frame was not queued.
+func (p *Peer) send(flag byte, corr uint32, msg Message) error {
 	buf, err := encodeFrame(flag, corr, msg)
 	if err != nil {
 		return err
 	}
+	err = p.enqueue(buf.Bytes())
+	releaseBuffer(buf)
+	return err
+}
+
+func (p *Peer) enqueue(frame []byte) error {
 	p.writeMu.Lock()
 	defer p.writeMu.Unlock()
-	_ = p.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := p.conn.Write(buf); err != nil {
-		err = errkind.Wrap(errkind.OutcomeUnknown, err, "write to %s", p.RemoteAddr())
-		p.fail(err)
-		return err
+	if p.broken {
+		return errkind.New(errkind.NotReady, "connection is closed; nothing was sent")
+	}
+	if len(p.queue) > 0 && len(p.queue)+len(frame) > maxQueued {
+		return errkind.New(errkind.NotReady, "%d bytes wait to be written; nothing was sent", len(p.queue))
+	}
+	p.queue = append(p.queue, frame...)
+	if !p.corked {
+		p.flush()
 	}
 	return nil
 }
 
-func (p *Peer) readLoop() {
-	r := bufio.NewReaderSize(p.conn, 4<<10)
+// flush writes the queue. The first batch is written by the caller, which saves a
+// goroutine switch; what was queued meanwhile is left to a goroutine, so that the
+// caller does not write for others without bound. The caller holds writeMu.
+func (p *Peer) flush() {
+	if p.writing || len(p.queue) == 0 {
+		return
+	}
+	p.writing = true
+	if !p.writeBatch() {
+		return
+	}
+	if len(p.queue) == 0 {
+		p.writing = false
+		return
+	}
+	go func() {
+		p.writeMu.Lock()
+		defer p.writeMu.Unlock()
+		for len(p.queue) > 0 && p.writeBatch() {
+		}
+		p.writing = false
+	}()
+}
+
+// writeBatch writes the queued frames and reports success. It releases writeMu
+// during the write. After a failure nothing is written any more.
+func (p *Peer) writeBatch() bool {
+	batch := p.queue
+	p.queue, p.spare = p.spare[:0], nil
+	p.writeMu.Unlock()
+	_ = p.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := p.conn.Write(batch)
+	if err != nil {
+		p.fail(errkind.Wrap(errkind.OutcomeUnknown, err, "write to %s", p.RemoteAddr()))
+	}
+	p.writeMu.Lock()
+	if cap(batch) <= maxPooledBuffer {
+		p.spare = batch[:0]
+	}
+	if err != nil {
+		p.queue, p.broken = nil, true
+	}
+	return err == nil
+}
+
+func (p *Peer) readLoop(first bool) {
+	r := bufio.NewReaderSize(p.conn, readBuffer)
 	for {
-		f, err := readFrame(r)
+		f, err := p.nextFrame(r, first)
+		if err == nil {
+			p.lastRead.Store(int64(time.Since(p.start)))
+			first = false
+			err = p.dispatch(f)
+		}
 		if err != nil {
 			p.fail(errkind.Wrap(errkind.OutcomeUnknown, err, "read from %s", p.RemoteAddr()))
 			return
 		}
-		if err := p.dispatch(f); err != nil {
-			p.fail(err)
-			return
+		if r.Buffered() == 0 {
+			p.uncork()
 		}
 	}
 }
 
+// nextFrame waits without bound for the first byte of a frame, so that idle
+// connections stay open, and with a bound for the rest.
+func (p *Peer) nextFrame(r *bufio.Reader, first bool) (frame, error) {
+	if _, err := r.Peek(1); err != nil {
+		return frame{}, err
+	}
+	complete := false
+	if n := r.Buffered(); n >= headerSize {
+		h, _ := r.Peek(headerSize)
+		complete = uint64(n) >= headerSize+uint64(binary.BigEndian.Uint32(h[0:4]))
+	}
+	if complete && !first {
+		return readFrame(r)
+	}
+	if !complete {
+		p.uncork()
+		_ = p.conn.SetReadDeadline(time.Now().Add(frameTimeout))
+	}
+	f, err := readFrame(r)
+	_ = p.conn.SetReadDeadline(time.Time{})
+	return f, err
+}
+
+// cork collects the receipts and replies to the frames in the read buffer in one write.
+func (p *Peer) cork() {
+	p.writeMu.Lock()
+	p.corked = true
+	p.writeMu.Unlock()
+}
+
+func (p *Peer) uncork() {
+	p.writeMu.Lock()
+	defer p.writeMu.Unlock()
+	p.corked = false
+	p.flush()
+}
+
 func (p *Peer) dispatch(f frame) error {
+	if f.flag == flagReceipt {
+		p.confirm(f.corr)
+		return nil
+	}
 	msg, err := decodeBody(f)
 	if err != nil {
 		return err
 	}
 	switch f.flag {
 	case flagReply:
-		p.deliver(f.corr, callResult{msg: msg})
+		p.deliver(f.corr, Result{Msg: msg})
 	case flagError:
 		e, ok := msg.(*Error)
 		if !ok {
 			return errkind.New(errkind.InvalidArgument, "error reply has message type %d", f.typ)
 		}
-		p.deliver(f.corr, callResult{err: errkind.New(e.Kind, "%s", e.Msg)})
+		p.deliver(f.corr, Result{Err: errkind.New(e.Kind, "%s", e.Msg)})
 	default:
-		if p.handler != nil {
-			p.handler(p, msg, p.replyFunc(f))
+		if p.handler == nil {
+			return nil
+		}
+		if f.flag == flagCall && (f.typ == TypeRequest || f.typ == TypeResolve) {
+			p.cork()
+			var h [headerSize]byte
+			putHeader(h[:], 0, TypeReceipt, flagReceipt, f.corr)
+			_ = p.enqueue(h[:])
 		}
+		p.handler(p, msg, p.replyFunc(f))
 	}
 	return nil
 }
@@ -163,16 +333,32 @@
 		if _, isErr := m.(*Error); isErr {
 			flag = flagError
 		}
-		_ = p.write(flag, f.corr, m)
+		err := p.send(flag, f.corr, m)
+		if errkind.Of(err) == errkind.TooLarge {
+			err = p.send(flagError, f.corr, ErrorReply(err))
+		}
+		if err != nil {
+			// Without a reply the caller would wait until its own deadline.
+			p.fail(err)
+		}
+	}
+}
+
+func (p *Peer) confirm(corr uint32) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.pending[corr]; ok {
+		c.received.Store(true)
 	}
 }
 
-func (p *Peer) deliver(corr uint32, r callResult) {
+// deliver hands a reply to its call. A duplicate or late reply finds no call and is dropped.
+func (p *Peer) deliver(corr uint32, r Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if ch, ok := p.pending[corr]; ok {
+	if c, ok := p.pending[corr]; ok {
 		delete(p.pending, corr)
-		ch <- r
+		c.result <- r
 	}
 }
 
@@ -184,9 +370,9 @@
 	}
 	p.err = err
 	_ = p.conn.Close()
-	for corr, ch := range p.pending {
+	for corr, c := range p.pending {
 		delete(p.pending, corr)
-		ch <- callResult{err: errkind.Wrap(errkind.OutcomeUnknown, err, "connection lost")}
+		c.result <- Result{Err: errkind.Wrap(errkind.OutcomeUnknown, err, "connection lost")}
 	}
 	close(p.done)
 }
--- a/wire/types.go
+++ b/wire/types.go
@@ -36,9 +36,6 @@
 // Type implements Message.
 func (*Request) Type() Type { return TypeRequest }
 
-// Type implements Message.
-func (*Receipt) Type() Type { return TypeReceipt }
-
 // Type implements Message.
 func (*Response) Type() Type { return TypeResponse }
 
@@ -80,3 +77,6 @@
 
 // Type implements Message.
 func (*Drain) Type() Type { return TypeDrain }
+
+// Type implements Message.
+func (*Hello) Type() Type { return TypeHello }
