Test the request path under faults and add the route benchmark

Cause: the outcomes after silent connections, restarts, pauses, duplicated and reordered frames, cut answers, overload and drains had no tests, and the added latency and goodput were not measured.

Change: a test cluster with a faulty link between entry and agents checks the recorded history of every case. An entry stops resolving when the agent's port refuses three connections in a row, since its successor knows nothing. The upstream stand-in has faults and counts concurrent requests. chicory-bench route measures added latency at half load and goodput at 2 times overload.

--- a/agent/data.go
+++ b/agent/data.go
@@ -159,6 +159,9 @@
 
 func (c *dataConn) hello(m *wire.Hello) {
 	id := gate.Conn{Entry: m.Entry, Seq: m.Conn}
+	if c.named && c.id == id {
+		return
+	}
 	if c.named || c.agent.gate.Open(id, c.peer.Close) != nil {
 		c.peer.Close()
 		return
--- /dev/null
+++ b/command/chicorybench/route.go
@@ -0,0 +1,37 @@
+package chicorybench
+
+import (
+	"context"
+	"os"
+	"runtime/pprof"
+
+	"github.com/spf13/cobra"
+
+	"github.com/chicorystand/chicorystand/bench"
+	"github.com/chicorystand/chicorystand/bench/route"
+	"github.com/chicorystand/chicorystand/errkind"
+)
+
+func init() { subcommands = append(subcommands, newRoute) }
+
+func newRoute() *cobra.Command {
+	var profile string
+	cmd := benchCommand("route", "Measure added latency and goodput of the request path",
+		func(ctx context.Context, seed uint64) (*bench.Result, error) {
+			if profile == "" {
+				return route.Run(ctx, seed)
+			}
+			f, err := os.Create(profile)
+			if err != nil {
+				return nil, errkind.Wrap(errkind.InvalidArgument, err, "--cpu-profile")
+			}
+			defer func() { _ = f.Close() }()
+			if err := pprof.StartCPUProfile(f); err != nil {
+				return nil, errkind.Wrap(errkind.Internal, err, "start profile")
+			}
+			defer pprof.StopCPUProfile()
+			return route.Run(ctx, seed)
+		})
+	cmd.Flags().StringVar(&profile, "cpu-profile", "", "write a CPU profile to this file")
+	return cmd
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,6 +26,9 @@
 	probeInterval = 250 * time.Millisecond
 	// resolvePause separates attempts to reach the agent for a Resolve.
 	resolvePause = 50 * time.Millisecond
+	// maxRefusedDials is how many refused connections in a row show that the agent's
+	// process has ended. Its successor does not know the requests sent to it.
+	maxRefusedDials = 3
 	// resolveGrace is how long an entry continues to resolve a request after its deadline.
 	resolveGrace = 250 * time.Millisecond
 	// proofLifetime is the age of a request up to which the agent's not-run is
@@ -246,8 +250,13 @@
 func (a *attempt) resolve(ctx context.Context) outcome {
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), a.deadline.Add(resolveGrace))
 	defer cancel()
-	for ctx.Err() == nil {
+	for refused := 0; ctx.Err() == nil && refused < maxRefusedDials; {
 		resp, err := a.ask(ctx)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			refused++
+		} else {
+			refused = 0
+		}
 		if err == nil && resp.Outcome != wire.OutcomeRunning {
 			resp, err = a.check(resp)
 			a.entry.requests.metrics.Resolves.WithLabelValues(errkind.Of(err).Answer().Execution.String()).Inc()
@@ -258,7 +267,7 @@
 		}
 	}
 	a.entry.requests.metrics.Resolves.WithLabelValues(errkind.ExecutionUnknown.String()).Inc()
-	return outcome{nil, errkind.New(errkind.OutcomeUnknown, "the outcome was not known at the deadline")}
+	return outcome{nil, errkind.New(errkind.OutcomeUnknown, "the agent cannot be asked for the outcome")}
 }
 
 func (a *attempt) ask(ctx context.Context) (*wire.Response, error) {
--- /dev/null
+++ b/entry/link_test.go
@@ -0,0 +1,197 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"net"
+	"sync"
+	"time"
+)
+
+// link is the network between an entry and the agents. Faults apply to the data
+// connections that are open when they are set, or also to new ones.
+type link struct {
+	mu     sync.Mutex
+	conns  []*faultConn
+	data   map[string]bool
+	paused chan struct{}
+	// duplicate and reorder apply to the frames of connections opened later.
+	duplicate bool
+	reorder   bool
+}
+
+func (l *link) dial(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.data[addr] {
+		return conn, nil
+	}
+	c := &faultConn{Conn: conn, link: l, readBudget: -1, duplicate: l.duplicate}
+	if l.duplicate || l.reorder {
+		c.frames = &frameShuffler{conn: conn, duplicate: l.duplicate, reorder: l.reorder}
+	}
+	l.conns = append(l.conns, c)
+	return c, nil
+}
+
+// silence drops everything on the open connections without a reset, after
+// another readBudget bytes from the agent.
+func (l *link) silence(readBudget int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		c.mu.Lock()
+		c.mute, c.readBudget = true, readBudget
+		c.mu.Unlock()
+	}
+}
+
+// pause holds everything on all data connections, as a stopped agent process does.
+func (l *link) pause() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.paused = make(chan struct{})
+}
+
+func (l *link) resume() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.paused)
+	l.paused = nil
+}
+
+func (l *link) await() {
+	l.mu.Lock()
+	paused := l.paused
+	l.mu.Unlock()
+	if paused != nil {
+		<-paused
+	}
+}
+
+// faultConn is the entry's end of a data connection.
+type faultConn struct {
+	net.Conn
+	link      *link
+	frames    *frameShuffler
+	duplicate bool
+
+	mu         sync.Mutex
+	mute       bool
+	readBudget int
+}
+
+func (c *faultConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	mute := c.mute
+	c.mu.Unlock()
+	if mute {
+		return len(p), nil
+	}
+	data := bytes.Clone(p)
+	if c.duplicate {
+		data = append(data, p...)
+	}
+	c.link.mu.Lock()
+	paused := c.link.paused
+	c.link.mu.Unlock()
+	if paused != nil {
+		go func() { <-paused; _, _ = c.Conn.Write(data) }()
+		return len(p), nil
+	}
+	if _, err := c.Conn.Write(data); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+func (c *faultConn) Read(p []byte) (int, error) {
+	for {
+		var n int
+		var err error
+		if c.frames != nil {
+			n, err = c.frames.read(p)
+		} else {
+			n, err = c.Conn.Read(p)
+		}
+		c.link.await()
+		c.mu.Lock()
+		if c.readBudget >= 0 {
+			n = min(n, c.readBudget)
+			c.readBudget -= n
+		}
+		c.mu.Unlock()
+		if n > 0 || err != nil {
+			return n, err
+		}
+	}
+}
+
+// frameShuffler duplicates frames and swaps neighbours.
+type frameShuffler struct {
+	conn      net.Conn
+	duplicate bool
+	reorder   bool
+	out       []byte
+}
+
+// swapWait is how long a frame is held back for the next one to overtake it.
+const swapWait = 20 * time.Millisecond
+
+func (s *frameShuffler) read(p []byte) (int, error) {
+	if len(s.out) == 0 {
+		first, err := s.frame()
+		if err != nil {
+			return 0, err
+		}
+		s.out = first
+		if s.reorder {
+			_ = s.conn.SetReadDeadline(time.Now().Add(swapWait))
+			if second, err := s.frame(); err == nil {
+				s.out = append(second, first...)
+			}
+			_ = s.conn.SetReadDeadline(time.Time{})
+		}
+	}
+	n := copy(p, s.out)
+	s.out = s.out[n:]
+	return n, nil
+}
+
+func (s *frameShuffler) frame() ([]byte, error) {
+	h := make([]byte, 10)
+	if _, err := readFull(s.conn, h); err != nil {
+		return nil, err
+	}
+	f := append(h, make([]byte, binary.BigEndian.Uint32(h))...)
+	if _, err := readFull(s.conn, f[len(h):]); err != nil {
+		return nil, err
+	}
+	if s.duplicate {
+		f = append(f, f...)
+	}
+	return f, nil
+}
+
+// readFull is io.ReadFull, except that a deadline in the middle is passed over.
+func readFull(c net.Conn, p []byte) (int, error) {
+	for n := 0; n < len(p); {
+		m, err := c.Read(p[n:])
+		n += m
+		if err != nil && n == 0 {
+			return n, err
+		}
+		if ne, ok := err.(net.Error); ok && ne.Timeout() {
+			_ = c.SetReadDeadline(time.Time{})
+		} else if err != nil {
+			return n, err
+		}
+	}
+	return len(p), nil
+}
--- /dev/null
+++ b/entry/requests_test.go
@@ -0,0 +1,555 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorystand/chicorystand/agent"
+	"github.com/chicorystand/chicorystand/clock"
+	"github.com/chicorystand/chicorystand/entry"
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/history"
+	"github.com/chicorystand/chicorystand/plan"
+	"github.com/chicorystand/chicorystand/platform/standin"
+	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+const serviceName = "tourdesk"
+
+// cluster is entries and agents with upstreams over loopback.
+type cluster struct {
+	t        *testing.T
+	ctx      context.Context
+	link     *link
+	recorder *history.Recorder
+	client   *http.Client
+	entries  []*member[*entry.Entry]
+	agents   []*member[*agent.Agent]
+	wg       sync.WaitGroup
+}
+
+// member is a process of the cluster.
+type member[P any] struct {
+	process  P
+	url      string
+	control  string
+	data     string
+	config   agent.Config
+	upstream *standin.Upstream
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+type options struct {
+	entries, agents, slots int
+	serviceTime            time.Duration
+	fault                  func(r *http.Request) standin.UpstreamFault
+	link                   *link
+}
+
+func start(t *testing.T, o options) *cluster {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &cluster{t: t, ctx: ctx, link: o.link, recorder: history.NewRecorder(clock.Boottime{}.Now),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+	if c.link == nil {
+		c.link = &link{}
+	}
+	c.link.data = make(map[string]bool)
+	t.Cleanup(func() {
+		cancel()
+		c.wg.Wait()
+		c.client.CloseIdleConnections()
+	})
+	table := standin.NewTable(standin.DefaultWritesPerSecond, standin.DefaultReadsPerSecond)
+	for i := range o.entries {
+		c.startEntry(i, table)
+	}
+	for i := range o.agents {
+		c.startAgent(i, o)
+	}
+	c.awaitReady()
+	return c
+}
+
+func listen(t *testing.T, addr string) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", addr)
+	assert.NilError(t, err)
+	return l
+}
+
+func (c *cluster) run(f func()) chan struct{} {
+	done := make(chan struct{})
+	c.wg.Add(1)
+	go func() { defer c.wg.Done(); defer close(done); f() }()
+	return done
+}
+
+func (c *cluster) startEntry(i int, table *standin.Table) {
+	control, web := listen(c.t, "127.0.0.1:0"), listen(c.t, "127.0.0.1:0")
+	p := entry.New(entry.Config{ID: fmt.Sprintf("entry-%d", i), Zone: "zone-a", Incarnation: uint64(time.Now().UnixNano()), ShardsPerZone: 1,
+		Table: table, Clock: clock.Boottime{}, Recorder: c.recorder, Log: zerolog.Nop(), Dial: c.link.dial})
+	ctx, cancel := context.WithCancel(c.ctx)
+	m := &member[*entry.Entry]{process: p, url: "http://" + web.Addr().String(), control: control.Addr().String(), cancel: cancel}
+	m.done = c.run(func() { _ = p.Run(ctx, control, web) })
+	c.entries = append(c.entries, m)
+}
+
+func (c *cluster) startAgent(i int, o options) {
+	web := listen(c.t, "127.0.0.1:0")
+	vm := fmt.Sprintf("vm-%d", i)
+	incarnation := uint64(time.Now().UnixNano())
+	u := &standin.Upstream{VM: vm, Incarnation: incarnation, ServiceTime: o.serviceTime, Fault: o.fault, Recorder: c.recorder}
+	server := &http.Server{Handler: u, ReadHeaderTimeout: time.Second}
+	c.run(func() { _ = server.Serve(web) })
+	c.run(func() { <-c.ctx.Done(); _ = server.Close() })
+	var control []string
+	for j := range c.entries {
+		control = append(control, c.entries[j].control)
+	}
+	worker := standin.NewWorker(standin.WorkerConfig{VM: vm, Capacity: task.Resources{CPU: 1000, Memory: 1000}, Clock: clock.Boottime{}, Objects: standin.NewObjects()})
+	m := &member[*agent.Agent]{upstream: u, config: agent.Config{VM: vm, Incarnation: incarnation, Zone: "zone-a", Entries: control, Service: serviceName,
+		UpstreamURL: "http://" + web.Addr().String(), Slots: o.slots, Conns: 64, Clock: clock.Boottime{}, Worker: worker, Recorder: c.recorder, Log: zerolog.Nop()}}
+	c.agents = append(c.agents, m)
+	c.launch(m, "127.0.0.1:0")
+}
+
+// launch starts the agent process.
+func (c *cluster) launch(m *member[*agent.Agent], addr string) {
+	data := listen(c.t, addr)
+	m.data = data.Addr().String()
+	c.link.mu.Lock()
+	c.link.data[m.data] = true
+	c.link.mu.Unlock()
+	m.process = agent.New(m.config)
+	ctx, cancel := context.WithCancel(c.ctx)
+	m.cancel = cancel
+	m.done = c.run(func() { _ = m.process.Run(ctx, data) })
+}
+
+func (m *member[P]) kill() { m.cancel(); <-m.done }
+
+func (c *cluster) awaitReady() {
+	c.t.Helper()
+	for range 200 {
+		ready := 0
+		for _, e := range c.entries {
+			var list []wire.Upstream
+			if resp, err := c.client.Get(e.url + "/v1/upstreams"); err == nil {
+				_ = json.NewDecoder(resp.Body).Decode(&list)
+				_ = resp.Body.Close()
+			}
+			if len(list) == len(c.agents) {
+				ready++
+			}
+		}
+		if ready == len(c.entries) {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.t.Fatal("the upstreams did not announce themselves")
+}
+
+// request is what a test sends.
+type request struct {
+	name       string
+	customer   string
+	idempotent bool
+	deadline   time.Duration
+	body       string
+}
+
+// reply is what the caller got.
+type reply struct {
+	outcome    string
+	kind       string
+	retryAfter string
+	took       time.Duration
+}
+
+// send sends a request to an entry and records it with its outcome.
+func (c *cluster) send(e int, r request) reply {
+	payload := r.name + ":" + r.body
+	c.recorder.Record(history.Event{Kind: history.RequestSent, Request: r.name, Payload: payload, Idempotent: r.idempotent})
+	began := time.Now()
+	out, body := c.exchange(e, r)
+	out.took = time.Since(began)
+	c.recorder.Record(history.Event{Kind: history.RequestAnswered, Request: r.name, Payload: body, Outcome: out.outcome})
+	return out
+}
+
+func (c *cluster) exchange(e int, r request) (reply, string) {
+	req, err := http.NewRequest(http.MethodPost, c.entries[e].url+"/v1/services/"+serviceName+"/x", strings.NewReader(r.body))
+	assert.NilError(c.t, err)
+	req.Header.Set(entry.HeaderName, r.name)
+	req.Header.Set(entry.HeaderCustomer, r.customer)
+	req.Header.Set(entry.HeaderIdempotent, strconv.FormatBool(r.idempotent))
+	if r.deadline > 0 {
+		req.Header.Set(entry.HeaderDeadline, r.deadline.String())
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return reply{outcome: "unknown", kind: err.Error()}, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return reply{outcome: "unknown", kind: err.Error()}, ""
+	}
+	out := reply{outcome: "answer", kind: resp.Header.Get(entry.HeaderKind), retryAfter: resp.Header.Get("Retry-After")}
+	if out.kind != "" {
+		out.outcome = resp.Header.Get(entry.HeaderExecution)
+	}
+	return out, string(body)
+}
+
+// check verifies the recorded history.
+func (c *cluster) check() {
+	c.t.Helper()
+	for _, v := range history.Check(c.recorder.Events(), history.Options{Finished: true}) {
+		c.t.Errorf("%s: %s", v.Invariant, v.Detail)
+	}
+}
+
+func (c *cluster) executions(name string) int {
+	n := 0
+	for _, e := range c.recorder.Events() {
+		if e.Kind == history.RequestExecuted && e.Request == name {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a connection that becomes silent without a reset at any step of
+// a non-idempotent request: it must be answered, run once, and be found out soon.
+func TestSilentConnection(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// after is when the connection becomes silent, before the request when 0.
+		after      time.Duration
+		readBudget int
+		within     time.Duration
+	}{
+		{"before the request is written", 0, 0, 1600 * time.Millisecond},
+		{"after the receipt, before the answer", 100 * time.Millisecond, 0, 2500 * time.Millisecond},
+		{"during the answer", 100 * time.Millisecond, 2000, 2500 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := start(t, options{entries: 1, agents: 1, slots: 2, serviceTime: 300 * time.Millisecond})
+			assert.Equal(t, c.send(0, request{name: "first"}).outcome, "answer")
+			silence := func() { c.link.silence(tc.readBudget) }
+			if tc.after == 0 {
+				silence()
+			} else {
+				time.AfterFunc(tc.after, silence)
+			}
+			r := c.send(0, request{name: "silent", deadline: 10 * time.Second, body: strings.Repeat("x", 100_000)})
+			assert.Equal(t, r.outcome, "answer", r.kind)
+			assert.Assert(t, r.took < tc.within, "took %v", r.took)
+			assert.Equal(t, c.executions("silent"), 1)
+			next := c.send(0, request{name: "next"})
+			assert.Equal(t, next.outcome, "answer")
+			assert.Assert(t, next.took < 800*time.Millisecond, "the silent connection is still in use: %v", next.took)
+			c.check()
+		})
+	}
+}
+
+// Guards against cutting an idle healthy connection: the next request must not
+// need a new one.
+func TestIdleConnectionStaysOpen(t *testing.T) {
+	t.Parallel()
+	c := start(t, options{entries: 1, agents: 1, slots: 2})
+	assert.Equal(t, c.send(0, request{name: "first"}).outcome, "answer")
+	time.Sleep(3 * time.Second)
+	assert.Equal(t, c.send(0, request{name: "second"}).outcome, "answer")
+	c.link.mu.Lock()
+	defer c.link.mu.Unlock()
+	assert.Equal(t, len(c.link.conns), 1)
+}
+
+// Guards against running a request of an older incarnation after a restart, and
+// against calling its outcome not-run.
+func TestAgentRestart(t *testing.T) {
+	for _, idempotent := range []bool{false, true} {
+		t.Run(fmt.Sprintf("idempotent %v", idempotent), func(t *testing.T) {
+			t.Parallel()
+			c := start(t, options{entries: 1, agents: 2, slots: 8, serviceTime: 200 * time.Millisecond})
+			var wg sync.WaitGroup
+			replies := make([]reply, 8)
+			for i := range replies {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					replies[i] = c.send(0, request{name: fmt.Sprintf("r-%d", i), idempotent: idempotent, deadline: 5 * time.Second})
+				}()
+			}
+			time.Sleep(100 * time.Millisecond)
+			m := c.agents[0]
+			m.kill()
+			m.config.Incarnation++
+			c.launch(m, m.data)
+			wg.Wait()
+			unknown := 0
+			for _, r := range replies {
+				switch {
+				case r.outcome == "unknown" && !idempotent:
+					unknown++
+					assert.Assert(t, r.took < time.Second, "an unknown outcome was held back for %v", r.took)
+				default:
+					assert.Equal(t, r.outcome, "answer", r.kind)
+				}
+			}
+			assert.Equal(t, unknown > 0, !idempotent, "the restart must hit requests in progress")
+			c.check()
+		})
+	}
+}
+
+// Guards against a request that runs twice, or after a not-run answer, when the
+// agent process stands still and then handles everything that has queued up.
+func TestAgentPaused(t *testing.T) {
+	for _, deadline := range []time.Duration{300 * time.Millisecond, 6 * time.Second} {
+		t.Run(deadline.String(), func(t *testing.T) {
+			t.Parallel()
+			c := start(t, options{entries: 1, agents: 2, slots: 8, serviceTime: 20 * time.Millisecond})
+			for i := range 4 {
+				assert.Equal(t, c.send(0, request{name: fmt.Sprintf("warm-%d", i)}).outcome, "answer")
+			}
+			c.link.pause()
+			var wg sync.WaitGroup
+			for i := range 10 {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					r := c.send(0, request{name: fmt.Sprintf("r-%d", i), deadline: deadline})
+					if deadline > time.Second {
+						assert.Check(t, r.outcome == "answer", r.kind)
+					} else {
+						assert.Check(t, r.took < deadline+500*time.Millisecond, "took %v", r.took)
+					}
+				}()
+			}
+			time.Sleep(1500 * time.Millisecond)
+			c.link.resume()
+			wg.Wait()
+			time.Sleep(200 * time.Millisecond)
+			c.check()
+		})
+	}
+}
+
+// Guards against answers that reach the wrong caller and requests that run twice
+// when frames arrive duplicated or in another order.
+func TestDuplicatedAndReorderedFrames(t *testing.T) {
+	for _, l := range []*link{{duplicate: true}, {reorder: true}, {duplicate: true, reorder: true}} {
+		t.Run(fmt.Sprintf("duplicate %v reorder %v", l.duplicate, l.reorder), func(t *testing.T) {
+			t.Parallel()
+			c := start(t, options{entries: 1, agents: 2, slots: 4, serviceTime: 5 * time.Millisecond, link: l})
+			var wg sync.WaitGroup
+			for i := range 8 {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					for j := range 20 {
+						r := c.send(0, request{name: fmt.Sprintf("r-%d-%d", i, j), body: strings.Repeat("b", i*j), deadline: 5 * time.Second})
+						assert.Check(t, r.outcome == "answer", r.kind)
+					}
+				}()
+			}
+			wg.Wait()
+			c.check()
+		})
+	}
+}
+
+// Guards against a cut answer that is delivered as complete.
+func TestUpstreamCutsTheAnswer(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		fault      standin.UpstreamFault
+		idempotent bool
+		want       string
+	}{
+		{"length", standin.FaultCutBody, false, "unknown"},
+		{"chunks", standin.FaultCutChunks, false, "unknown"},
+		{"end of connection", standin.FaultNoLength, false, "run"},
+		{"idempotent is retried elsewhere", standin.FaultCutBody, true, "answer"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			var once sync.Once
+			c := start(t, options{entries: 1, agents: 2, slots: 2, fault: func(*http.Request) (f standin.UpstreamFault) {
+				once.Do(func() { f = tc.fault })
+				return f
+			}})
+			r := c.send(0, request{name: "cut", body: strings.Repeat("x", 50_000), idempotent: tc.idempotent})
+			assert.Equal(t, r.outcome, tc.want, r.kind)
+			assert.Equal(t, c.send(0, request{name: "next"}).outcome, "answer")
+		})
+	}
+}
+
+// Guards against more than the slots' requests on an upstream, lost goodput, late
+// refusals, and shedding urgent requests before others at twice the capacity.
+func TestOverload(t *testing.T) {
+	t.Parallel()
+	const slots, agents, serviceTime, seconds = 2, 2, 50 * time.Millisecond, 2
+	c := start(t, options{entries: 2, agents: agents, slots: slots, serviceTime: serviceTime})
+	c.configure(plan.Document{Plans: []plan.CustomerPlan{{Customer: "urgent", Plan: "u"}, {Customer: "other", Plan: "o"}},
+		Limits: []plan.Limit{{Plan: "u", Priority: 9}, {Plan: "o", Priority: 1}}})
+	capacity := float64(slots*agents) / serviceTime.Seconds()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	answered := make(map[string]int)
+	deadline := time.Second
+	for i := range int(2 * capacity * seconds) {
+		time.Sleep(time.Duration(float64(time.Second) / capacity / 2))
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			customer := [...]string{"urgent", "other", "other", "other"}[i%4]
+			r := c.send(i%2, request{name: fmt.Sprintf("r-%d", i), customer: customer, deadline: deadline})
+			mu.Lock()
+			defer mu.Unlock()
+			if r.outcome == "answer" {
+				answered[customer]++
+				return
+			}
+			assert.Check(t, r.outcome == "not_run", r.kind)
+			assert.Check(t, r.retryAfter != "")
+			assert.Check(t, r.took < deadline*3/4, "a refusal was held back for %v", r.took)
+		}()
+	}
+	wg.Wait()
+	total := answered["urgent"] + answered["other"]
+	assert.Check(t, float64(total) > 0.7*capacity*seconds, "answered %d of %v possible", total, capacity*seconds)
+	assert.Check(t, float64(answered["urgent"]) > 0.9*capacity*seconds/2, "answered %d urgent requests", answered["urgent"])
+	for _, m := range c.agents {
+		assert.Check(t, m.upstream.MaxInFlight() <= slots)
+	}
+	c.check()
+}
+
+// configure puts a configuration in force on every entry.
+func (c *cluster) configure(doc plan.Document) {
+	body, err := json.Marshal(doc)
+	assert.NilError(c.t, err)
+	req, err := http.NewRequest(http.MethodPut, c.entries[0].url+"/v1/config", strings.NewReader(string(body)))
+	assert.NilError(c.t, err)
+	resp, err := c.client.Do(req)
+	assert.NilError(c.t, err)
+	answer, _ := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	assert.Equal(c.t, resp.StatusCode, http.StatusOK, string(answer))
+	for _, e := range c.entries {
+		for in := (plan.Document{}); in.Generation == 0; time.Sleep(50 * time.Millisecond) {
+			resp, err := c.client.Get(e.url + "/v1/config")
+			assert.NilError(c.t, err)
+			assert.NilError(c.t, json.NewDecoder(resp.Body).Decode(&in))
+			_ = resp.Body.Close()
+		}
+	}
+}
+
+// Guards against cut, refused or late requests when an upstream and then an entry
+// leave under load, also when the owner of the shard is dead.
+func TestDrainUnderLoad(t *testing.T) {
+	for _, ownerDead := range []bool{false, true} {
+		t.Run(fmt.Sprintf("owner dead %v", ownerDead), func(t *testing.T) {
+			t.Parallel()
+			c := start(t, options{entries: 2, agents: 3, slots: 8, serviceTime: 30 * time.Millisecond})
+			live := 0
+			if ownerDead {
+				owner := c.owner()
+				c.entries[owner].kill()
+				live = 1 - owner
+			}
+			stop := make(chan struct{})
+			var wg sync.WaitGroup
+			for i := range 8 {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					for j := 0; ; j++ {
+						select {
+						case <-stop:
+							return
+						default:
+						}
+						r := c.send(live, request{name: fmt.Sprintf("r-%d-%d", i, j)})
+						assert.Check(t, r.outcome == "answer", "%s %s", r.outcome, r.kind)
+					}
+				}()
+			}
+			time.Sleep(300 * time.Millisecond)
+			m := c.agents[0]
+			m.process.Drain(c.ctx)
+			m.kill()
+			time.Sleep(1200 * time.Millisecond)
+			close(stop)
+			wg.Wait()
+			c.check()
+		})
+	}
+}
+
+// owner returns the index of the entry that owns the shard.
+func (c *cluster) owner() int {
+	for i, e := range c.entries {
+		if e.process.Owns() {
+			return i
+		}
+	}
+	c.t.Fatal("no entry owns the shard")
+	return 0
+}
+
+// Guards against an entry that stops before the answers in progress are written.
+func TestEntryStopsUnderLoad(t *testing.T) {
+	t.Parallel()
+	c := start(t, options{entries: 2, agents: 2, slots: 8, serviceTime: 100 * time.Millisecond})
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	for i := range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for j := 0; ; j++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				r := c.send(1, request{name: fmt.Sprintf("r-%d-%d", i, j), body: strings.Repeat("x", 200_000), deadline: 5 * time.Second})
+				if r.kind == errkind.Draining.String() {
+					return
+				}
+				assert.Check(t, r.outcome == "answer", "%s %s", r.outcome, r.kind)
+			}
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	c.entries[1].process.Shutdown(c.ctx)
+	close(stop)
+	wg.Wait()
+	c.entries[1].kill()
+	c.check()
+}
