Test the choice of upstreams, limits, queue, budget and ejection in virtual time

Cause: the new types of package route had tests only through the entry.

Change: table tests in synctest bubbles, one for each rule.

--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,370 @@
+package route_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/plan"
+	"github.com/chicorystand/chicorystand/route"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+func upstream(vm, zone string, slots uint16) wire.Upstream {
+	return wire.Upstream{VM: vm, Incarnation: 1, Zone: zone, Service: "s", Slots: slots}
+}
+
+func none(*wire.Upstream) bool { return false }
+
+// Guards against needless traffic between availability zones, uneven load and
+// more requests than slots.
+func TestPicker(t *testing.T) {
+	near, far := upstream("near", "a", 4), upstream("far", "b", 4)
+	for _, c := range []struct {
+		name      string
+		upstreams []wire.Upstream
+		picks     int
+		want      map[string]int
+		verdict   route.Verdict
+	}{
+		{"own zone first", []wire.Upstream{far, near}, 1, map[string]int{"near": 1}, route.Picked},
+		{"other zone when the own one has a quarter more load", []wire.Upstream{far, near}, 4, map[string]int{"near": 3, "far": 1}, route.Picked},
+		{"equal load in one zone", []wire.Upstream{near, upstream("near2", "a", 4)}, 4, map[string]int{"near": 2, "near2": 2}, route.Picked},
+		{"larger upstreams get more", []wire.Upstream{near, upstream("big", "a", 12)}, 8, map[string]int{"near": 2, "big": 6}, route.Picked},
+		{"every slot once", []wire.Upstream{near, far}, 8, map[string]int{"near": 4, "far": 4}, route.Picked},
+		{"full", []wire.Upstream{near}, 5, map[string]int{"near": 4}, route.Full},
+		{"no upstream", nil, 1, map[string]int{}, route.None},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := route.NewPicker("a", 1)
+			got := make(map[string]int)
+			var verdict route.Verdict
+			for range c.picks {
+				var u wire.Upstream
+				if u, _, verdict = p.Pick(c.upstreams, none, time.Now()); verdict == route.Picked {
+					got[u.VM]++
+				}
+			}
+			assert.DeepEqual(t, got, c.want)
+			assert.Equal(t, verdict, c.verdict)
+		})
+	}
+}
+
+// Guards against an entry that sends to slots which other entries use, and against
+// one that never tries again.
+func TestPickerLearnsForeignLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, list := route.NewPicker("a", 1), []wire.Upstream{upstream("vm", "a", 2)}
+		u, _, _ := p.Pick(list, none, time.Now())
+		p.Done(&u, 0, time.Now())
+		_, _, v := p.Pick(list, none, time.Now())
+		assert.Equal(t, v, route.Full)
+		time.Sleep(30 * time.Millisecond)
+		_, _, v = p.Pick(list, none, time.Now())
+		assert.Equal(t, v, route.Picked)
+		_, _, v = p.Pick(list, none, time.Now())
+		assert.Equal(t, v, route.Full, "one trial for each interval")
+	})
+}
+
+func members(epoch, version uint64, list ...wire.Upstream) wire.Members {
+	return wire.Members{Digest: wire.ShardDigest{Shard: "a-0", Epoch: epoch, Version: version}, Upstreams: list}
+}
+
+// Guards against old lists that replace newer ones, work for leaving upstreams, and
+// a gap without upstreams when a shard gets a new owner.
+func TestTableMembership(t *testing.T) {
+	vm := upstream("vm", "a", 1)
+	leaving, restarted := vm, vm
+	leaving.Draining, restarted.Incarnation = true, 2
+	for _, c := range []struct {
+		name string
+		act  func(tb *route.Table)
+		want []uint64
+	}{
+		{"listed", func(*route.Table) {}, []uint64{1}},
+		{"removed by the owner", func(tb *route.Table) { tb.Apply(members(1, 2)) }, nil},
+		{"older list", func(tb *route.Table) { tb.Apply(members(1, 1)); tb.Apply(members(0, 9)) }, []uint64{1}},
+		{"leaving", func(tb *route.Table) { tb.Apply(members(1, 2, leaving)) }, nil},
+		{"leaving, told by the agent", func(tb *route.Table) { tb.SetDraining(route.KeyOf(&vm), true) }, nil},
+		{"stays, told by the agent", func(tb *route.Table) {
+			tb.SetDraining(route.KeyOf(&vm), true)
+			tb.SetDraining(route.KeyOf(&vm), false)
+		}, []uint64{1}},
+		{"new owner without agents", func(tb *route.Table) { tb.Apply(members(2, 1)) }, []uint64{1}},
+		{"new owner, restarted agent", func(tb *route.Table) { tb.Apply(members(2, 1)); tb.Apply(members(2, 2, restarted)) }, []uint64{2}},
+		{"new owner, agent absent for long", func(tb *route.Table) { tb.Apply(members(2, 1)); time.Sleep(11 * time.Second) }, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tb := route.NewTable("a", 1)
+				tb.Apply(members(1, 1, vm))
+				c.act(tb)
+				var got []uint64
+				if u, _, v := tb.Pick("s", none); v == route.Picked {
+					got = append(got, u.Incarnation)
+				}
+				assert.DeepEqual(t, got, c.want)
+				time.Sleep(11 * time.Second)
+			})
+		})
+	}
+}
+
+// Guards against customers that use more than their plan, and against limits of an
+// older configuration.
+func TestLimiter(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		limit plan.Limit
+		send  int
+		hold  bool
+		want  int
+		kind  errkind.Kind
+	}{
+		{"no limit", plan.Limit{}, 1000, true, 1000, errkind.None},
+		{"burst of a tenth of a second", plan.Limit{RequestsPerSecond: 100}, 50, false, 10, errkind.RateLimited},
+		{"at least one", plan.Limit{RequestsPerSecond: 0.5}, 2, false, 1, errkind.RateLimited},
+		{"concurrency", plan.Limit{Concurrency: 3}, 5, true, 3, errkind.ConcurrencyLimited},
+		{"concurrency, one after the other", plan.Limit{Concurrency: 1}, 5, false, 5, errkind.None},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var l route.Limiter
+				admitted, kind := 0, errkind.None
+				for range c.send {
+					release, err := l.Acquire("c", c.limit)
+					if err != nil {
+						kind = errkind.Of(err)
+						continue
+					}
+					admitted++
+					if !c.hold {
+						release()
+					}
+				}
+				assert.Equal(t, admitted, c.want)
+				assert.Equal(t, kind, c.kind)
+				_, err := l.Acquire("other", c.limit)
+				assert.NilError(t, err, "another customer is not affected")
+				time.Sleep(2 * time.Second)
+				_, err = l.Acquire("c", plan.Limit{RequestsPerSecond: 1000})
+				assert.NilError(t, err, "the limit in force now applies")
+			})
+		})
+	}
+}
+
+// Guards against unbounded waiting, shedding in the wrong order and lost wakes.
+func TestQueue(t *testing.T) {
+	type waiting struct {
+		priority int
+		maxWait  time.Duration
+	}
+	for _, c := range []struct {
+		name    string
+		waiting []waiting
+		// wakes is the number of waiters woken, one each millisecond, before poll does so.
+		wakes int
+		// want is the order in which waiters proceed; the others are refused.
+		want []int
+		// within is when the last refusal must have been given.
+		within time.Duration
+	}{
+		{"arrival order", []waiting{{1, time.Second}, {1, time.Second}}, 2, []int{0, 1}, time.Hour},
+		{"priority before arrival", []waiting{{1, time.Second}, {9, time.Second}}, 2, []int{1, 0}, time.Hour},
+		{"full, the same priority is refused at once", []waiting{{1, time.Second}, {1, time.Second}, {1, time.Second}}, 2, []int{0, 1}, 0},
+		{"full, the lowest priority is shed at once", []waiting{{1, time.Second}, {0, time.Second}, {1, time.Second}}, 2, []int{0, 2}, 0},
+		{"given up after the longest wait", []waiting{{1, 10 * time.Millisecond}}, 0, nil, 10 * time.Millisecond},
+		{"woken by the poll", []waiting{{1, time.Second}}, 0, []int{0}, time.Hour},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := route.NewQueue(2)
+				start := time.Now()
+				var mu sync.Mutex
+				var got []int
+				for i, w := range c.waiting {
+					go func() {
+						err := q.Wait(context.Background(), q.Waiter(w.priority, w.maxWait))
+						mu.Lock()
+						defer mu.Unlock()
+						if err == nil {
+							got = append(got, i)
+							return
+						}
+						assert.Check(t, errkind.Of(err) == errkind.QueueFull)
+						assert.Check(t, time.Since(start) <= c.within, "refused after %v", time.Since(start))
+					}()
+					synctest.Wait()
+				}
+				for range c.wakes {
+					time.Sleep(time.Millisecond)
+					q.Wake(1)
+				}
+				time.Sleep(2 * time.Second)
+				mu.Lock()
+				defer mu.Unlock()
+				assert.DeepEqual(t, got, c.want)
+				assert.Equal(t, q.Len(), 0)
+			})
+		})
+	}
+}
+
+// Guards against requests that wait although the queue moves too slowly for them.
+func TestQueueRefusesHopelessWaitsEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := route.NewQueue(1000)
+		wait := func(maxWait time.Duration) error { return q.Wait(context.Background(), q.Waiter(1, maxWait)) }
+		for range 500 {
+			go func() { _ = wait(time.Hour) }()
+		}
+		synctest.Wait()
+		for range 200 {
+			time.Sleep(10 * time.Millisecond)
+			q.Wake(1)
+		}
+		synctest.Wait()
+		assert.Assert(t, q.Len() > 0)
+		start := time.Now()
+		assert.Equal(t, errkind.Of(wait(5*time.Millisecond)), errkind.QueueFull)
+		assert.Equal(t, time.Since(start), time.Duration(0))
+		time.Sleep(time.Minute)
+	})
+}
+
+// Guards against a wake that is lost with a waiter whose caller has gone.
+func TestQueuePassesWakesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := route.NewQueue(10)
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _ = q.Wait(ctx, q.Waiter(9, time.Second)) }()
+		synctest.Wait()
+		start, proceeded := time.Now(), make(chan time.Time, 1)
+		go func() {
+			if q.Wait(context.Background(), q.Waiter(1, time.Second)) == nil {
+				proceeded <- time.Now()
+			}
+		}()
+		synctest.Wait()
+		cancel()
+		q.Wake(1)
+		q.Wake(1)
+		assert.Equal(t, (<-proceeded).Sub(start), time.Duration(0))
+		time.Sleep(time.Second)
+	})
+}
+
+// Guards against retries that multiply an overload.
+func TestBudget(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		requests int
+		idle     time.Duration
+		want     int
+	}{
+		{"no traffic", 0, 0, 0},
+		{"a tenth of the requests", 100, 0, 10},
+		{"slow refill without traffic", 0, 3 * time.Second, 6},
+		{"saved retries are bounded", 10_000, time.Hour, 50},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := route.NewBudget(route.DefaultBudget())
+				for b.Take() {
+				}
+				for range c.requests {
+					b.Request()
+				}
+				time.Sleep(c.idle)
+				got := 0
+				for b.Take() {
+					got++
+				}
+				assert.Assert(t, got >= c.want-1 && got <= c.want, "got %d, want %d", got, c.want)
+			})
+		})
+	}
+}
+
+// Guards against pauses without jitter or bound.
+func TestBackoff(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for n, bound := range []time.Duration{5, 10, 20, 40, 80, 160, 250, 250} {
+		seen := make(map[time.Duration]bool)
+		for range 50 {
+			d := route.Backoff(n, random)
+			assert.Assert(t, d > 0 && d <= bound*time.Millisecond, "retry %d: %v", n, d)
+			seen[d] = true
+		}
+		assert.Assert(t, len(seen) > 40)
+	}
+}
+
+// Guards against upstreams that keep failing in use, and against ejecting too many.
+func TestOutliers(t *testing.T) {
+	key := func(i int) route.Key { return route.Key{VM: fmt.Sprint(i), Incarnation: 1} }
+	fail := func(o *route.Outliers, i, times, total int) {
+		for range times {
+			o.Failure(key(i), total)
+		}
+	}
+	for _, c := range []struct {
+		name  string
+		total int
+		act   func(o *route.Outliers)
+		want  int
+	}{
+		{"four failures", 4, func(o *route.Outliers) { fail(o, 0, 4, 4) }, 0},
+		{"five failures in a row", 4, func(o *route.Outliers) { fail(o, 0, 5, 4) }, 1},
+		{"a success in between", 4, func(o *route.Outliers) { fail(o, 0, 4, 4); o.Success(key(0)); fail(o, 0, 4, 4) }, 0},
+		{"half stay in use", 4, func(o *route.Outliers) {
+			for i := range 4 {
+				fail(o, i, 9, 4)
+			}
+		}, 2},
+		{"the only upstream stays in use", 1, func(o *route.Outliers) { fail(o, 0, 50, 1) }, 0},
+		{"back after the ejection", 4, func(o *route.Outliers) { fail(o, 0, 5, 4); time.Sleep(time.Second) }, 0},
+		{"one failure after the ejection", 4, func(o *route.Outliers) { fail(o, 0, 5, 4); time.Sleep(time.Second); fail(o, 0, 1, 4) }, 1},
+		{"the second ejection is longer", 4, func(o *route.Outliers) {
+			fail(o, 0, 5, 4)
+			time.Sleep(time.Second)
+			fail(o, 0, 1, 4)
+			time.Sleep(1500 * time.Millisecond)
+		}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := route.NewOutliers(route.DefaultOutliers())
+				c.act(o)
+				got := 0
+				for i := range c.total {
+					if o.Ejected(key(i)) {
+						got++
+					}
+				}
+				assert.Equal(t, got, c.want)
+			})
+		})
+	}
+}
+
+// Guards against hedging ordinary requests: the delay must settle near the 95th percentile.
+func TestHedgeDelay(t *testing.T) {
+	var h route.HedgeDelay
+	random := rand.New(rand.NewPCG(3, 4))
+	for range 20_000 {
+		h.Observe(time.Duration(random.Float64() * float64(100*time.Millisecond)))
+	}
+	d := h.Delay()
+	assert.Assert(t, d > 85*time.Millisecond && d < 105*time.Millisecond, "delay %v", d)
+}
