Schedule by learnt sizes and interference over indexed tables

The scheduler compared every VM for every pending task, copied each VM for the comparison, and knew only declared sizes. The tables now keep VMs in groups that score alike, by classes of free processors and memory, and one package makes each decision: feasibility, sizing, interference, quarantine, queue order, fair share, scoring and eviction.

The owner passes heartbeats and ends of attempts to the tables, and takes a scheduler configuration. The reason of each refusal is kept on the task with counts by reason.

--- a/scheduler/feasibility/feasibility.go
+++ b/scheduler/feasibility/feasibility.go
@@ -2,35 +2,123 @@
 package feasibility
 
 import (
+	"fmt"
+	"time"
+
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/scheduler/tables"
 	"github.com/chicorystand/chicorystand/task"
 )
 
-// Filter returns errkind.None when the task with the given reservation may be
-// placed on the VM now, or the first reason against it.
-func Filter(tk *tables.Task, reservation task.Resources, v *tables.VM) errkind.Kind {
+// Request is a task with the reservation that it needs.
+type Request struct {
+	Task *tables.Task
+	Need task.Resources
+	// MaxPressure is the pressure on a VM's service above which batch tasks are refused.
+	MaxPressure float64
+	// AnyRack drops the rule that spreads tasks over racks.
+	AnyRack bool
+}
+
+// Filter returns tables.Placed when the request may be placed on the VM now, or the
+// first reason against it.
+func Filter(t *tables.Tables, r Request, v *tables.VM, now time.Duration) tables.Reason {
+	if reason := Available(r.Task, v, now); reason != tables.Placed {
+		return reason
+	}
+	free := v.Free()
+	switch {
+	case r.Need.CPU > free.CPU:
+		return tables.NoCPU
+	case r.Need.Memory > free.Memory:
+		return tables.NoMemory
+	case r.Need.Accelerators > free.Accelerators:
+		return tables.NoAccelerators
+	case !r.AnyRack && rackFull(t, r.Task.Job(), v):
+		return tables.RackFull
+	case tooHarmful(t, r, v):
+		return tables.TooHarmful
+	}
+	return tables.Placed
+}
+
+// Available returns tables.Placed when the VM takes work of the task now, whatever its
+// free capacity, or the first reason against it.
+func Available(tk *tables.Task, v *tables.VM, now time.Duration) tables.Reason {
+	spec := &tk.Record.Spec
 	switch {
+	case spec.Zone != "" && spec.Zone != v.Zone:
+		return tables.WrongZone
 	case !v.Connected:
-		return errkind.NotReady
+		return tables.NoVM
 	case v.Draining:
-		return errkind.Draining
-	case tk.Record.Spec.Zone != "" && tk.Record.Spec.Zone != v.Zone:
-		return errkind.Infeasible
-	case !reservation.Fits(v.Free()):
-		return errkind.CapacityExceeded
+		return tables.VMDraining
+	case now < v.Health.NotBefore || v.Health.Probe != "":
+		return tables.Quarantined
+	case v.HeldFor != "" && v.HeldFor != spec.ID:
+		return tables.RoomHeld
+	}
+	return tables.Placed
+}
+
+// Spreading over racks.
+const (
+	// rackAlways is the number of tasks of one job that a rack may always hold.
+	rackAlways = 2
+	// rackShare bounds a rack to this multiple of an even spread.
+	rackShare = 2
+)
+
+// rackFull reports whether the rack already holds its part of the job. The rule is
+// dropped when it alone prevents the start: losing a rack costs a job at most its
+// progress since the last checkpoint, while not starting costs all of it.
+func rackFull(t *tables.Tables, job tables.JobKey, v *tables.VM) bool {
+	if v.Rack == "" {
+		return false
+	}
+	onRack, total, racks := t.OnRack(job, v.Rack)
+	return onRack >= rackAlways && onRack*racks >= rackShare*(total+1)
+}
+
+// tooHarmful reports whether a batch task would raise the pressure on the VM's service
+// above the limit. A VM without other pressure takes any task, so that none waits for ever.
+func tooHarmful(t *tables.Tables, r Request, v *tables.VM) bool {
+	if v.Service == "" || r.Task.Record.Spec.Class != task.Batch || v.Pressure == 0 {
+		return false
 	}
-	return errkind.None
+	harm := t.Harm(v.Service, r.Task.Record.Spec.JobClass, tables.LoadBucket(v.Load))
+	return v.Pressure+harm*float64(r.Need.CPU)/1000 > r.MaxPressure
 }
 
-// Quota returns errkind.QuotaExceeded when the reservation would exceed the customer's limits.
-func Quota(c *tables.Customer, reservation task.Resources) errkind.Kind {
+// Quota returns tables.OverQuota when the reservation would exceed the customer's limits.
+func Quota(c *tables.Customer, reservation task.Resources) tables.Reason {
 	used := c.Used.Add(reservation)
 	l := c.Limit
 	if exceeds(used.CPU, l.CPUMilli) || exceeds(used.Memory, l.MemoryMiB) || exceeds(used.Accelerators, l.Accelerators) {
-		return errkind.QuotaExceeded
+		return tables.OverQuota
 	}
-	return errkind.None
+	return tables.Placed
 }
 
 func exceeds(used, limit int64) bool { return limit > 0 && used > limit }
+
+// Never explains why the declared amount can never run; errkind.None means that it can.
+func Never(t *tables.Tables, tk *tables.Task, c *tables.Customer) (errkind.Kind, string) {
+	spec := &tk.Record.Spec
+	if BeyondPlan(tk, c) {
+		return errkind.Infeasible, fmt.Sprintf("%s exceed the plan %q", describe(spec.Declared), c.Limit.Plan)
+	}
+	if fits, known := t.EverFits(spec.Zone, spec.Declared); known && !fits {
+		return errkind.Infeasible, describe(spec.Declared) + " exceed every VM"
+	}
+	return errkind.None, ""
+}
+
+// BeyondPlan reports whether the declared amount exceeds the plan when nothing else runs.
+func BeyondPlan(tk *tables.Task, c *tables.Customer) bool {
+	return Quota(&tables.Customer{Limit: c.Limit}, tk.Record.Spec.Declared) != tables.Placed
+}
+
+func describe(r task.Resources) string {
+	return fmt.Sprintf("the declared %d milli-processors, %d MiB and %d accelerators", r.CPU, r.Memory, r.Accelerators)
+}
--- /dev/null
+++ b/scheduler/naive/naive.go
@@ -0,0 +1,103 @@
+// Package naive is a reference for the scheduler: plain loops over all VMs, no indexes,
+// no learning. Tests compare results with it, benchmarks compare cost and policy.
+package naive
+
+import (
+	"sort"
+	"time"
+
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/scheduler"
+	"github.com/chicorystand/chicorystand/scheduler/feasibility"
+	"github.com/chicorystand/chicorystand/scheduler/scoring"
+	"github.com/chicorystand/chicorystand/scheduler/tables"
+	"github.com/chicorystand/chicorystand/task"
+)
+
+// Score returns the stated score of a VM for the request, computed from the VM alone.
+func Score(t *tables.Tables, s scoring.Request, v *tables.VM) float64 {
+	free := v.Free()
+	g := tables.Group{
+		Zone: v.Zone, Service: v.Service, Load: tables.LoadBucket(v.Load), Pressure: tables.PressureBucket(v.Pressure),
+		CapBin: tables.CPUBin(v.Capacity.CPU), Accelerators: uint8(min(max(free.Accelerators, 0), tables.MaxAccelerators)),
+	}
+	return scoring.Group(t, s, &g) + scoring.Row(s, &g, tables.CPUBin(free.CPU))
+}
+
+// Best returns the feasible VM with the highest score, or nil.
+func Best(t *tables.Tables, r feasibility.Request, s scoring.Request, now time.Duration) *tables.VM {
+	if v := best(t, r, s, now); v != nil || r.AnyRack {
+		return v
+	}
+	r.AnyRack = true
+	return best(t, r, s, now)
+}
+
+func best(t *tables.Tables, r feasibility.Request, s scoring.Request, now time.Duration) *tables.VM {
+	var out *tables.VM
+	for _, v := range t.SortedVMs() {
+		if feasibility.Filter(t, r, v, now) != tables.Placed {
+			continue
+		}
+		if out == nil || Score(t, s, v) > Score(t, s, out) {
+			out = v
+		}
+	}
+	return out
+}
+
+// Reserved returns the reservations of a VM summed over all tasks.
+func Reserved(t *tables.Tables, v *tables.VM) task.Resources {
+	sum := v.ServiceHeld
+	for _, tk := range t.Tasks {
+		if tk.Record.VM == v.ID && tables.Holds(tk.Record.State) {
+			sum = sum.Add(tk.Reserved)
+		}
+	}
+	return sum
+}
+
+// FirstFit places tasks in the order of submission on the first VM, by id, that holds the
+// declared size.
+type FirstFit struct{}
+
+// Tick returns assignments and rejections. Like Scheduler.Tick it leaves the tables unchanged.
+func (FirstFit) Tick(t *tables.Tables, now time.Duration) []scheduler.Effect {
+	t.TakeReports()
+	vms := t.SortedVMs()
+	var pending []*tables.Task
+	for id := range t.Pending {
+		pending = append(pending, t.Tasks[id])
+	}
+	sort.Slice(pending, func(i, j int) bool {
+		a, b := pending[i], pending[j]
+		if a.Submitted != b.Submitted {
+			return a.Submitted < b.Submitted
+		}
+		return a.Record.Spec.ID < b.Record.Spec.ID
+	})
+	planned := make(map[string]task.Resources)
+	var effects []scheduler.Effect
+	for _, tk := range pending {
+		if e, ok := firstFit(t, vms, planned, tk); ok {
+			effects = append(effects, e)
+		}
+	}
+	return effects
+}
+
+func firstFit(t *tables.Tables, vms []*tables.VM, planned map[string]task.Resources, tk *tables.Task) (scheduler.Effect, bool) {
+	spec := &tk.Record.Spec
+	need := spec.Declared
+	if kind, detail := feasibility.Never(t, tk, t.Customer(spec.Customer)); kind != errkind.None {
+		return scheduler.Effect{Kind: scheduler.Reject, Task: spec.ID, Reason: kind, Detail: detail}, true
+	}
+	for _, v := range vms {
+		if !v.Connected || v.Draining || (spec.Zone != "" && spec.Zone != v.Zone) || !need.Fits(v.Free().Sub(planned[v.ID])) {
+			continue
+		}
+		planned[v.ID] = planned[v.ID].Add(need)
+		return scheduler.Effect{Kind: scheduler.Assign, Task: spec.ID, VM: v.ID, Reservation: need}, true
+	}
+	return scheduler.Effect{}, false
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -4,12 +4,17 @@
 package scheduler
 
 import (
-	"sort"
+	"math/rand/v2"
 	"time"
 
 	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/scheduler/eviction"
 	"github.com/chicorystand/chicorystand/scheduler/feasibility"
+	"github.com/chicorystand/chicorystand/scheduler/interference"
+	"github.com/chicorystand/chicorystand/scheduler/quarantine"
+	"github.com/chicorystand/chicorystand/scheduler/queue"
 	"github.com/chicorystand/chicorystand/scheduler/scoring"
+	"github.com/chicorystand/chicorystand/scheduler/sizing"
 	"github.com/chicorystand/chicorystand/scheduler/tables"
 	"github.com/chicorystand/chicorystand/task"
 )
@@ -27,6 +32,12 @@
 	Reject
 	// Park sets a task aside that failed on several VMs.
 	Park
+	// Grow reports that a task uses more than its reservation; Reservation is what would
+	// cover the use. The VM may throttle or checkpoint the task. When Reason is
+	// errkind.CapacityExceeded, the VM cannot hold the larger reservation.
+	Grow
+	// Quarantine reports that the VM gets no work except for probes.
+	Quarantine
 )
 
 // Effect is one decision of a tick.
@@ -39,116 +50,450 @@
 	Detail      string
 }
 
-// Scheduler holds what the systems learn between ticks.
-type Scheduler struct{}
+// Limits of one tick and of holds.
+const (
+	// maxFailedShapes bounds the searches without result in a tick. Tasks of the same
+	// customer, job class, size and zone share one search.
+	maxFailedShapes = 64
+	// maxEvictionSearches bounds the searches for victims in a tick.
+	maxEvictionSearches = 8
+	// victimVMs is the number of VMs compared in such a search.
+	victimVMs = 8
+	// holdTime keeps room for the task it was made for; an eviction takes at most 2 s.
+	holdTime = 5 * time.Second
+	// drainTime keeps a VM free of new tasks when the budget does not allow the evictions,
+	// so that it empties by itself. One VM in vmsPerHold may be held.
+	drainTime  = 2 * time.Minute
+	vmsPerHold = 20
+	// hotTail and hotReports make a VM a candidate for relief: the guard has had the time
+	// of two reports to bring the tail down.
+	hotTail    = 1.2
+	hotReports = 3
+	// waveShare is the part of services that may be hot before relief stops, since a wave
+	// that hits many VMs is not caused by where tasks were placed.
+	waveShare = 0.25
+)
+
+// Config configures a scheduler.
+type Config struct {
+	// TailWeight weighs tail latency (1) against batch throughput and evictions (0).
+	TailWeight float64
+	// Seed seeds the choice among VMs of equal score.
+	Seed uint64
+	// RejectAfter is the time from the first tick with a VM before a task is rejected for
+	// exceeding every VM. A new owner learns of its VMs within one heartbeat.
+	RejectAfter time.Duration
+}
+
+// DefaultConfig weighs tail latency and throughput alike.
+func DefaultConfig() Config { return Config{TailWeight: 0.5, RejectAfter: 10 * time.Second} }
+
+// MaxPressure is the expected relative slowdown of a service up to which batch tasks are
+// placed beside it.
+func (c Config) MaxPressure() float64 {
+	return pressureBase + pressureRange*(1-min(max(c.TailWeight, 0), 1))
+}
+
+// Bounds of MaxPressure: the base at tail weight 1, base and range at tail weight 0.
+const (
+	pressureBase  = 0.1
+	pressureRange = 0.4
+)
+
+// Scheduler holds what the systems keep between ticks besides the tables.
+type Scheduler struct {
+	cfg     Config
+	rng     *rand.Rand
+	queue   queue.Queue
+	budget  eviction.Budget
+	holds   map[string]hold
+	probing map[string]struct{}
+	hot     map[string]int
+	since   time.Duration
+	started bool
+}
+
+// hold keeps a VM for a task for which others were evicted.
+type hold struct {
+	vm    string
+	until time.Duration
+}
 
 // New returns a scheduler.
-func New() *Scheduler { return &Scheduler{} }
+func New(cfg Config) *Scheduler {
+	return &Scheduler{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0)), holds: make(map[string]hold),
+		probing: make(map[string]struct{}), hot: make(map[string]int)}
+}
+
+// tick is the state of one run of the systems.
+type tick struct {
+	*Scheduler
+	t        *tables.Tables
+	now      time.Duration
+	effects  []Effect
+	planned  []plan
+	failed   map[shape]tables.Reason
+	searches int
+	evicting map[string]bool
+}
+
+type plan struct {
+	tk   *tables.Task
+	vm   *tables.VM
+	need task.Resources
+}
+
+// shape is what the outcome of a search depends on.
+type shape struct {
+	job  tables.JobKey
+	need task.Resources
+	zone string
+}
 
 // Tick runs every system once. Reservations of the returned assignments are
 // not yet applied to the tables; the caller applies effects that it commits.
 func (s *Scheduler) Tick(t *tables.Tables, now time.Duration) []Effect {
-	var effects []Effect
-	vms := t.SortedVMs()
-	planned := newReservations(t)
-	for _, tk := range queue(t) {
-		if e, ok := s.place(t, tk, vms, planned); ok {
-			effects = append(effects, e)
-		}
+	t.Now = now
+	if !s.started && len(t.VMs) > 0 {
+		s.started, s.since = true, now
 	}
-	return effects
+	k := &tick{Scheduler: s, t: t, now: now, failed: make(map[shape]tables.Reason), evicting: make(map[string]bool)}
+	k.ingest()
+	quarantine.Run(t, s.probing, now)
+	k.expireHolds()
+	k.place()
+	for i := len(k.planned) - 1; i >= 0; i-- {
+		p := k.planned[i]
+		t.Unreserve(p.vm, p.tk, p.need)
+	}
+	return k.effects
 }
 
-// queue returns the pending tasks: urgent first, then by submission.
-func queue(t *tables.Tables) []*tables.Task {
-	out := make([]*tables.Task, 0, len(t.Pending))
-	for id := range t.Pending {
-		out = append(out, t.Tasks[id])
-	}
-	sort.Slice(out, func(i, j int) bool {
-		a, b := out[i], out[j]
-		if a.Record.Spec.Urgent != b.Record.Spec.Urgent {
-			return a.Record.Spec.Urgent
+// ingest runs the learning systems over the reports since the last tick.
+func (k *tick) ingest() {
+	reports, ended := k.t.TakeReports()
+	for _, e := range ended {
+		sizing.Finish(k.t, e)
+		if quarantine.Learn(k.t, e, k.now) {
+			k.effects = append(k.effects, Effect{Kind: Quarantine, VM: e.VM, Task: e.Task, Reason: errkind.NotReady})
 		}
-		if a.Submitted != b.Submitted {
-			return a.Submitted < b.Submitted
+	}
+	for _, r := range reports {
+		interference.Learn(k.t, r)
+		for _, g := range sizing.Learn(k.t, r) {
+			k.grow(g)
 		}
-		return a.Record.Spec.ID < b.Record.Spec.ID
-	})
-	return out
+		k.heat(r)
+	}
+	for _, r := range reports {
+		k.relieve(r.VM)
+	}
 }
 
-func (s *Scheduler) place(t *tables.Tables, tk *tables.Task, vms []*tables.VM, planned *reservations) (Effect, bool) {
-	need := tk.Record.Spec.Declared
-	if detail := neverFits(need, vms); detail != "" {
-		return Effect{Kind: Reject, Task: tk.Record.Spec.ID, Reason: errkind.Infeasible, Detail: detail}, true
+// grow reports growth, and moves tasks when the VM's memory is not enough for it.
+func (k *tick) grow(g sizing.Grow) {
+	e := Effect{Kind: Grow, Task: g.Task.Record.Spec.ID, VM: g.Task.Record.VM, Reservation: g.Need}
+	if g.Overflow {
+		e.Reason = errkind.CapacityExceeded
 	}
-	if k := feasibility.Quota(planned.customer(t, tk), need); k != errkind.None {
-		tk.Waiting = k
-		return Effect{}, false
+	k.effects = append(k.effects, e)
+	v := k.t.VMs[g.Task.Record.VM]
+	extra := task.Resources{Memory: g.Need.Memory - g.Task.Reserved.Memory}
+	if !g.Overflow || extra.Fits(v.Free()) {
+		return
 	}
-	best, reason := choose(tk, need, vms, planned)
-	if best == nil {
-		tk.Waiting = reason
-		return Effect{}, false
+	victims, _ := eviction.Victims(k.t, v, extra, k.now)
+	k.evict(victims, errkind.CapacityExceeded, "memory beyond the reservations")
+}
+
+// heat counts consecutive reports of a tail above target.
+func (k *tick) heat(r tables.Report) {
+	switch {
+	case r.Tail > hotTail:
+		k.hot[r.VM]++
+	default:
+		delete(k.hot, r.VM)
 	}
-	planned.reserve(tk, best, need)
-	return Effect{Kind: Assign, Task: tk.Record.Spec.ID, VM: best.ID, Reservation: need}, true
 }
 
-func choose(tk *tables.Task, need task.Resources, vms []*tables.VM, planned *reservations) (*tables.VM, errkind.Kind) {
-	reason := errkind.NotReady
-	var best *tables.VM
-	bestScore := 0.0
-	for _, v := range vms {
-		candidate := planned.vm(v)
-		if k := feasibility.Filter(tk, need, candidate); k != errkind.None {
-			reason = k
-			continue
+// relieve moves the most harmful task off a VM that the guard could not bring below target.
+func (k *tick) relieve(vm string) {
+	v, ok := k.t.VMs[vm]
+	if !ok || k.hot[vm] < hotReports || float64(len(k.hot)) > max(waveShare*float64(len(k.t.VMs)), 1) {
+		return
+	}
+	if v.Pressure <= k.cfg.MaxPressure() {
+		return
+	}
+	if tk := eviction.Relief(k.t, v, k.now); tk != nil && k.evict([]*tables.Task{tk}, errkind.SlotsFull, "service above its latency target") {
+		delete(k.hot, vm)
+	}
+}
+
+// evict appends the evictions when they are within the budget.
+func (k *tick) evict(victims []*tables.Task, reason errkind.Kind, detail string) bool {
+	if len(victims) == 0 {
+		return false
+	}
+	for _, tk := range victims {
+		if k.evicting[tk.Record.Spec.ID] {
+			return false
 		}
-		if score := scoring.Score(need, candidate); best == nil || score > bestScore {
-			best, bestScore = v, score
+	}
+	if !k.budget.Take(len(victims), len(k.t.Tasks)-len(k.t.Pending), k.now) {
+		return false
+	}
+	for _, tk := range victims {
+		k.evicting[tk.Record.Spec.ID] = true
+		k.effects = append(k.effects, Effect{Kind: Evict, Task: tk.Record.Spec.ID, VM: tk.Record.VM, Reason: reason, Detail: detail})
+	}
+	return true
+}
+
+func (k *tick) expireHolds() {
+	for id, h := range k.holds {
+		tk, ok := k.t.Tasks[id]
+		if k.now >= h.until || !ok || tk.Record.State != task.Pending {
+			k.release(id, h)
 		}
 	}
-	return best, reason
 }
 
-// neverFits explains why no known VM could hold the reservation even when empty.
-func neverFits(need task.Resources, vms []*tables.VM) string {
-	if len(vms) == 0 {
-		return ""
+func (k *tick) release(id string, h hold) {
+	if v, ok := k.t.VMs[h.vm]; ok && v.HeldFor == id {
+		v.HeldFor = ""
 	}
-	for _, v := range vms {
-		if need.Fits(v.Capacity.Sub(v.ServiceHeld)) {
-			return ""
+	delete(k.holds, id)
+}
+
+// place serves the queue until it is empty or too many searches failed.
+func (k *tick) place() {
+	if len(k.t.Pending) == 0 {
+		return
+	}
+	q := queue.New(k.t, k.now, &k.queue)
+	for tk := q.Pop(k.now); tk != nil; tk = q.Pop(k.now) {
+		if len(k.failed) >= maxFailedShapes {
+			tk.Refuse(tables.NotTried)
+			return
 		}
+		k.placeOne(tk)
 	}
-	return "the declared resources exceed every VM"
 }
 
-// reservations tracks what the current tick has already planned.
-type reservations struct {
-	vms       map[string]task.Resources
-	customers map[string]task.Resources
+func (k *tick) placeOne(tk *tables.Task) {
+	spec := &tk.Record.Spec
+	need := sizing.Reservation(k.t, tk)
+	sh := shape{tk.Job(), need, spec.Zone}
+	_, held := k.holds[spec.ID]
+	if reason, ok := k.failed[sh]; ok && !held {
+		tk.Refuse(reason)
+		return
+	}
+	c := k.t.Customer(spec.Customer)
+	if kind, detail := feasibility.Never(k.t, tk, c); kind != errkind.None && (k.now-k.since >= k.cfg.RejectAfter || feasibility.BeyondPlan(tk, c)) {
+		k.effects = append(k.effects, Effect{Kind: Reject, Task: spec.ID, Reason: kind, Detail: detail})
+		return
+	}
+	if reason := feasibility.Quota(c, need); reason != tables.Placed {
+		k.refuse(tk, sh, reason)
+		return
+	}
+	v, reason := k.choose(tk, need)
+	if v == nil {
+		k.refuse(tk, sh, reason)
+		k.makeRoom(tk, need, reason)
+		return
+	}
+	k.assign(tk, v, need)
+}
+
+func (k *tick) refuse(tk *tables.Task, sh shape, reason tables.Reason) {
+	k.failed[sh] = reason
+	tk.Refuse(reason)
+}
+
+func (k *tick) assign(tk *tables.Task, v *tables.VM, need task.Resources) {
+	id := tk.Record.Spec.ID
+	if h, ok := k.holds[id]; ok {
+		k.release(id, h)
+	}
+	if quarantine.Started(v, id) {
+		k.probing[v.ID] = struct{}{}
+	}
+	tk.Refused, tk.Waiting = tables.Placed, errkind.None
+	k.t.Reserve(v, tk, need)
+	k.planned = append(k.planned, plan{tk, v, need})
+	k.effects = append(k.effects, Effect{Kind: Assign, Task: id, VM: v.ID, Reservation: need})
+}
+
+// choose returns the best VM. The rule about racks is dropped when it alone is in the way.
+func (k *tick) choose(tk *tables.Task, need task.Resources) (*tables.VM, tables.Reason) {
+	r := feasibility.Request{Task: tk, Need: need, MaxPressure: k.cfg.MaxPressure()}
+	v, reason := k.search(r)
+	if v == nil && reason == tables.RackFull {
+		r.AnyRack = true
+		v, reason = k.search(r)
+	}
+	return v, reason
+}
+
+// search returns a feasible VM with the highest score. It compares groups and rows, and
+// looks at VMs only in rows that beat the best so far.
+func (k *tick) search(r feasibility.Request) (*tables.VM, tables.Reason) {
+	f := finder{tick: k, r: r, low: tables.CPUBin(r.Need.CPU), col: tables.MemoryBin(r.Need.Memory)}
+	f.s = ScoringRequest(r, k.cfg.TailWeight)
+	for _, g := range k.t.Groups() {
+		f.group(g)
+	}
+	if f.best != nil {
+		return f.best, tables.Placed
+	}
+	return nil, f.reason()
+}
+
+// ScoringRequest returns what the scores of a placement depend on.
+func ScoringRequest(r feasibility.Request, tailWeight float64) scoring.Request {
+	spec := &r.Task.Record.Spec
+	return scoring.Request{Class: spec.Class, JobClass: spec.JobClass, Need: r.Need, TailWeight: tailWeight}
+}
+
+// finder is one search.
+type finder struct {
+	*tick
+	r        feasibility.Request
+	s        scoring.Request
+	low, col uint8
+
+	best    *tables.VM
+	score   float64
+	refused [tables.NumReasons]int
+}
+
+func (f *finder) group(g *tables.Group) {
+	switch {
+	case f.r.Task.Record.Spec.Zone != "" && f.r.Task.Record.Spec.Zone != g.Zone:
+		f.refused[tables.WrongZone] += g.Size
+		return
+	case int64(g.Accelerators) < min(f.r.Need.Accelerators, tables.MaxAccelerators):
+		f.refused[tables.NoAccelerators] += g.Size
+		return
+	}
+	rows := g.Rows(f.low)
+	if rows == 0 {
+		f.refused[tables.NoCPU] += g.Size
+		return
+	}
+	base := scoring.Group(f.t, f.s, g)
+	for rows != 0 {
+		var row uint8
+		row, rows = tables.Next(rows)
+		if score := base + scoring.Row(f.s, g, row); f.best == nil || score > f.score {
+			if v := f.row(g, row); v != nil {
+				f.best, f.score = v, score
+			}
+		}
+	}
+}
+
+// row returns a feasible VM of the row. The first VM looked at in each cell is random, so
+// that equal VMs share the work.
+func (f *finder) row(g *tables.Group, row uint8) *tables.VM {
+	cols := g.Columns(row, f.col)
+	if cols == 0 {
+		f.refused[tables.NoMemory]++
+	}
+	for cols != 0 {
+		var col uint8
+		col, cols = tables.Next(cols)
+		cell := g.Cell(row, col)
+		start := f.rng.IntN(len(cell))
+		for i := range cell {
+			v := cell[(start+i)%len(cell)]
+			reason := feasibility.Filter(f.t, f.r, v, f.now)
+			if reason == tables.Placed {
+				return v
+			}
+			f.refused[reason]++
+		}
+	}
+	return nil
 }
 
-func newReservations(*tables.Tables) *reservations {
-	return &reservations{vms: make(map[string]task.Resources), customers: make(map[string]task.Resources)}
+// reason returns the refusal to report: that of the VMs that came closest to taking the task.
+func (f *finder) reason() tables.Reason {
+	for _, r := range []tables.Reason{tables.RackFull, tables.TooHarmful, tables.RoomHeld, tables.Quarantined, tables.NoMemory,
+		tables.NoCPU, tables.NoAccelerators, tables.VMDraining, tables.NoVM, tables.WrongZone} {
+		if f.refused[r] > 0 {
+			return r
+		}
+	}
+	return tables.NoVM
 }
 
-func (r *reservations) reserve(tk *tables.Task, v *tables.VM, need task.Resources) {
-	r.vms[v.ID] = r.vms[v.ID].Add(need)
-	r.customers[tk.Record.Spec.Customer] = r.customers[tk.Record.Spec.Customer].Add(need)
+// makeRoom evicts batch tasks for an urgent or starving task that found no place.
+func (k *tick) makeRoom(tk *tables.Task, need task.Resources, reason tables.Reason) {
+	spec := &tk.Record.Spec
+	if !spec.Urgent && k.now-tk.Submitted < queue.Starving {
+		return
+	}
+	if _, ok := k.holds[spec.ID]; ok || reason.Kind() != errkind.CapacityExceeded || k.searches >= maxEvictionSearches {
+		return
+	}
+	k.searches++
+	var best *tables.VM
+	var victims []*tables.Task
+	var least time.Duration
+	for _, v := range k.roomiest(tk, need) {
+		if list, loss := eviction.Victims(k.t, v, need, k.now); len(list) > 0 && (best == nil || loss < least) {
+			best, victims, least = v, list, loss
+		}
+	}
+	if best == nil {
+		return
+	}
+	until := k.now + holdTime
+	if !k.evict(victims, errkind.CapacityExceeded, "room for task "+spec.ID) {
+		if len(k.holds) >= max(1, len(k.t.VMs)/vmsPerHold) {
+			return
+		}
+		until = k.now + drainTime
+	}
+	best.HeldFor = spec.ID
+	k.holds[spec.ID] = hold{best.ID, until}
 }
 
-func (r *reservations) vm(v *tables.VM) *tables.VM {
-	c := *v
-	c.Reserved = c.Reserved.Add(r.vms[v.ID])
-	return &c
+// roomiest returns VMs that could hold the amount when empty, those with many free
+// processors first within each group.
+func (k *tick) roomiest(tk *tables.Task, need task.Resources) []*tables.VM {
+	var out []*tables.VM
+	groups := k.t.Groups()
+	if len(groups) == 0 {
+		return nil
+	}
+	start := k.rng.IntN(len(groups))
+	for i := range groups {
+		if len(out) >= victimVMs {
+			break
+		}
+		if v := k.roomiestOf(groups[(start+i)%len(groups)], tk, need); v != nil {
+			out = append(out, v)
+		}
+	}
+	return out
 }
 
-func (r *reservations) customer(t *tables.Tables, tk *tables.Task) *tables.Customer {
-	c := *t.Customer(tk.Record.Spec.Customer)
-	c.Used = c.Used.Add(r.customers[c.Name])
-	return &c
+func (k *tick) roomiestOf(g *tables.Group, tk *tables.Task, need task.Resources) *tables.VM {
+	for row := tables.Bins - 1; row >= 0; row-- {
+		for cols := g.Columns(uint8(row), 0); cols != 0; {
+			var col uint8
+			col, cols = tables.Next(cols)
+			for _, v := range g.Cell(uint8(row), col) {
+				if need.Fits(v.Capacity.Sub(v.ServiceHeld)) && feasibility.Available(tk, v, k.now) == tables.Placed {
+					return v
+				}
+			}
+		}
+	}
+	return nil
 }
--- a/scheduler/scoring/scoring.go
+++ b/scheduler/scoring/scoring.go
@@ -1,4 +1,6 @@
-// Package scoring ranks the VMs on which a task may run.
+// Package scoring ranks the VMs on which a task may run. A score depends on the VM
+// only through its group and its class of free processors, so that the search
+// compares classes and not VMs.
 package scoring
 
 import (
@@ -6,13 +8,61 @@
 	"github.com/chicorystand/chicorystand/task"
 )
 
-// Score returns a value for placing a reservation on the VM; higher is better.
-// It prefers VMs that keep the largest share of processors free, which leaves
-// headroom for their services.
-func Score(reservation task.Resources, v *tables.VM) float64 {
-	if v.Capacity.CPU == 0 {
+// Weights of the terms, in units of the score. The harm of one more relative slowdown
+// of a service outweighs every other term at full tail weight.
+const (
+	harmWeight        = 10.0
+	pressureFactor    = 4.0
+	loadWeight        = 0.3
+	headroomWeight    = 2.0
+	packWeight        = 0.4
+	spreadWeight      = 0.4
+	zoneWeight        = 0.2
+	acceleratorWeight = 1.0
+)
+
+// Headroom kept free on a VM with a service: a base, and more under load, since an
+// upstream's cold start outlasts a traffic peak and capacity must be warm beforehand.
+const (
+	headroomBase = 0.1
+	headroomLoad = 0.2
+)
+
+// Request is what is placed.
+type Request struct {
+	Class    task.Class
+	JobClass string
+	Need     task.Resources
+	// TailWeight weighs tail latency (1) against batch throughput and evictions (0).
+	TailWeight float64
+}
+
+// Group returns the part of the score that all VMs of the group share; higher is better.
+func Group(t *tables.Tables, r Request, g *tables.Group) float64 {
+	score := -zoneWeight * t.ZoneShare(g.Zone)
+	if r.Need.Accelerators == 0 && g.Accelerators > 0 {
+		score -= acceleratorWeight
+	}
+	if g.Service == "" || r.Class != task.Batch {
+		return score
+	}
+	w := 0.2 + 0.8*r.TailWeight
+	harm := t.Harm(g.Service, r.JobClass, g.Load) * float64(r.Need.CPU) / 1000
+	score -= w * harmWeight * harm * (1 + pressureFactor*tables.PressureEdge(g.Pressure))
+	return score - w*loadWeight*float64(g.Load)/tables.LoadBuckets
+}
+
+// Row returns the part of the score that depends on the class of free processors.
+func Row(r Request, g *tables.Group, row uint8) float64 {
+	capacity := float64(tables.CPUEdge(g.CapBin))
+	if capacity == 0 {
 		return 0
 	}
-	free := v.Free().Sub(reservation)
-	return float64(free.CPU) / float64(v.Capacity.CPU)
+	free := max(float64(tables.CPUEdge(row))-float64(r.Need.CPU), 0) / capacity
+	if g.Service == "" {
+		return packWeight * (1 - free)
+	}
+	score := spreadWeight*r.TailWeight*free + packWeight*(1-r.TailWeight)*(1-free)
+	reserve := headroomBase + headroomLoad*float64(g.Load)/tables.LoadBuckets
+	return score - headroomWeight*max(reserve-free, 0)
 }
--- /dev/null
+++ b/scheduler/sizing/sizing.go
@@ -0,0 +1,197 @@
+// Package sizing learns the real use and run time of job classes from lagging usage
+// reports, and derives reservations from them.
+package sizing
+
+import (
+	"math"
+	"time"
+
+	"github.com/chicorystand/chicorystand/scheduler/tables"
+	"github.com/chicorystand/chicorystand/task"
+)
+
+// Rules of learning.
+const (
+	// quantile of the learnt use that a reservation covers, and the margin above it.
+	cpuQuantile    = 0.95
+	memoryQuantile = 0.99
+	margin         = 1.15
+	// decay is applied to a class's samples with each new one; the effective window is 200 samples.
+	decay = 1 - 1.0/200
+	// minSamples and minTasks must be reached before a learnt size replaces the declared one.
+	minSamples = 8
+	minTasks   = 2
+	// keepAbove leaves the declared size in force when the use is within 15% below it.
+	keepAbove = 0.85
+	// maxGrowth and minShrink bound a learnt size by the declared one, so that wrong
+	// reports cannot reserve a whole VM or nothing.
+	maxGrowth = 4
+	minShrink = 0.125
+	// runWeight is the weight of a new run time.
+	runWeight = 0.2
+)
+
+// Grow reports that a task uses more than its reservation.
+type Grow struct {
+	Task *tables.Task
+	// Need is the reservation that would cover the use.
+	Need task.Resources
+	// Overflow is true when the VM cannot hold it.
+	Overflow bool
+}
+
+// Learn takes one report into account and returns the tasks that outgrew their reservations.
+// A measurement is used only for the attempt that ran when it was taken.
+func Learn(t *tables.Tables, r tables.Report) []Grow {
+	v, ok := t.VMs[r.VM]
+	if !ok {
+		return nil
+	}
+	var grown []Grow
+	for _, u := range r.Uses {
+		tk, ok := t.Tasks[u.Task]
+		if !ok || tk.Record.VM != r.VM || tk.Record.State != task.Running || tk.Started > r.At-r.Lag {
+			continue
+		}
+		if !plausible(u.Use, v.Capacity) {
+			continue
+		}
+		use := unthrottled(u)
+		s := t.Size(tk.Job())
+		observe(s, u.Task, use)
+		if g, ok := outgrown(tk, use, v); ok {
+			grown = append(grown, g)
+		}
+	}
+	return grown
+}
+
+// plausible rejects missing measurements and those that no task on the VM can have.
+func plausible(use, capacity task.Resources) bool {
+	return use.CPU >= 0 && use.Memory >= 0 && use.CPU+use.Memory > 0 && use.Fits(capacity)
+}
+
+// unthrottled estimates the use at full speed of a task that the guard slowed down.
+func unthrottled(u tables.Use) task.Resources {
+	use := u.Use
+	if u.Fraction > 0 && u.Fraction < 1 {
+		use.CPU = int64(float64(use.CPU) / u.Fraction)
+	}
+	return use
+}
+
+func observe(s *tables.Size, id string, use task.Resources) {
+	if s.Tasks == nil {
+		s.Tasks = make(map[string]struct{}, minTasks)
+	}
+	if len(s.Tasks) < minTasks {
+		s.Tasks[id] = struct{}{}
+	}
+	for i := range s.CPU {
+		s.CPU[i] *= decay
+		s.Memory[i] *= decay
+	}
+	s.Samples = s.Samples*decay + 1
+	s.CPU[bucket(use.CPU)]++
+	s.Memory[bucket(use.Memory)]++
+}
+
+// bucket returns the class of an amount: a quarter octave from 16 upwards.
+func bucket(amount int64) int {
+	if amount <= 16 {
+		return 0
+	}
+	return min(int(4*math.Log2(float64(amount)/16)), tables.SizeBuckets-1)
+}
+
+// upper returns the upper bound of a class.
+func upper(b int) int64 { return int64(math.Ceil(16 * math.Exp2(float64(b+1)/4))) }
+
+func quantile(h *[tables.SizeBuckets]float32, q float64) int64 {
+	var total, seen float32
+	for _, n := range h {
+		total += n
+	}
+	for b, n := range h {
+		seen += n
+		if float64(seen) >= q*float64(total) {
+			return upper(b)
+		}
+	}
+	return 0
+}
+
+// Reservation returns the amount to reserve for the task: the learnt use with a margin,
+// or the declared amount while too little is known. It never exceeds what the largest VM
+// offers when the declared amount does not.
+func Reservation(t *tables.Tables, tk *tables.Task) task.Resources {
+	need := tk.Record.Spec.Declared
+	s, ok := t.Sizes[tk.Job()]
+	if !ok || s.Samples < minSamples || len(s.Tasks) < minTasks {
+		return need
+	}
+	learnt := need
+	learnt.CPU = clamp(need.CPU, quantile(&s.CPU, cpuQuantile))
+	learnt.Memory = clamp(need.Memory, quantile(&s.Memory, memoryQuantile))
+	if fits, known := t.EverFits(tk.Record.Spec.Zone, learnt); known && !fits {
+		return need
+	}
+	return learnt
+}
+
+func clamp(declared, use int64) int64 {
+	if declared == 0 {
+		return int64(float64(use) * margin)
+	}
+	if float64(use) >= keepAbove*float64(declared) && float64(use) <= margin*float64(declared) {
+		return declared
+	}
+	low, high := minShrink*float64(declared), maxGrowth*float64(declared)
+	return int64(math.Ceil(min(max(float64(use)*margin, low), high)))
+}
+
+// outgrown compares the use with the reservation. Processors may be shared for a while,
+// memory may not, so memory counts from the first MiB above the margin.
+func outgrown(tk *tables.Task, use task.Resources, v *tables.VM) (Grow, bool) {
+	if float64(use.Memory) <= float64(tk.Reserved.Memory)*1.02 && float64(use.CPU) <= float64(tk.Reserved.CPU)*margin {
+		return Grow{}, false
+	}
+	need := tk.Reserved
+	need.CPU = max(need.CPU, use.CPU)
+	need.Memory = max(need.Memory, use.Memory)
+	extra := need.Sub(tk.Reserved)
+	return Grow{Task: tk, Need: need, Overflow: !extra.Fits(v.Free())}, true
+}
+
+// Finish learns the run time of a successful attempt.
+func Finish(t *tables.Tables, e tables.Ended) {
+	if !e.OK || e.Run <= 0 {
+		return
+	}
+	s := t.Size(e.Job)
+	s.RunTime = time.Duration(mix(float64(s.RunTime), float64(e.Run)))
+	if e.Declared > 0 {
+		s.RunRatio = mix(s.RunRatio, float64(e.Run)/float64(e.Declared))
+	}
+}
+
+func mix(old, sample float64) float64 {
+	if old == 0 {
+		return sample
+	}
+	return old + runWeight*(sample-old)
+}
+
+// Remaining estimates the run time that the task still needs from its last checkpoint.
+// It returns 0 for a task without a declared or learnt run time.
+func Remaining(t *tables.Tables, tk *tables.Task) time.Duration {
+	declared := tk.Record.Spec.Duration
+	if declared == 0 {
+		return 0
+	}
+	left := max(declared-tk.Record.Progress, 0)
+	if s, ok := t.Sizes[tk.Job()]; ok && s.RunRatio > 0 {
+		return time.Duration(float64(left) * s.RunRatio)
+	}
+	return left
+}
--- /dev/null
+++ b/scheduler/tables/learnt.go
@@ -0,0 +1,137 @@
+package tables
+
+import (
+	"time"
+
+	"github.com/chicorystand/chicorystand/task"
+)
+
+// Pair identifies the effect of a job class on a service under a load.
+type Pair struct {
+	Service  string
+	JobClass string
+	Load     uint8
+}
+
+// Slowdown is a learnt effect.
+type Slowdown struct {
+	// Harm is the relative increase of the service's p99 for each processor that the class uses.
+	Harm float64
+	// Weight is the evidence, in processors seen.
+	Weight float64
+}
+
+// DefaultHarm is assumed for a class that has not been seen beside the service. It is
+// above that of a quiet class, so that an unknown class is spread until it is known.
+const DefaultHarm = 0.01
+
+// Harm returns the learnt effect, of another load bucket when this one is unknown.
+func (t *Tables) Harm(service, class string, load uint8) float64 {
+	if service == "" {
+		return 0
+	}
+	if s, ok := t.Pairs[Pair{service, class, load}]; ok {
+		return s.Harm
+	}
+	for d := uint8(1); d < LoadBuckets; d++ {
+		if load >= d {
+			if s, ok := t.Pairs[Pair{service, class, load - d}]; ok {
+				return s.Harm
+			}
+		}
+		if s, ok := t.Pairs[Pair{service, class, load + d}]; ok {
+			return s.Harm
+		}
+	}
+	return DefaultHarm
+}
+
+// SizeBuckets is the number of classes of a learnt size. Each is 1/4 octave (19%).
+const SizeBuckets = 64
+
+// Size is what was learnt about a job class of a customer.
+type Size struct {
+	// CPU and Memory count decayed samples by class of use.
+	CPU, Memory [SizeBuckets]float32
+	// Samples is the decayed number of samples.
+	Samples float32
+	// Tasks counts the tasks that contributed, up to the number that is needed.
+	Tasks map[string]struct{}
+	// RunRatio is the mean of real over declared run time; 0 when unknown.
+	RunRatio float64
+	// RunTime is the mean real run time at full speed; 0 when unknown.
+	RunTime time.Duration
+	// FailedOn holds the VMs on which the class failed since its last success.
+	FailedOn map[string]struct{}
+}
+
+// Size returns the entity of the job and adds it when it is new.
+func (t *Tables) Size(job JobKey) *Size {
+	s, ok := t.Sizes[job]
+	if !ok {
+		s = &Size{}
+		t.Sizes[job] = s
+	}
+	return s
+}
+
+// Use is the measured use of one task.
+type Use struct {
+	Task string
+	Use  task.Resources
+	// Fraction is the speed that the guard allowed, 0 when unknown.
+	Fraction float64
+}
+
+// Report is what a VM measured Lag before At.
+type Report struct {
+	VM  string
+	At  time.Duration
+	Lag time.Duration
+	// Tail is the service's p99 divided by its target, 0 when unknown.
+	Tail float64
+	// Load is the used share of the upstream's slots.
+	Load float64
+	Uses []Use
+}
+
+// Ended tells that an attempt ended by itself on a VM.
+type Ended struct {
+	Task string
+	VM   string
+	Job  JobKey
+	OK   bool
+	// Run is how long the attempt ran; 0 when unknown.
+	Run time.Duration
+	// Declared is the declared run time that was left at its start.
+	Declared time.Duration
+}
+
+// Ingest queues a report for the next tick and applies load and tail at once.
+func (t *Tables) Ingest(r Report) {
+	if v, ok := t.VMs[r.VM]; ok {
+		v.Load, v.Tail = r.Load, r.Tail
+		t.Touch(v)
+	}
+	t.reports = append(t.reports, r)
+}
+
+// IngestEnd queues the end of the task's current attempt for the next tick. It must be
+// called before the record leaves the VM.
+func (t *Tables) IngestEnd(tk *Task, now time.Duration, ok bool) {
+	e := Ended{Task: tk.Record.Spec.ID, VM: tk.Record.VM, Job: tk.Job(), OK: ok}
+	if tk.Started > 0 {
+		e.Run = now - tk.Started
+	}
+	if d := tk.Record.Spec.Duration; d > 0 {
+		e.Declared = max(d-tk.Record.Progress, 0)
+	}
+	t.ended = append(t.ended, e)
+}
+
+// TakeReports returns the queued inputs and empties the queues.
+func (t *Tables) TakeReports() ([]Report, []Ended) {
+	r, e := t.reports, t.ended
+	t.reports, t.ended = nil, nil
+	return r, e
+}
--- a/scheduler/tables/tables.go
+++ b/scheduler/tables/tables.go
@@ -35,6 +35,31 @@
 	GrantedUntil time.Duration
 	// Tasks holds the ids of the tasks assigned to the VM.
 	Tasks map[string]struct{}
+	// HeldFor is the id of the task for which room is being made; no other task is placed.
+	HeldFor string
+	// Pressure is the expected relative increase of the service's p99 by the batch tasks on the VM.
+	Pressure float64
+	// Health is the record of failures on the VM.
+	Health Health
+
+	mix     []classCPU
+	changes []mixChange
+	group   *Group
+	row     uint8
+	col     uint8
+	pos     int
+}
+
+// Health tells whether starts on a VM succeed.
+type Health struct {
+	// Streak counts failures without a success between them.
+	Streak int
+	// LastTask is the task of the last failure; repeats of one task are not counted.
+	LastTask string
+	// NotBefore is the earliest time of the next start.
+	NotBefore time.Duration
+	// Probe is the task that tests a quarantined VM; empty when there is none.
+	Probe string
 }
 
 // Free returns the unreserved capacity.
@@ -53,6 +78,9 @@
 	Started time.Duration
 	// Waiting is why the task was not placed on the last tick.
 	Waiting errkind.Kind
+	// Refused is the last refusal in detail, and Refusals counts refusals by reason.
+	Refused  Reason
+	Refusals [NumReasons]uint32
 	// RunningProgress is the last progress that the VM reported.
 	RunningProgress time.Duration
 }
@@ -71,6 +99,25 @@
 	Customers map[string]*Customer
 	// Pending holds the ids of tasks in state pending.
 	Pending map[string]struct{}
+	// Pairs holds the learnt interference between services and job classes.
+	Pairs map[Pair]*Slowdown
+	// Sizes holds the learnt sizes of job classes.
+	Sizes map[JobKey]*Size
+	// Now is the time of the current tick. Changes between ticks carry the time of the last one.
+	Now time.Duration
+	// Capacity is the sum over connected VMs that are not draining.
+	Capacity task.Resources
+
+	reports []Report
+	ended   []Ended
+	groups  map[groupKey]*Group
+	order   []*Group
+	shapes  map[shape]int
+	spread  map[rackKey]int
+	jobs    map[JobKey]int
+	racks   map[string]int
+	zones   map[string]zoneUse
+	counted map[string]counted
 }
 
 // New returns empty tables.
@@ -80,6 +127,15 @@
 		Tasks:     make(map[string]*Task),
 		Customers: make(map[string]*Customer),
 		Pending:   make(map[string]struct{}),
+		Pairs:     make(map[Pair]*Slowdown),
+		Sizes:     make(map[JobKey]*Size),
+		groups:    make(map[groupKey]*Group),
+		shapes:    make(map[shape]int),
+		spread:    make(map[rackKey]int),
+		jobs:      make(map[JobKey]int),
+		racks:     make(map[string]int),
+		zones:     make(map[string]zoneUse),
+		counted:   make(map[string]counted),
 	}
 }
 
@@ -105,17 +161,45 @@
 	t.index(tk)
 }
 
-// PutVM adds or replaces a VM and recomputes its reservations.
+// PutVM adds or replaces a VM and recomputes its reservations. The record of
+// failures survives a new announcement of the same VM.
 func (t *Tables) PutVM(v *VM) {
+	if old, ok := t.VMs[v.ID]; ok {
+		v.Health, v.HeldFor, v.changes = old.Health, old.HeldFor, old.changes
+		t.leave(old)
+	}
 	v.Tasks = make(map[string]struct{})
+	v.mix = nil
 	v.Reserved = v.ServiceHeld
 	t.VMs[v.ID] = v
 	for id, tk := range t.Tasks {
 		if tk.Record.VM == v.ID && Holds(tk.Record.State) {
 			v.Tasks[id] = struct{}{}
 			v.Reserved = v.Reserved.Add(tk.Reserved)
+			if tk.Record.Spec.Class == task.Batch {
+				v.addMix(tk.Record.Spec.JobClass, tk.Reserved.CPU)
+			}
+			t.countSpread(tk, v, 1)
 		}
 	}
+	t.Touch(v)
+}
+
+// RemoveVM deletes a VM that will not return. Its tasks keep their records.
+func (t *Tables) RemoveVM(id string) {
+	if v, ok := t.VMs[id]; ok {
+		t.leave(v)
+		delete(t.VMs, id)
+	}
+}
+
+// leave takes the VM out of every index.
+func (t *Tables) leave(v *VM) {
+	for id := range v.Tasks {
+		t.countSpread(t.Tasks[id], v, -1)
+	}
+	t.uncount(v)
+	t.unplace(v)
 }
 
 // SortedVMs returns the VMs in id order, so that ticks are deterministic.
@@ -170,6 +254,7 @@
 	if v, ok := t.VMs[tk.Record.VM]; ok {
 		v.Tasks[id] = struct{}{}
 		v.Reserved = v.Reserved.Add(tk.Reserved)
+		t.changed(v, tk, 1)
 	}
 }
 
@@ -184,5 +269,6 @@
 	if v, ok := t.VMs[tk.Record.VM]; ok {
 		delete(v.Tasks, id)
 		v.Reserved = v.Reserved.Sub(tk.Reserved)
+		t.changed(v, tk, -1)
 	}
 }
--- a/shard/agents.go
+++ b/shard/agents.go
@@ -78,12 +78,21 @@
 	if o.lost || !o.cfg.Valid() {
 		return nil, errkind.New(errkind.NotOwner, "shard %s is not held", o.cfg.Shard)
 	}
-	v.Load = float64(m.LoadPermille) / 1000
-	v.Tail = float64(m.TailPermille) / 1000
+	o.tables.Ingest(report(vm, m, o.cfg.Clock.Now()))
 	v.GrantedUntil = o.cfg.Clock.Now() + lease.ObserverWait(lease.GrantTTL)
 	return &wire.Grant{Seq: m.Seq, Epoch: o.cfg.Epoch, TTLMS: uint32(lease.GrantTTL.Milliseconds()), ConfigGen: o.doc.Generation}, nil
 }
 
+// report converts what a heartbeat measured.
+func report(vm string, m *wire.Heartbeat, now time.Duration) tables.Report {
+	r := tables.Report{VM: vm, At: now, Lag: time.Duration(m.LagMS) * time.Millisecond,
+		Tail: float64(m.TailPermille) / 1000, Load: float64(m.LoadPermille) / 1000}
+	for _, u := range m.Usage {
+		r.Uses = append(r.Uses, tables.Use{Task: u.ID, Use: task.Resources{CPU: int64(u.CPU), Memory: int64(u.MemMiB)}})
+	}
+	return r
+}
+
 // Disconnected marks the VM of a lost control connection.
 func (o *Owner) Disconnected(vm string, c Caller) {
 	l, ok := o.agents[vm]
@@ -92,6 +101,7 @@
 	}
 	delete(o.agents, vm)
 	o.tables.VMs[vm].Connected = false
+	o.tables.Touch(o.tables.VMs[vm])
 	o.publishMembers()
 }
 
@@ -102,6 +112,7 @@
 		return
 	}
 	v.Draining = draining
+	o.tables.Touch(v)
 	if l, ok := o.agents[vm]; ok {
 		l.upstream.Draining = draining
 	}
@@ -250,8 +261,10 @@
 	}
 	switch ev.Event {
 	case wire.TaskSucceeded:
+		o.tables.IngestEnd(tk, o.cfg.Clock.Now(), true)
 		o.end(tk, task.EventSucceed, errkind.None, "", done)
 	case wire.TaskFailed:
+		o.tables.IngestEnd(tk, o.cfg.Clock.Now(), false)
 		o.failed(tk, ev, done)
 	case wire.TaskCheckpointed:
 		o.tables.Update(tk, func(t *tables.Task) { applyCheckpoint(&t.Record, ev) })
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -47,6 +47,8 @@
 	Table     store.Table
 	Writer    *store.Writer
 	Clock     clock.Clock
+	// Scheduler configures the decisions; the zero value weighs batch throughput only.
+	Scheduler scheduler.Config
 	Recorder  *history.Recorder
 	Log       zerolog.Logger
 	// Valid reports whether the shard lease is held at this moment.
@@ -91,7 +93,7 @@
 
 // NewOwner returns an owner that has not loaded its tables.
 func NewOwner(cfg Config) *Owner {
-	return &Owner{cfg: cfg, inbox: make(chan func(), 256), tables: tables.New(), sched: scheduler.New(),
+	return &Owner{cfg: cfg, inbox: make(chan func(), 256), tables: tables.New(), sched: scheduler.New(cfg.Scheduler),
 		agents: make(map[string]*agentLink), dirty: make(map[string]*dirtyRow)}
 }
 
