--- a/agent/agent.go
+++ b/agent/agent.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/chicorystand/chicorystand/clock"
+	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/gate"
 	"github.com/chicorystand/chicorystand/history"
 	"github.com/chicorystand/chicorystand/lease"
@@ -45,6 +46,8 @@
 	Worker   platform.Worker
 	Recorder *history.Recorder
 	Log      zerolog.Logger
+	// Transport carries requests to the upstream; nil uses TCP.
+	Transport http.RoundTripper
 	// Dial opens connections to entries; nil uses TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 }
@@ -56,20 +59,27 @@
 	ledger *ledger.Ledger
 	client *http.Client
 
-	mu       sync.Mutex
+	outbox *outbox
+	usage  usageFilter
+
+	// startMu orders starts against the announcement: an attempt is either in the
+	// announced ledger or refused, because it came on an older connection.
+	startMu sync.Mutex
+	control *wire.Peer
+	// endMu makes the end of an attempt and the event that reports it one step.
+	endMu sync.Mutex
+
+	mu sync.Mutex
+	// ctx ends with the process.
+	ctx      context.Context
 	grant    lease.Grant
 	owner    *wire.Peer
-	outbox   map[outboxKey]*wire.TaskEvent
 	dataAddr string
-	peers    map[*wire.Peer]struct{}
-	left     chan struct{}
-	leftOnce sync.Once
-}
-
-type outboxKey struct {
-	id      string
-	attempt uint32
-	event   string
+	// checkpoints holds the tasks whose periodic checkpoint is being written.
+	checkpoints map[string]bool
+	peers       map[*wire.Peer]struct{}
+	left        chan struct{}
+	leftOnce    sync.Once
 }
 
 // New returns an agent that has not started.
@@ -83,23 +93,29 @@
 			return d.DialContext(ctx, "tcp", addr)
 		}
 	}
-	return &Agent{
+	if cfg.Transport == nil {
+		cfg.Transport = &http.Transport{MaxConnsPerHost: cfg.Conns, MaxIdleConnsPerHost: cfg.Conns}
+	}
+	a := &Agent{
 		cfg:    cfg,
 		gate:   gate.New(cfg.Incarnation, cfg.Slots),
 		ledger: ledger.New(cfg.Worker.Capacity(), cfg.ServiceHeld),
-		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: cfg.Conns, MaxIdleConnsPerHost: cfg.Conns}},
-		outbox: make(map[outboxKey]*wire.TaskEvent),
-		peers:  make(map[*wire.Peer]struct{}),
-		left:   make(chan struct{}),
+		client: &http.Client{Transport: cfg.Transport},
+		ctx:    context.Background(), checkpoints: make(map[string]bool),
+		peers: make(map[*wire.Peer]struct{}),
+		left:  make(chan struct{}),
 	}
+	a.outbox = newOutbox(a.sendEvent, a.eventAcked)
+	return a
 }
 
 // Run serves until ctx ends. data is the listener for requests from entries.
 func (a *Agent) Run(ctx context.Context, data net.Listener) error {
-	a.adopt()
 	a.mu.Lock()
-	a.dataAddr = data.Addr().String()
+	a.ctx, a.dataAddr = ctx, data.Addr().String()
 	a.mu.Unlock()
+	a.cfg.Recorder.Record(history.Event{Kind: history.UpstreamStarted, VM: a.cfg.VM, Incarnation: a.cfg.Incarnation})
+	a.adopt(ctx)
 	var wg sync.WaitGroup
 	for _, loop := range []func(context.Context){
 		func(ctx context.Context) { a.acceptLoop(ctx, data) },
@@ -112,19 +128,32 @@
 		}()
 	}
 	<-ctx.Done()
+	a.recordCut()
 	_ = data.Close()
 	a.closePeers()
 	wg.Wait()
 	return nil
 }
 
-// adopt takes over the attempts that the worker kept running while the agent was down.
-func (a *Agent) adopt() {
+// adopt takes over the attempts that the worker kept running while the agent was
+// down, and reports the results that the previous process did not deliver.
+func (a *Agent) adopt(ctx context.Context) {
 	for _, r := range a.cfg.Worker.List() {
 		if err := a.ledger.Admit(0, ledger.Entry{ID: r.ID, Attempt: r.Attempt, Reserved: r.Reserved}); err != nil {
 			a.cfg.Worker.Stop(r.ID, r.Attempt)
 		}
 	}
+	a.recordCommitment()
+	for _, f := range a.cfg.Worker.Results() {
+		a.finished(ctx, f)
+	}
+}
+
+// recordCut records requests that a planned stop did not let finish.
+func (a *Agent) recordCut() {
+	if a.gate.Draining() && a.gate.FreeSlots() < a.cfg.Slots {
+		a.cfg.Recorder.Record(history.Event{Kind: history.RequestCut, Process: a.cfg.VM, VM: a.cfg.VM})
+	}
 }
 
 func (a *Agent) acceptLoop(ctx context.Context, l net.Listener) {
@@ -157,22 +186,67 @@
 	}
 }
 
-// Drain makes the upstream leave: the owner is told, the gate closes, and Drain
-// returns when no request is in progress or ctx ends.
+// drainPoll separates checks of whether tasks have left a draining VM.
+const drainPoll = 100 * time.Millisecond
+
+// Drain makes the upstream leave: the owner is told, the gate closes, and tasks
+// are evicted with a checkpoint. Drain returns when no request is in progress and
+// every eviction is acknowledged, or when ctx ends.
 func (a *Agent) Drain(ctx context.Context) {
 	a.cfg.Recorder.Record(history.Event{Kind: history.DrainBegan, VM: a.cfg.VM, Incarnation: a.cfg.Incarnation})
 	idle := a.gate.Drain(a.cfg.Clock.Now())
+	a.notifyDrain(false)
+	evicted := make(chan struct{})
+	go func() { defer close(evicted); a.evictAll(ctx) }()
+	for _, done := range []<-chan struct{}{idle, evicted} {
+		select {
+		case <-done:
+		case <-ctx.Done():
+		}
+	}
+	if a.gate.Draining() {
+		a.leftOnce.Do(func() { close(a.left) })
+	}
+}
+
+// Undrain opens a draining upstream again.
+func (a *Agent) Undrain() {
+	a.gate.Undrain()
+	a.cfg.Recorder.Record(history.Event{Kind: history.UpstreamStarted, VM: a.cfg.VM, Incarnation: a.cfg.Incarnation})
+	a.notifyDrain(true)
+}
+
+// notifyDrain tells the owner. A lost notification is made up for by the next
+// announcement, which carries the state.
+func (a *Agent) notifyDrain(undo bool) {
 	a.mu.Lock()
 	owner := a.owner
 	a.mu.Unlock()
 	if owner != nil {
-		_ = owner.Notify(&wire.Drain{VM: a.cfg.VM})
+		_ = owner.Notify(&wire.Drain{VM: a.cfg.VM, Undo: undo})
 	}
-	select {
-	case <-idle:
-	case <-ctx.Done():
+}
+
+// evictAll evicts every attempt and waits until the owner has acknowledged the
+// evictions. Attempts whose checkpoint cannot be stored keep running until ctx ends.
+func (a *Agent) evictAll(ctx context.Context) {
+	for a.gate.Draining() {
+		running := a.cfg.Worker.List()
+		if len(running) == 0 && a.outbox.empty() {
+			return
+		}
+		var wg sync.WaitGroup
+		for _, r := range running {
+			wg.Add(1)
+			go func() { defer wg.Done(); _ = a.evict(r.ID, r.Attempt, errkind.Draining) }()
+		}
+		wg.Wait()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(drainPoll):
+		}
 	}
-	a.leftOnce.Do(func() { close(a.left) })
 }
 
 // Left is closed when a drain has finished.
--- a/agent/control.go
+++ b/agent/control.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/task"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
@@ -65,24 +66,39 @@
 	if err != nil {
 		return err
 	}
-	p, err := a.dialPeer(ctx, addr, func(_ *wire.Peer, m wire.Message, reply wire.Reply) { a.handleControl(ctx, m, reply) })
+	p, err := a.dialPeer(ctx, addr, func(p *wire.Peer, m wire.Message, reply wire.Reply) { a.handleControl(ctx, p, m, reply) })
 	if err != nil {
 		return err
 	}
-	defer p.Close()
+	defer a.endSession(p)
 	if err := a.announce(ctx, p); err != nil {
 		return err
 	}
 	a.mu.Lock()
 	a.owner = p
 	a.mu.Unlock()
-	a.flushOutbox(ctx)
+	a.outbox.flush(ctx)
 	return a.heartbeats(ctx, p)
 }
 
+func (a *Agent) endSession(p *wire.Peer) {
+	a.startMu.Lock()
+	a.control = nil
+	a.startMu.Unlock()
+	a.mu.Lock()
+	a.owner = nil
+	a.mu.Unlock()
+	p.Close()
+}
+
 func (a *Agent) announce(ctx context.Context, p *wire.Peer) error {
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
+	a.startMu.Lock()
+	a.control = p
+	tasks := a.taskStatuses()
+	a.startMu.Unlock()
+	a.usage.reset()
 	a.mu.Lock()
 	dataAddr := a.dataAddr
 	a.mu.Unlock()
@@ -90,7 +106,7 @@
 		VM: a.cfg.VM, Incarnation: a.cfg.Incarnation, Zone: a.cfg.Zone, Rack: a.cfg.Rack,
 		Capacity: a.cfg.Worker.Capacity(), Service: a.cfg.Service, ServiceHeld: a.cfg.ServiceHeld,
 		Slots: uint16(a.cfg.Slots), Conns: uint16(a.cfg.Conns), DataAddr: dataAddr,
-		Draining: a.gate.Draining(), Tasks: a.taskStatuses(),
+		Draining: a.gate.Draining(), Tasks: tasks,
 	})
 	if err != nil {
 		return err
@@ -102,16 +118,33 @@
 	if !a.ledger.Observe(r.Epoch) {
 		return errkind.New(errkind.StaleEpoch, "owner epoch %d", r.Epoch)
 	}
+	// Attempts that may run elsewhere by now end before the first grant of this
+	// session can resume them.
+	for _, ref := range r.Stop {
+		a.endAttempt(ref.ID, ref.Attempt)
+	}
 	return nil
 }
 
+// taskStatuses lists the running attempts, and the finished ones whose result the
+// owner has not acknowledged, so that the owner does not take them for lost.
 func (a *Agent) taskStatuses() []wire.TaskStatus {
-	running := a.cfg.Worker.List()
-	out := make([]wire.TaskStatus, 0, len(running))
-	for _, r := range running {
-		out = append(out, wire.TaskStatus{ID: r.ID, Attempt: r.Attempt, Reserved: r.Reserved,
+	var out []wire.TaskStatus
+	for _, r := range a.cfg.Worker.List() {
+		state := task.Running
+		if r.Suspended {
+			state = task.Suspended
+		}
+		out = append(out, wire.TaskStatus{ID: r.ID, Attempt: r.Attempt, State: state, Reserved: r.Reserved,
 			Checkpoint: r.Checkpoint, ProgressMS: r.Progress.Milliseconds()})
 	}
+	for _, f := range a.cfg.Worker.Results() {
+		state := task.Succeeded
+		if f.Err != nil {
+			state = task.Failed
+		}
+		out = append(out, wire.TaskStatus{ID: f.ID, Attempt: f.Attempt, State: state})
+	}
 	return out
 }
 
@@ -136,7 +169,8 @@
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
 	sentAt := a.cfg.Clock.Now()
-	usage, lag := a.usage()
+	measured, lag := a.cfg.Worker.Usage()
+	usage := a.usage.changed(measured, sentAt)
 	free := a.gate.FreeSlots()
 	load := 0
 	if a.cfg.Slots > 0 {
@@ -155,15 +189,6 @@
 	return nil
 }
 
-func (a *Agent) usage() ([]wire.Usage, time.Duration) {
-	measured, lag := a.cfg.Worker.Usage()
-	out := make([]wire.Usage, 0, len(measured))
-	for _, u := range measured {
-		out = append(out, wire.Usage{ID: u.ID, CPU: uint32(u.Use.CPU), MemMiB: uint32(u.Use.Memory)})
-	}
-	return out, lag
-}
-
 func (a *Agent) applyGrant(g *wire.Grant, sentAt time.Duration) {
 	if !a.ledger.Observe(g.Epoch) {
 		return
--- a/agent/tasks.go
+++ b/agent/tasks.go
@@ -12,13 +12,19 @@
 	"github.com/chicorystand/chicorystand/wire"
 )
 
-// outboxInterval separates repeats of unacknowledged task events.
-const outboxInterval = 2 * time.Second
+// Timing of task events.
+const (
+	// outboxInterval separates repeats of unacknowledged task events.
+	outboxInterval = 2 * time.Second
+	// eventTimeout bounds the wait for one acknowledgement. It exceeds the time the
+	// owner needs for a commit while the store is slow.
+	eventTimeout = 10 * time.Second
+)
 
-func (a *Agent) handleControl(ctx context.Context, m wire.Message, reply wire.Reply) {
+func (a *Agent) handleControl(ctx context.Context, p *wire.Peer, m wire.Message, reply wire.Reply) {
 	switch msg := m.(type) {
 	case *wire.StartTask:
-		reply(ackOrError(a.startTask(msg)))
+		reply(ackOrError(a.startTask(p, msg)))
 	case *wire.StopTask:
 		go func() { reply(a.stopTask(msg)) }()
 	case *wire.ConfigPush:
@@ -26,7 +32,7 @@
 		a.cfg.Recorder.Record(history.Event{Kind: history.ConfigInForce, Process: a.cfg.VM, Generation: a.gate.Generation()})
 		reply(&wire.Ack{})
 	default:
-		a.handleData(ctx, nil, m, reply)
+		a.handleData(ctx, p, m, reply)
 	}
 }
 
@@ -37,7 +43,14 @@
 	return &wire.Ack{}
 }
 
-func (a *Agent) startTask(m *wire.StartTask) error {
+// startTask runs an attempt. Only the connection of the current session may start
+// attempts: the announced ledger does not contain what an older one delivers late.
+func (a *Agent) startTask(p *wire.Peer, m *wire.StartTask) error {
+	a.startMu.Lock()
+	defer a.startMu.Unlock()
+	if a.control != p {
+		return errkind.New(errkind.NotReady, "the control connection was replaced")
+	}
 	if a.gate.Draining() {
 		return errkind.New(errkind.Draining, "VM %s is draining", a.cfg.VM)
 	}
@@ -50,7 +63,7 @@
 		Checkpoint: m.Checkpoint,
 	})
 	if err != nil {
-		a.ledger.End(m.ID, m.Attempt)
+		a.ledger.End(m.ID, m.Attempt, a.cfg.Clock.Now())
 	}
 	a.recordCommitment()
 	return err
@@ -60,23 +73,73 @@
 	a.cfg.Recorder.Record(history.Event{Kind: history.Commitment, VM: a.cfg.VM, Reserved: a.ledger.Reserved(), Capacity: a.ledger.Capacity()})
 }
 
-// stopTask ends an attempt and answers with a TaskEvent that carries the last checkpoint.
+// stopTask ends an attempt and answers with a TaskEvent: the result when the
+// attempt has ended by itself, the agent's own eviction when that came first,
+// else the last checkpoint.
 func (a *Agent) stopTask(m *wire.StopTask) wire.Message {
 	if !a.ledger.Observe(m.Epoch) {
 		return wire.ErrorReply(errkind.New(errkind.StaleEpoch, "epoch %d", m.Epoch))
 	}
 	ev := &wire.TaskEvent{VM: a.cfg.VM, ID: m.ID, Attempt: m.Attempt, Event: wire.TaskStopped}
 	if m.Mode == wire.StopEvict {
-		if cp, err := a.cfg.Worker.Checkpoint(m.ID, m.Attempt); err == nil {
-			ev.Checkpoint, ev.ProgressMS = cp.Ref, cp.Progress.Milliseconds()
+		if err := a.checkpointInto(ev); err != nil {
+			return wire.ErrorReply(err)
 		}
 	}
-	a.cfg.Worker.Stop(m.ID, m.Attempt)
-	a.ledger.End(m.ID, m.Attempt)
-	a.recordCommitment()
+	a.endMu.Lock()
+	defer a.endMu.Unlock()
+	if result := a.endAttempt(m.ID, m.Attempt); result != nil {
+		return result
+	}
+	if posted := a.outbox.final(m.ID, m.Attempt); posted != nil {
+		return posted
+	}
 	return ev
 }
 
+// checkpointInto stores a checkpoint of the attempt and enters it into ev. An
+// attempt that does not run has nothing to store.
+func (a *Agent) checkpointInto(ev *wire.TaskEvent) error {
+	cp, err := a.cfg.Worker.Checkpoint(ev.ID, ev.Attempt)
+	switch errkind.Of(err) {
+	case errkind.None:
+		ev.Checkpoint, ev.ProgressMS = cp.Ref, cp.Progress.Milliseconds()
+		return nil
+	case errkind.NotFound:
+		return nil
+	}
+	return err
+}
+
+// endAttempt stops an attempt for good and releases its reservation. It returns
+// the result when the attempt has ended by itself.
+func (a *Agent) endAttempt(id string, attempt uint32) *wire.TaskEvent {
+	a.cfg.Worker.Stop(id, attempt)
+	a.ledger.End(id, attempt, a.cfg.Clock.Now())
+	a.recordCommitment()
+	for _, f := range a.cfg.Worker.Results() {
+		if f.ID == id && f.Attempt == attempt {
+			return a.resultEvent(f)
+		}
+	}
+	return nil
+}
+
+// evict ends an attempt with a checkpoint on the agent's own initiative and
+// reports it. Nothing is stopped when the checkpoint cannot be stored.
+func (a *Agent) evict(id string, attempt uint32, reason errkind.Kind) error {
+	ev := &wire.TaskEvent{VM: a.cfg.VM, ID: id, Attempt: attempt, Event: wire.TaskStopped, Reason: reason}
+	if err := a.checkpointInto(ev); err != nil {
+		return err
+	}
+	a.endMu.Lock()
+	defer a.endMu.Unlock()
+	if a.endAttempt(id, attempt) == nil {
+		a.post(ev)
+	}
+	return nil
+}
+
 // taskLoop reports finished attempts and takes periodic checkpoints.
 func (a *Agent) taskLoop(ctx context.Context) {
 	retry := time.NewTicker(outboxInterval)
@@ -94,67 +157,86 @@
 		case f := <-a.cfg.Worker.Finished():
 			a.finished(ctx, f)
 		case <-retry.C:
-			a.flushOutbox(ctx)
+			a.outbox.flush(ctx)
 		case <-checkpoints:
-			a.checkpointAll(ctx)
+			a.checkpointAll()
 		}
 	}
 }
 
 func (a *Agent) finished(ctx context.Context, f platform.Finished) {
-	a.ledger.End(f.ID, f.Attempt)
+	a.ledger.End(f.ID, f.Attempt, a.cfg.Clock.Now())
 	a.recordCommitment()
+	a.outbox.post(ctx, a.resultEvent(f))
+}
+
+func (a *Agent) resultEvent(f platform.Finished) *wire.TaskEvent {
 	ev := &wire.TaskEvent{VM: a.cfg.VM, ID: f.ID, Attempt: f.Attempt, Event: wire.TaskSucceeded}
 	if f.Err != nil {
 		ev.Event, ev.Reason, ev.Detail = wire.TaskFailed, errkind.Of(f.Err), f.Err.Error()
 	}
-	a.post(ctx, ev)
+	return ev
 }
 
-func (a *Agent) checkpointAll(ctx context.Context) {
+// checkpointAll starts a checkpoint of every running batch attempt whose previous
+// one has finished.
+func (a *Agent) checkpointAll() {
 	for _, r := range a.cfg.Worker.List() {
-		if r.Class != task.Batch || r.Suspended {
+		if r.Class != task.Batch || r.Suspended || !a.beginCheckpoint(r.ID) {
 			continue
 		}
-		if cp, err := a.cfg.Worker.Checkpoint(r.ID, r.Attempt); err == nil {
-			a.post(ctx, &wire.TaskEvent{VM: a.cfg.VM, ID: r.ID, Attempt: r.Attempt, Event: wire.TaskCheckpointed,
-				Checkpoint: cp.Ref, ProgressMS: cp.Progress.Milliseconds()})
-		}
+		go func() {
+			defer a.endCheckpoint(r.ID)
+			ev := &wire.TaskEvent{VM: a.cfg.VM, ID: r.ID, Attempt: r.Attempt, Event: wire.TaskCheckpointed}
+			if err := a.checkpointInto(ev); err == nil && ev.Checkpoint != "" {
+				a.post(ev)
+			}
+		}()
 	}
 }
 
-// post queues an event until the owner acknowledges it and sends it at once.
-func (a *Agent) post(ctx context.Context, ev *wire.TaskEvent) {
-	key := outboxKey{ev.ID, ev.Attempt, ev.Event}
+func (a *Agent) beginCheckpoint(id string) bool {
 	a.mu.Lock()
-	a.outbox[key] = ev
-	a.mu.Unlock()
-	go a.send(ctx, key, ev)
+	defer a.mu.Unlock()
+	if a.checkpoints[id] {
+		return false
+	}
+	a.checkpoints[id] = true
+	return true
 }
 
-func (a *Agent) flushOutbox(ctx context.Context) {
+func (a *Agent) endCheckpoint(id string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for key, ev := range a.outbox {
-		go a.send(ctx, key, ev)
-	}
+	delete(a.checkpoints, id)
 }
 
-func (a *Agent) send(ctx context.Context, key outboxKey, ev *wire.TaskEvent) {
+// post queues an event until the owner acknowledges it and sends it at once.
+func (a *Agent) post(ev *wire.TaskEvent) {
+	a.mu.Lock()
+	ctx := a.ctx
+	a.mu.Unlock()
+	a.outbox.post(ctx, ev)
+}
+
+// sendEvent sends one event to the owner. The owner answers after its commit,
+// which a store outage delays.
+func (a *Agent) sendEvent(ctx context.Context, ev *wire.TaskEvent) error {
 	a.mu.Lock()
 	owner := a.owner
 	a.mu.Unlock()
 	if owner == nil {
-		return
+		return errkind.New(errkind.NotReady, "no owner is connected")
 	}
-	ctx, cancel := context.WithTimeout(ctx, outboxInterval)
+	ctx, cancel := context.WithTimeout(ctx, eventTimeout)
 	defer cancel()
-	if _, err := owner.Call(ctx, ev); err != nil {
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.outbox[key] == ev {
-		delete(a.outbox, key)
+	_, err := owner.Call(ctx, ev)
+	return err
+}
+
+// eventAcked drops the worker's copy of a result that the owner has recorded.
+func (a *Agent) eventAcked(ev *wire.TaskEvent) {
+	if ev.Event == wire.TaskSucceeded || ev.Event == wire.TaskFailed {
+		a.cfg.Worker.Acknowledge(ev.ID, ev.Attempt)
 	}
 }
--- /dev/null
+++ b/agent/usage.go
@@ -0,0 +1,68 @@
+package agent
+
+import (
+	"sync"
+	"time"
+
+	"github.com/chicorystand/chicorystand/platform"
+	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+// Limits on usage reports, which keep a daemon's control traffic below 2 KB/s
+// (design section 8).
+const (
+	// usageInterval is the shortest time between two reports.
+	usageInterval = 16 * time.Second
+	// usageChangePercent is the smallest change that is reported.
+	usageChangePercent = 10
+)
+
+// usageFilter selects the usage that a heartbeat carries.
+type usageFilter struct {
+	mu       sync.Mutex
+	sent     bool
+	sentAt   time.Duration
+	reported map[string]task.Resources
+}
+
+// reset makes the next report complete, for an owner that has none yet.
+func (f *usageFilter) reset() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent, f.reported = false, nil
+}
+
+// changed returns the attempts whose usage differs from the last report by more
+// than usageChangePercent, or nothing when the last report is recent.
+func (f *usageFilter) changed(measured []platform.Usage, now time.Duration) []wire.Usage {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.sent && now-f.sentAt < usageInterval {
+		return nil
+	}
+	next := make(map[string]task.Resources, len(measured))
+	var out []wire.Usage
+	for _, u := range measured {
+		prev, known := f.reported[u.ID]
+		if known && !differs(prev.CPU, u.Use.CPU) && !differs(prev.Memory, u.Use.Memory) {
+			next[u.ID] = prev
+			continue
+		}
+		next[u.ID] = u.Use
+		out = append(out, wire.Usage{ID: u.ID, CPU: uint32(u.Use.CPU), MemMiB: uint32(u.Use.Memory)})
+	}
+	f.reported = next
+	if len(out) > 0 {
+		f.sent, f.sentAt = true, now
+	}
+	return out
+}
+
+func differs(a, b int64) bool {
+	diff := a - b
+	if diff < 0 {
+		diff = -diff
+	}
+	return diff*100 > a*usageChangePercent
+}
--- a/entry/control.go
+++ b/entry/control.go
@@ -81,7 +81,11 @@
 	e.onShard(id, reply, func(o *shard.Owner) {
 		p.Value.Store(session{m.VM, o})
 		var r *wire.AnnounceReply
-		if err := o.Do(e.ctx, func() { r = o.Announce(e.ctx, m, p) }); err != nil {
+		var err error
+		if doErr := o.Do(e.ctx, func() { r, err = o.Announce(e.ctx, m, p) }); doErr != nil {
+			err = doErr
+		}
+		if err != nil {
 			reply(wire.ErrorReply(err))
 			return
 		}
--- a/history/history.go
+++ b/history/history.go
@@ -41,6 +41,18 @@
 	ConfigInForce
 	// RequestCut: a planned stop ended a request in progress.
 	RequestCut
+	// TaskCheckpoint: the worker stored the state of an attempt.
+	TaskCheckpoint
+	// TaskEvicted: the owner recorded durably that an attempt was evicted; Progress
+	// is where the task resumes.
+	TaskEvicted
+	// UpstreamStarted: an agent process began; it ends an earlier drain of its VM.
+	UpstreamStarted
+	// TaskFound: a new owner read the final state of a task, given in Outcome, from
+	// the store. The previous owner may have ended before it recorded that state.
+	TaskFound
+	// RequestAdmitted: a process admitted a request under a configuration generation.
+	RequestAdmitted
 )
 
 // Event is one recorded fact. Unused fields are zero.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -3,6 +3,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/task"
@@ -23,13 +24,29 @@
 	reserved task.Resources
 	entries  map[string]Entry
 	// ended holds the highest ended attempt of each task, so that a late start of it is refused.
-	ended map[string]uint32
-	epoch uint64
+	ended  map[string]endedAttempt
+	expiry []expiring
+	epoch  uint64
+}
+
+// EndedRetention is how long an ended attempt is remembered. A start can only
+// arrive late on the control connection it was written to, and the agent closes a
+// connection on which a heartbeat (every 8 s) stays unanswered for 4 s.
+const EndedRetention = 5 * time.Minute
+
+type endedAttempt struct {
+	attempt uint32
+	at      time.Duration
+}
+
+type expiring struct {
+	id string
+	at time.Duration
 }
 
 // New returns a ledger for a VM on which the service already holds an amount.
 func New(capacity, serviceHeld task.Resources) *Ledger {
-	return &Ledger{capacity: capacity, reserved: serviceHeld, entries: make(map[string]Entry), ended: make(map[string]uint32)}
+	return &Ledger{capacity: capacity, reserved: serviceHeld, entries: make(map[string]Entry), ended: make(map[string]endedAttempt)}
 }
 
 // Observe raises the owner epoch and reports whether epoch is the highest seen.
@@ -57,7 +74,7 @@
 		}
 		return errkind.New(errkind.StaleAttempt, "attempt %d of task %s is on the VM", cur.Attempt, e.ID)
 	}
-	if e.Attempt <= l.ended[e.ID] {
+	if e.Attempt <= l.ended[e.ID].attempt {
 		return errkind.New(errkind.StaleAttempt, "attempt %d of task %s has ended", e.Attempt, e.ID)
 	}
 	if total := l.reserved.Add(e.Reserved); !total.Fits(l.capacity) {
@@ -68,17 +85,32 @@
 	return nil
 }
 
-// End releases the attempt and refuses later starts of it.
-func (l *Ledger) End(id string, attempt uint32) {
+// End releases the attempt and refuses later starts of it for EndedRetention.
+// now is the time on the VM's clock.
+func (l *Ledger) End(id string, attempt uint32, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.ended[id] = max(l.ended[id], attempt)
+	l.expire(now)
+	l.ended[id] = endedAttempt{max(l.ended[id].attempt, attempt), now}
+	l.expiry = append(l.expiry, expiring{id, now})
 	if cur, ok := l.entries[id]; ok && cur.Attempt <= attempt {
 		l.reserved = l.reserved.Sub(cur.Reserved)
 		delete(l.entries, id)
 	}
 }
 
+// expire forgets attempts that ended more than EndedRetention before now.
+func (l *Ledger) expire(now time.Duration) {
+	n := 0
+	for n < len(l.expiry) && l.expiry[n].at+EndedRetention <= now {
+		if id := l.expiry[n].id; l.ended[id].at == l.expiry[n].at {
+			delete(l.ended, id)
+		}
+		n++
+	}
+	l.expiry = l.expiry[n:]
+}
+
 // Reserved returns the sum of reservations, the service included.
 func (l *Ledger) Reserved() task.Resources {
 	l.mu.Lock()
--- a/shard/agents.go
+++ b/shard/agents.go
@@ -21,7 +21,11 @@
 }
 
 // Announce adds an agent to the shard and reconciles its ledger with the records.
-func (o *Owner) Announce(ctx context.Context, m *wire.Announce, c Caller) *wire.AnnounceReply {
+// It fails with errkind.NotOwner when the shard lease is not held.
+func (o *Owner) Announce(ctx context.Context, m *wire.Announce, c Caller) (*wire.AnnounceReply, error) {
+	if o.lost || !o.cfg.Valid() {
+		return nil, errkind.New(errkind.NotOwner, "shard %s is not held", o.cfg.Shard)
+	}
 	if old, ok := o.agents[m.VM]; ok && old.caller != c {
 		go old.caller.Close()
 	}
@@ -29,46 +33,71 @@
 		VM: m.VM, Incarnation: m.Incarnation, Zone: m.Zone, Service: m.Service, Slots: m.Slots,
 		Conns: m.Conns, DataAddr: m.DataAddr, Draining: m.Draining,
 	}}
-	o.tables.PutVM(&tables.VM{
+	v := &tables.VM{
 		ID: m.VM, Incarnation: m.Incarnation, Zone: m.Zone, Rack: m.Rack, Capacity: m.Capacity, Service: m.Service,
 		ServiceHeld: m.ServiceHeld, Draining: m.Draining, Connected: true,
 		GrantedUntil: o.cfg.Clock.Now() + lease.ObserverWait(lease.GrantTTL),
-	})
-	o.reconcile(ctx, m)
+	}
+	o.grants.push(m.VM, v.GrantedUntil)
+	o.tables.PutVM(v)
+	delete(o.orphans, m.VM)
+	reply := &wire.AnnounceReply{Shard: o.cfg.Shard, Epoch: o.cfg.Epoch, Stop: o.reconcile(ctx, m, v)}
 	o.publishMembers()
-	return &wire.AnnounceReply{Shard: o.cfg.Shard, Epoch: o.cfg.Epoch}
+	return reply, nil
 }
 
-// reconcile compares the agent's full ledger with the records: attempts the
-// records do not know are stopped, recorded attempts the agent lacks are requeued.
-func (o *Owner) reconcile(ctx context.Context, m *wire.Announce) {
+// reconcile compares the agent's full ledger with the records. It returns the
+// attempts that the records do not know; recorded attempts that the agent lacks
+// are fenced and requeued.
+func (o *Owner) reconcile(ctx context.Context, m *wire.Announce, v *tables.VM) []wire.AttemptRef {
 	present := make(map[string]bool, len(m.Tasks))
+	var stop []wire.AttemptRef
 	for _, st := range m.Tasks {
 		tk, ok := o.tables.Tasks[st.ID]
-		if ok && tk.Record.VM == m.VM && tk.Record.Attempt == st.Attempt && tables.Holds(tk.Record.State) {
-			present[st.ID] = true
-			o.tables.Update(tk, func(t *tables.Task) { t.Record.State = task.Running })
+		if !ok || tk.Record.VM != m.VM || tk.Record.Attempt != st.Attempt || !tables.Holds(tk.Record.State) {
+			stop = append(stop, wire.AttemptRef{ID: st.ID, Attempt: st.Attempt})
 			continue
 		}
-		o.stop(ctx, m.VM, st.ID, st.Attempt, wire.StopCancel, nil)
+		present[st.ID] = true
+		if !task.Terminal(st.State) {
+			o.tables.Update(tk, func(t *tables.Task) { t.Record.State = task.Running })
+		}
+		// The result of a finished attempt follows as an event.
 	}
-	for _, tk := range o.tables.Tasks {
-		if tk.Record.VM == m.VM && tables.Holds(tk.Record.State) && !present[tk.Record.Spec.ID] {
-			o.fenceAndRequeue(ctx, tk)
+	for id := range v.Tasks {
+		if !present[id] {
+			o.fence(ctx, o.tables.Tasks[id])
 		}
 	}
+	for key, p := range o.stops {
+		if key.vm == m.VM {
+			o.sendStop(ctx, key, p)
+		}
+	}
+	return stop
 }
 
-// fenceAndRequeue makes the agent refuse the attempt before the task is started elsewhere.
-func (o *Owner) fenceAndRequeue(ctx context.Context, tk *tables.Task) {
-	attempt := tk.Record.Attempt
-	o.stop(ctx, tk.Record.VM, tk.Record.Spec.ID, attempt, wire.StopCancel, func(*wire.TaskEvent) {
-		if tk.Record.Attempt == attempt && tables.Holds(tk.Record.State) {
-			o.requeue(tk)
+// fence makes the agent refuse the attempt, or learns that it has ended by itself,
+// before the task is started elsewhere.
+func (o *Owner) fence(ctx context.Context, tk *tables.Task) {
+	vm, id, attempt := tk.Record.VM, tk.Record.Spec.ID, tk.Record.Attempt
+	o.stop(ctx, vm, id, attempt, wire.StopCancel, func(ev *wire.TaskEvent) {
+		if !o.current(tk, vm, attempt) {
+			return
 		}
+		if ev.Event != wire.TaskStopped {
+			o.TaskEvent(ctx, ev, func(error) {})
+			return
+		}
+		o.requeue(tk, nil)
 	})
 }
 
+// current reports whether the attempt on the VM is the one that the record names.
+func (o *Owner) current(tk *tables.Task, vm string, attempt uint32) bool {
+	return tk.Record.VM == vm && tk.Record.Attempt == attempt && tables.Holds(tk.Record.State)
+}
+
 // Heartbeat answers with a grant while the shard lease is held.
 func (o *Owner) Heartbeat(vm string, m *wire.Heartbeat) (*wire.Grant, error) {
 	v, ok := o.tables.VMs[vm]
@@ -95,8 +124,9 @@
 	o.publishMembers()
 }
 
-// SetDraining records that an upstream is leaving and evicts its batch tasks.
-func (o *Owner) SetDraining(ctx context.Context, vm string, draining bool) {
+// SetDraining records that an upstream is leaving. The agent evicts its tasks
+// itself and reports each eviction, so that none depends on this message.
+func (o *Owner) SetDraining(_ context.Context, vm string, draining bool) {
 	v, ok := o.tables.VMs[vm]
 	if !ok {
 		return
@@ -106,12 +136,6 @@
 		l.upstream.Draining = draining
 	}
 	o.publishMembers()
-	if !draining {
-		return
-	}
-	for id := range v.Tasks {
-		o.evict(ctx, o.tables.Tasks[id], errkind.Draining)
-	}
 }
 
 func (o *Owner) publishMembers() {
@@ -163,7 +187,12 @@
 // start asks the agent to run the recorded attempt.
 func (o *Owner) start(ctx context.Context, tk *tables.Task) {
 	l, ok := o.agents[tk.Record.VM]
-	if !ok || tk.Record.State != task.Assigned {
+	if tk.Record.State != task.Assigned || o.lost || !o.cfg.Valid() {
+		return
+	}
+	if !ok {
+		// The agent is between two connections. Its announcement, or the end of the
+		// VM's grant, decides.
 		return
 	}
 	rec := tk.Record
@@ -173,63 +202,66 @@
 		ProgressMS: rec.Progress.Milliseconds(), Checkpoint: rec.Checkpoint,
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		_, err := l.caller.Call(ctx, msg)
-		o.post(context.WithoutCancel(ctx), func() { o.started(tk, rec.Attempt, err) })
+		_, err := l.caller.Call(callCtx, msg)
+		o.post(ctx, func() { o.started(ctx, tk, rec, l, err) })
 	}()
 }
 
-func (o *Owner) started(tk *tables.Task, attempt uint32, err error) {
-	if tk.Record.Attempt != attempt || tk.Record.State != task.Assigned {
+func (o *Owner) started(ctx context.Context, tk *tables.Task, rec task.Record, l *agentLink, err error) {
+	if !o.current(tk, rec.VM, rec.Attempt) || tk.Record.State != task.Assigned {
 		return
 	}
 	switch errkind.Of(err) {
 	case errkind.None:
 		o.tables.Update(tk, func(t *tables.Task) { t.Record.State, t.Started = task.Running, o.cfg.Clock.Now() })
 	case errkind.OutcomeUnknown, errkind.NotReady:
-		// The attempt may run. The announcement after a reconnect, or the end of the VM's grant, decides.
-		if l, ok := o.agents[tk.Record.VM]; ok {
-			go l.caller.Close()
-		}
+		// The attempt may run. The announcement on a new connection, or the end of
+		// the VM's grant, decides.
+		go l.caller.Close()
+		o.Disconnected(rec.VM, l.caller)
 	default:
-		o.requeue(tk)
+		// A repeated start may be refused although the first one took effect.
+		o.fence(ctx, tk)
 	}
 }
 
-// stop ends an attempt on a VM and passes the agent's answer to done on the owner's goroutine.
-func (o *Owner) stop(ctx context.Context, vm, id string, attempt uint32, mode wire.StopMode, done func(*wire.TaskEvent)) {
-	l, ok := o.agents[vm]
-	if !ok {
+// evict checkpoints and stops the attempt and makes the task pending.
+func (o *Owner) evict(ctx context.Context, tk *tables.Task, cause errkind.Kind) {
+	if !tables.Holds(tk.Record.State) {
 		return
 	}
-	msg := &wire.StopTask{Epoch: o.cfg.Epoch, ID: id, Attempt: attempt, Mode: mode}
-	go func() {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		m, err := l.caller.Call(callCtx, msg)
-		ev, ok := m.(*wire.TaskEvent)
-		if err != nil || !ok || done == nil {
+	vm, attempt := tk.Record.VM, tk.Record.Attempt
+	o.stop(ctx, vm, tk.Record.Spec.ID, attempt, wire.StopEvict, func(ev *wire.TaskEvent) {
+		if !o.current(tk, vm, attempt) {
 			return
 		}
-		o.post(ctx, func() { done(ev) })
-	}()
+		if ev.Event != wire.TaskStopped {
+			o.TaskEvent(ctx, ev, func(error) {})
+			return
+		}
+		o.evicted(tk, ev, cause, nil)
+	})
 }
 
-func (o *Owner) evict(ctx context.Context, tk *tables.Task, cause errkind.Kind) {
-	attempt := tk.Record.Attempt
-	o.stop(ctx, tk.Record.VM, tk.Record.Spec.ID, attempt, wire.StopEvict, func(ev *wire.TaskEvent) {
-		if tk.Record.Attempt != attempt || !tables.Holds(tk.Record.State) {
-			return
+// evicted records an eviction with the checkpoint from which the task resumes.
+func (o *Owner) evicted(tk *tables.Task, ev *wire.TaskEvent, cause errkind.Kind, done func(error)) {
+	if o.cfg.OnEvict != nil {
+		o.cfg.OnEvict(cause)
+	}
+	o.tables.Update(tk, func(t *tables.Task) {
+		t.Record.Evictions++
+		applyCheckpoint(&t.Record, ev)
+	})
+	progress := tk.Record.Progress
+	o.requeue(tk, func(err error) {
+		if err == nil {
+			o.cfg.Recorder.Record(history.Event{Kind: history.TaskEvicted, Task: ev.ID, Attempt: ev.Attempt, VM: ev.VM, Progress: progress})
 		}
-		if o.cfg.OnEvict != nil {
-			o.cfg.OnEvict(cause)
+		if done != nil {
+			done(err)
 		}
-		o.tables.Update(tk, func(t *tables.Task) {
-			t.Record.Evictions++
-			applyCheckpoint(&t.Record, ev)
-		})
-		o.requeue(tk)
 	})
 }
 
@@ -243,9 +275,10 @@
 // TaskEvent applies an agent's report; done is called when it may be acknowledged.
 func (o *Owner) TaskEvent(ctx context.Context, ev *wire.TaskEvent, done func(error)) {
 	tk, ok := o.tables.Tasks[ev.ID]
-	if !ok || tk.Record.Attempt != ev.Attempt || tk.Record.VM != ev.VM || !tables.Holds(tk.Record.State) {
-		// The report is about an attempt that the records have moved past.
-		done(nil)
+	if !ok || !o.current(tk, ev.VM, ev.Attempt) {
+		// The report is about an attempt that the records have moved past, perhaps
+		// because this is a repeat of the event that moved them.
+		o.whenDurable(ev.ID, done)
 		return
 	}
 	switch ev.Event {
@@ -256,6 +289,8 @@
 	case wire.TaskCheckpointed:
 		o.tables.Update(tk, func(t *tables.Task) { applyCheckpoint(&t.Record, ev) })
 		o.markDirty(tk, false, done)
+	case wire.TaskStopped:
+		o.evicted(tk, ev, ev.Reason, done)
 	default:
 		done(nil)
 	}
@@ -273,10 +308,8 @@
 		o.end(tk, task.EventPark, ev.Reason, ev.Detail, done)
 		return
 	}
-	o.change(tk, task.EventRequeue, func(t *tables.Task) {
-		t.Record.VM, t.Record.Reason, t.Record.Detail = "", ev.Reason, ev.Detail
-		t.Reserved, t.Record.Reserved = task.Resources{}, task.Resources{}
-	}, done)
+	o.tables.Update(tk, func(t *tables.Task) { t.Record.Reason, t.Record.Detail = ev.Reason, ev.Detail })
+	o.requeue(tk, done)
 }
 
 func contains(list []string, s string) bool {
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -30,6 +30,8 @@
 	commitRetryDelay = 250 * time.Millisecond
 	// callTimeout bounds a call to an agent.
 	callTimeout = 2 * time.Second
+	// stopTimeout bounds a stop, which includes the write of a checkpoint.
+	stopTimeout = 4 * time.Second
 )
 
 // Caller is the control connection to an agent, as the owner uses it.
@@ -57,6 +59,9 @@
 	OnLost func()
 	// OnEvict is called for every eviction with its cause.
 	OnEvict func(cause errkind.Kind)
+	// ReassignFrom is the time on Clock before which tasks of unreachable VMs stay
+	// assigned, because an earlier owner may still extend grants; 0 is no limit.
+	ReassignFrom time.Duration
 }
 
 // Owner is the actor that owns one shard. All state is used by its loop goroutine only.
@@ -72,9 +77,17 @@
 	storeFailed bool
 	retryAt     time.Duration
 	memberVer   uint64
-	rebuilt     time.Duration
 	doc         plan.Document
 	lost        bool
+
+	// unsettled counts the registered commits of each task that are not finished.
+	unsettled map[string]int
+	stops     map[stopKey]*pendingStop
+	grants    grantQueue
+	// orphans holds the tasks of VMs that have not announced themselves since takeover.
+	orphans  map[string]map[string]struct{}
+	rebuilt  time.Duration
+	terminal retention
 }
 
 type agentLink struct {
@@ -92,7 +105,8 @@
 // NewOwner returns an owner that has not loaded its tables.
 func NewOwner(cfg Config) *Owner {
 	return &Owner{cfg: cfg, inbox: make(chan func(), 256), tables: tables.New(), sched: scheduler.New(),
-		agents: make(map[string]*agentLink), dirty: make(map[string]*dirtyRow)}
+		agents: make(map[string]*agentLink), dirty: make(map[string]*dirtyRow),
+		unsettled: make(map[string]int), stops: make(map[stopKey]*pendingStop), orphans: make(map[string]map[string]struct{})}
 }
 
 // Prefix returns the key prefix of the shard's task rows.
@@ -115,7 +129,7 @@
 			if err != nil {
 				return err
 			}
-			o.tables.Put(&tables.Task{Record: rec, Version: r.Version, Submitted: now, Reserved: rec.Reserved})
+			o.loaded(&tables.Task{Record: rec, Version: r.Version, Submitted: now, Reserved: rec.Reserved})
 		}
 		if len(rows) < scanPage {
 			break
@@ -123,9 +137,28 @@
 		after = rows[len(rows)-1].Key
 	}
 	o.rebuilt = now
+	for vm := range o.orphans {
+		o.grants.push(vm, now+lease.ObserverWait(lease.GrantTTL))
+	}
 	return nil
 }
 
+// loaded adds a task read from the store.
+func (o *Owner) loaded(tk *tables.Task) {
+	o.tables.Put(tk)
+	id := tk.Record.Spec.ID
+	switch {
+	case tables.Holds(tk.Record.State):
+		if o.orphans[tk.Record.VM] == nil {
+			o.orphans[tk.Record.VM] = make(map[string]struct{})
+		}
+		o.orphans[tk.Record.VM][id] = struct{}{}
+	case task.Terminal(tk.Record.State):
+		o.cfg.Recorder.Record(history.Event{Kind: history.TaskFound, Task: id, Attempt: tk.Record.Attempt, Outcome: tk.Record.State})
+		o.terminal.add(id, tk.Record.EndedUnixMilli)
+	}
+}
+
 // Run executes the owner until ctx ends.
 func (o *Owner) Run(ctx context.Context) {
 	tick := time.NewTicker(TickInterval)
@@ -184,19 +217,27 @@
 }
 
 func (o *Owner) tick(ctx context.Context) {
-	if o.lost {
+	if o.lost || !o.cfg.Valid() {
 		return
 	}
-	o.requeueUnreachable()
-	if o.storeFailed || !o.cfg.Valid() {
+	now := o.cfg.Clock.Now()
+	o.expireGrants(now)
+	o.repeatStops(ctx, now)
+	o.deleteExpired(ctx)
+	if o.storeFailed && len(o.dirty) == 0 && !o.inFlight && now >= o.retryAt {
+		// Nothing is left that a commit could show the store's recovery with.
+		o.storeFailed = false
+	}
+	if o.storeFailed {
 		return
 	}
-	for _, e := range o.sched.Tick(o.tables, o.cfg.Clock.Now()) {
+	for _, e := range o.sched.Tick(o.tables, now) {
 		o.apply(ctx, e)
 	}
 }
 
-// apply stages the effect. The agent is contacted after the record is durable.
+// apply checks a decision against the current state and stages it. The agent is
+// contacted after the record is durable.
 func (o *Owner) apply(ctx context.Context, e scheduler.Effect) {
 	tk, ok := o.tables.Tasks[e.Task]
 	if !ok {
@@ -204,18 +245,13 @@
 	}
 	switch e.Kind {
 	case scheduler.Assign:
-		o.change(tk, task.EventAssign, func(t *tables.Task) {
-			t.Record.Attempt++
-			t.Record.VM = e.VM
-			t.Record.Reserved = e.Reservation
-			t.Reserved = e.Reservation
-		}, func(err error) {
-			if err == nil {
-				o.start(ctx, tk)
-			}
-		})
+		o.assign(ctx, tk, e)
 	case scheduler.Reject:
-		o.end(tk, task.EventReject, e.Reason, e.Detail, nil)
+		// Before every VM has had the time to announce itself, a task that fits no
+		// known VM may still fit another one.
+		if o.cfg.Clock.Now() >= o.rebuilt+lease.ObserverWait(lease.GrantTTL) || e.Reason != errkind.Infeasible {
+			o.end(tk, task.EventReject, e.Reason, e.Detail, nil)
+		}
 	case scheduler.Park:
 		o.end(tk, task.EventPark, e.Reason, e.Detail, nil)
 	case scheduler.Evict:
@@ -223,6 +259,24 @@
 	}
 }
 
+func (o *Owner) assign(ctx context.Context, tk *tables.Task, e scheduler.Effect) {
+	v, ok := o.tables.VMs[e.VM]
+	if !ok || !v.Connected || v.Draining || tk.Version == 0 || !v.Reserved.Add(e.Reservation).Fits(v.Capacity) {
+		return
+	}
+	attempt := tk.Record.Attempt + 1
+	o.change(tk, task.EventAssign, func(t *tables.Task) {
+		t.Record.Attempt = attempt
+		t.Record.VM = e.VM
+		t.Record.Reserved = e.Reservation
+		t.Reserved = e.Reservation
+	}, func(err error) {
+		if err == nil && tk.Record.Attempt == attempt {
+			o.start(ctx, tk)
+		}
+	})
+}
+
 // change moves the task through a life cycle event and marks its row dirty.
 func (o *Owner) change(tk *tables.Task, event string, mutate func(*tables.Task), done func(error)) bool {
 	if _, err := task.Next(tk.Record.State, event); err != nil {
@@ -245,18 +299,41 @@
 		row = &dirtyRow{created: created}
 		o.dirty[id] = row
 	}
-	if done != nil {
-		row.done = append(row.done, done)
+	o.unsettled[id]++
+	row.done = append(row.done, func(err error) {
+		if o.unsettled[id]--; o.unsettled[id] == 0 {
+			delete(o.unsettled, id)
+		}
+		if done != nil {
+			done(err)
+		}
+	})
+}
+
+// whenDurable calls done after the current record of the task is committed. An
+// event that repeats one whose commit is under way must not be acknowledged early.
+func (o *Owner) whenDurable(id string, done func(error)) {
+	tk, ok := o.tables.Tasks[id]
+	if !ok || o.unsettled[id] == 0 {
+		done(nil)
+		return
 	}
+	o.markDirty(tk, false, done)
 }
 
 // end records a final or parked state.
 func (o *Owner) end(tk *tables.Task, event string, reason errkind.Kind, detail string, done func(error)) bool {
 	return o.change(tk, event, func(t *tables.Task) {
 		t.Record.Reason, t.Record.Detail = reason, detail
+		if task.Terminal(t.Record.State) {
+			t.Record.EndedUnixMilli = time.Now().UnixMilli()
+		}
 	}, func(err error) {
 		if err == nil {
 			o.recordTerminal(tk)
+			if task.Terminal(tk.Record.State) {
+				o.terminal.add(tk.Record.Spec.ID, tk.Record.EndedUnixMilli)
+			}
 		}
 		if done != nil {
 			done(err)
@@ -272,31 +349,13 @@
 	case !task.Terminal(tk.Record.State):
 		return
 	}
-	o.cfg.Recorder.Record(history.Event{Kind: kind, Task: tk.Record.Spec.ID, Attempt: tk.Record.Attempt})
-}
-
-// requeueUnreachable makes tasks of VMs pending again whose grants have certainly lapsed.
-func (o *Owner) requeueUnreachable() {
-	now := o.cfg.Clock.Now()
-	for _, tk := range o.tables.Tasks {
-		if !tables.Holds(tk.Record.State) {
-			continue
-		}
-		v, ok := o.tables.VMs[tk.Record.VM]
-		switch {
-		case ok && v.Connected:
-		case ok && now < v.GrantedUntil:
-		case !ok && now < o.rebuilt+lease.ObserverWait(lease.GrantTTL):
-		default:
-			o.requeue(tk)
-		}
-	}
+	o.cfg.Recorder.Record(history.Event{Kind: kind, Task: tk.Record.Spec.ID, Attempt: tk.Record.Attempt, Outcome: tk.Record.State})
 }
 
 // requeue makes the task pending; its next start has a new attempt number.
-func (o *Owner) requeue(tk *tables.Task) {
+func (o *Owner) requeue(tk *tables.Task, done func(error)) {
 	o.change(tk, task.EventRequeue, func(t *tables.Task) {
 		t.Record.VM = ""
 		t.Reserved, t.Record.Reserved = task.Resources{}, task.Resources{}
-	}, nil)
+	}, done)
 }
--- /dev/null
+++ b/shard/retention.go
@@ -0,0 +1,95 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/task"
+)
+
+// Retention of finished tasks.
+const (
+	// TerminalRetention is how long the record of a finished task is kept. A client
+	// that repeats a submission within it is told the outcome of the first one.
+	TerminalRetention = 24 * time.Hour
+	// deleteBatch is the largest number of records deleted in one transaction.
+	deleteBatch = store.MaxTxnRows
+	// deleteInterval separates deletions, so that they take at most one write in
+	// 10 s from the store budget.
+	deleteInterval = 10 * time.Second
+)
+
+// retention lists finished tasks in the order in which they were added, which is
+// the order of their end except for those found at takeover.
+type retention struct {
+	queue    []endedTask
+	next     time.Duration
+	inFlight bool
+}
+
+type endedTask struct {
+	id        string
+	unixMilli int64
+}
+
+func (r *retention) add(id string, endedUnixMilli int64) {
+	r.queue = append(r.queue, endedTask{id, endedUnixMilli})
+}
+
+// takeExpired removes and returns the tasks that ended before the given time, at
+// most one batch. A task behind a later one waits for it, at most one retention.
+func (r *retention) takeExpired(before int64) []endedTask {
+	n := 0
+	for n < len(r.queue) && n < deleteBatch && r.queue[n].unixMilli < before {
+		n++
+	}
+	batch := r.queue[:n:n]
+	r.queue = r.queue[n:]
+	return batch
+}
+
+// deleteExpired deletes a batch of records whose retention has ended.
+func (o *Owner) deleteExpired(ctx context.Context) {
+	now := o.cfg.Clock.Now()
+	if o.terminal.inFlight || o.storeFailed || now < o.terminal.next {
+		return
+	}
+	o.terminal.next = now + deleteInterval
+	batch := o.terminal.takeExpired(time.Now().Add(-TerminalRetention).UnixMilli())
+	if len(batch) == 0 {
+		return
+	}
+	txn := store.Txn{Conds: []store.Cond{o.cfg.EpochCond}}
+	for _, e := range batch {
+		tk, ok := o.tables.Tasks[e.id]
+		if !ok || !task.Terminal(tk.Record.State) {
+			continue
+		}
+		key := Prefix(o.cfg.Shard) + e.id
+		txn.Conds = append(txn.Conds, store.Cond{Key: key, Version: tk.Version})
+		txn.Writes = append(txn.Writes, store.Write{Key: key, Delete: true})
+	}
+	if len(txn.Writes) == 0 {
+		return
+	}
+	o.terminal.inFlight = true
+	go func() {
+		_, err := o.cfg.Writer.Commit(ctx, txn)
+		o.post(ctx, func() { o.deleted(batch, err) })
+	}()
+}
+
+func (o *Owner) deleted(batch []endedTask, err error) {
+	o.terminal.inFlight = false
+	if errkind.Of(err) != errkind.None {
+		// Nothing was deleted; a condition that failed means a new owner, which
+		// deletes the records itself.
+		o.terminal.queue = append(batch, o.terminal.queue...)
+		return
+	}
+	for _, e := range batch {
+		o.tables.Remove(e.id)
+	}
+}
--- /dev/null
+++ b/shard/stops.go
@@ -0,0 +1,89 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+// stopRepeatInterval separates repeats of a stop that was not answered.
+const stopRepeatInterval = 2 * time.Second
+
+type stopKey struct {
+	vm      string
+	id      string
+	attempt uint32
+}
+
+// pendingStop is a stop that the agent has not answered. It is repeated until the
+// agent answers or the VM's grant lapses.
+type pendingStop struct {
+	mode wire.StopMode
+	// done receives the answer on the owner's goroutine.
+	done     []func(*wire.TaskEvent)
+	inFlight bool
+	next     time.Duration
+}
+
+// stop ends an attempt on a VM and passes the agent's answer to done. done may be nil.
+func (o *Owner) stop(ctx context.Context, vm, id string, attempt uint32, mode wire.StopMode, done func(*wire.TaskEvent)) {
+	key := stopKey{vm, id, attempt}
+	p, ok := o.stops[key]
+	if !ok {
+		p = &pendingStop{mode: mode}
+		o.stops[key] = p
+	}
+	if mode == wire.StopCancel {
+		p.mode = mode
+	}
+	if done != nil {
+		p.done = append(p.done, done)
+	}
+	o.sendStop(ctx, key, p)
+}
+
+// repeatStops sends every stop that is due.
+func (o *Owner) repeatStops(ctx context.Context, now time.Duration) {
+	for key, p := range o.stops {
+		if now >= p.next {
+			o.sendStop(ctx, key, p)
+		}
+	}
+}
+
+func (o *Owner) sendStop(ctx context.Context, key stopKey, p *pendingStop) {
+	l, ok := o.agents[key.vm]
+	if !ok || p.inFlight {
+		return
+	}
+	p.inFlight = true
+	msg := &wire.StopTask{Epoch: o.cfg.Epoch, ID: key.id, Attempt: key.attempt, Mode: p.mode}
+	go func() {
+		callCtx, cancel := context.WithTimeout(ctx, stopTimeout)
+		defer cancel()
+		m, err := l.caller.Call(callCtx, msg)
+		o.post(ctx, func() { o.stopped(key, p, m, err) })
+	}()
+}
+
+func (o *Owner) stopped(key stopKey, p *pendingStop, m wire.Message, err error) {
+	p.inFlight = false
+	p.next = o.cfg.Clock.Now() + stopRepeatInterval
+	if o.stops[key] != p {
+		return
+	}
+	if ev, ok := m.(*wire.TaskEvent); ok && err == nil {
+		delete(o.stops, key)
+		for _, done := range p.done {
+			done(ev)
+		}
+		return
+	}
+	// An eviction whose checkpoint could not be stored is given up; the scheduler
+	// decides again. Every other stop is repeated.
+	if p.mode == wire.StopEvict && errkind.Of(err) == errkind.StoreUnavailable {
+		delete(o.stops, key)
+	}
+}
--- a/task/task.go
+++ b/task/task.go
@@ -84,4 +84,7 @@
 	Detail string `msgpack:"dt" json:"detail,omitempty"`
 	// SubmittedUnixMilli is the wall-clock time of acceptance at the owner, for display.
 	SubmittedUnixMilli int64 `msgpack:"su" json:"submitted_unix_milli"`
+	// EndedUnixMilli is the wall-clock time at the owner when the task reached a
+	// terminal state. Only the retention of finished records depends on it.
+	EndedUnixMilli int64 `msgpack:"en" json:"ended_unix_milli,omitempty"`
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -125,8 +125,10 @@
 
 // TaskStatus is the state of an attempt on a VM.
 type TaskStatus struct {
-	ID         string
-	Attempt    uint32
+	ID      string
+	Attempt uint32
+	// State is task.Running or task.Suspended, or task.Succeeded or task.Failed for
+	// an attempt whose result is not acknowledged yet.
 	State      string
 	Reserved   task.Resources
 	Checkpoint string
@@ -154,6 +156,15 @@
 type AnnounceReply struct {
 	Shard string
 	Epoch uint64
+	// Stop lists announced attempts that the records have moved past. The agent
+	// stops them before it applies a grant, since they may run elsewhere by now.
+	Stop []AttemptRef
+}
+
+// AttemptRef names one attempt of a task.
+type AttemptRef struct {
+	ID      string
+	Attempt uint32
 }
 
 // Usage is the measured use of one task, lagging by LagMS.
