--- a/store/httpstore/client.go
+++ b/store/httpstore/client.go
@@ -59,7 +59,10 @@
 	if transport == nil {
 		transport = &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
 	}
-	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: transport, Timeout: requestTimeout}}
+	// A redirect is not part of the protocol; following one could apply a commit twice.
+	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{base: strings.TrimSuffix(base, "/"),
+		http: &http.Client{Transport: transport, Timeout: requestTimeout, CheckRedirect: noRedirect}}
 }
 
 // Get implements store.Table.
@@ -80,12 +83,27 @@
 func (c *Client) Commit(ctx context.Context, txn store.Txn) ([]uint64, error) {
 	var versions []uint64
 	err := c.post(ctx, PathCommit, txn, &versions)
-	return versions, err
+	if err == nil && len(versions) != len(txn.Writes) {
+		err = errkind.New(errkind.StoreAmbiguous, "answer to the commit names %d rows, not %d", len(versions), len(txn.Writes))
+	}
+	if err != nil {
+		return nil, asAmbiguous(err)
+	}
+	return versions, nil
 }
 
-// asUnavailable turns the ambiguous kind into unavailable for reads, which have no effect.
+// asAmbiguous turns every error that does not prove that a write had no effect into
+// the ambiguous kind, for example an answer that a proxy made, which carries no kind.
+func asAmbiguous(err error) error {
+	if err != nil && errkind.Of(err).Answer().Execution != errkind.ExecutionNotRun {
+		return errkind.Wrap(errkind.StoreAmbiguous, err, "write may have taken effect")
+	}
+	return err
+}
+
+// asUnavailable turns errors of unknown effect into unavailable for reads, which have no effect.
 func asUnavailable(err error) error {
-	if errkind.Of(err) == errkind.StoreAmbiguous {
+	if k := errkind.Of(err); k == errkind.StoreAmbiguous || k == errkind.Internal {
 		return errkind.Wrap(errkind.StoreUnavailable, err, "read failed")
 	}
 	return err
@@ -118,7 +136,11 @@
 		return nil, errkind.Wrap(errkind.StoreAmbiguous, err, "%s %s: answer cut", method, path)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, errkind.New(errkind.Parse(resp.Header.Get(HeaderKind)), "%s", strings.TrimSpace(string(out)))
+		kind := errkind.Parse(resp.Header.Get(HeaderKind))
+		if kind == errkind.None {
+			kind = errkind.Internal
+		}
+		return nil, errkind.New(kind, "%s %s: status %d: %s", method, path, resp.StatusCode, strings.TrimSpace(string(out)))
 	}
 	return out, nil
 }
@@ -140,7 +162,7 @@
 
 func (o objects) Put(ctx context.Context, key string, data []byte) error {
 	_, err := o.c.do(ctx, http.MethodPut, PathObjects+url.PathEscape(key), data)
-	return err
+	return asAmbiguous(err)
 }
 
 func (o objects) Get(ctx context.Context, key string) ([]byte, error) {
@@ -150,5 +172,5 @@
 
 func (o objects) Delete(ctx context.Context, key string) error {
 	_, err := o.c.do(ctx, http.MethodDelete, PathObjects+url.PathEscape(key), nil)
-	return err
+	return asAmbiguous(err)
 }
