--- a/store/writer_test.go
+++ b/store/writer_test.go
@@ -75,7 +75,7 @@
 		_, err := w.Commit(t.Context(), put("k", 0, "a"))
 		assert.NilError(t, err)
 		link.LoseCommit(1)
-		go func() { time.Sleep(0); link.SetCut(true) }()
+		go func() { time.Sleep(500 * time.Microsecond); link.SetCut(true) }()
 		table.SetFaults(standin.Faults{Latency: time.Millisecond})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
