--- /dev/null
+++ b/confsync/confsync.go
@@ -0,0 +1,110 @@
+// Package confsync implements the two-phase configuration protocol. A change is
+// written as pending, every registered entry prepares for it, and the commit
+// that moves it to current is its acceptance. Follower and Proposer are state
+// machines over a table and a clock; the caller runs their loops.
+package confsync
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/plan"
+	"github.com/chicorystand/chicorystand/store"
+)
+
+// Keys in the table service.
+const (
+	KeyCurrent         = "config/current"
+	KeyPending         = "config/pending"
+	RegistrationPrefix = "entry/"
+)
+
+// Timing of the protocol.
+const (
+	// LeaseTTL is how long an entry admits requests after the start of its last successful read.
+	LeaseTTL = 10 * time.Second
+	// PreparedTTL replaces LeaseTTL while a change is pending. With a poll after
+	// 250 ms it keeps the time from acceptance to "in force" under 3 s.
+	PreparedTTL = 2 * time.Second
+	// PollInterval and PendingPollInterval separate reads of the configuration.
+	PollInterval        = time.Second
+	PendingPollInterval = 250 * time.Millisecond
+	// RegistrationTTL is how long an entry admits requests without a renewed
+	// registration. It is shorter than RegistrationRemoval, after which other entries
+	// remove the row and no longer wait for the entry.
+	RegistrationTTL     = 50 * time.Second
+	RegistrationRemoval = 60 * time.Second
+	// AdoptAfter is how long a change may be pending before other entries than the
+	// proposer try to accept it.
+	AdoptAfter = 5 * time.Second
+)
+
+// maxEntries bounds the registrations read at once.
+const maxEntries = 100
+
+// Registration is the value of an entry's row, RegistrationPrefix + ID.
+type Registration struct {
+	//lint:ignore U1000 selects the array encoding
+	_msgpack struct{} `msgpack:",as_array"`
+
+	ID          string
+	Addr        string
+	Zone        string
+	Incarnation uint64
+	// Counter increases with every renewal, so that the row changes.
+	Counter uint64
+	// Prepared is the highest generation that the entry has prepared for.
+	Prepared uint64
+	// InForce is the generation in force in the entry.
+	InForce uint64
+	// Members are the registered entries that the entry asks for holds in a store outage.
+	Members []string
+}
+
+// DecodeRegistration decodes a registration row.
+func DecodeRegistration(r store.Row) (Registration, error) {
+	var reg Registration
+	err := msgpack.Unmarshal(r.Value, &reg)
+	return reg, errkind.Wrap(errkind.Internal, err, "decode registration %s", r.Key)
+}
+
+func decodeDocument(r store.Row) (plan.Document, error) {
+	var doc plan.Document
+	err := msgpack.Unmarshal(r.Value, &doc)
+	return doc, errkind.Wrap(errkind.Internal, err, "decode configuration row %s", r.Key)
+}
+
+// Stamp identifies the content of a registration row. The version alone does not:
+// it starts again at 1 when an entry restarts after its row was deleted.
+func Stamp(r store.Row) uint64 { return xxhash.Sum64(r.Value) + r.Version }
+
+// state is what one read of the configuration rows returned.
+type state struct {
+	current, pending               plan.Document
+	currentVersion, pendingVersion uint64
+}
+
+func decodeState(rows []store.Row) (state, error) {
+	var s state
+	for _, r := range rows {
+		doc, err := decodeDocument(r)
+		if err != nil {
+			return state{}, err
+		}
+		switch r.Key {
+		case KeyCurrent:
+			s.current, s.currentVersion = doc, r.Version
+		case KeyPending:
+			s.pending, s.pendingVersion = doc, r.Version
+		}
+	}
+	return s, nil
+}
+
+func sameContent(a, b plan.Document) bool {
+	return slices.Equal(a.Plans, b.Plans) && slices.Equal(a.Limits, b.Limits)
+}
--- /dev/null
+++ b/confsync/proposer.go
@@ -0,0 +1,214 @@
+package confsync
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/chicorystand/chicorystand/clock"
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/lease"
+	"github.com/chicorystand/chicorystand/plan"
+	"github.com/chicorystand/chicorystand/store"
+)
+
+// Proposer writes changes and accepts them when every registered entry is
+// prepared or has expired. Any entry may accept a pending change, so a change
+// whose proposer has died still ends. It is safe for concurrent use.
+type Proposer struct {
+	self     string
+	table    store.Table
+	writer   *store.Writer
+	clock    clock.Clock
+	promises *lease.Promises
+
+	mu sync.Mutex
+	// seen holds the observations of registrations since generation was first seen pending.
+	generation uint64
+	seen       map[string]*lease.Observation
+}
+
+// NewProposer returns the proposer of the entry self. promises are shared with the entry's shard manager.
+func NewProposer(self string, table store.Table, c clock.Clock, promises *lease.Promises) *Proposer {
+	return &Proposer{self: self, table: table, clock: c, promises: promises, writer: store.NewWriter(table, self+"/config")}
+}
+
+func (p *Proposer) read(ctx context.Context) (state, error) {
+	rows, err := p.table.Get(ctx, KeyCurrent, KeyPending)
+	if err != nil {
+		return state{}, err
+	}
+	return decodeState(rows)
+}
+
+// Propose writes doc as the pending successor of the generation it names. It
+// returns the document with its new generation, and whether that is already
+// accepted: a repeated proposal finds its first. On errkind.Conflict the returned
+// document is the current one.
+func (p *Proposer) Propose(ctx context.Context, doc plan.Document) (plan.Document, bool, error) {
+	if err := doc.Validate(); err != nil {
+		return plan.Document{}, false, err
+	}
+	next := doc
+	next.Generation++
+	value, err := msgpack.Marshal(next)
+	if err != nil {
+		return plan.Document{}, false, errkind.Wrap(errkind.Internal, err, "encode configuration")
+	}
+	s, err := p.read(ctx)
+	if err != nil {
+		return plan.Document{}, false, err
+	}
+	if found, accepted, err := s.repeated(next); found || err != nil {
+		return s.answer(next, err), accepted, err
+	}
+	_, err = p.writer.Commit(ctx, store.Txn{
+		Conds:  []store.Cond{{Key: KeyCurrent, Version: s.currentVersion}, {Key: KeyPending}},
+		Writes: []store.Write{{Key: KeyPending, Value: value}},
+	})
+	if errkind.Of(err) != errkind.Conflict {
+		return next, false, err
+	}
+	if s, err = p.read(ctx); err != nil {
+		return plan.Document{}, false, err
+	}
+	found, accepted, err := s.repeated(next)
+	if !found && err == nil {
+		err = errkind.New(errkind.Conflict, "another change was in progress; the current generation is %d", s.current.Generation)
+	}
+	return s.answer(next, err), accepted, err
+}
+
+// repeated reports whether next is already pending or accepted, or errkind.Conflict
+// when its base is not current or another change is pending.
+func (s state) repeated(next plan.Document) (found, accepted bool, err error) {
+	switch {
+	case s.current.Generation == next.Generation && sameContent(s.current, next):
+		return true, true, nil
+	case s.current.Generation != next.Generation-1:
+		return false, false, errkind.New(errkind.Conflict, "the change is based on generation %d, the current one is %d", next.Generation-1, s.current.Generation)
+	case s.pendingVersion == 0:
+		return false, false, nil
+	case sameContent(s.pending, next):
+		return true, false, nil
+	}
+	return false, false, errkind.New(errkind.Conflict, "another change to generation %d is pending", s.pending.Generation)
+}
+
+func (s state) answer(next plan.Document, err error) plan.Document {
+	if err != nil {
+		return s.current
+	}
+	return next
+}
+
+// Step tries once to finish the change to generation. It returns true when the
+// generation is in config/current, and the document when this call accepted it.
+func (p *Proposer) Step(ctx context.Context, generation uint64) (bool, *plan.Document, error) {
+	s, err := p.read(ctx)
+	if err != nil {
+		return false, nil, err
+	}
+	if s.current.Generation >= generation {
+		return true, nil, nil
+	}
+	if s.pendingVersion == 0 || s.pending.Generation != generation {
+		return false, nil, errkind.New(errkind.Conflict, "generation %d is not pending", generation)
+	}
+	// The registrations are read after the pending row was seen: an entry that
+	// registers later reads the pending row before it admits anything.
+	rows, err := p.table.Scan(ctx, RegistrationPrefix, "", maxEntries)
+	if err != nil {
+		return false, nil, err
+	}
+	expired, ready := p.judge(generation, rows)
+	if !ready {
+		return false, nil, nil
+	}
+	if !p.beginAll(expired) {
+		return false, nil, nil
+	}
+	err = p.accept(ctx, s)
+	if errkind.Of(err) != errkind.StoreAmbiguous {
+		for _, id := range expired {
+			p.promises.End(id)
+		}
+	}
+	if err != nil {
+		if errkind.Of(err) == errkind.Conflict {
+			err = nil // Another entry has accepted it; the next step sees that.
+		}
+		return false, nil, err
+	}
+	return true, &s.pending, nil
+}
+
+// judge returns the expired registrations, and whether all others are prepared.
+func (p *Proposer) judge(generation uint64, rows []store.Row) (expired []string, ready bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.generation != generation {
+		p.generation, p.seen = generation, make(map[string]*lease.Observation)
+	}
+	now := p.clock.Now()
+	ready = true
+	for _, r := range rows {
+		reg, err := DecodeRegistration(r)
+		if err != nil {
+			return nil, false
+		}
+		if reg.Prepared >= generation {
+			continue
+		}
+		o, ok := p.seen[reg.ID]
+		if !ok {
+			o = &lease.Observation{}
+			p.seen[reg.ID] = o
+		}
+		if !o.Observe(Stamp(r), now, p.wait(reg)) {
+			ready = false
+			continue
+		}
+		expired = append(expired, reg.ID)
+	}
+	return expired, ready
+}
+
+// wait returns the time after which the entry of an unchanged registration has
+// certainly stopped admitting. An entry that does not list this one as a member
+// may extend its lease by holds that this one was not asked for.
+func (p *Proposer) wait(reg Registration) time.Duration {
+	if slices.Contains(reg.Members, p.self) {
+		return LeaseTTL
+	}
+	return lease.MaxExtension
+}
+
+func (p *Proposer) beginAll(ids []string) bool {
+	now := p.clock.Now()
+	for i, id := range ids {
+		if p.promises.Begin(id, now) {
+			continue
+		}
+		for _, started := range ids[:i] {
+			p.promises.End(started)
+		}
+		return false
+	}
+	return true
+}
+
+func (p *Proposer) accept(ctx context.Context, s state) error {
+	value, err := msgpack.Marshal(s.pending)
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err, "encode configuration")
+	}
+	_, err = p.writer.Commit(ctx, store.Txn{
+		Conds:  []store.Cond{{Key: KeyCurrent, Version: s.currentVersion}, {Key: KeyPending, Version: s.pendingVersion}},
+		Writes: []store.Write{{Key: KeyCurrent, Value: value}, {Key: KeyPending, Delete: true}},
+	})
+	return err
+}
--- a/entry/control.go
+++ b/entry/control.go
@@ -4,30 +4,12 @@
 	"context"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/shard"
-	"github.com/chicorystand/chicorystand/store"
 	"github.com/chicorystand/chicorystand/task"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
-// Timing of the exchange between entries.
-const (
-	registrationInterval = 5 * time.Second
-	digestInterval       = 4 * time.Second
-	peerTimeout          = 4 * time.Second
-)
-
-// Registration is the value of an entry's row.
-type Registration struct {
-	ID      string
-	Addr    string
-	Zone    string
-	Counter uint64
-}
-
 // session is stored in Peer.Value after an agent announced itself.
 type session struct {
 	vm    string
@@ -50,6 +32,11 @@
 	case *wire.Digest:
 		go e.digest(msg)
 		reply(&wire.Ack{})
+	case *wire.Hold:
+		go e.hold(msg, reply)
+	case *wire.ConfigPush:
+		e.PollConfig()
+		reply(&wire.Ack{})
 	case *wire.Members:
 		e.table.Apply(*msg)
 		reply(&wire.Ack{})
@@ -73,6 +60,14 @@
 		e.manager.Want(id)
 		return &wire.LocateReply{Shard: id}
 	}
+	if row.Owner != e.cfg.ID {
+		e.mu.Lock()
+		p := e.peers[row.Owner]
+		e.mu.Unlock()
+		if p == nil || closed(p) {
+			e.manager.Suspect(id)
+		}
+	}
 	return &wire.LocateReply{Shard: id, Epoch: row.Epoch, Addr: row.Addr}
 }
 
@@ -151,136 +146,6 @@
 	}
 }
 
-// membersChanged applies a list locally and pushes it to every other entry.
-func (e *Entry) membersChanged(m wire.Members) {
-	e.table.Apply(m)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, p := range e.peers {
-		go func() { _ = p.Notify(&m) }()
-	}
-}
-
-// digest pulls the lists of the sender that are newer than the known ones.
-func (e *Entry) digest(m *wire.Digest) {
-	for _, d := range m.Shards {
-		known := e.table.Known(d.Shard)
-		if d.Epoch < known.Epoch || (d.Epoch == known.Epoch && d.Version <= known.Version) {
-			continue
-		}
-		e.mu.Lock()
-		p := e.peers[m.Entry]
-		e.mu.Unlock()
-		if p == nil {
-			return
-		}
-		ctx, cancel := context.WithTimeout(e.ctx, peerTimeout)
-		if r, err := p.Call(ctx, &wire.PullMembers{Shard: d.Shard}); err == nil {
-			if list, ok := r.(*wire.Members); ok {
-				e.table.Apply(*list)
-			}
-		}
-		cancel()
-	}
-}
-
-func (e *Entry) pullMembers(m *wire.PullMembers, reply wire.Reply) {
-	e.onShard(m.Shard, reply, func(o *shard.Owner) {
-		var list wire.Members
-		if err := o.Do(e.ctx, func() { list = o.Members() }); err != nil {
-			reply(wire.ErrorReply(err))
-			return
-		}
-		reply(&list)
-	})
-}
-
-// registrationLoop keeps the entry's row current, connects to the other entries
-// and sends them digests.
-func (e *Entry) registrationLoop(ctx context.Context) {
-	var nextDigest, nextRegister time.Duration
-	reg := Registration{ID: e.cfg.ID, Addr: e.addr, Zone: e.cfg.Zone}
-	for ctx.Err() == nil {
-		now := e.cfg.Clock.Now()
-		if now >= nextRegister {
-			reg.Counter++
-			e.register(ctx, reg)
-			e.connectPeers(ctx)
-			nextRegister = now + registrationInterval
-		}
-		if now >= nextDigest {
-			e.sendDigests(ctx)
-			nextDigest = now + digestInterval
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(500 * time.Millisecond):
-		}
-	}
-}
-
-func (e *Entry) register(ctx context.Context, reg Registration) {
-	e.mu.Lock()
-	draining := e.draining
-	e.mu.Unlock()
-	if draining {
-		return
-	}
-	value, err := msgpack.Marshal(reg)
-	if err != nil {
-		return
-	}
-	_, _ = e.cfg.Table.Commit(ctx, store.Txn{Writes: []store.Write{{Key: registrationPrefix + e.cfg.ID, Value: value}}})
-}
-
-func (e *Entry) connectPeers(ctx context.Context) {
-	rows, err := e.cfg.Table.Scan(ctx, registrationPrefix, "", 100)
-	if err != nil {
-		return
-	}
-	for _, r := range rows {
-		var reg Registration
-		if err := msgpack.Unmarshal(r.Value, &reg); err != nil || reg.ID == e.cfg.ID {
-			continue
-		}
-		e.connectPeer(ctx, reg)
-	}
-}
-
-func (e *Entry) connectPeer(ctx context.Context, reg Registration) {
-	e.mu.Lock()
-	p, ok := e.peers[reg.ID]
-	e.mu.Unlock()
-	if ok {
-		select {
-		case <-p.Done():
-		default:
-			return
-		}
-	}
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	conn, err := e.cfg.Dial(ctx, reg.Addr)
-	if err != nil {
-		return
-	}
-	e.mu.Lock()
-	e.peers[reg.ID] = wire.NewPeer(conn, e.handleControl)
-	e.mu.Unlock()
-}
-
-func (e *Entry) sendDigests(ctx context.Context) {
-	d := &wire.Digest{Entry: e.cfg.ID, ConfigGen: e.config().Generation}
-	for _, o := range e.manager.Owners() {
-		_ = o.Do(ctx, func() { d.Shards = append(d.Shards, o.Members().Digest) })
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, p := range e.peers {
-		go func() { _ = p.Notify(d) }()
-	}
-}
-
 // submitTimeout bounds how long a submission waits for its commit.
 const submitTimeout = 5 * time.Second
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,13 +11,13 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/chicorystand/chicorystand/clock"
+	"github.com/chicorystand/chicorystand/confsync"
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/history"
+	"github.com/chicorystand/chicorystand/lease"
 	"github.com/chicorystand/chicorystand/metrics"
-	"github.com/chicorystand/chicorystand/plan"
 	"github.com/chicorystand/chicorystand/route"
 	"github.com/chicorystand/chicorystand/shard"
 	"github.com/chicorystand/chicorystand/store"
@@ -50,14 +50,19 @@
 	seq     atomic.Uint64
 	ctx     context.Context
 
+	follower *confsync.Follower
+	proposer *confsync.Proposer
+	// pollNow asks for a read of the configuration before it is due.
+	pollNow chan struct{}
+
 	mu       sync.Mutex
-	doc      plan.Document
-	docVer   uint64
 	ready    bool
 	draining bool
 	active   sync.WaitGroup
-	peers    map[string]*wire.Peer
-	conns    map[*wire.Peer]struct{}
+	// peers holds the connections to the other entries, entries their last registrations.
+	peers   map[string]*wire.Peer
+	entries map[string]confsync.Registration
+	conns   map[*wire.Peer]struct{}
 }
 
 // New returns an entry that has not started.
@@ -69,16 +74,21 @@
 		}
 	}
 	return &Entry{cfg: cfg, table: route.NewTable(cfg.Zone, cfg.Incarnation), pool: newPool(cfg.Dial), metrics: metrics.NewEntry(),
-		peers: make(map[string]*wire.Peer), conns: make(map[*wire.Peer]struct{})}
+		follower: confsync.NewFollower(cfg.Table, cfg.Clock), pollNow: make(chan struct{}, 1),
+		peers: make(map[string]*wire.Peer), entries: make(map[string]confsync.Registration), conns: make(map[*wire.Peer]struct{})}
 }
 
 // Run serves until ctx ends. control is the listener for agents and entries;
 // web serves callers and operators.
 func (e *Entry) Run(ctx context.Context, control, web net.Listener) error {
 	e.addr, e.ctx = control.Addr().String(), ctx
+	promises := lease.NewPromises()
+	e.proposer = confsync.NewProposer(e.cfg.ID, e.cfg.Table, e.cfg.Clock, promises)
 	e.manager = shard.NewManager(shard.ManagerConfig{
-		Entry: e.cfg.ID, Addr: e.addr, Table: e.cfg.Table, Clock: e.cfg.Clock, Recorder: e.cfg.Recorder, Log: e.cfg.Log,
-		OnOwner:   func(o *shard.Owner) { o.SetConfig(ctx, e.config()) },
+		Entry: e.cfg.ID, Addr: e.addr, Zone: e.cfg.Zone, Incarnation: e.cfg.Incarnation,
+		Table: e.cfg.Table, Clock: e.cfg.Clock, Recorder: e.cfg.Recorder, Log: e.cfg.Log,
+		Follower: e.follower, Promises: promises, AskHold: e.askHold, OnEntries: e.entriesChanged,
+		OnOwner:   e.ownerStarted,
 		OnMembers: e.membersChanged,
 		OnEvict:   func(k errkind.Kind) { e.metrics.Evictions.WithLabelValues(k.String()).Inc() },
 	})
@@ -89,7 +99,7 @@
 		func() { e.acceptLoop(control) },
 		func() { _ = server.Serve(web) },
 		func() { e.configLoop(ctx) },
-		func() { e.registrationLoop(ctx) },
+		func() { e.peerLoop(ctx) },
 	} {
 		wg.Add(1)
 		go func() { defer wg.Done(); loop() }()
@@ -126,7 +136,7 @@
 	case <-ctx.Done():
 	}
 	e.manager.Release(ctx)
-	_, _ = e.cfg.Table.Commit(ctx, store.Txn{Writes: []store.Write{{Key: registrationPrefix + e.cfg.ID, Delete: true}}})
+	e.sendDigests(ctx)
 }
 
 func (e *Entry) closeAll() {
@@ -166,93 +176,3 @@
 
 // Addr returns the control address after Run has started.
 func (e *Entry) Addr() string { return e.addr }
-
-// config returns the configuration in force.
-func (e *Entry) config() plan.Document {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.doc
-}
-
-const (
-	configKey          = "config/current"
-	configPollInterval = 500 * time.Millisecond
-	registrationPrefix = "entry/"
-)
-
-// configLoop reads the configuration and puts newer generations in force.
-func (e *Entry) configLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		e.pollConfig(ctx)
-		select {
-		case <-ctx.Done():
-		case <-time.After(configPollInterval):
-		}
-	}
-}
-
-func (e *Entry) pollConfig(ctx context.Context) {
-	rows, err := e.cfg.Table.Get(ctx, configKey)
-	if err != nil {
-		return
-	}
-	var doc plan.Document
-	version := uint64(0)
-	if len(rows) == 1 {
-		if err := msgpack.Unmarshal(rows[0].Value, &doc); err != nil {
-			e.cfg.Log.Error().Err(err).Msg("decode configuration")
-			return
-		}
-		version = rows[0].Version
-	}
-	e.mu.Lock()
-	changed := doc.Generation > e.doc.Generation
-	if changed {
-		e.doc, e.docVer = doc, version
-	}
-	if !e.draining {
-		e.ready = true
-	}
-	e.mu.Unlock()
-	if !changed {
-		return
-	}
-	e.cfg.Recorder.Record(history.Event{Kind: history.ConfigInForce, Process: e.cfg.ID, Generation: doc.Generation})
-	for _, o := range e.manager.Owners() {
-		_ = o.Do(ctx, func() { o.SetConfig(ctx, doc) })
-	}
-}
-
-// applyConfig commits a new document based on the generation it names.
-func (e *Entry) applyConfig(ctx context.Context, doc plan.Document) (plan.Document, error) {
-	if err := doc.Validate(); err != nil {
-		return plan.Document{}, err
-	}
-	rows, err := e.cfg.Table.Get(ctx, configKey)
-	if err != nil {
-		return plan.Document{}, err
-	}
-	var current plan.Document
-	cond := store.Cond{Key: configKey}
-	if len(rows) == 1 {
-		if err := msgpack.Unmarshal(rows[0].Value, &current); err != nil {
-			return plan.Document{}, errkind.Wrap(errkind.Internal, err, "decode configuration")
-		}
-		cond.Version = rows[0].Version
-	}
-	if doc.Generation != current.Generation {
-		return current, errkind.New(errkind.Conflict, "the change is based on generation %d, the current one is %d", doc.Generation, current.Generation)
-	}
-	doc.Generation++
-	value, err := msgpack.Marshal(doc)
-	if err != nil {
-		return plan.Document{}, errkind.Wrap(errkind.Internal, err, "encode configuration")
-	}
-	w := store.NewWriter(e.cfg.Table, e.cfg.ID+"/config/"+time.Now().Format(time.RFC3339Nano))
-	if _, err := w.Commit(ctx, store.Txn{Conds: []store.Cond{cond}, Writes: []store.Write{{Key: configKey, Value: value}}}); err != nil {
-		return current, err
-	}
-	e.cfg.Recorder.Record(history.Event{Kind: history.ConfigAccepted, Generation: doc.Generation})
-	e.pollConfig(ctx)
-	return doc, nil
-}
--- a/entry/http.go
+++ b/entry/http.go
@@ -27,6 +27,7 @@
 	mux.HandleFunc("POST /v1/tasks/cancel", e.cancelTasks)
 	mux.HandleFunc("GET /v1/config", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.config()) })
 	mux.HandleFunc("PUT /v1/config", e.putConfig)
+	mux.HandleFunc("GET /v1/config/status", e.configStatus)
 	mux.HandleFunc("GET /v1/upstreams", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.upstreams()) })
 	mux.HandleFunc("POST /v1/upstreams/{vm}/drain", e.drainUpstream)
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
@@ -63,7 +64,7 @@
 	e.mu.Lock()
 	ready := e.ready
 	e.mu.Unlock()
-	if !ready {
+	if !ready || e.follower.Admit() != nil {
 		writeError(w, errkind.New(errkind.NotReady, "entry %s is not ready", e.cfg.ID))
 		return
 	}
--- /dev/null
+++ b/entry/peers.go
@@ -0,0 +1,190 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/chicorystand/chicorystand/confsync"
+	"github.com/chicorystand/chicorystand/lease"
+	"github.com/chicorystand/chicorystand/shard"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+// Timing of the exchange between entries.
+const (
+	digestInterval = 8 * time.Second
+	peerTimeout    = 4 * time.Second
+	dialPause      = time.Second
+	holdTimeout    = 2 * time.Second
+)
+
+// entriesChanged stores the other registered entries and connects to them.
+func (e *Entry) entriesChanged(regs []confsync.Registration) {
+	e.mu.Lock()
+	old := e.entries
+	e.entries = make(map[string]confsync.Registration, len(regs))
+	for _, reg := range regs {
+		// A digest may have reported a newer generation than the row.
+		if prev, ok := old[reg.ID]; ok && prev.Incarnation == reg.Incarnation {
+			reg.InForce = max(reg.InForce, prev.InForce)
+		}
+		e.entries[reg.ID] = reg
+	}
+	var removed []*wire.Peer
+	for id, p := range e.peers {
+		if _, ok := e.entries[id]; !ok {
+			removed = append(removed, p)
+			delete(e.peers, id)
+		}
+	}
+	e.mu.Unlock()
+	for _, p := range removed {
+		p.Close()
+	}
+}
+
+// peerLoop keeps connections to the other entries and sends them digests.
+func (e *Entry) peerLoop(ctx context.Context) {
+	var nextDigest time.Duration
+	for ctx.Err() == nil {
+		if e.connectPeers(ctx) || e.cfg.Clock.Now() >= nextDigest {
+			e.sendDigests(ctx)
+			nextDigest = e.cfg.Clock.Now() + digestInterval
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(dialPause):
+		}
+	}
+}
+
+// connectPeers dials entries without a connection and reports whether one was opened.
+func (e *Entry) connectPeers(ctx context.Context) bool {
+	e.mu.Lock()
+	var missing []confsync.Registration
+	for id, reg := range e.entries {
+		if p, ok := e.peers[id]; !ok || closed(p) {
+			missing = append(missing, reg)
+		}
+	}
+	e.mu.Unlock()
+	opened := make(chan bool, len(missing))
+	for _, reg := range missing {
+		go func() { opened <- e.connectPeer(ctx, reg) }()
+	}
+	any := false
+	for range missing {
+		any = <-opened || any
+	}
+	return any
+}
+
+func closed(p *wire.Peer) bool {
+	select {
+	case <-p.Done():
+		return true
+	default:
+		return false
+	}
+}
+
+func (e *Entry) connectPeer(ctx context.Context, reg confsync.Registration) bool {
+	dialCtx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	conn, err := e.cfg.Dial(dialCtx, reg.Addr)
+	if err != nil {
+		e.manager.Gone(reg.ID)
+		return false
+	}
+	p := wire.NewPeer(conn, e.handleControl)
+	e.mu.Lock()
+	e.peers[reg.ID] = p
+	e.mu.Unlock()
+	go func() {
+		<-p.Done()
+		if ctx.Err() == nil {
+			e.manager.Gone(reg.ID)
+		}
+	}()
+	return true
+}
+
+func (e *Entry) notifyPeers(m wire.Message) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.peers {
+		go func() { _ = p.Notify(m) }()
+	}
+}
+
+func (e *Entry) sendDigests(ctx context.Context) {
+	d := &wire.Digest{Entry: e.cfg.ID, ConfigGen: e.config().Generation}
+	for _, o := range e.manager.Owners() {
+		_ = o.Do(ctx, func() { d.Shards = append(d.Shards, o.Members().Digest) })
+	}
+	e.notifyPeers(d)
+}
+
+// membersChanged applies a list locally and pushes it to every other entry.
+func (e *Entry) membersChanged(m wire.Members) {
+	e.table.Apply(m)
+	e.notifyPeers(&m)
+}
+
+// digest records that the sender is alive and pulls its lists that are newer than the known ones.
+func (e *Entry) digest(m *wire.Digest) {
+	e.manager.Heard(m.Entry, m.Shards)
+	e.mu.Lock()
+	p := e.peers[m.Entry]
+	if reg, ok := e.entries[m.Entry]; ok {
+		reg.InForce = max(reg.InForce, m.ConfigGen)
+		e.entries[m.Entry] = reg
+	}
+	e.mu.Unlock()
+	if m.ConfigGen > e.config().Generation {
+		e.PollConfig()
+	}
+	for _, d := range m.Shards {
+		known := e.table.Known(d.Shard)
+		if p == nil || d.Epoch < known.Epoch || (d.Epoch == known.Epoch && d.Version <= known.Version) {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(e.ctx, peerTimeout)
+		if r, err := p.Call(ctx, &wire.PullMembers{Shard: d.Shard}); err == nil {
+			if list, ok := r.(*wire.Members); ok {
+				e.table.Apply(*list)
+			}
+		}
+		cancel()
+	}
+}
+
+func (e *Entry) pullMembers(m *wire.PullMembers, reply wire.Reply) {
+	e.onShard(m.Shard, reply, func(o *shard.Owner) {
+		var list wire.Members
+		if err := o.Do(e.ctx, func() { list = o.Members() }); err != nil {
+			reply(wire.ErrorReply(err))
+			return
+		}
+		reply(&list)
+	})
+}
+
+// askHold asks another entry for a hold.
+func (e *Entry) askHold(ctx context.Context, member string) bool {
+	e.mu.Lock()
+	p := e.peers[member]
+	e.mu.Unlock()
+	if p == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	m, err := p.Call(ctx, &wire.Hold{Entry: e.cfg.ID, TTLMS: uint32(lease.HoldTTL.Milliseconds())})
+	r, ok := m.(*wire.HoldReply)
+	return err == nil && ok && r.Granted
+}
+
+func (e *Entry) hold(m *wire.Hold, reply wire.Reply) {
+	reply(&wire.HoldReply{Granted: e.manager.GrantHold(e.ctx, m.Entry), ConfigGen: e.config().Generation})
+}
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -41,8 +41,9 @@
 }
 
 func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request) {
-	if !e.beginRequest() {
-		writeError(w, errkind.New(errkind.Draining, "entry %s is stopping", e.cfg.ID))
+	if err := e.beginRequest(); err != nil {
+		e.metrics.Refuse(err)
+		writeError(w, err)
 		return
 	}
 	defer e.active.Done()
@@ -66,14 +67,17 @@
 	_, _ = w.Write(resp.Body)
 }
 
-func (e *Entry) beginRequest() bool {
+func (e *Entry) beginRequest() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.draining {
-		return false
+		return errkind.New(errkind.Draining, "entry %s is stopping", e.cfg.ID)
+	}
+	if err := e.follower.Admit(); err != nil {
+		return err
 	}
 	e.active.Add(1)
-	return true
+	return nil
 }
 
 func (e *Entry) newCall(w http.ResponseWriter, r *http.Request) (*call, error) {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -19,6 +19,12 @@
 	DriftPercent = 1
 	// Margin covers scheduling delay between reading a clock and acting on it.
 	Margin = time.Second
+	// HoldTTL is how long the holder uses a hold, counted from the time it asked.
+	HoldTTL = 10 * time.Second
+	// HoldInterval leaves two further attempts within HoldTTL.
+	HoldInterval = 3 * time.Second
+	// MaxExtension is the longest time after the last successful renewal for which holds extend a lease.
+	MaxExtension = 40 * time.Minute
 )
 
 // ObserverWait returns how long an observer must wait on its own clock before a
@@ -71,3 +77,11 @@
 	}
 	return now-o.since >= ObserverWait(ttl)
 }
+
+// Unchanged returns how long the observed row has been unchanged at now.
+func (o *Observation) Unchanged(now time.Duration) time.Duration {
+	if !o.seen {
+		return 0
+	}
+	return now - o.since
+}
--- a/shard/agents.go
+++ b/shard/agents.go
@@ -144,6 +144,8 @@
 	}
 }
 
+// pushConfig sends the configuration to an agent until the agent acknowledges it,
+// its connection ends, or a newer generation is pushed.
 func (o *Owner) pushConfig(ctx context.Context, vm string) {
 	l, ok := o.agents[vm]
 	if !ok || o.doc.Generation == 0 {
@@ -151,12 +153,44 @@
 	}
 	msg := &wire.ConfigPush{Generation: o.doc.Generation, Limits: o.doc.Limits}
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		_, _ = l.caller.Call(ctx, msg)
+		for ctx.Err() == nil && o.pushOnce(ctx, vm, l, msg) {
+			sleep(ctx, configPushRetry)
+		}
 	}()
 }
 
+// configPushRetry separates attempts to push a configuration to an agent.
+const configPushRetry = 250 * time.Millisecond
+
+// pushOnce reports whether the push must be repeated.
+func (o *Owner) pushOnce(ctx context.Context, vm string, l *agentLink, msg *wire.ConfigPush) bool {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := l.caller.Call(callCtx, msg)
+	if errkind.Of(err) == errkind.NotReady {
+		return false // The connection is closed; the next announcement pushes again.
+	}
+	repeat := err != nil
+	_ = o.Do(ctx, func() {
+		if err == nil {
+			l.configGen = max(l.configGen, msg.Generation)
+		}
+		if o.agents[vm] != l || msg.Generation < o.doc.Generation {
+			repeat = false
+		}
+	})
+	return repeat
+}
+
+// ConfigGenerations returns the generation that each connected agent has acknowledged.
+func (o *Owner) ConfigGenerations() map[string]uint64 {
+	out := make(map[string]uint64, len(o.agents))
+	for vm, l := range o.agents {
+		out[vm] = l.configGen
+	}
+	return out
+}
+
 // ConfigPushAll pushes the configuration in force to one agent, after it announced itself.
 func (o *Owner) ConfigPushAll(ctx context.Context, vm string) { o.pushConfig(ctx, vm) }
 
--- a/shard/commit.go
+++ b/shard/commit.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"sort"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/scheduler/tables"
-	"github.com/chicorystand/chicorystand/store"
 	"github.com/chicorystand/chicorystand/task"
 )
 
@@ -18,135 +18,95 @@
 	return rec, errkind.Wrap(errkind.Internal, err, "decode task record")
 }
 
-// group is one transaction in flight.
-type group struct {
-	ids  []string
-	rows []*dirtyRow
-	txn  store.Txn
-}
-
-// flush commits dirty rows in one transaction when none is in flight.
+// flush hands dirty rows to the commit loop. A row whose earlier write is not
+// finished waits for it, because the next write is conditional on its version.
 func (o *Owner) flush(ctx context.Context) {
-	if o.inFlight || o.lost || len(o.dirty) == 0 || o.cfg.Clock.Now() < o.retryAt {
+	if o.lost || len(o.dirty) == 0 {
 		return
 	}
-	g, err := o.takeGroup()
-	if err != nil {
-		o.cfg.Log.Error().Err(err).Msg("encode task record")
-		return
-	}
-	o.inFlight = true
-	go func() {
-		versions, err := o.cfg.Writer.Commit(ctx, g.txn)
-		if err == nil && versions == nil {
-			versions, err = o.readVersions(ctx, g)
-		}
-		o.post(ctx, func() { o.committed(g, versions, err) })
-	}()
-}
-
-func (o *Owner) takeGroup() (*group, error) {
 	ids := make([]string, 0, len(o.dirty))
 	for id := range o.dirty {
-		ids = append(ids, id)
+		if o.busy[id] == nil {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		return
 	}
 	sort.Strings(ids)
-	if len(ids) > store.MaxTxnRows {
-		ids = ids[:store.MaxTxnRows]
+	if o.source.deliver == nil {
+		o.source.deliver = func(results []commitResult) { o.post(ctx, func() { o.committed(results) }) }
 	}
-	g := &group{ids: ids, txn: store.Txn{Conds: []store.Cond{o.cfg.EpochCond}}}
+	items := make([]*commitItem, 0, len(ids))
 	for _, id := range ids {
 		tk := o.tables.Tasks[id]
 		value, err := msgpack.Marshal(tk.Record)
 		if err != nil {
-			return nil, errkind.Wrap(errkind.Internal, err, "task %s", id)
+			o.cfg.Log.Error().Err(err).Str("task", id).Msg("encode task record")
+			continue
 		}
-		key := Prefix(o.cfg.Shard) + id
-		g.txn.Conds = append(g.txn.Conds, store.Cond{Key: key, Version: tk.Version})
-		g.txn.Writes = append(g.txn.Writes, store.Write{Key: key, Value: value})
-		g.rows = append(g.rows, o.dirty[id])
+		o.busy[id] = o.dirty[id]
 		delete(o.dirty, id)
+		items = append(items, &commitItem{source: o.source, id: id, key: Prefix(o.cfg.Shard) + id, version: tk.Version,
+			value: value, created: o.busy[id].created, spec: tk.Record.Spec})
 	}
-	return g, nil
+	o.cfg.Commits.Enqueue(items)
 }
 
-// readVersions is used after a commit was recognised without an answer.
-func (o *Owner) readVersions(ctx context.Context, g *group) ([]uint64, error) {
-	keys := make([]string, len(g.txn.Writes))
-	for i, w := range g.txn.Writes {
-		keys[i] = w.Key
-	}
-	for {
-		rows, err := o.cfg.Table.Get(ctx, keys...)
-		if err == nil && len(rows) == len(keys) {
-			versions := make([]uint64, len(rows))
-			for i, r := range rows {
-				versions[i] = r.Version
-			}
-			return versions, nil
-		}
-		if err == nil {
-			return nil, errkind.New(errkind.Conflict, "rows of shard %s were removed", o.cfg.Shard)
-		}
-		if ctx.Err() != nil {
-			return nil, errkind.Wrap(errkind.StoreAmbiguous, ctx.Err(), "versions of shard %s", o.cfg.Shard)
+// committed applies the outcomes of writes.
+func (o *Owner) committed(results []commitResult) {
+	for _, r := range results {
+		row := o.busy[r.id]
+		delete(o.busy, r.id)
+		if row == nil || o.lost {
+			continue
 		}
-		sleep(ctx, commitRetryDelay)
-	}
-}
-
-func (o *Owner) committed(g *group, versions []uint64, err error) {
-	o.inFlight = false
-	switch errkind.Of(err) {
-	case errkind.None:
-		o.storeFailed = false
-		for i, id := range g.ids {
-			if tk, ok := o.tables.Tasks[id]; ok {
-				tk.Version = versions[i]
+		switch {
+		case errkind.Of(r.err) == errkind.NotOwner:
+			o.busy[r.id] = row
+			o.lose(r.err)
+		case row.created && (r.err != nil || r.elsewhere):
+			o.tables.Remove(r.id)
+			if newer, ok := o.dirty[r.id]; ok {
+				delete(o.dirty, r.id)
+				newer.finish(errkind.New(errkind.NotFound, "task %s", r.id))
+			}
+			row.finish(r.err)
+		default:
+			if tk, ok := o.tables.Tasks[r.id]; ok {
+				tk.Version = r.version
 			}
-			g.rows[i].finish(nil)
+			row.finish(r.err)
 		}
-	case errkind.StoreUnavailable:
-		o.storeFailed = true
-		o.retryAt = o.cfg.Clock.Now() + commitRetryDelay
-		o.restore(g, err)
-	default:
-		o.lose(g, err)
 	}
 }
 
-// restore returns rows whose transaction did not take effect. Submissions are
-// refused; every other change is kept and written later.
-func (o *Owner) restore(g *group, err error) {
-	for i, id := range g.ids {
-		row := g.rows[i]
-		if row.created {
-			o.tables.Remove(id)
-			if newer, ok := o.dirty[id]; ok {
-				delete(o.dirty, id)
-				newer.finish(err)
-			}
-			row.finish(err)
-			continue
-		}
-		if newer, ok := o.dirty[id]; ok {
-			newer.done = append(row.done, newer.done...)
-			continue
+// Drain ends scheduling and waits until every change is durable and its caller answered, or ctx ends.
+func (o *Owner) Drain(ctx context.Context) {
+	if o.Do(ctx, func() { o.stopping = true }) != nil {
+		return
+	}
+	for ctx.Err() == nil {
+		idle := false
+		if err := o.Do(ctx, func() { idle = len(o.dirty)+len(o.busy) == 0 }); err != nil || idle {
+			return
 		}
-		o.dirty[id] = row
+		sleep(ctx, drainPoll)
 	}
 }
 
+// drainPoll separates checks for changes that are not durable yet.
+const drainPoll = 10 * time.Millisecond
+
 // lose stops the owner after a condition failed: another entry owns the shard.
-func (o *Owner) lose(g *group, err error) {
+func (o *Owner) lose(err error) {
 	o.lost = true
-	for _, row := range g.rows {
-		row.finish(errkind.Wrap(errkind.NotOwner, err, "shard %s", o.cfg.Shard))
-	}
-	for _, row := range o.dirty {
-		row.finish(errkind.Wrap(errkind.NotOwner, err, "shard %s", o.cfg.Shard))
+	for _, rows := range []map[string]*dirtyRow{o.busy, o.dirty} {
+		for _, row := range rows {
+			row.finish(errkind.Wrap(errkind.NotOwner, err, "shard %s", o.cfg.Shard))
+		}
 	}
-	o.dirty = make(map[string]*dirtyRow)
+	o.busy, o.dirty = make(map[string]*dirtyRow), make(map[string]*dirtyRow)
 	if o.cfg.OnLost != nil {
 		go o.cfg.OnLost()
 	}
@@ -164,6 +124,14 @@
 		o.resubmitted(tk, s, done)
 		return
 	}
+	switch {
+	case o.stopping || o.lost:
+		done(s.ID, errkind.New(errkind.NotOwner, "shard %s is being released", o.cfg.Shard))
+		return
+	case o.cfg.Commits.Failing():
+		done(s.ID, errkind.New(errkind.StoreUnavailable, "the table service does not answer; submissions are refused"))
+		return
+	}
 	tk := &tables.Task{
 		Record:    task.Record{Spec: s, State: task.Pending, SubmittedUnixMilli: nowUnixMilli},
 		Submitted: o.cfg.Clock.Now(),
@@ -172,7 +140,7 @@
 	// The task is not eligible for placement before its row is durable.
 	delete(o.tables.Pending, s.ID)
 	o.markDirty(tk, true, func(err error) {
-		if err == nil && tk.Record.State == task.Pending {
+		if err == nil && o.tables.Tasks[s.ID] == tk && tk.Record.State == task.Pending {
 			o.tables.Pending[s.ID] = struct{}{}
 		}
 		done(s.ID, err)
@@ -185,9 +153,11 @@
 		done(s.ID, errkind.New(errkind.AlreadyExists, "task %s exists with another specification", s.ID))
 		return
 	}
-	if row, ok := o.dirty[s.ID]; ok && row.created {
-		row.done = append(row.done, func(err error) { done(s.ID, err) })
-		return
+	for _, rows := range []map[string]*dirtyRow{o.dirty, o.busy} {
+		if row, ok := rows[s.ID]; ok && row.created {
+			row.done = append(row.done, func(err error) { done(s.ID, err) })
+			return
+		}
 	}
 	if tk.Version == 0 {
 		done(s.ID, errkind.New(errkind.NotReady, "the first submission of task %s is in progress", s.ID))
--- /dev/null
+++ b/shard/committer.go
@@ -0,0 +1,336 @@
+package shard
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chicorystand/chicorystand/clock"
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/task"
+)
+
+// TaskIDPrefix is the key prefix of the rows that make task ids unique over all
+// shards. The value is the name of the task's shard.
+const TaskIDPrefix = "task-id/"
+
+const (
+	// CommitInterval is the least time between the starts of two transactions of an entry.
+	CommitInterval = 100 * time.Millisecond
+	// slowCommit is the age of an unanswered transaction from which submissions are refused.
+	slowCommit = 2 * time.Second
+)
+
+// commitSource is a shard whose rows are written by the commit loop.
+type commitSource struct {
+	shard string
+	// epoch is the condition that fences every write of the shard's owner.
+	epoch   store.Cond
+	deliver func([]commitResult)
+	lost    bool
+}
+
+// commitItem is one task record to write.
+type commitItem struct {
+	source  *commitSource
+	id, key string
+	version uint64
+	value   []byte
+	// created marks a submission, which also creates the row of the task's id.
+	created bool
+	spec    task.Spec
+}
+
+// commitResult is the outcome of an item. Items that are not submissions are
+// retried until they are written or the shard is lost (errkind.NotOwner).
+type commitResult struct {
+	id      string
+	version uint64
+	err     error
+	// elsewhere is true when the same submission was accepted by another shard before.
+	elsewhere bool
+}
+
+// Committer is the commit loop of an entry: it writes the changes of all shards
+// in one transaction at most every CommitInterval, submissions first.
+type Committer struct {
+	table  store.Table
+	writer *store.Writer
+	clock  clock.Clock
+	log    zerolog.Logger
+	wake   chan struct{}
+
+	mu          sync.Mutex
+	submissions []*commitItem
+	changes     []*commitItem
+	// sentAt is the start of the transaction in flight, 0 when there is none.
+	sentAt   time.Duration
+	failedAt time.Duration
+	failing  bool
+}
+
+// NewCommitter returns a commit loop that is not running.
+func NewCommitter(table store.Table, w *store.Writer, c clock.Clock, log zerolog.Logger) *Committer {
+	return &Committer{table: table, writer: w, clock: c, log: log, wake: make(chan struct{}, 1)}
+}
+
+// Enqueue adds items. Their results are delivered to their sources.
+func (c *Committer) Enqueue(items []*commitItem) {
+	c.mu.Lock()
+	for _, it := range items {
+		if it.created {
+			c.submissions = append(c.submissions, it)
+		} else {
+			c.changes = append(c.changes, it)
+		}
+	}
+	c.mu.Unlock()
+	c.signal()
+}
+
+func (c *Committer) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Failing reports whether submissions are refused: the last transaction failed
+// less than a second ago, or has been unanswered for slowCommit.
+func (c *Committer) Failing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	return c.failing && now < c.failedAt+time.Second || c.sentAt != 0 && now >= c.sentAt+slowCommit
+}
+
+// Run writes until ctx ends.
+func (c *Committer) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+		}
+		for ctx.Err() == nil {
+			g := c.take()
+			if len(g) == 0 {
+				break
+			}
+			started := c.clock.Now()
+			wait := CommitInterval
+			if !c.commit(ctx, g) {
+				wait = commitRetryDelay
+			}
+			sleep(ctx, started+wait-c.clock.Now())
+		}
+	}
+}
+
+// take removes the next group from the queues.
+func (c *Committer) take() []*commitItem {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var g []*commitItem
+	rows := 0
+	ids := make(map[string]bool)
+	pick := func(queue []*commitItem, cost int) []*commitItem {
+		rest := queue[:0:0]
+		for i, it := range queue {
+			if rows+cost > store.MaxTxnRows {
+				return append(rest, queue[i:]...)
+			}
+			// Two shards may be asked to create the same id; the second finds the first's row.
+			if ids[it.id] {
+				rest = append(rest, it)
+				continue
+			}
+			ids[it.id] = true
+			rows += cost
+			g = append(g, it)
+		}
+		return rest
+	}
+	c.submissions = pick(c.submissions, 2)
+	c.changes = pick(c.changes, 1)
+	if len(g) > 0 {
+		c.sentAt = c.clock.Now()
+	}
+	return g
+}
+
+func transaction(g []*commitItem) (store.Txn, []int) {
+	var txn store.Txn
+	index := make([]int, len(g))
+	fenced := make(map[string]bool)
+	for i, it := range g {
+		if !fenced[it.source.shard] {
+			fenced[it.source.shard] = true
+			txn.Conds = append(txn.Conds, it.source.epoch)
+		}
+		index[i] = len(txn.Writes)
+		txn.Conds = append(txn.Conds, store.Cond{Key: it.key, Version: it.version})
+		txn.Writes = append(txn.Writes, store.Write{Key: it.key, Value: it.value})
+		if it.created {
+			txn.Conds = append(txn.Conds, store.Cond{Key: TaskIDPrefix + it.id})
+			txn.Writes = append(txn.Writes, store.Write{Key: TaskIDPrefix + it.id, Value: []byte(it.source.shard)})
+		}
+	}
+	return txn, index
+}
+
+// commit writes a group and delivers the results. It returns false when the store does not answer.
+func (c *Committer) commit(ctx context.Context, g []*commitItem) bool {
+	results := newDelivery()
+	txn, index := transaction(g)
+	versions, err := c.writer.Commit(ctx, txn)
+	answered := true
+	switch kind := errkind.Of(err); {
+	case kind == errkind.None:
+		for i, it := range g {
+			results.add(it, commitResult{id: it.id, version: versions[index[i]]})
+		}
+	case kind == errkind.Conflict:
+		answered = c.diagnose(ctx, g, txn, results)
+	case kind == errkind.StoreUnavailable || ctx.Err() != nil:
+		c.requeue(g, results, err)
+		answered = false
+	case len(g) > 1:
+		// One of the records is refused by the store; the halves find out which.
+		c.commit(ctx, g[:len(g)/2])
+		c.commit(ctx, g[len(g)/2:])
+	default:
+		c.log.Error().Err(err).Str("task", g[0].id).Msg("the store refuses a record")
+		results.add(g[0], commitResult{id: g[0].id, version: g[0].version, err: err})
+	}
+	c.answered(answered)
+	results.deliver()
+	return answered
+}
+
+func (c *Committer) answered(ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sentAt = 0
+	switch {
+	case !ok && !c.failing:
+		events.StoreFailing.Log(c.log).Send()
+	case ok && c.failing:
+		events.StoreRecovered.Log(c.log).Send()
+	}
+	c.failing = !ok
+	if !ok {
+		c.failedAt = c.clock.Now()
+	}
+}
+
+// requeue puts items whose transaction had no effect back. Submissions are refused with err.
+func (c *Committer) requeue(g []*commitItem, results *delivery, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var keep []*commitItem
+	for _, it := range g {
+		if it.created {
+			results.add(it, commitResult{id: it.id, err: err})
+			continue
+		}
+		keep = append(keep, it)
+	}
+	c.changes = append(keep, c.changes...)
+	if errkind.Of(err) == errkind.StoreUnavailable {
+		for _, it := range c.submissions {
+			results.add(it, commitResult{id: it.id, err: err})
+		}
+		c.submissions = nil
+	}
+}
+
+// diagnose finds the items whose conditions failed and puts the others back.
+func (c *Committer) diagnose(ctx context.Context, g []*commitItem, txn store.Txn, results *delivery) bool {
+	keys := make([]string, len(txn.Conds))
+	for i, cond := range txn.Conds {
+		keys[i] = cond.Key
+	}
+	rows, err := c.table.Get(ctx, keys...)
+	if err != nil {
+		c.requeue(g, results, errkind.Wrap(errkind.StoreUnavailable, err, "read after a conflict"))
+		return false
+	}
+	found := make(map[string]store.Row, len(rows))
+	for _, r := range rows {
+		found[r.Key] = r
+	}
+	for _, it := range g {
+		if found[it.source.epoch.Key].Version != it.source.epoch.Version {
+			it.source.lost = true
+		}
+	}
+	var keep []*commitItem
+	for _, it := range g {
+		id, taken := found[TaskIDPrefix+it.id]
+		switch {
+		case it.source.lost:
+			results.add(it, commitResult{id: it.id, err: errkind.New(errkind.NotOwner, "another entry owns shard %s", it.source.shard)})
+		case it.created && taken:
+			results.add(it, c.existing(ctx, it, string(id.Value)))
+		case found[it.key].Version != it.version:
+			it.source.lost = true
+			results.add(it, commitResult{id: it.id, err: errkind.New(errkind.NotOwner, "row %s was written by another process", it.key)})
+		default:
+			keep = append(keep, it)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := len(keep) - 1; i >= 0; i-- {
+		if keep[i].created {
+			c.submissions = append([]*commitItem{keep[i]}, c.submissions...)
+		} else {
+			c.changes = append([]*commitItem{keep[i]}, c.changes...)
+		}
+	}
+	return true
+}
+
+// existing answers a submission whose id is taken: the same specification is a repeat.
+func (c *Committer) existing(ctx context.Context, it *commitItem, shard string) commitResult {
+	res := commitResult{id: it.id, elsewhere: true}
+	rows, err := c.table.Get(ctx, Prefix(shard)+it.id)
+	if err != nil || len(rows) != 1 {
+		res.err = errkind.New(errkind.StoreUnavailable, "read the first submission of task %s", it.id)
+		return res
+	}
+	rec, err := decodeRecord(rows[0].Value)
+	switch {
+	case err != nil:
+		res.err = err
+	case rec.Spec != it.spec:
+		res.err = errkind.New(errkind.AlreadyExists, "task %s exists with another specification", it.id)
+	}
+	return res
+}
+
+// delivery collects results for each source.
+type delivery struct {
+	order   []*commitSource
+	results map[*commitSource][]commitResult
+}
+
+func newDelivery() *delivery { return &delivery{results: make(map[*commitSource][]commitResult)} }
+
+func (d *delivery) add(it *commitItem, r commitResult) {
+	if _, ok := d.results[it.source]; !ok {
+		d.order = append(d.order, it.source)
+	}
+	d.results[it.source] = append(d.results[it.source], r)
+}
+
+func (d *delivery) deliver() {
+	for _, s := range d.order {
+		s.deliver(d.results[s])
+	}
+}
--- a/shard/manager.go
+++ b/shard/manager.go
@@ -8,9 +8,9 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/chicorystand/chicorystand/clock"
+	"github.com/chicorystand/chicorystand/confsync"
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/history"
@@ -21,12 +21,20 @@
 
 // LeaseRow is the value of a shard's lease row, key "shard/<id>".
 type LeaseRow struct {
+	//lint:ignore U1000 selects the array encoding
+	_msgpack struct{} `msgpack:",as_array"`
+
 	// Owner and Addr are empty when the shard is free.
 	Owner string
 	Addr  string
 	Epoch uint64
 	// Renewals increases with every renewal, so that the row changes.
 	Renewals uint64
+	// Members are the registered entries that the owner asks for holds in a store outage.
+	Members []string
+	// DeferMS is the rest of the time for which tasks of unreachable VMs must not be
+	// reassigned, because an earlier owner may still extend its lease by holds.
+	DeferMS int64
 }
 
 // Key prefixes in the table service.
@@ -35,11 +43,22 @@
 	epochPrefix = "shard-epoch/"
 )
 
-// watchInterval separates reads of the lease rows.
-const watchInterval = 2 * time.Second
-
-// stepInterval separates steps of the manager.
-const stepInterval = 500 * time.Millisecond
+// Timing of the manager.
+const (
+	// scanInterval separates scans of the lease rows and registrations.
+	scanInterval = 30 * time.Second
+	// probeInterval separates reads of shards that are suspected to have no owner.
+	probeInterval = time.Second
+	// silence is how long an entry may send no digest before its shards are suspected.
+	// Digests are sent every 8 s.
+	silence = 10 * time.Second
+	// suspicion is how long a shard is read every probeInterval after a hint.
+	suspicion = 20 * time.Second
+	// renewRetry separates attempts of a failed renewal.
+	renewRetry = time.Second
+	// stepInterval separates steps of the manager.
+	stepInterval = 250 * time.Millisecond
+)
 
 // Of returns the shard of a VM.
 func Of(zone, vm string, shardsPerZone int) string {
@@ -48,90 +67,189 @@
 
 // ManagerConfig configures the shard manager of an entry.
 type ManagerConfig struct {
-	Entry    string
-	Addr     string
-	Table    store.Table
-	Clock    clock.Clock
-	Recorder *history.Recorder
-	Log      zerolog.Logger
+	Entry       string
+	Addr        string
+	Zone        string
+	Incarnation uint64
+	Table       store.Table
+	Clock       clock.Clock
+	Recorder    *history.Recorder
+	Log         zerolog.Logger
+	// Follower receives registrations and holds, and supplies the generations of the
+	// registration; nil outside of an entry.
+	Follower *confsync.Follower
+	// Promises are the holds granted by this entry; nil creates a set.
+	Promises *lease.Promises
+	// AskHold asks another entry for a hold; nil means that no other entry can be reached.
+	AskHold func(ctx context.Context, member string) bool
+	// OnEntries is called with the other registered entries after they were read.
+	OnEntries func([]confsync.Registration)
 	// OnOwner is called after a shard was acquired and loaded, before its owner runs.
 	OnOwner   func(*Owner)
 	OnMembers func(wire.Members)
 	OnEvict   func(cause errkind.Kind)
 }
 
-// Manager acquires, renews and releases shard leases and runs their owners.
+// Manager acquires, renews and releases shard leases and runs their owners. It
+// also keeps the entry's registration, which is renewed in the same transaction.
 type Manager struct {
-	cfg     ManagerConfig
-	leases  *store.Writer
-	commits *store.Writer
+	cfg      ManagerConfig
+	renewals *store.Writer
+	takers   *store.Writer
+	commits  *Committer
+	renewNow chan struct{}
+	renewing chan struct{}
 
 	mu       sync.Mutex
 	owned    map[string]*ownedShard
-	rows     map[string]knownRow
+	rows     map[string]*knownRow
 	wanted   map[string]bool
+	heard    map[string]time.Duration
+	entries  map[string]*knownEntry
+	own      confsync.Registration
+	ownVer   uint64
+	regLease lease.Extended
 	stopping bool
-	kick     chan struct{}
+	released bool
+	rescan   bool
+	probe    probeResult
 	wg       sync.WaitGroup
 }
 
+// knownRow is a lease row as last read.
 type knownRow struct {
-	row     LeaseRow
+	row      LeaseRow
+	version  uint64
+	obs      lease.Observation
+	suspect  time.Duration
+	freeFrom time.Duration
+}
+
+// knownEntry is the registration of another entry as last read.
+type knownEntry struct {
+	reg     confsync.Registration
 	version uint64
 	obs     lease.Observation
 }
 
 type ownedShard struct {
-	owner    *Owner
-	row      LeaseRow
-	version  uint64
-	until    time.Duration
-	nextTry  time.Duration
-	stop     context.CancelFunc
-	finished chan struct{}
+	owner   *Owner
+	row     LeaseRow
+	version uint64
+	lease   lease.Extended
+	// members are all entries listed in rows that may be in the table.
+	members map[string]bool
+	// reassignAfter is the end of the deferral of LeaseRow.DeferMS on this entry's clock.
+	reassignAfter time.Duration
+	loaded        bool
+	stop          context.CancelFunc
+	finished      chan struct{}
 }
 
 // NewManager returns a manager that owns nothing.
 func NewManager(cfg ManagerConfig) *Manager {
+	if cfg.Promises == nil {
+		cfg.Promises = lease.NewPromises()
+	}
+	if cfg.Follower == nil {
+		cfg.Follower = confsync.NewFollower(cfg.Table, cfg.Clock)
+	}
 	return &Manager{
-		cfg: cfg, leases: store.NewWriter(cfg.Table, cfg.Entry+"/lease"), commits: store.NewWriter(cfg.Table, cfg.Entry+"/commit"),
-		owned: make(map[string]*ownedShard), rows: make(map[string]knownRow), wanted: make(map[string]bool),
-		kick: make(chan struct{}, 1),
+		cfg: cfg, renewals: store.NewWriter(cfg.Table, cfg.Entry+"/lease"), takers: store.NewWriter(cfg.Table, cfg.Entry+"/acquire"),
+		commits:  NewCommitter(cfg.Table, store.NewWriter(cfg.Table, cfg.Entry+"/commit"), cfg.Clock, cfg.Log),
+		renewNow: make(chan struct{}, 1), renewing: make(chan struct{}, 1), owned: make(map[string]*ownedShard), rows: make(map[string]*knownRow),
+		wanted: make(map[string]bool), heard: make(map[string]time.Duration), entries: make(map[string]*knownEntry),
+		own:      confsync.Registration{ID: cfg.Entry, Addr: cfg.Addr, Zone: cfg.Zone, Incarnation: cfg.Incarnation},
+		regLease: lease.Extended{TTL: confsync.LeaseTTL},
 	}
 }
 
-// Run maintains the leases until ctx ends. It does not release them; see Release.
+// Run maintains the registration and the leases until ctx ends. It does not release them; see Release.
 func (m *Manager) Run(ctx context.Context) {
-	var nextWatch time.Duration
+	for _, loop := range []func(context.Context){m.renewLoop, m.holdLoop, m.commits.Run} {
+		m.wg.Add(1)
+		go func() { defer m.wg.Done(); loop(ctx) }()
+	}
+	var nextScan, nextProbe time.Duration
 	for ctx.Err() == nil {
 		now := m.cfg.Clock.Now()
-		m.renewDue(ctx, now)
-		if now >= nextWatch {
-			m.watch(ctx)
-			nextWatch = now + watchInterval
+		if now >= nextScan || m.takeRescan() {
+			if m.scan(ctx) == nil {
+				nextScan = now + scanInterval
+			} else {
+				nextScan = now + probeInterval
+			}
 		}
-		m.acquireDue(ctx)
-		select {
-		case <-ctx.Done():
-		case <-m.kick:
-			nextWatch = 0
-		case <-time.After(stepInterval):
+		if now >= nextProbe {
+			m.probeSuspects(ctx)
+			nextProbe = now + probeInterval
 		}
+		m.acquireDue(ctx)
+		sleep(ctx, stepInterval)
+	}
+	m.mu.Lock()
+	for _, s := range m.owned {
+		s.stop()
 	}
+	m.mu.Unlock()
 	m.wg.Wait()
 }
 
-// Want asks the manager to acquire the shard when it is free.
+// Want asks the manager to acquire the shard if it has no owner.
 func (m *Manager) Want(id string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.wanted[id] {
-		return
-	}
 	m.wanted[id] = true
-	select {
-	case m.kick <- struct{}{}:
-	default:
+}
+
+// Suspect asks the manager to read the shard's row soon, because its owner does not answer.
+func (m *Manager) Suspect(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if k, ok := m.rows[id]; ok {
+		k.suspect = m.cfg.Clock.Now() + suspicion
+	}
+}
+
+// Heard records a digest of another entry: it is alive and owns these shards.
+func (m *Manager) Heard(entry string, shards []wire.ShardDigest) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.cfg.Clock.Now()
+	m.heard[entry] = now
+	known, registered := m.entries[entry]
+	if !registered {
+		m.rescan = true
+	}
+	listed := make(map[string]bool, len(shards))
+	for _, d := range shards {
+		listed[d.Shard] = true
+		k, ok := m.rows[d.Shard]
+		if !ok {
+			k = &knownRow{}
+			m.rows[d.Shard] = k
+		}
+		if d.Epoch > k.row.Epoch && registered {
+			// The version is read when the shard is suspected.
+			*k = knownRow{row: LeaseRow{Owner: entry, Addr: known.reg.Addr, Epoch: d.Epoch}}
+		}
+	}
+	for id, k := range m.rows {
+		if k.row.Owner == entry && !listed[id] {
+			k.suspect = now + suspicion
+		}
+	}
+}
+
+// Gone records that the connection to another entry has broken.
+func (m *Manager) Gone(entry string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.heard, entry)
+	for _, k := range m.rows {
+		if k.row.Owner == entry {
+			k.suspect = m.cfg.Clock.Now() + suspicion
+		}
 	}
 }
 
@@ -140,7 +258,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s, ok := m.owned[id]
-	if !ok {
+	if !ok || !s.loaded {
 		return nil, false
 	}
 	return s.owner, true
@@ -152,7 +270,9 @@
 	defer m.mu.Unlock()
 	out := make([]*Owner, 0, len(m.owned))
 	for _, s := range m.owned {
-		out = append(out, s.owner)
+		if s.loaded {
+			out = append(out, s.owner)
+		}
 	}
 	return out
 }
@@ -162,238 +282,92 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if s, ok := m.owned[id]; ok {
-		return s.row, true
+		return s.row, s.loaded
 	}
 	k, ok := m.rows[id]
-	return k.row, ok && k.row.Owner != ""
+	if !ok {
+		return LeaseRow{}, false
+	}
+	return k.row, k.row.Owner != ""
 }
 
 // Shards returns the ids of all known shards.
 func (m *Manager) Shards() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []string
+	out := make([]string, 0, len(m.rows))
 	for id := range m.rows {
 		out = append(out, id)
 	}
-	return out
-}
-
-// watch reads all lease rows.
-func (m *Manager) watch(ctx context.Context) {
-	rows, err := m.cfg.Table.Scan(ctx, LeasePrefix, "", scanPage)
-	if err != nil {
-		return
-	}
-	now := m.cfg.Clock.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, r := range rows {
-		var row LeaseRow
-		if err := msgpack.Unmarshal(r.Value, &row); err != nil {
-			m.cfg.Log.Error().Err(err).Str("row", r.Key).Msg("decode lease row")
-			continue
-		}
-		id := r.Key[len(LeasePrefix):]
-		k := m.rows[id]
-		k.row = row
-		k.version = r.Version
-		if k.obs.Observe(r.Version, now, lease.ShardTTL) || row.Owner == "" {
-			m.wanted[id] = true
-		}
-		m.rows[id] = k
-	}
-}
-
-// acquireDue tries to acquire wanted shards that are free or whose lease has lapsed.
-func (m *Manager) acquireDue(ctx context.Context) {
-	for _, id := range m.candidates() {
-		if err := m.acquire(ctx, id); err != nil && errkind.Of(err) != errkind.Conflict {
-			m.cfg.Log.Warn().Err(err).Str("shard", id).Msg("acquire shard")
-		}
-	}
-}
-
-func (m *Manager) candidates() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.stopping {
-		return nil
-	}
-	now := m.cfg.Clock.Now()
-	var out []string
-	for id := range m.wanted {
-		k, known := m.rows[id]
-		_, mine := m.owned[id]
-		if mine {
-			continue
-		}
-		if !known || k.row.Owner == "" || k.obs.Observe(k.version, now, lease.ShardTTL) {
+	for id := range m.owned {
+		if _, ok := m.rows[id]; !ok {
 			out = append(out, id)
 		}
 	}
 	return out
 }
 
-// acquire writes the lease row with the next epoch and starts the owner.
-func (m *Manager) acquire(ctx context.Context, id string) error {
-	m.mu.Lock()
-	known := m.rows[id]
-	m.mu.Unlock()
-	sentAt := m.cfg.Clock.Now()
-	row := LeaseRow{Owner: m.cfg.Entry, Addr: m.cfg.Addr, Epoch: known.row.Epoch + 1}
-	value, err := msgpack.Marshal(row)
-	if err != nil {
-		return errkind.Wrap(errkind.Internal, err, "encode lease row")
-	}
-	rows, err := m.cfg.Table.Get(ctx, epochPrefix+id)
-	if err != nil {
-		return err
-	}
-	epochCond := store.Cond{Key: epochPrefix + id}
-	if len(rows) == 1 {
-		epochCond.Version = rows[0].Version
-	}
-	versions, err := m.leases.Commit(ctx, store.Txn{
-		Conds:  []store.Cond{{Key: LeasePrefix + id, Version: known.version}, epochCond},
-		Writes: []store.Write{{Key: LeasePrefix + id, Value: value}, {Key: epochPrefix + id, Value: value}},
-	})
-	if err != nil {
-		return err
-	}
-	if versions == nil {
-		// The answer was lost. The lease is left to expire; another attempt follows.
-		return errkind.New(errkind.StoreAmbiguous, "answer to the acquisition of %s was lost", id)
-	}
-	return m.startOwner(ctx, id, row, versions, sentAt)
-}
-
-func (m *Manager) startOwner(ctx context.Context, id string, row LeaseRow, versions []uint64, sentAt time.Duration) error {
-	s := &ownedShard{row: row, version: versions[0], until: sentAt + lease.ShardTTL, finished: make(chan struct{})}
-	s.owner = NewOwner(Config{
-		Shard: id, Epoch: row.Epoch, EpochCond: store.Cond{Key: epochPrefix + id, Version: versions[1]},
-		Table: m.cfg.Table, Writer: m.commits, Clock: m.cfg.Clock, Recorder: m.cfg.Recorder, Log: m.cfg.Log,
-		Valid: func() bool { return m.valid(id, row.Epoch) }, OnMembers: m.cfg.OnMembers, OnEvict: m.cfg.OnEvict,
-		OnLost: func() { m.lostShard(id, row.Epoch) },
-	})
-	m.mu.Lock()
-	m.owned[id] = s
-	m.mu.Unlock()
-	if err := s.owner.Load(ctx); err != nil {
-		m.lostShard(id, row.Epoch)
-		return err
-	}
-	if m.cfg.OnOwner != nil {
-		m.cfg.OnOwner(s.owner)
-	}
-	runCtx, cancel := context.WithCancel(ctx)
-	m.mu.Lock()
-	s.stop = cancel
-	m.mu.Unlock()
-	m.wg.Add(1)
-	go func() {
-		defer m.wg.Done()
-		defer close(s.finished)
-		s.owner.Run(runCtx)
-	}()
-	events.ShardAcquired.Log(m.cfg.Log).Str("shard", id).Uint64("epoch", row.Epoch).Send()
-	return nil
-}
-
 // valid reports whether the lease with the epoch is held at this moment.
 func (m *Manager) valid(id string, epoch uint64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s, ok := m.owned[id]
-	return ok && s.row.Epoch == epoch && m.cfg.Clock.Now() < s.until
+	return ok && s.row.Epoch == epoch && s.lease.Valid(m.cfg.Clock.Now())
 }
 
 func (m *Manager) lostShard(id string, epoch uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s, ok := m.owned[id]
-	if !ok || s.row.Epoch != epoch {
-		return
-	}
-	delete(m.owned, id)
-	if s.stop != nil {
-		s.stop()
+	if s, ok := m.owned[id]; ok && s.row.Epoch == epoch {
+		m.drop(id, s)
 	}
 }
 
-// renewDue renews every owned lease that is due.
-func (m *Manager) renewDue(ctx context.Context, now time.Duration) {
-	m.mu.Lock()
-	due := make(map[string]*ownedShard)
-	for id, s := range m.owned {
-		if now >= s.nextTry && now >= s.until-lease.ShardTTL+lease.ShardRenewInterval {
-			due[id] = s
-		}
-	}
-	m.mu.Unlock()
-	for id, s := range due {
-		m.renew(ctx, id, s)
+// drop stops the owner of a lost shard. m.mu is held.
+func (m *Manager) drop(id string, s *ownedShard) {
+	delete(m.owned, id)
+	s.stop()
+	if k, ok := m.rows[id]; ok {
+		k.suspect = m.cfg.Clock.Now() + suspicion
 	}
+	events.ShardLost.Log(m.cfg.Log).Str("shard", id).Uint64("epoch", s.row.Epoch).Send()
 }
 
-func (m *Manager) renew(ctx context.Context, id string, s *ownedShard) {
-	sentAt := m.cfg.Clock.Now()
-	row := s.row
-	row.Renewals++
-	err := m.writeRow(ctx, id, s, row)
+func (m *Manager) takeRescan() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if err == nil {
-		s.until = sentAt + lease.ShardTTL
-		return
-	}
-	s.nextTry = sentAt + time.Second
-	if errkind.Of(err) == errkind.Conflict {
-		delete(m.owned, id)
-		s.stop()
-	}
+	r := m.rescan
+	m.rescan = false
+	return r
 }
 
-// writeRow replaces the lease row of an owned shard.
-func (m *Manager) writeRow(ctx context.Context, id string, s *ownedShard, row LeaseRow) error {
-	value, err := msgpack.Marshal(row)
-	if err != nil {
-		return errkind.Wrap(errkind.Internal, err, "encode lease row")
-	}
-	versions, err := m.leases.Commit(ctx, store.Txn{
-		Conds:  []store.Cond{{Key: LeasePrefix + id, Version: s.version}},
-		Writes: []store.Write{{Key: LeasePrefix + id, Value: value}},
-	})
-	if err != nil {
-		return err
-	}
-	if versions == nil {
-		rows, err := m.cfg.Table.Get(ctx, LeasePrefix+id)
-		if err != nil || len(rows) == 0 {
-			return errkind.New(errkind.StoreUnavailable, "version of lease row %s", id)
-		}
-		versions = []uint64{rows[0].Version}
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	s.version, s.row = versions[0], row
-	return nil
-}
+// releaseTimeout bounds how long a planned stop waits for commits in flight.
+const releaseTimeout = 5 * time.Second
 
-// Release stops every owner and marks its lease row free, so that another entry
-// can take the shard over without waiting.
+// Release stops every owner after its commits in flight are resolved and their
+// callers answered, marks its lease row free, so that another entry can take the
+// shard over without waiting, and removes the registration.
 func (m *Manager) Release(ctx context.Context) {
 	m.mu.Lock()
 	m.stopping = true
-	owned := m.owned
-	m.owned = make(map[string]*ownedShard)
+	owned := make(map[string]*ownedShard, len(m.owned))
+	for id, s := range m.owned {
+		owned[id] = s
+	}
 	m.mu.Unlock()
-	for id, s := range owned {
+	drainCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, s := range owned {
+		wg.Add(1)
+		go func() { defer wg.Done(); s.owner.Drain(drainCtx) }()
+	}
+	wg.Wait()
+	if err := m.renew(ctx, true); err != nil {
+		m.cfg.Log.Warn().Err(err).Msg("release shards")
+	}
+	for _, s := range owned {
 		s.stop()
 		<-s.finished
-		row := LeaseRow{Epoch: s.row.Epoch}
-		if err := m.writeRow(ctx, id, s, row); err != nil {
-			m.cfg.Log.Warn().Err(err).Str("shard", id).Msg("release shard")
-		}
 	}
 }
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -45,16 +45,20 @@
 	// EpochCond is the condition that fences every commit of this owner.
 	EpochCond store.Cond
 	Table     store.Table
-	Writer    *store.Writer
-	Clock     clock.Clock
-	Recorder  *history.Recorder
-	Log       zerolog.Logger
+	// Commits is the commit loop shared by all shards of the entry.
+	Commits  *Committer
+	Clock    clock.Clock
+	Recorder *history.Recorder
+	Log      zerolog.Logger
 	// Valid reports whether the shard lease is held at this moment.
 	Valid func() bool
 	// OnMembers is called after the membership list changed.
 	OnMembers func(wire.Members)
 	// OnLost is called when a commit shows that another entry owns the shard.
 	OnLost func()
+	// ReassignAfter is the time on Clock before which tasks of VMs that have not joined
+	// this owner are not reassigned; see LeaseRow.DeferMS.
+	ReassignAfter time.Duration
 	// OnEvict is called for every eviction with its cause.
 	OnEvict func(cause errkind.Kind)
 }
@@ -67,19 +71,21 @@
 	sched  *scheduler.Scheduler
 	agents map[string]*agentLink
 
-	dirty       map[string]*dirtyRow
-	inFlight    bool
-	storeFailed bool
-	retryAt     time.Duration
-	memberVer   uint64
-	rebuilt     time.Duration
-	doc         plan.Document
-	lost        bool
+	dirty     map[string]*dirtyRow
+	busy      map[string]*dirtyRow
+	source    *commitSource
+	memberVer uint64
+	rebuilt   time.Duration
+	doc       plan.Document
+	lost      bool
+	stopping  bool
 }
 
 type agentLink struct {
 	caller   Caller
 	upstream wire.Upstream
+	// configGen is the generation that the agent has acknowledged.
+	configGen uint64
 }
 
 // dirtyRow is a task whose record must be written.
@@ -92,7 +98,8 @@
 // NewOwner returns an owner that has not loaded its tables.
 func NewOwner(cfg Config) *Owner {
 	return &Owner{cfg: cfg, inbox: make(chan func(), 256), tables: tables.New(), sched: scheduler.New(),
-		agents: make(map[string]*agentLink), dirty: make(map[string]*dirtyRow)}
+		agents: make(map[string]*agentLink), dirty: make(map[string]*dirtyRow),
+		busy: make(map[string]*dirtyRow), source: &commitSource{shard: cfg.Shard, epoch: cfg.EpochCond}}
 }
 
 // Prefix returns the key prefix of the shard's task rows.
@@ -184,11 +191,11 @@
 }
 
 func (o *Owner) tick(ctx context.Context) {
-	if o.lost {
+	if o.lost || o.stopping {
 		return
 	}
 	o.requeueUnreachable()
-	if o.storeFailed || !o.cfg.Valid() {
+	if o.cfg.Commits.Failing() || !o.cfg.Valid() {
 		return
 	}
 	for _, e := range o.sched.Tick(o.tables, o.cfg.Clock.Now()) {
@@ -286,7 +293,7 @@
 		switch {
 		case ok && v.Connected:
 		case ok && now < v.GrantedUntil:
-		case !ok && now < o.rebuilt+lease.ObserverWait(lease.GrantTTL):
+		case !ok && now < max(o.rebuilt+lease.ObserverWait(lease.GrantTTL), o.cfg.ReassignAfter):
 		default:
 			o.requeue(tk)
 		}
--- /dev/null
+++ b/shard/renew.go
@@ -0,0 +1,207 @@
+package shard
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/chicorystand/chicorystand/confsync"
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/lease"
+	"github.com/chicorystand/chicorystand/store"
+)
+
+// RenewNow renews the registration and the leases at once, for example to record a prepared generation.
+func (m *Manager) RenewNow() {
+	select {
+	case m.renewNow <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Manager) renewLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := lease.ShardRenewInterval
+		if err := m.renew(ctx, false); err != nil {
+			wait = renewRetry
+		}
+		select {
+		case <-ctx.Done():
+		case <-m.renewNow:
+		case <-time.After(wait):
+		}
+	}
+}
+
+// renewal is one transaction over the registration and all owned lease rows.
+type renewal struct {
+	sentAt  time.Duration
+	reg     confsync.Registration
+	ids     []string
+	shards  []*ownedShard
+	rows    []LeaseRow
+	txn     store.Txn
+	release bool
+}
+
+// renew writes the registration and every owned lease row in one transaction.
+// With release the rows are marked free and the registration is deleted.
+func (m *Manager) renew(ctx context.Context, release bool) error {
+	// One renewal at a time: a second one would be conditional on replaced versions.
+	select {
+	case m.renewing <- struct{}{}:
+	case <-ctx.Done():
+		return errkind.Wrap(errkind.StoreUnavailable, ctx.Err(), "a renewal is in progress")
+	}
+	defer func() { <-m.renewing }()
+	r, err := m.prepareRenewal(release)
+	if err != nil || r == nil {
+		return err
+	}
+	versions, err := m.renewals.Commit(ctx, r.txn)
+	switch errkind.Of(err) {
+	case errkind.None:
+		m.renewed(r, versions)
+		return nil
+	case errkind.Conflict:
+		return m.renewalConflict(ctx, r, err)
+	}
+	return err
+}
+
+func (m *Manager) prepareRenewal(release bool) (*renewal, error) {
+	prepared, inForce := m.cfg.Follower.Prepared()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.released {
+		return nil, nil
+	}
+	r := &renewal{sentAt: m.cfg.Clock.Now(), reg: m.own, release: release}
+	members := m.members()
+	r.reg.Counter++
+	r.reg.Prepared, r.reg.InForce, r.reg.Members = prepared, inForce, members
+	if err := r.add(confsync.RegistrationPrefix+m.cfg.Entry, m.ownVer, r.reg, release); err != nil {
+		return nil, err
+	}
+	for id := range m.owned {
+		r.ids = append(r.ids, id)
+	}
+	sort.Strings(r.ids)
+	for _, id := range r.ids {
+		s := m.owned[id]
+		row := s.row
+		row.Renewals++
+		row.Members = members
+		row.DeferMS = max(0, s.reassignAfter-r.sentAt).Milliseconds()
+		for _, member := range members {
+			// The row may take effect even if its answer is lost.
+			s.members[member] = true
+		}
+		if release {
+			row.Owner, row.Addr, row.Members = "", "", nil
+		}
+		r.shards, r.rows = append(r.shards, s), append(r.rows, row)
+		if err := r.add(LeasePrefix+id, s.version, row, false); err != nil {
+			return nil, err
+		}
+	}
+	return r, nil
+}
+
+func (r *renewal) add(key string, version uint64, value any, del bool) error {
+	data, err := msgpack.Marshal(value)
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err, "encode %s", key)
+	}
+	r.txn.Conds = append(r.txn.Conds, store.Cond{Key: key, Version: version})
+	w := store.Write{Key: key, Value: data}
+	if del {
+		w = store.Write{Key: key, Delete: true}
+	}
+	r.txn.Writes = append(r.txn.Writes, w)
+	return nil
+}
+
+// members lists the other registered entries in order. m.mu is held.
+func (m *Manager) members() []string {
+	out := make([]string, 0, len(m.entries))
+	for id := range m.entries {
+		out = append(out, id)
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (m *Manager) renewed(r *renewal, versions []uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r.release {
+		m.released = true
+		for i, id := range r.ids {
+			if m.owned[id] == r.shards[i] {
+				delete(m.owned, id)
+			}
+		}
+		m.cfg.Follower.Unregistered()
+		return
+	}
+	if m.own.Counter == 0 {
+		// Of two entries that start together, the one that registers later sees the other now.
+		m.rescan = true
+	}
+	m.own, m.ownVer = r.reg, versions[0]
+	m.regLease.Renew(r.sentAt)
+	m.cfg.Follower.Registered(r.sentAt)
+	for i, s := range r.shards {
+		s.row, s.version = r.rows[i], versions[i+1]
+		s.lease.Renew(r.sentAt)
+		s.members = make(map[string]bool, len(s.row.Members))
+		for _, member := range s.row.Members {
+			s.members[member] = true
+		}
+	}
+}
+
+// renewalConflict finds the row whose condition failed: a lease row that another
+// entry has taken over, or the own registration that another entry has removed.
+func (m *Manager) renewalConflict(ctx context.Context, r *renewal, cause error) error {
+	keys := make([]string, len(r.txn.Conds))
+	for i, c := range r.txn.Conds {
+		keys[i] = c.Key
+	}
+	rows, err := m.cfg.Table.Get(ctx, keys...)
+	if err != nil {
+		return err
+	}
+	versions := make(map[string]uint64, len(rows))
+	superseded := false
+	for _, row := range rows {
+		versions[row.Key] = row.Version
+		if row.Key == keys[0] {
+			reg, err := confsync.DecodeRegistration(row)
+			superseded = err == nil && reg.Incarnation > m.cfg.Incarnation
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if superseded {
+		// A newer process runs under this entry's id. This one stops acquiring and admitting.
+		m.cfg.Follower.Unregistered()
+		m.stopping = true
+		return cause
+	}
+	if v := versions[keys[0]]; v != r.txn.Conds[0].Version {
+		// The entry registers again; it admits nothing before it has read the configuration after that.
+		m.cfg.Follower.Unregistered()
+		m.ownVer = v
+	}
+	for i, id := range r.ids {
+		s := r.shards[i]
+		if versions[keys[i+1]] != r.txn.Conds[i+1].Version && m.owned[id] == s {
+			m.drop(id, s)
+		}
+	}
+	return cause
+}
--- /dev/null
+++ b/shard/takeover.go
@@ -0,0 +1,370 @@
+package shard
+
+import (
+	"context"
+	"math"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/chicorystand/chicorystand/confsync"
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/lease"
+	"github.com/chicorystand/chicorystand/store"
+)
+
+// Delays before a free shard is acquired, so that the entry that suits it best comes first.
+const (
+	otherZoneDelay = 750 * time.Millisecond
+	// shardCountDelay is added for each shard that this entry owns more than the entry with the fewest.
+	shardCountDelay = 500 * time.Millisecond
+	// newcomerDelay is added when this entry would have to defer reassignments.
+	newcomerDelay = 2 * time.Second
+	maxDelay      = 4 * time.Second
+)
+
+// scan reads all lease rows and registrations.
+func (m *Manager) scan(ctx context.Context) error {
+	rows, err := m.cfg.Table.Scan(ctx, LeasePrefix, "", scanPage)
+	if err != nil {
+		return err
+	}
+	now := m.cfg.Clock.Now()
+	regs, err := m.cfg.Table.Scan(ctx, confsync.RegistrationPrefix, "", scanPage)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	for _, r := range rows {
+		m.observe(r, now)
+	}
+	stale := m.observeEntries(regs, m.cfg.Clock.Now())
+	var known []confsync.Registration
+	for _, k := range m.entries {
+		known = append(known, k.reg)
+	}
+	m.mu.Unlock()
+	if m.cfg.OnEntries != nil {
+		m.cfg.OnEntries(known)
+	}
+	m.removeStale(ctx, stale)
+	return nil
+}
+
+// observe applies a lease row read at now. m.mu is held.
+func (m *Manager) observe(r store.Row, now time.Duration) {
+	var row LeaseRow
+	if err := msgpack.Unmarshal(r.Value, &row); err != nil {
+		m.cfg.Log.Error().Err(err).Str("row", r.Key).Msg("decode lease row")
+		return
+	}
+	id := strings.TrimPrefix(r.Key, LeasePrefix)
+	k, ok := m.rows[id]
+	if !ok {
+		k = &knownRow{}
+		m.rows[id] = k
+	}
+	if row.Epoch < k.row.Epoch {
+		return
+	}
+	k.row, k.version = row, r.Version
+	k.obs.Observe(r.Version, now, lease.ShardTTL)
+}
+
+// observeEntries applies the registrations and returns those of entries that
+// have not renewed them for confsync.RegistrationRemoval. m.mu is held.
+func (m *Manager) observeEntries(regs []store.Row, now time.Duration) []*knownEntry {
+	var stale []*knownEntry
+	seen := make(map[string]bool, len(regs))
+	for _, r := range regs {
+		reg, err := confsync.DecodeRegistration(r)
+		if err != nil {
+			m.cfg.Log.Error().Err(err).Str("row", r.Key).Msg("decode registration")
+			continue
+		}
+		if reg.ID == m.cfg.Entry {
+			if m.own.Counter == 0 {
+				m.ownVer = r.Version
+			}
+			continue
+		}
+		seen[reg.ID] = true
+		k, ok := m.entries[reg.ID]
+		if !ok {
+			k = &knownEntry{}
+			m.entries[reg.ID] = k
+			m.heard[reg.ID] = now
+		}
+		k.reg, k.version = reg, r.Version
+		k.obs.Observe(confsync.Stamp(r), now, confsync.LeaseTTL)
+		wait := confsync.RegistrationRemoval
+		if !slices.Contains(reg.Members, m.cfg.Entry) {
+			wait = lease.MaxExtension
+		}
+		if k.obs.Unchanged(now) >= lease.ObserverWait(wait) {
+			stale = append(stale, k)
+		}
+	}
+	for id := range m.entries {
+		if !seen[id] {
+			delete(m.entries, id)
+			delete(m.heard, id)
+		}
+	}
+	return stale
+}
+
+// removeStale deletes the registrations of entries that have certainly stopped admitting.
+func (m *Manager) removeStale(ctx context.Context, stale []*knownEntry) {
+	for _, k := range stale {
+		id := k.reg.ID
+		if !m.cfg.Promises.Begin(id, m.cfg.Clock.Now()) {
+			continue
+		}
+		key := confsync.RegistrationPrefix + id
+		_, err := m.takers.Commit(ctx, store.Txn{
+			Conds:  []store.Cond{{Key: key, Version: k.version}},
+			Writes: []store.Write{{Key: key, Delete: true}},
+		})
+		if errkind.Of(err) == errkind.StoreAmbiguous {
+			continue
+		}
+		m.cfg.Promises.End(id)
+		if err == nil {
+			m.mu.Lock()
+			delete(m.entries, id)
+			m.mu.Unlock()
+			events.RegistrationRemoved.Log(m.cfg.Log).Str("entry", id).Send()
+		}
+	}
+}
+
+// probeSuspects reads the rows of shards whose owner may be gone.
+func (m *Manager) probeSuspects(ctx context.Context) {
+	m.mu.Lock()
+	now := m.cfg.Clock.Now()
+	var keys []string
+	for id, k := range m.rows {
+		if _, mine := m.owned[id]; !mine && m.suspected(k, now) {
+			keys = append(keys, LeasePrefix+id)
+		}
+	}
+	for id := range m.wanted {
+		if _, known := m.rows[id]; !known {
+			keys = append(keys, LeasePrefix+id)
+		}
+	}
+	m.mu.Unlock()
+	if len(keys) == 0 {
+		return
+	}
+	sort.Strings(keys)
+	rows, err := m.cfg.Table.Get(ctx, keys...)
+	if err != nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range rows {
+		m.observe(r, m.cfg.Clock.Now())
+	}
+}
+
+func (m *Manager) suspected(k *knownRow, now time.Duration) bool {
+	if k.row.Owner == "" || now < k.suspect {
+		return true
+	}
+	heard, ok := m.heard[k.row.Owner]
+	return !ok || now-heard >= silence
+}
+
+// acquireDue tries to acquire shards that are free or whose lease has lapsed.
+func (m *Manager) acquireDue(ctx context.Context) {
+	for _, id := range m.candidates() {
+		if err := m.acquire(ctx, id); err != nil && errkind.Of(err) != errkind.Conflict {
+			m.cfg.Log.Warn().Err(err).Str("shard", id).Msg("acquire shard")
+		}
+	}
+}
+
+func (m *Manager) candidates() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopping || m.own.Counter == 0 {
+		return nil
+	}
+	now := m.cfg.Clock.Now()
+	var out []string
+	for id := range m.wanted {
+		if _, known := m.rows[id]; !known {
+			m.rows[id] = &knownRow{}
+		}
+	}
+	for id, k := range m.rows {
+		_, mine := m.owned[id]
+		if mine || !m.acquirable(k, now) {
+			k.freeFrom = 0
+			continue
+		}
+		if k.freeFrom == 0 {
+			k.freeFrom = now
+		}
+		if now >= k.freeFrom+m.delay(id, k) {
+			out = append(out, id)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// acquirable reports whether the row is free, absent, or has been unchanged for
+// longer than its owner's lease. m.mu is held.
+func (m *Manager) acquirable(k *knownRow, now time.Duration) bool {
+	if k.row.Owner == "" {
+		return true
+	}
+	return k.version != 0 && k.obs.Unchanged(now) >= lease.ObserverWait(lease.ShardTTL) && m.suspected(k, now)
+}
+
+func (m *Manager) delay(id string, k *knownRow) time.Duration {
+	var d time.Duration
+	if !strings.HasPrefix(id, m.cfg.Zone+"-") {
+		d += otherZoneDelay
+	}
+	if m.newcomer(k.row) {
+		d += newcomerDelay
+	}
+	counts := make(map[string]int, len(m.entries))
+	for _, row := range m.rows {
+		counts[row.row.Owner]++
+	}
+	fewest := math.MaxInt
+	for e := range m.entries {
+		if heard, ok := m.heard[e]; ok && m.cfg.Clock.Now()-heard < silence {
+			fewest = min(fewest, counts[e])
+		}
+	}
+	if more := len(m.owned) - fewest; more > 0 {
+		d += time.Duration(more) * shardCountDelay
+	}
+	return min(d, maxDelay)
+}
+
+// newcomer reports whether the row's owner may extend its lease by holds without
+// asking this entry.
+func (m *Manager) newcomer(row LeaseRow) bool {
+	return row.Owner != "" && row.Owner != m.cfg.Entry && !slices.Contains(row.Members, m.cfg.Entry)
+}
+
+// acquire writes the lease row with the next epoch and starts the owner.
+func (m *Manager) acquire(ctx context.Context, id string) error {
+	m.mu.Lock()
+	known := *m.rows[id]
+	members := m.members()
+	m.mu.Unlock()
+	holder := known.row.Owner
+	if holder != "" && !m.cfg.Promises.Begin(holder, m.cfg.Clock.Now()) {
+		return nil
+	}
+	err := m.take(ctx, id, known, members)
+	if holder != "" && errkind.Of(err) != errkind.StoreAmbiguous {
+		m.cfg.Promises.End(holder)
+	}
+	return err
+}
+
+func (m *Manager) take(ctx context.Context, id string, known knownRow, members []string) error {
+	sentAt := m.cfg.Clock.Now()
+	reassignAfter := sentAt + lease.ObserverWait(time.Duration(known.row.DeferMS)*time.Millisecond)
+	if known.row.DeferMS == 0 {
+		reassignAfter = 0
+	}
+	if m.newcomer(known.row) {
+		// The observation began after the owner's last renewal.
+		reassignAfter = max(reassignAfter, sentAt-known.obs.Unchanged(sentAt)+lease.ObserverWait(lease.MaxExtension))
+	}
+	rows, err := m.cfg.Table.Get(ctx, epochPrefix+id)
+	if err != nil {
+		return err
+	}
+	epochCond := store.Cond{Key: epochPrefix + id}
+	if len(rows) == 1 {
+		epochCond.Version = rows[0].Version
+	}
+	row := LeaseRow{Owner: m.cfg.Entry, Addr: m.cfg.Addr, Epoch: known.row.Epoch + 1, Members: members,
+		DeferMS: max(0, reassignAfter-sentAt).Milliseconds()}
+	value, err := msgpack.Marshal(row)
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err, "encode lease row")
+	}
+	epoch, err := msgpack.Marshal(row.Epoch)
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err, "encode epoch")
+	}
+	versions, err := m.takers.Commit(ctx, store.Txn{
+		Conds:  []store.Cond{{Key: LeasePrefix + id, Version: known.version}, epochCond},
+		Writes: []store.Write{{Key: LeasePrefix + id, Value: value}, {Key: epochPrefix + id, Value: epoch}},
+	})
+	if errkind.Of(err) == errkind.Conflict {
+		m.Suspect(id)
+	}
+	if err != nil {
+		return err
+	}
+	m.startOwner(ctx, id, row, versions, sentAt, reassignAfter)
+	return nil
+}
+
+func (m *Manager) startOwner(ctx context.Context, id string, row LeaseRow, versions []uint64, sentAt, reassignAfter time.Duration) {
+	runCtx, cancel := context.WithCancel(ctx)
+	s := &ownedShard{row: row, version: versions[0], lease: lease.Extended{TTL: lease.ShardTTL}, members: make(map[string]bool),
+		reassignAfter: reassignAfter, stop: cancel, finished: make(chan struct{})}
+	s.lease.Renew(sentAt)
+	for _, member := range row.Members {
+		s.members[member] = true
+	}
+	s.owner = NewOwner(Config{
+		Shard: id, Epoch: row.Epoch, EpochCond: store.Cond{Key: epochPrefix + id, Version: versions[1]},
+		Table: m.cfg.Table, Commits: m.commits, Clock: m.cfg.Clock, Recorder: m.cfg.Recorder, Log: m.cfg.Log,
+		Valid: func() bool { return m.valid(id, row.Epoch) }, OnMembers: m.cfg.OnMembers, OnEvict: m.cfg.OnEvict,
+		OnLost: func() { m.lostShard(id, row.Epoch) }, ReassignAfter: reassignAfter,
+	})
+	m.mu.Lock()
+	m.owned[id] = s
+	m.rows[id] = &knownRow{row: row, version: versions[0]}
+	m.mu.Unlock()
+	m.wg.Add(1)
+	go func() {
+		defer m.wg.Done()
+		defer close(s.finished)
+		m.runOwner(runCtx, id, s)
+	}()
+}
+
+// runOwner loads the shard and runs its owner until the shard is lost or released.
+func (m *Manager) runOwner(ctx context.Context, id string, s *ownedShard) {
+	for {
+		err := s.owner.Load(ctx)
+		if err == nil {
+			break
+		}
+		m.cfg.Log.Warn().Err(err).Str("shard", id).Msg("load shard")
+		sleep(ctx, commitRetryDelay)
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	// The owner is listed first, so that a configuration that changes meanwhile reaches it through its inbox.
+	m.mu.Lock()
+	s.loaded = true
+	m.mu.Unlock()
+	if m.cfg.OnOwner != nil {
+		m.cfg.OnOwner(s.owner)
+	}
+	events.ShardAcquired.Log(m.cfg.Log).Str("shard", id).Uint64("epoch", s.row.Epoch).Send()
+	s.owner.Run(ctx)
+}
