--- a/entry/config.go
+++ b/entry/config.go
@@ -55,7 +55,7 @@
 func (e *Entry) configChanged(ctx context.Context, c confsync.Change) {
 	if e.follower.Admit() == nil {
 		e.mu.Lock()
-		e.ready = !e.draining
+		e.ready = !e.leaving
 		e.mu.Unlock()
 	}
 	if c.Prepare {
