--- a/agent/agent.go
+++ b/agent/agent.go
@@ -175,6 +175,17 @@
 	a.leftOnce.Do(func() { close(a.left) })
 }
 
+// Undrain ends a drain: the owner is told and the gate opens again.
+func (a *Agent) Undrain() {
+	a.gate.Undrain()
+	a.mu.Lock()
+	owner := a.owner
+	a.mu.Unlock()
+	if owner != nil {
+		_ = owner.Notify(&wire.Drain{VM: a.cfg.VM, Undo: true})
+	}
+}
+
 // Left is closed when a drain has finished.
 func (a *Agent) Left() <-chan struct{} { return a.left }
 
--- a/agent/control.go
+++ b/agent/control.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
@@ -21,7 +22,7 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		entry := a.cfg.Entries[i%len(a.cfg.Entries)]
 		if err := a.session(ctx, entry); err != nil {
-			a.cfg.Log.Debug().Err(err).Str("vm", a.cfg.VM).Msg("control session ended")
+			events.ControlLost.Log(a.cfg.Log).Err(err).Send()
 		}
 		select {
 		case <-ctx.Done():
--- a/agent/data.go
+++ b/agent/data.go
@@ -32,7 +32,7 @@
 		reply(a.gate.Resolve(msg, a.cfg.Clock.Now()))
 	case *wire.Drain:
 		if msg.Undo {
-			a.gate.Undrain()
+			a.Undrain()
 		} else {
 			go a.Drain(ctx)
 		}
--- /dev/null
+++ b/command/daemon/run.go
@@ -0,0 +1,35 @@
+package daemon
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/chicorystand/chicorystand/command/run"
+	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/settings"
+)
+
+func newRun(spec Spec) *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:   "run",
+		Short: "Run the process until SIGTERM; SIGHUP reads certificates and the log level again",
+		Example: "  " + spec.Name + " run --settings deploy/" + spec.Name[len("chicory-"):] + ".yaml\n" +
+			"  " + spec.Name + " run --settings FILE --log.level=debug",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			load := func() (any, error) {
+				s := spec.New()
+				return s, settings.Load(s, file, cmd.Flags())
+			}
+			s, err := load()
+			if err != nil {
+				events.SettingsInvalid.Log(newLogger(events.NewRing())).Strs("problems", problems(err)).Send()
+				return run.Reported(err)
+			}
+			return start(cmd.Context(), spec, s, load)
+		},
+	}
+	cmd.Flags().StringVar(&file, "settings", "", "YAML settings file")
+	settings.AddFlags(cmd.Flags(), spec.New())
+	return cmd
+}
--- /dev/null
+++ b/command/daemon/tls.go
@@ -0,0 +1,14 @@
+package daemon
+
+import (
+	"crypto/tls"
+
+	"github.com/chicorystand/chicorystand/identity"
+)
+
+func (p *Process) serverConfig(roles []identity.Role) *tls.Config {
+	if p.Identity == nil {
+		return nil
+	}
+	return p.Identity.ServerConfig(roles...)
+}
--- a/command/run/run.go
+++ b/command/run/run.go
@@ -8,11 +8,37 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/chicorystand/chicorystand/errkind"
 )
 
+// reported is an error that a command has already shown.
+type reported struct{ error }
+
+// Unwrap returns the error.
+func (r reported) Unwrap() error { return r.error }
+
+// Reported marks err as shown, so that Main only sets the exit code.
+func Reported(err error) error { return reported{err} }
+
+// Code returns the exit code of err. Errors of the command line itself, which
+// have no kind, count as errkind.InvalidArgument.
+func Code(err error) int {
+	if err == nil {
+		return 0
+	}
+	var e *errkind.Error
+	if !errors.As(err, &e) {
+		return errkind.InvalidArgument.Answer().ExitCode
+	}
+	if e.Kind == errkind.Internal {
+		return 1
+	}
+	return e.Kind.Answer().ExitCode
+}
+
 // Main runs the command until it ends or a SIGINT or SIGTERM arrives, and exits
 // with the code of the error kind.
 func Main(root *cobra.Command) {
@@ -22,10 +48,9 @@
 	if err == nil {
 		return
 	}
-	_, _ = fmt.Fprintln(os.Stderr, "error:", err)
-	code := errkind.Of(err).Answer().ExitCode
-	if errkind.Of(err) == errkind.Internal {
-		code = 1
+	var shown reported
+	if !errors.As(err, &shown) {
+		_, _ = fmt.Fprintln(os.Stderr, "error:", err)
 	}
-	os.Exit(code)
+	os.Exit(Code(err))
 }
--- /dev/null
+++ b/entry/api_auth.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"slices"
+
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/identity"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+// right is the set of roles that may use an operation.
+type right []identity.Role
+
+// Rights of the API. Customers reach only their own tasks and requests.
+var (
+	rightAdminister = right{identity.Administrator}
+	rightOperate    = right{identity.Operator, identity.Administrator}
+	rightRead       = right{identity.Reader, identity.Operator, identity.Administrator}
+	rightOwn        = right{identity.Reader, identity.Operator, identity.Administrator, identity.Customer}
+	rightSubmit     = right{identity.Operator, identity.Administrator, identity.Customer}
+	rightRequest    = right{identity.Operator, identity.Administrator, identity.Customer}
+)
+
+type callerKey struct{}
+
+// allow lets a call through when its caller has the right. Without TLS, which
+// settings allow on loopback only, the caller is a local administrator.
+func (e *Entry) allow(who right, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		id, err := e.authenticate(r)
+		if err == nil && !slices.Contains(who, id.Role) {
+			err = errkind.New(errkind.PermissionDenied, "role %s may not use %s %s; nothing was done", id.Role, r.Method, r.URL.Path)
+		}
+		if err == nil {
+			err = bindCustomer(id, r)
+		}
+		if err != nil {
+			e.denied(err)
+			writeError(w, err)
+			return
+		}
+		next(w, r.WithContext(context.WithValue(r.Context(), callerKey{}, id)))
+	}
+}
+
+func (e *Entry) authenticate(r *http.Request) (identity.Identity, error) {
+	if id, ok := identity.OfState(r.TLS); ok {
+		return id, nil
+	}
+	if e.cfg.RequireIdentity {
+		return identity.Identity{}, errkind.New(errkind.Unauthenticated, "a client certificate with a role is required; nothing was done")
+	}
+	return identity.Identity{Role: identity.Administrator, Name: "local"}, nil
+}
+
+// bindCustomer sets the customer header of an authenticated customer and refuses another name.
+func bindCustomer(id identity.Identity, r *http.Request) error {
+	if id.Role != identity.Customer {
+		return nil
+	}
+	if named := r.Header.Get(HeaderCustomer); named != "" && named != id.Name {
+		return errkind.New(errkind.PermissionDenied, "customer %q may not act as %q; nothing was done", id.Name, named)
+	}
+	r.Header.Set(HeaderCustomer, id.Name)
+	return nil
+}
+
+func (e *Entry) denied(err error) {
+	events.AccessDenied.Log(e.cfg.Log).Str("kind", errkind.Of(err).String()).Err(err).Send()
+}
+
+func callerOf(r *http.Request) identity.Identity {
+	id, _ := r.Context().Value(callerKey{}).(identity.Identity)
+	return id
+}
+
+// customerScope returns the customer that a call is limited to: an authenticated
+// customer's own name, or what an operator asked for.
+func customerScope(r *http.Request, asked string) (string, error) {
+	id := callerOf(r)
+	if id.Role != identity.Customer {
+		return asked, nil
+	}
+	if asked != "" && asked != id.Name {
+		return "", errkind.New(errkind.PermissionDenied, "customer %q may not act for %q; nothing was done", id.Name, asked)
+	}
+	return id.Name, nil
+}
+
+// authorizePeer refuses messages that the role of a connection does not send.
+// Connections without TLS are not restricted.
+func authorizePeer(p *wire.Peer, m wire.Message) error {
+	if p == nil {
+		return nil
+	}
+	id, ok := identity.OfConn(p.Conn())
+	if !ok || id.Role == identity.Entry {
+		return nil
+	}
+	switch msg := m.(type) {
+	case *wire.Locate, *wire.Heartbeat, *wire.TaskEvent, *wire.Drain:
+		return nil
+	case *wire.Announce:
+		if msg.VM == id.Name && msg.Zone == id.Zone {
+			return nil
+		}
+		return errkind.New(errkind.PermissionDenied, "the certificate of %s in %s does not allow it to announce VM %s in %s", id.Name, id.Zone, msg.VM, msg.Zone)
+	}
+	return errkind.New(errkind.PermissionDenied, "role %s may not send message type %d", id.Role, m.Type())
+}
--- /dev/null
+++ b/entry/api_config.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/plan"
+	"github.com/chicorystand/chicorystand/store"
+)
+
+const (
+	historyPrefix = "config-history/"
+	// historyKept is the number of changes that are kept.
+	historyKept = 100
+	// maxHistoryLines bounds the lines that are kept of one change.
+	maxHistoryLines = 200
+	historyTimeout  = 2 * time.Second
+)
+
+// ConfigChange is an accepted change of plans or limits.
+type ConfigChange struct {
+	Generation uint64 `json:"generation"`
+	// BasedOn is the generation that the operator had read.
+	BasedOn uint64 `json:"based_on"`
+	By      string `json:"by"`
+	// UnixMilli is the wall-clock time at the entry, for display.
+	UnixMilli int64    `json:"unix_milli"`
+	Changes   []string `json:"changes"`
+}
+
+func (e *Entry) getConfig(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, e.config())
+}
+
+func (e *Entry) putConfig(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAPIBody))
+	if err != nil {
+		writeError(w, bodyError(err))
+		return
+	}
+	doc, err := plan.Parse("request", data)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	before := e.config()
+	accepted, err := e.applyConfig(r.Context(), doc)
+	if errkind.Of(err) == errkind.Conflict && repeated(doc, e.config()) {
+		accepted, err = e.config(), nil
+	}
+	if err != nil {
+		events.ConfigRefused.Log(e.cfg.Log).Uint64("based_on", doc.Generation).Str("by", callerOf(r).Name).Str("kind", errkind.Of(err).String()).Send()
+		writeError(w, err)
+		return
+	}
+	events.ConfigApplied.Log(e.cfg.Log).Uint64("generation", accepted.Generation).Str("by", callerOf(r).Name).Send()
+	e.recordChange(r, before, doc.Generation, accepted)
+	writeJSON(w, http.StatusOK, accepted)
+}
+
+// repeated recognises a change whose answer was lost: the current lists are the
+// requested ones and were accepted on the generation that the request names.
+func repeated(doc, current plan.Document) bool {
+	return current.Generation == doc.Generation+1 && plan.SameLists(doc, current)
+}
+
+// recordChange keeps the change for the history. The change is in force even when this fails.
+func (e *Entry) recordChange(r *http.Request, before plan.Document, basedOn uint64, after plan.Document) {
+	ctx, cancel := context.WithTimeout(r.Context(), historyTimeout)
+	defer cancel()
+	c := ConfigChange{Generation: after.Generation, BasedOn: basedOn, By: callerOf(r).Name, UnixMilli: time.Now().UnixMilli()}
+	if before.Generation == basedOn {
+		c.Changes = plan.Diff(before, after)
+		if n := len(c.Changes); n > maxHistoryLines {
+			c.Changes = append(c.Changes[:maxHistoryLines], fmt.Sprintf("and %d more", n-maxHistoryLines))
+		}
+	}
+	value, err := msgpack.Marshal(c)
+	if err != nil {
+		return
+	}
+	txn := store.Txn{Conds: []store.Cond{{Key: historyKey(c.Generation)}}, Writes: []store.Write{{Key: historyKey(c.Generation), Value: value}}}
+	if c.Generation > historyKept {
+		txn.Writes = append(txn.Writes, store.Write{Key: historyKey(c.Generation - historyKept), Delete: true})
+	}
+	_, _ = e.cfg.Table.Commit(ctx, txn)
+}
+
+func historyKey(generation uint64) string { return fmt.Sprintf("%s%020d", historyPrefix, generation) }
+
+func (e *Entry) getConfigHistory(w http.ResponseWriter, r *http.Request) {
+	rows, err := e.cfg.Table.Scan(r.Context(), historyPrefix, "", historyKept)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	changes := make([]ConfigChange, 0, len(rows))
+	for _, row := range rows {
+		var c ConfigChange
+		if err := msgpack.Unmarshal(row.Value, &c); err != nil {
+			writeError(w, errkind.Wrap(errkind.Internal, err, "decode change"))
+			return
+		}
+		changes = append(changes, c)
+	}
+	sort.Slice(changes, func(i, j int) bool { return changes[i].Generation > changes[j].Generation })
+	writeJSON(w, http.StatusOK, changes)
+}
--- /dev/null
+++ b/entry/api_tasks.go
@@ -0,0 +1,334 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/identity"
+	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+// Bounds of the task API.
+const (
+	// MaxSubmit is the largest number of tasks in one submission.
+	MaxSubmit = 1000
+	// MaxCancel is the largest number of tasks that one cancellation names or selects.
+	MaxCancel = 10_000
+	// MaxList is the largest number of tasks in one answer of the listing.
+	MaxList = 1000
+	// shardPage bounds the records in one frame between entries, and the ids in one cancellation.
+	shardPage = 500
+)
+
+// shardOfTask returns the shard that queues a task: one of the shards of the
+// requested zone, or of all zones, chosen by the hash of the task id.
+func (e *Entry) shardOfTask(s task.Spec) (string, error) {
+	all := e.manager.Shards()
+	sort.Strings(all)
+	var eligible []string
+	for _, id := range all {
+		if s.Zone == "" || strings.HasPrefix(id, s.Zone+"-") {
+			eligible = append(eligible, id)
+		}
+	}
+	if len(eligible) == 0 {
+		return "", errkind.New(errkind.NotReady, "no shard serves zone %q", s.Zone)
+	}
+	return eligible[xxhash.Sum64String(s.ID)%uint64(len(eligible))], nil
+}
+
+// callShard sends a message to the owner of a shard, which may be this entry.
+func (e *Entry) callShard(ctx context.Context, id string, m wire.Message) (wire.Message, error) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	if _, ok := e.manager.Owner(id); ok {
+		ch := make(chan wire.Message, 1)
+		e.handleControl(nil, m, func(r wire.Message) { ch <- r })
+		select {
+		case r := <-ch:
+			if er, ok := r.(*wire.Error); ok {
+				return nil, errkind.New(er.Kind, "%s", er.Msg)
+			}
+			return r, nil
+		case <-ctx.Done():
+			return nil, errkind.Wrap(errkind.OutcomeUnknown, ctx.Err(), "shard %s", id)
+		}
+	}
+	row, ok := e.manager.Locate(id)
+	if !ok {
+		return nil, errkind.New(errkind.NotReady, "shard %s has no owner", id)
+	}
+	e.mu.Lock()
+	p := e.peers[row.Owner]
+	e.mu.Unlock()
+	if p == nil {
+		return nil, errkind.New(errkind.NotReady, "owner %s of shard %s is not connected", row.Owner, id)
+	}
+	return p.Call(ctx, m)
+}
+
+// idPattern is what the names of tasks, customers and job classes may hold.
+var idPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$`)
+
+func validateSpec(s task.Spec) error {
+	r := s.Declared
+	switch {
+	case !idPattern.MatchString(s.ID):
+		return errkind.New(errkind.InvalidArgument, "id: 1 to 128 letters, digits, '.', '_', ':' or '-'")
+	case !idPattern.MatchString(s.Customer):
+		return errkind.New(errkind.InvalidArgument, "customer: 1 to 128 letters, digits, '.', '_', ':' or '-'")
+	case !idPattern.MatchString(s.JobClass):
+		return errkind.New(errkind.InvalidArgument, "job_class: 1 to 128 letters, digits, '.', '_', ':' or '-'")
+	case s.Zone != "" && !idPattern.MatchString(s.Zone):
+		return errkind.New(errkind.InvalidArgument, "zone: 1 to 128 letters, digits, '.', '_', ':' or '-'")
+	case r.CPU < 0 || r.Memory < 0 || r.Accelerators < 0 || r == task.Resources{}:
+		return errkind.New(errkind.InvalidArgument, "resources: amounts must not be negative, and one must be positive")
+	case s.Duration < 0 || s.Deadline < 0:
+		return errkind.New(errkind.InvalidArgument, "duration and deadline must not be negative")
+	}
+	return nil
+}
+
+// admitSpec checks a specification against the caller's identity and the plans.
+func (e *Entry) admitSpec(caller identity.Identity, s task.Spec) error {
+	if err := validateSpec(s); err != nil {
+		return err
+	}
+	if caller.Role == identity.Customer && s.Customer != caller.Name {
+		return errkind.New(errkind.PermissionDenied, "customer %q may not submit for %q", caller.Name, s.Customer)
+	}
+	doc := e.config()
+	if _, ok := doc.LimitOf(s.Customer); !ok && doc.Generation > 0 {
+		return errkind.New(errkind.PermissionDenied, "customer %q has no plan", s.Customer)
+	}
+	return nil
+}
+
+func (e *Entry) submitTasks(w http.ResponseWriter, r *http.Request) {
+	var specs []task.Spec
+	if err := readJSON(w, r, &specs); err != nil {
+		writeError(w, err)
+		return
+	}
+	if len(specs) > MaxSubmit {
+		writeError(w, errkind.New(errkind.TooLarge, "%d tasks, at most %d in one submission", len(specs), MaxSubmit))
+		return
+	}
+	results := make(map[string]wire.TaskResult, len(specs))
+	byShard := make(map[string][]task.Spec)
+	for _, s := range specs {
+		id, err := "", e.admitSpec(callerOf(r), s)
+		if err == nil {
+			id, err = e.shardOfTask(s)
+		}
+		if err != nil {
+			results[s.ID] = failed(s.ID, err)
+			e.metrics.Refuse(err)
+			continue
+		}
+		byShard[id] = append(byShard[id], s)
+	}
+	for id, group := range byShard {
+		for len(group) > 0 {
+			n := min(len(group), shardPage)
+			m, err := e.callShard(r.Context(), id, &wire.Submit{Shard: id, Specs: group[:n]})
+			collectSubmitted(results, m, err, group[:n])
+			group = group[n:]
+		}
+	}
+	ordered := make([]wire.TaskResult, 0, len(specs))
+	for _, s := range specs {
+		ordered = append(ordered, results[s.ID])
+	}
+	writeJSON(w, http.StatusOK, ordered)
+}
+
+func failed(id string, err error) wire.TaskResult {
+	return wire.TaskResult{ID: id, Kind: errkind.Of(err), Detail: err.Error()}
+}
+
+func collectSubmitted(results map[string]wire.TaskResult, m wire.Message, err error, group []task.Spec) {
+	if err != nil {
+		for _, s := range group {
+			results[s.ID] = failed(s.ID, err)
+		}
+		return
+	}
+	if reply, ok := m.(*wire.SubmitReply); ok {
+		for _, t := range reply.Results {
+			results[t.ID] = t
+		}
+	}
+}
+
+// TaskView is a task record with the reason why it waits.
+type TaskView struct {
+	task.Record
+	Waiting string `json:"waiting,omitempty"`
+}
+
+// lookup returns up to limit tasks in id order. The query's Shard, Limit are set here.
+func (e *Entry) lookup(ctx context.Context, q wire.Lookup, limit int) ([]TaskView, error) {
+	views := []TaskView{}
+	for _, id := range e.manager.Shards() {
+		page := q
+		page.Shard, page.Limit = id, shardPage
+		for n := 0; n < limit; {
+			m, err := e.callShard(ctx, id, &page)
+			if err != nil {
+				return nil, err
+			}
+			reply, ok := m.(*wire.LookupReply)
+			if !ok || len(reply.Records) == 0 {
+				break
+			}
+			views = appendViews(views, reply)
+			n += len(reply.Records)
+			page.After = reply.Records[len(reply.Records)-1].Spec.ID
+			if len(reply.Records) < shardPage {
+				break
+			}
+		}
+	}
+	sort.Slice(views, func(i, j int) bool { return views[i].Spec.ID < views[j].Spec.ID })
+	return views[:min(len(views), limit)], nil
+}
+
+func appendViews(views []TaskView, reply *wire.LookupReply) []TaskView {
+	waiting := make(map[string]string, len(reply.Waiting))
+	for _, t := range reply.Waiting {
+		waiting[t.ID] = t.Kind.String()
+	}
+	for _, rec := range reply.Records {
+		views = append(views, TaskView{Record: rec, Waiting: waiting[rec.Spec.ID]})
+	}
+	return views
+}
+
+var states = map[string]bool{"": true, task.Pending: true, task.Assigned: true, task.Running: true, task.Suspended: true, task.Parked: true,
+	task.Succeeded: true, task.Failed: true, task.Cancelled: true, task.Rejected: true}
+
+func (e *Entry) listTasks(w http.ResponseWriter, r *http.Request) {
+	v := r.URL.Query()
+	q := wire.Lookup{IDs: v["id"], JobClass: v.Get("job_class"), State: v.Get("state"), After: v.Get("after")}
+	var err error
+	if q.Customer, err = customerScope(r, v.Get("customer")); err != nil {
+		writeError(w, err)
+		return
+	}
+	limit := MaxList
+	if text := v.Get("limit"); text != "" {
+		limit, err = strconv.Atoi(text)
+	}
+	if err != nil || limit < 1 || limit > MaxList || !states[q.State] || len(q.IDs) > MaxList {
+		writeError(w, errkind.New(errkind.InvalidArgument, "limit is 1 to %d, at most %d ids, state is empty or a state of the life cycle", MaxList, MaxList))
+		return
+	}
+	views, err := e.lookup(r.Context(), q, limit)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, views)
+}
+
+// CancelRequest is the body of POST /v1/tasks/cancel. Either IDs name the tasks,
+// or the other fields select those that are not in a terminal state.
+type CancelRequest struct {
+	Customer string   `json:"customer"`
+	IDs      []string `json:"ids"`
+	JobClass string   `json:"job_class,omitempty"`
+	State    string   `json:"state,omitempty"`
+}
+
+func (q CancelRequest) validate() error {
+	switch {
+	case len(q.IDs) > MaxCancel:
+		return errkind.New(errkind.TooLarge, "%d ids, at most %d; nothing was cancelled", len(q.IDs), MaxCancel)
+	case !states[q.State]:
+		return errkind.New(errkind.InvalidArgument, "state %q is not known; nothing was cancelled", q.State)
+	case len(q.IDs) == 0 && q.Customer == "" && q.JobClass == "" && q.State == "":
+		return errkind.New(errkind.InvalidArgument, "name tasks or a selector; nothing was cancelled")
+	}
+	return nil
+}
+
+func (e *Entry) cancelTasks(w http.ResponseWriter, r *http.Request) {
+	var q CancelRequest
+	err := readJSON(w, r, &q)
+	if err == nil {
+		q.Customer, err = customerScope(r, q.Customer)
+	}
+	if err == nil {
+		err = q.validate()
+	}
+	if err == nil && len(q.IDs) == 0 {
+		q.IDs, err = e.selectOpen(r.Context(), q)
+	}
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, e.cancelAll(r.Context(), q))
+}
+
+// selectOpen returns the ids of the selected tasks that are not final yet.
+func (e *Entry) selectOpen(ctx context.Context, q CancelRequest) ([]string, error) {
+	views, err := e.lookup(ctx, wire.Lookup{Customer: q.Customer, JobClass: q.JobClass, State: q.State}, MaxCancel)
+	if err != nil {
+		return nil, err
+	}
+	var ids []string
+	for _, v := range views {
+		if !task.Terminal(v.State) {
+			ids = append(ids, v.Spec.ID)
+		}
+	}
+	return ids, nil
+}
+
+// cancelAll cancels the named tasks page by page. A shard that cannot be asked
+// leaves its error on the tasks that no other shard knows.
+func (e *Entry) cancelAll(ctx context.Context, q CancelRequest) []wire.TaskResult {
+	found := make(map[string]wire.TaskResult, len(q.IDs))
+	for _, id := range e.manager.Shards() {
+		for from := 0; from < len(q.IDs); from += shardPage {
+			page := q.IDs[from:min(from+shardPage, len(q.IDs))]
+			m, err := e.callShard(ctx, id, &wire.Cancel{Shard: id, Customer: q.Customer, IDs: page})
+			if reply, ok := m.(*wire.SubmitReply); ok && err == nil {
+				mergeCancelled(found, reply.Results)
+				continue
+			}
+			for _, t := range page {
+				if prev, seen := found[t]; !seen || prev.Kind == errkind.NotFound {
+					found[t] = failed(t, err)
+				}
+			}
+		}
+	}
+	results := make([]wire.TaskResult, 0, len(q.IDs))
+	for _, id := range q.IDs {
+		t, ok := found[id]
+		if !ok {
+			t = failed(id, errkind.New(errkind.NotReady, "no shard is known"))
+		}
+		results = append(results, t)
+	}
+	return results
+}
+
+func mergeCancelled(found map[string]wire.TaskResult, results []wire.TaskResult) {
+	for _, t := range results {
+		if prev, seen := found[t.ID]; !seen || prev.Kind == errkind.NotFound || (t.Kind != errkind.NotFound && prev.Kind != errkind.None) {
+			found[t.ID] = t
+		}
+	}
+}
--- a/entry/control.go
+++ b/entry/control.go
@@ -35,6 +35,11 @@
 }
 
 func (e *Entry) handleControl(p *wire.Peer, m wire.Message, reply wire.Reply) {
+	if err := authorizePeer(p, m); err != nil {
+		e.denied(err)
+		reply(wire.ErrorReply(err))
+		return
+	}
 	switch msg := m.(type) {
 	case *wire.Locate:
 		reply(e.locate(msg))
@@ -62,6 +67,9 @@
 	case *wire.Lookup:
 		go e.onShard(msg.Shard, reply, func(o *shard.Owner) { reply(e.lookupLocal(o, msg)) })
 	default:
+		if e.handleOperator(m, reply) {
+			return
+		}
 		reply(wire.ErrorReply(errkind.New(errkind.InvalidArgument, "message type %d is not served here", m.Type())))
 	}
 }
@@ -337,7 +345,7 @@
 
 func (e *Entry) lookupLocal(o *shard.Owner, m *wire.Lookup) wire.Message {
 	var r *wire.LookupReply
-	if err := o.Do(e.ctx, func() { r = o.Lookup(m.Customer, m.IDs, int(m.Limit)) }); err != nil {
+	if err := o.Do(e.ctx, func() { r = o.Select(m) }); err != nil {
 		return wire.ErrorReply(err)
 	}
 	return r
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +14,7 @@
 
 	"github.com/chicorystand/chicorystand/clock"
 	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/history"
 	"github.com/chicorystand/chicorystand/metrics"
 	"github.com/chicorystand/chicorystand/plan"
@@ -37,6 +37,10 @@
 	Log           zerolog.Logger
 	// Dial opens connections to agents and entries; nil uses TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// RequireIdentity refuses callers of the API without a verified certificate.
+	RequireIdentity bool
+	// Events keeps the log lines that operators can follow; nil keeps none.
+	Events *events.Ring
 }
 
 // Entry is a running entry.
@@ -47,8 +51,10 @@
 	manager *shard.Manager
 	pool    *pool
 	metrics *metrics.Entry
-	seq     atomic.Uint64
-	ctx     context.Context
+	// outcomes keeps recent outcomes and latencies for operators.
+	outcomes *outcomes
+	seq      atomic.Uint64
+	ctx      context.Context
 
 	mu       sync.Mutex
 	doc      plan.Document
@@ -68,7 +74,9 @@
 			return d.DialContext(ctx, "tcp", addr)
 		}
 	}
-	return &Entry{cfg: cfg, table: route.NewTable(cfg.Zone, cfg.Incarnation), pool: newPool(cfg.Dial), metrics: metrics.NewEntry(),
+	m := metrics.NewEntry()
+	cfg.Table = m.Table(cfg.Table)
+	return &Entry{cfg: cfg, table: route.NewTable(cfg.Zone, cfg.Incarnation), pool: newPool(cfg.Dial), metrics: m, outcomes: newOutcomes(),
 		peers: make(map[string]*wire.Peer), conns: make(map[*wire.Peer]struct{})}
 }
 
@@ -82,7 +90,7 @@
 		OnMembers: e.membersChanged,
 		OnEvict:   func(k errkind.Kind) { e.metrics.Evictions.WithLabelValues(k.String()).Inc() },
 	})
-	server := &http.Server{Handler: e.handler(), ReadHeaderTimeout: 5 * time.Second}
+	server := e.newServer()
 	var wg sync.WaitGroup
 	for _, loop := range []func(){
 		func() { e.manager.Run(ctx) },
--- /dev/null
+++ b/entry/operator.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/chicorystand/chicorystand/shard"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+// handleOperator serves the messages behind the operators' API and reports whether it knows m.
+func (e *Entry) handleOperator(m wire.Message, reply wire.Reply) bool {
+	switch msg := m.(type) {
+	case *wire.Explain:
+		go e.onShard(msg.Shard, reply, func(o *shard.Owner) { reply(e.explainLocal(o, msg)) })
+	case *wire.ShardStatus:
+		go e.onShard(msg.Shard, reply, func(o *shard.Owner) { reply(e.shardStatusLocal(o)) })
+	case *wire.EntryStatus:
+		reply(e.status())
+	case *wire.ExplainRequest:
+		reply(&wire.ExplainRequestReply{Outcomes: e.outcomes.named(msg.Customer, msg.Name)})
+	default:
+		return false
+	}
+	return true
+}
+
+func (e *Entry) explainLocal(o *shard.Owner, m *wire.Explain) wire.Message {
+	var r *wire.ExplainReply
+	var err error
+	if doErr := o.Do(e.ctx, func() { r, err = o.Explain(m.Customer, m.ID) }); doErr != nil {
+		err = doErr
+	}
+	if err != nil {
+		return wire.ErrorReply(err)
+	}
+	return r
+}
+
+func (e *Entry) shardStatusLocal(o *shard.Owner) wire.Message {
+	var r *wire.ShardStatusReply
+	if err := o.Do(e.ctx, func() { r = o.Status() }); err != nil {
+		return wire.ErrorReply(err)
+	}
+	r.Owner = e.cfg.ID
+	return r
+}
+
+// status returns the state of this entry.
+func (e *Entry) status() *wire.EntryStatusReply {
+	e.mu.Lock()
+	ready := e.ready && !e.draining
+	e.mu.Unlock()
+	m := e.metrics
+	return &wire.EntryStatusReply{Entry: e.cfg.ID, Zone: e.cfg.Zone, Ready: ready, ConfigGen: e.config().Generation,
+		ConfigAgeMS: m.ConfigReadAge().Milliseconds(), StoreReachable: m.Store.Reachable(),
+		StoreAnsweredMS: m.Store.Answered().Milliseconds(), Services: e.outcomes.tails()}
+}
+
+// askPeers sends m to every connected entry and passes the replies to collect.
+func (e *Entry) askPeers(ctx context.Context, m wire.Message, collect func(id string, r wire.Message, err error)) {
+	ctx, cancel := context.WithTimeout(ctx, peerStatusTimeout)
+	defer cancel()
+	type answer struct {
+		id  string
+		m   wire.Message
+		err error
+	}
+	ch := make(chan answer)
+	e.mu.Lock()
+	n := len(e.peers)
+	for id, p := range e.peers {
+		go func() {
+			r, err := p.Call(ctx, m)
+			ch <- answer{id, r, err}
+		}()
+	}
+	e.mu.Unlock()
+	for range n {
+		a := <-ch
+		collect(a.id, a.m, a.err)
+	}
+}
+
+// peerStatusTimeout bounds the wait for other entries while a status is collected.
+const peerStatusTimeout = time.Second
+
+// refreshGauges updates the gauges that are sums over the entry's shards.
+func (e *Entry) refreshGauges(ctx context.Context) {
+	m := e.metrics
+	m.ConfigGeneration.Set(float64(e.config().Generation))
+	var capacity, reserved, used [3]int64
+	states := make(map[string]int)
+	for _, o := range e.manager.Owners() {
+		r, ok := e.shardStatusLocal(o).(*wire.ShardStatusReply)
+		if !ok || ctx.Err() != nil {
+			continue
+		}
+		for _, v := range r.VMs {
+			for i, p := range [3][3]int64{{v.Capacity.CPU, v.Reserved.CPU, v.Used.CPU}, {v.Capacity.Memory, v.Reserved.Memory, v.Used.Memory},
+				{v.Capacity.Accelerators, v.Reserved.Accelerators, v.Used.Accelerators}} {
+				capacity[i] += p[0]
+				reserved[i] += p[1]
+				used[i] += p[2]
+			}
+		}
+		for _, q := range r.Queues {
+			for s, n := range q.States {
+				states[s] += n
+			}
+		}
+	}
+	for i, name := range []string{"cpu_milli", "memory_mebibytes", "accelerators"} {
+		m.Capacity.WithLabelValues(name).Set(float64(capacity[i]))
+		m.Reserved.WithLabelValues(name).Set(float64(reserved[i]))
+		m.Used.WithLabelValues(name).Set(float64(used[i]))
+	}
+	m.Tasks.Reset()
+	for s, n := range states {
+		m.Tasks.WithLabelValues(s).Set(float64(n))
+	}
+}
--- /dev/null
+++ b/errkind/encoding.go
@@ -0,0 +1,16 @@
+package errkind
+
+import "encoding/json"
+
+// MarshalJSON writes the stable identifier.
+func (k Kind) MarshalJSON() ([]byte, error) { return json.Marshal(k.String()) }
+
+// UnmarshalJSON reads the stable identifier.
+func (k *Kind) UnmarshalJSON(data []byte) error {
+	var name string
+	if err := json.Unmarshal(data, &name); err != nil {
+		return Wrap(InvalidArgument, err, "error kind")
+	}
+	*k = Parse(name)
+	return nil
+}
--- /dev/null
+++ b/events/agent.go
@@ -0,0 +1,10 @@
+package events
+
+import "github.com/rs/zerolog"
+
+// Events of agents: 400 to 499.
+var (
+	ControlLost      = defineHot(400, "control_lost", zerolog.WarnLevel, "The agent's connection to its shard owner ended. It reconnects; batch tasks are suspended when the grant ends first.")
+	UpstreamDraining = define(401, "upstream_draining", zerolog.InfoLevel, "The upstream receives no new work; requests in progress finish.")
+	UpstreamLeft     = define(402, "upstream_left", zerolog.InfoLevel, "No request is in progress on the draining upstream.")
+)
--- a/events/events.go
+++ b/events/events.go
@@ -3,7 +3,11 @@
 package events
 
 import (
+	"fmt"
+	"io"
 	"sort"
+	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -15,8 +19,13 @@
 	Level  zerolog.Level
 	// Meaning tells operators what happened and what to do.
 	Meaning string
+	// Hot events can occur for each request; only a sample of them is written.
+	Hot bool
 }
 
+// Areas maps the hundreds of event numbers to their area.
+var Areas = map[int]string{1: "Scheduler", 2: "Requests", 3: "Shards, store and configuration", 4: "Agent", 5: "Processes and security"}
+
 var table = make(map[int]Event)
 
 func define(number int, name string, level zerolog.Level, meaning string) Event {
@@ -28,6 +37,13 @@
 	return e
 }
 
+func defineHot(number int, name string, level zerolog.Level, meaning string) Event {
+	e := define(number, name, level, meaning)
+	e.Hot = true
+	table[number] = e
+	return e
+}
+
 // All returns every event in numeric order.
 func All() []Event {
 	out := make([]Event, 0, len(table))
@@ -39,6 +55,76 @@
 }
 
 // Log starts a log line of the event; the caller adds fields and calls Send.
+// Lines below the logger's level and sampled lines are dropped. Callers add
+// neither secrets nor bodies of requests.
 func (e Event) Log(l zerolog.Logger) *zerolog.Event {
+	if e.Hot && !sampler.allow(e.Number, time.Now()) {
+		return nil
+	}
+	if e.Level < l.GetLevel() || e.Level < zerolog.GlobalLevel() {
+		return nil
+	}
 	return l.WithLevel(e.Level).Int("event", e.Number).Str("name", e.Name)
 }
+
+// hotLines is the number of lines of one hot event in each sampling interval.
+const hotLines = 10
+
+var sampler = &hotSampler{interval: time.Second, windows: make(map[int]window)}
+
+// SetSampling sets the interval in which at most ten lines of one hot event are
+// written; 0 writes all.
+func SetSampling(interval time.Duration) {
+	sampler.mu.Lock()
+	defer sampler.mu.Unlock()
+	sampler.interval = interval
+}
+
+type hotSampler struct {
+	mu       sync.Mutex
+	interval time.Duration
+	windows  map[int]window
+}
+
+type window struct {
+	start time.Time
+	lines int
+}
+
+func (s *hotSampler) allow(number int, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.windows[number]
+	if s.interval == 0 || now.Sub(w.start) >= s.interval {
+		w = window{start: now}
+	}
+	w.lines++
+	s.windows[number] = w
+	return s.interval == 0 || w.lines <= hotLines
+}
+
+// WriteDocument writes the catalogue as Markdown.
+func WriteDocument(w io.Writer) error {
+	if _, err := fmt.Fprint(w, "# Events\n\nGenerated from package `events` by `go run ./cmd/chicory-dev docs`. Do not edit.\n\n"+
+		"Each log line is a JSON object with `event`, `name`, `level` and `time`. At most ten lines of a sampled event are\n"+
+		"written in each `log.sample` interval. Lines hold no secrets and no bodies of requests.\n"); err != nil {
+		return err
+	}
+	area := 0
+	for _, e := range All() {
+		if e.Number/100 != area {
+			area = e.Number / 100
+			if _, err := fmt.Fprintf(w, "\n## %d to %d: %s\n\n| Number | Name | Level | Sampled | Meaning |\n| --- | --- | --- | --- | --- |\n", area*100, area*100+99, Areas[area]); err != nil {
+				return err
+			}
+		}
+		sampled := "no"
+		if e.Hot {
+			sampled = "yes"
+		}
+		if _, err := fmt.Fprintf(w, "| %d | `%s` | %s | %s | %s |\n", e.Number, e.Name, e.Level, sampled, e.Meaning); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/identity/identity.go
@@ -0,0 +1,170 @@
+// Package identity authenticates the system's processes, operators and customers
+// with mutual TLS. The role is the organizational unit of a certificate's
+// subject, the availability zone its locality, and the name its common name.
+package identity
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+	"slices"
+	"sync"
+
+	"github.com/chicorystand/chicorystand/errkind"
+)
+
+// Role states what the holder of a certificate may do.
+type Role string
+
+// Roles. Reader, Operator and Administrator form an order of increasing rights.
+const (
+	Entry         Role = "entry"
+	Agent         Role = "agent"
+	Reader        Role = "reader"
+	Operator      Role = "operator"
+	Administrator Role = "administrator"
+	Customer      Role = "customer"
+)
+
+var roles = []Role{Entry, Agent, Reader, Operator, Administrator, Customer}
+
+// Identity is the authenticated subject of a certificate.
+type Identity struct {
+	Role Role
+	// Name is the id of a process, or the name of an operator or customer.
+	Name string
+	// Zone is the availability zone of a process; empty for people and customers.
+	Zone string
+}
+
+// maxName bounds the name in a certificate in bytes.
+const maxName = 128
+
+// FromCertificate returns the identity in a verified certificate, or errkind.Unauthenticated.
+func FromCertificate(c *x509.Certificate) (Identity, error) {
+	id := Identity{Name: c.Subject.CommonName}
+	if len(c.Subject.OrganizationalUnit) == 1 {
+		id.Role = Role(c.Subject.OrganizationalUnit[0])
+	}
+	if len(c.Subject.Locality) == 1 {
+		id.Zone = c.Subject.Locality[0]
+	}
+	if !slices.Contains(roles, id.Role) || id.Name == "" || len(id.Name) > maxName {
+		return Identity{}, errkind.New(errkind.Unauthenticated, "the certificate's subject holds no known role and name")
+	}
+	return id, nil
+}
+
+// OfState returns the identity of the other end of a TLS connection.
+func OfState(s *tls.ConnectionState) (Identity, bool) {
+	if s == nil || len(s.PeerCertificates) == 0 {
+		return Identity{}, false
+	}
+	id, err := FromCertificate(s.PeerCertificates[0])
+	return id, err == nil
+}
+
+// OfConn returns the identity of the other end of a connection, and false for a
+// connection without TLS.
+func OfConn(c net.Conn) (Identity, bool) {
+	t, ok := c.(*tls.Conn)
+	if !ok {
+		return Identity{}, false
+	}
+	s := t.ConnectionState()
+	return OfState(&s)
+}
+
+// Files names the PEM files of a process.
+type Files struct{ Cert, Key, CA string }
+
+// Source holds a certificate and the accepted authority, and reads them again on
+// request. It is safe for concurrent use.
+type Source struct {
+	files Files
+
+	mu   sync.RWMutex
+	cert tls.Certificate
+	pool *x509.CertPool
+}
+
+// Load reads the files.
+func Load(files Files) (*Source, error) {
+	s := &Source{files: files}
+	return s, s.Reload()
+}
+
+// Reload reads the files again. On an error the previous certificates stay in use.
+func (s *Source) Reload() error {
+	cert, err := tls.LoadX509KeyPair(s.files.Cert, s.files.Key)
+	if err != nil {
+		return errkind.Wrap(errkind.InvalidArgument, err, "certificate %s", s.files.Cert)
+	}
+	ca, err := os.ReadFile(s.files.CA)
+	if err != nil {
+		return errkind.Wrap(errkind.InvalidArgument, err, "authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(ca) {
+		return errkind.New(errkind.InvalidArgument, "authority %s holds no certificate", s.files.CA)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cert, s.pool = cert, pool
+	return nil
+}
+
+func (s *Source) current() (tls.Certificate, *x509.CertPool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.cert, s.pool
+}
+
+// ServerConfig accepts clients whose certificate has one of the roles.
+func (s *Source) ServerConfig(allowed ...Role) *tls.Config {
+	return &tls.Config{MinVersion: tls.VersionTLS13, GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+		cert, pool := s.current()
+		return &tls.Config{
+			MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{cert}, ClientCAs: pool,
+			ClientAuth: tls.RequireAndVerifyClientCert, SessionTicketsDisabled: true,
+			VerifyConnection: func(cs tls.ConnectionState) error { return checkRole(cs, allowed) },
+		}, nil
+	}}
+}
+
+// ClientConfig accepts servers whose certificate has one of the roles. Addresses
+// are dynamic, so the role is verified in place of the host name.
+func (s *Source) ClientConfig(allowed ...Role) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			cert, _ := s.current()
+			return &cert, nil
+		},
+		// VerifyConnection replaces the standard verification, which requires a host name.
+		InsecureSkipVerify: true,
+		VerifyConnection: func(cs tls.ConnectionState) error {
+			_, pool := s.current()
+			opts := x509.VerifyOptions{Roots: pool, Intermediates: x509.NewCertPool(), KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}}
+			for _, c := range cs.PeerCertificates[1:] {
+				opts.Intermediates.AddCert(c)
+			}
+			if _, err := cs.PeerCertificates[0].Verify(opts); err != nil {
+				return errkind.Wrap(errkind.Unauthenticated, err, "server certificate")
+			}
+			return checkRole(cs, allowed)
+		},
+	}
+}
+
+func checkRole(cs tls.ConnectionState, allowed []Role) error {
+	id, err := FromCertificate(cs.PeerCertificates[0])
+	if err != nil {
+		return err
+	}
+	if !slices.Contains(allowed, id.Role) {
+		return errkind.New(errkind.PermissionDenied, "role %q is not accepted here", id.Role)
+	}
+	return nil
+}
--- a/scheduler/tables/tables.go
+++ b/scheduler/tables/tables.go
@@ -29,6 +29,8 @@
 	// Load is the used share of the upstream's slots, 0 to 1.
 	Load     float64
 	Draining bool
+	// ConfigGen is the configuration generation that the agent reported.
+	ConfigGen uint64
 	// Connected is false from the loss of the control connection until the agent announces itself again.
 	Connected bool
 	// GrantedUntil is the end of the last grant on the owner's clock, including drift and margin.
--- a/shard/agents.go
+++ b/shard/agents.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/history"
 	"github.com/chicorystand/chicorystand/lease"
 	"github.com/chicorystand/chicorystand/plan"
@@ -80,6 +81,7 @@
 	}
 	v.Load = float64(m.LoadPermille) / 1000
 	v.Tail = float64(m.TailPermille) / 1000
+	v.ConfigGen = m.ConfigGen
 	v.GrantedUntil = o.cfg.Clock.Now() + lease.ObserverWait(lease.GrantTTL)
 	return &wire.Grant{Seq: m.Seq, Epoch: o.cfg.Epoch, TTLMS: uint32(lease.GrantTTL.Milliseconds()), ConfigGen: o.doc.Generation}, nil
 }
@@ -222,6 +224,7 @@
 		if tk.Record.Attempt != attempt || !tables.Holds(tk.Record.State) {
 			return
 		}
+		events.TaskEvicted.Log(o.cfg.Log).Str("task", tk.Record.Spec.ID).Str("kind", cause.String()).Send()
 		if o.cfg.OnEvict != nil {
 			o.cfg.OnEvict(cause)
 		}
--- /dev/null
+++ b/shard/status.go
@@ -0,0 +1,116 @@
+package shard
+
+import (
+	"sort"
+
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/scheduler/feasibility"
+	"github.com/chicorystand/chicorystand/scheduler/tables"
+	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+// Select returns the records that match the query, in id order, and why pending ones wait.
+func (o *Owner) Select(q *wire.Lookup) *wire.LookupReply {
+	reply := &wire.LookupReply{}
+	for _, id := range o.selectedIDs(q) {
+		tk := o.tables.Tasks[id]
+		if len(reply.Records) >= int(q.Limit) && len(q.IDs) == 0 {
+			break
+		}
+		reply.Records = append(reply.Records, tk.Record)
+		if tk.Record.State == task.Pending {
+			reply.Waiting = append(reply.Waiting, wire.TaskResult{ID: id, Kind: tk.Waiting})
+		}
+	}
+	return reply
+}
+
+func (o *Owner) selectedIDs(q *wire.Lookup) []string {
+	matches := func(id string) bool {
+		tk, ok := o.tables.Tasks[id]
+		if !ok || id <= q.After {
+			return false
+		}
+		rec := &tk.Record
+		return (q.Customer == "" || rec.Spec.Customer == q.Customer) && (q.JobClass == "" || rec.Spec.JobClass == q.JobClass) &&
+			(q.State == "" || rec.State == q.State)
+	}
+	var ids []string
+	for _, id := range q.IDs {
+		if matches(id) {
+			ids = append(ids, id)
+		}
+	}
+	if len(q.IDs) == 0 {
+		for id := range o.tables.Tasks {
+			if matches(id) {
+				ids = append(ids, id)
+			}
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// Explain returns the record of a task and, when it waits, the number of VMs that
+// refuse it now for each reason. It returns errkind.NotFound for a task of another customer.
+func (o *Owner) Explain(customer, id string) (*wire.ExplainReply, error) {
+	tk, ok := o.tables.Tasks[id]
+	if !ok || (customer != "" && tk.Record.Spec.Customer != customer) {
+		return nil, errkind.New(errkind.NotFound, "task %s", id)
+	}
+	r := &wire.ExplainReply{Record: tk.Record, VMs: len(o.tables.VMs)}
+	if tk.Record.State != task.Pending {
+		return r, nil
+	}
+	r.Waiting = tk.Waiting
+	counts := make(map[errkind.Kind]int)
+	for _, v := range o.tables.VMs {
+		if k := feasibility.Filter(tk, tk.Record.Spec.Declared, v); k != errkind.None {
+			counts[k]++
+		}
+	}
+	for _, k := range errkind.All() {
+		if counts[k] > 0 {
+			r.Reasons = append(r.Reasons, wire.ReasonCount{Kind: k, Count: counts[k]})
+		}
+	}
+	for other := range o.tables.Pending {
+		if o.tables.Tasks[other].Submitted < tk.Submitted {
+			r.Ahead++
+		}
+	}
+	return r, nil
+}
+
+// Status returns the VMs and queues of the shard.
+func (o *Owner) Status() *wire.ShardStatusReply {
+	r := &wire.ShardStatusReply{Shard: o.cfg.Shard, Epoch: o.cfg.Epoch}
+	for _, v := range o.tables.SortedVMs() {
+		r.VMs = append(r.VMs, vmStatus(v))
+	}
+	byCustomer := make(map[string]*wire.QueueStatus)
+	for _, tk := range o.tables.Tasks {
+		name := tk.Record.Spec.Customer
+		q, ok := byCustomer[name]
+		if !ok {
+			q = &wire.QueueStatus{Customer: name, States: make(map[string]int)}
+			byCustomer[name] = q
+		}
+		q.States[tk.Record.State]++
+		if tables.Holds(tk.Record.State) {
+			q.Used = q.Used.Add(tk.Reserved)
+		}
+	}
+	for _, q := range byCustomer {
+		r.Queues = append(r.Queues, *q)
+	}
+	sort.Slice(r.Queues, func(i, j int) bool { return r.Queues[i].Customer < r.Queues[j].Customer })
+	return r
+}
+
+func vmStatus(v *tables.VM) wire.VMStatus {
+	return wire.VMStatus{VM: v.ID, Zone: v.Zone, Rack: v.Rack, Service: v.Service, Capacity: v.Capacity, Reserved: v.Reserved,
+		Load: v.Load, Tail: v.Tail, Tasks: len(v.Tasks), Connected: v.Connected, Draining: v.Draining, ConfigGen: v.ConfigGen}
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -97,7 +97,7 @@
 	case TypeDrain:
 		return new(Drain)
 	}
-	return nil
+	return newOperatorMessage(t)
 }
 
 // Error is an error reply.
@@ -299,14 +299,14 @@
 
 // Upstream is one member of the routing table.
 type Upstream struct {
-	VM          string
-	Incarnation uint64
-	Zone        string
-	Service     string
-	Slots       uint16
-	Conns       uint16
-	DataAddr    string
-	Draining    bool
+	VM          string `json:"vm"`
+	Incarnation uint64 `json:"incarnation"`
+	Zone        string `json:"zone"`
+	Service     string `json:"service"`
+	Slots       uint16 `json:"slots"`
+	Conns       uint16 `json:"connections"`
+	DataAddr    string `json:"data_address"`
+	Draining    bool   `json:"draining"`
 }
 
 // ShardDigest summarises the membership list of a shard.
@@ -361,9 +361,9 @@
 
 // TaskResult is the result for one task of a batch operation.
 type TaskResult struct {
-	ID     string
-	Kind   errkind.Kind
-	Detail string
+	ID     string       `json:"id"`
+	Kind   errkind.Kind `json:"kind"`
+	Detail string       `json:"detail,omitempty"`
 }
 
 // SubmitReply answers Submit and Cancel in the order of the request.
@@ -384,6 +384,11 @@
 	Customer string
 	IDs      []string
 	Limit    uint16
+	// JobClass and State select tasks when they are not empty.
+	JobClass string
+	State    string
+	// After continues a listing: only ids above it are returned, in order.
+	After string
 }
 
 // LookupReply carries task records and the reasons why pending ones wait.
--- /dev/null
+++ b/wire/operator.go
@@ -0,0 +1,175 @@
+package wire
+
+import (
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/task"
+)
+
+// Types of the messages behind the operators' API. They have a range of their own.
+const (
+	TypeExplain Type = 200 + iota
+	TypeExplainReply
+	TypeShardStatus
+	TypeShardStatusReply
+	TypeEntryStatus
+	TypeEntryStatusReply
+	TypeExplainRequest
+	TypeExplainRequestReply
+)
+
+func newOperatorMessage(t Type) Message {
+	switch t {
+	case TypeExplain:
+		return new(Explain)
+	case TypeExplainReply:
+		return new(ExplainReply)
+	case TypeShardStatus:
+		return new(ShardStatus)
+	case TypeShardStatusReply:
+		return new(ShardStatusReply)
+	case TypeEntryStatus:
+		return new(EntryStatus)
+	case TypeEntryStatusReply:
+		return new(EntryStatusReply)
+	case TypeExplainRequest:
+		return new(ExplainRequest)
+	case TypeExplainRequestReply:
+		return new(ExplainRequestReply)
+	}
+	return nil
+}
+
+// ReasonCount is the number of VMs or attempts with one reason.
+type ReasonCount struct {
+	Kind  errkind.Kind `json:"kind"`
+	Count int          `json:"count"`
+}
+
+// Explain asks the owner why a task is in its state.
+type Explain struct {
+	Shard    string
+	Customer string
+	ID       string
+}
+
+// ExplainReply carries the record and, for a pending task, the number of VMs
+// that refuse it now for each reason.
+type ExplainReply struct {
+	Record  task.Record
+	Waiting errkind.Kind
+	VMs     int
+	Reasons []ReasonCount
+	// Ahead is the number of pending tasks of the shard that were accepted earlier.
+	Ahead int
+}
+
+// ShardStatus asks the owner for the VMs and queues of a shard.
+type ShardStatus struct {
+	Shard string
+}
+
+// VMStatus is the state of a VM at its owner.
+type VMStatus struct {
+	VM          string         `json:"vm"`
+	Zone        string         `json:"zone"`
+	Rack        string         `json:"rack"`
+	Service     string         `json:"service"`
+	Capacity    task.Resources `json:"capacity"`
+	Reserved    task.Resources `json:"reserved"`
+	Used        task.Resources `json:"used"`
+	Load        float64        `json:"load"`
+	Tail        float64        `json:"tail"`
+	Tasks       int            `json:"tasks"`
+	Connected   bool           `json:"connected"`
+	Draining    bool           `json:"draining"`
+	Quarantined bool           `json:"quarantined"`
+	ConfigGen   uint64         `json:"config_generation"`
+}
+
+// QueueStatus counts the tasks of a customer by state.
+type QueueStatus struct {
+	Customer string         `json:"customer"`
+	States   map[string]int `json:"states"`
+	Used     task.Resources `json:"used"`
+}
+
+// ShardStatusReply answers ShardStatus.
+type ShardStatusReply struct {
+	Shard  string        `json:"shard"`
+	Owner  string        `json:"owner"`
+	Epoch  uint64        `json:"epoch"`
+	VMs    []VMStatus    `json:"vms"`
+	Queues []QueueStatus `json:"queues"`
+}
+
+// EntryStatus asks an entry for its own state.
+type EntryStatus struct{}
+
+// ServiceTail is the latency of a service at one entry over the last minute.
+type ServiceTail struct {
+	Service  string  `json:"service"`
+	Requests int64   `json:"requests"`
+	P50MS    float64 `json:"p50_ms"`
+	P99MS    float64 `json:"p99_ms"`
+	P999MS   float64 `json:"p99_9_ms"`
+}
+
+// EntryStatusReply is the state of an entry.
+type EntryStatusReply struct {
+	Entry          string `json:"entry"`
+	Zone           string `json:"zone"`
+	Ready          bool   `json:"ready"`
+	ConfigGen      uint64 `json:"config_generation"`
+	ConfigAgeMS    int64  `json:"config_age_ms"`
+	StoreReachable bool   `json:"store_reachable"`
+	// StoreAnsweredMS is the time since the store last answered, negative when it never did.
+	StoreAnsweredMS int64         `json:"store_answered_ms"`
+	Services        []ServiceTail `json:"services"`
+}
+
+// ExplainRequest asks an entry for the recent outcomes of a request by its name.
+type ExplainRequest struct {
+	Customer string
+	Name     string
+}
+
+// RequestOutcome is the final outcome of a request.
+type RequestOutcome struct {
+	Name       string       `json:"name"`
+	Entry      string       `json:"entry"`
+	Service    string       `json:"service"`
+	Customer   string       `json:"customer"`
+	Kind       errkind.Kind `json:"kind"`
+	Status     int          `json:"status"`
+	DurationMS int64        `json:"duration_ms"`
+	AgeMS      int64        `json:"age_ms"`
+}
+
+// ExplainRequestReply answers ExplainRequest.
+type ExplainRequestReply struct {
+	Outcomes []RequestOutcome
+}
+
+// Type implements Message.
+func (*Explain) Type() Type { return TypeExplain }
+
+// Type implements Message.
+func (*ExplainReply) Type() Type { return TypeExplainReply }
+
+// Type implements Message.
+func (*ShardStatus) Type() Type { return TypeShardStatus }
+
+// Type implements Message.
+func (*ShardStatusReply) Type() Type { return TypeShardStatusReply }
+
+// Type implements Message.
+func (*EntryStatus) Type() Type { return TypeEntryStatus }
+
+// Type implements Message.
+func (*EntryStatusReply) Type() Type { return TypeEntryStatusReply }
+
+// Type implements Message.
+func (*ExplainRequest) Type() Type { return TypeExplainRequest }
+
+// Type implements Message.
+func (*ExplainRequestReply) Type() Type { return TypeExplainRequestReply }
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -55,6 +55,9 @@
 // Done is closed when the connection has ended.
 func (p *Peer) Done() <-chan struct{} { return p.done }
 
+// Conn returns the connection, for its authenticated identity.
+func (p *Peer) Conn() net.Conn { return p.conn }
+
 // RemoteAddr returns the address of the other end.
 func (p *Peer) RemoteAddr() string { return p.conn.RemoteAddr().String() }
 
