Add chicoryctl and a serve verb that prints addresses and drains

Cause: operators had only the raw HTTP API.

Change: command chicoryctl with plan, limit, upstream, task, explain, status and events, one file for each verb; chicory-dev serve with a fixed API address, a status page for each entry and a graceful stop; GET /v1/upstreams/{vm} asks the upstream's agent, so that a drain waits for requests that are in progress.

--- a/agent/control.go
+++ b/agent/control.go
@@ -21,7 +21,7 @@
 func (a *Agent) controlLoop(ctx context.Context) {
 	for i := 0; ctx.Err() == nil; i++ {
 		entry := a.cfg.Entries[i%len(a.cfg.Entries)]
-		if err := a.session(ctx, entry); err != nil {
+		if err := a.session(ctx, entry); err != nil && ctx.Err() == nil {
 			events.ControlLost.Log(a.cfg.Log).Err(err).Send()
 		}
 		select {
--- a/agent/data.go
+++ b/agent/data.go
@@ -37,6 +37,8 @@
 			go a.Drain(ctx)
 		}
 		reply(&wire.Ack{})
+	case *wire.AgentStatus:
+		reply(a.status())
 	default:
 		reply(wire.ErrorReply(errkind.New(errkind.InvalidArgument, "message type %d is not served here", m.Type())))
 	}
--- /dev/null
+++ b/command/chicoryctl/root.go
@@ -0,0 +1,24 @@
+// Package chicoryctl implements the operators' command line. Every mutating verb
+// may be repeated after a lost answer without doubling its effect.
+package chicoryctl
+
+import (
+	"github.com/spf13/cobra"
+)
+
+// New returns the root command.
+func New() *cobra.Command {
+	o := &options{}
+	root := &cobra.Command{
+		Use:   "chicoryctl",
+		Short: "Operate chicorystand: plans, limits, upstreams and tasks",
+		Long: "Operate chicorystand: plans, limits, upstreams and tasks.\n\nThe server's address comes from --server, the environment variable " +
+			envPrefix + "SERVER, or the file of --config (default $XDG_CONFIG_HOME/chicoryctl.yaml), in this order.\n" +
+			"Exit codes belong to error kinds and are listed in docs/errors.md.",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	o.addFlags(root)
+	root.AddCommand(newList(o, planList), newList(o, limitList), newUpstream(o), newTask(o), newExplain(o), newStatus(o), newEvents(o))
+	return root
+}
--- /dev/null
+++ b/command/chicoryctl/task_submit.go
@@ -0,0 +1,67 @@
+package chicoryctl
+
+import (
+	"net/http"
+
+	"github.com/goccy/go-yaml"
+	"github.com/spf13/cobra"
+
+	"github.com/chicorystand/chicorystand/entry"
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+func newTaskSubmit(o *options) *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:   "submit -f FILE",
+		Short: "Submit tasks; a repeated submission with the same ids changes nothing",
+		Long: "Submit the tasks of a YAML list with the fields id, customer, job_class, class (batch or latency_critical),\n" +
+			"resources (cpu_milli, memory_mib, accelerators), zone, duration, deadline and urgent.",
+		Example: "  chicoryctl task submit -f tasks.yaml\n" +
+			"  echo '[{id: t1, customer: belfry-kiosk, job_class: route-plan, duration: 5s, resources: {cpu_milli: 1000, memory_mib: 512}}]' | chicoryctl task submit -f -",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			specs, err := readSpecs(cmd, file)
+			if err != nil {
+				return err
+			}
+			c, err := o.client()
+			if err != nil {
+				return err
+			}
+			results := []wire.TaskResult{}
+			for from := 0; from < len(specs); from += entry.MaxSubmit {
+				var page []wire.TaskResult
+				part := specs[from:min(from+entry.MaxSubmit, len(specs))]
+				if err := c.call(cmd.Context(), http.MethodPost, "/v1/tasks", part, &page); err != nil {
+					return errkind.Wrap(errkind.Of(err), err, "%d of %d tasks were answered", len(results), len(specs))
+				}
+				results = append(results, page...)
+				progress(cmd, "%d of %d tasks are answered", len(results), len(specs))
+			}
+			if err := o.print(cmd, results, resultRows(results, "accepted")); err != nil {
+				return err
+			}
+			return resultError(results, "accepted")
+		},
+	}
+	cmd.Flags().StringVarP(&file, "file", "f", "", "YAML or JSON file, - for standard input")
+	return cmd
+}
+
+func readSpecs(cmd *cobra.Command, file string) ([]task.Spec, error) {
+	data, err := readInput(cmd, file)
+	if err != nil {
+		return nil, err
+	}
+	var specs []task.Spec
+	if err := yaml.UnmarshalWithOptions(data, &specs, yaml.Strict()); err != nil {
+		return nil, errkind.New(errkind.InvalidArgument, "%s:%s", file, yaml.FormatError(err, false, false))
+	}
+	if len(specs) == 0 {
+		return nil, errkind.New(errkind.InvalidArgument, "%s holds no task; nothing was submitted", file)
+	}
+	return specs, nil
+}
--- a/devenv/env.go
+++ b/devenv/env.go
@@ -14,6 +14,7 @@
 	"github.com/chicorystand/chicorystand/clock"
 	"github.com/chicorystand/chicorystand/entry"
 	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/history"
 	"github.com/chicorystand/chicorystand/platform/standin"
 	"github.com/chicorystand/chicorystand/store/httpstore"
@@ -28,6 +29,10 @@
 	// CheckpointInterval is the time between periodic checkpoints of batch tasks.
 	CheckpointInterval time.Duration
 	Behaviors          map[string]standin.Behavior
+	// API is the address of the first entry's API; empty chooses a free port.
+	API string
+	// Events keeps the log lines that operators can follow; nil keeps none.
+	Events *events.Ring
 }
 
 // Env is a running environment.
@@ -54,9 +59,11 @@
 	Zone    string
 	Control string
 	URL     string
-	Process *entry.Entry
-	cancel  context.CancelFunc
-	done    chan struct{}
+	// Operators is the URL of the operators' address.
+	Operators string
+	Process   *entry.Entry
+	cancel    context.CancelFunc
+	done      chan struct{}
 }
 
 // Agent is an agent process with its VM.
@@ -103,9 +110,28 @@
 	e.wg.Wait()
 }
 
-func listen() (net.Listener, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	return l, errkind.Wrap(errkind.Internal, err, "listen on loopback")
+// Drain stops every agent and then every entry gracefully, until ctx ends, and
+// then ends what is left.
+func (e *Env) Drain(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, a := range e.Agents {
+		wg.Add(1)
+		go func() { defer wg.Done(); a.Stop(ctx) }()
+	}
+	wg.Wait()
+	for _, en := range e.Entries {
+		wg.Add(1)
+		go func() { defer wg.Done(); en.Stop(ctx) }()
+	}
+	wg.Wait()
+	e.Stop()
+}
+
+func listen() (net.Listener, error) { return listenAt("127.0.0.1:0") }
+
+func listenAt(addr string) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	return l, errkind.Wrap(errkind.Conflict, err, "listen on %s", addr)
 }
 
 func (e *Env) serve(h http.Handler) (string, error) {
@@ -145,17 +171,26 @@
 	if err != nil {
 		return err
 	}
-	web, err := listen()
+	api := "127.0.0.1:0"
+	if i == 0 && e.cfg.API != "" {
+		api = e.cfg.API
+	}
+	web, err := listenAt(api)
 	if err != nil {
+		_ = control.Close()
 		return err
 	}
 	id, zone := fmt.Sprintf("entry-%d", i), e.zone(i)
 	e.setZone(control.Addr().String(), zone)
 	p := entry.New(entry.Config{ID: id, Zone: zone, Incarnation: uint64(time.Now().UnixNano()), ShardsPerZone: 1,
 		Table: httpstore.New(e.Store, nil), Clock: e.Clock, Recorder: e.Recorder,
-		Log: e.cfg.Log.With().Str("entry", id).Logger(), Dial: e.delayDialer(zone)})
+		Log: e.cfg.Log.With().Str("entry", id).Logger(), Dial: e.delayDialer(zone), Events: e.cfg.Events})
+	admin, err := e.serve(p.OperatorsHandler())
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancel(e.ctx)
-	en := &Entry{ID: id, Zone: zone, Control: control.Addr().String(), URL: "http://" + web.Addr().String(),
+	en := &Entry{ID: id, Zone: zone, Control: control.Addr().String(), URL: "http://" + web.Addr().String(), Operators: admin,
 		Process: p, cancel: cancel, done: make(chan struct{})}
 	e.Entries = append(e.Entries, en)
 	e.wg.Add(1)
--- a/entry/api_upstreams.go
+++ b/entry/api_upstreams.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"sort"
 
@@ -18,29 +19,50 @@
 	writeJSON(w, http.StatusOK, e.upstreams())
 }
 
+// upstreamAgent returns the upstream of a VM and a connection to its agent.
+func (e *Entry) upstreamAgent(r *http.Request) (wire.Upstream, *dataConn, error) {
+	vm := r.PathValue("vm")
+	for _, u := range e.upstreams() {
+		if u.VM == vm {
+			conn, err := e.pool.get(r.Context(), u.DataAddr)
+			return u, conn, err
+		}
+	}
+	return wire.Upstream{}, nil, errkind.New(errkind.NotFound, "upstream %s; nothing was done", vm)
+}
+
+// getUpstream returns the state that the upstream's agent reports now.
+func (e *Entry) getUpstream(w http.ResponseWriter, r *http.Request) {
+	_, conn, err := e.upstreamAgent(r)
+	if err == nil {
+		ctx, cancel := context.WithTimeout(r.Context(), peerStatusTimeout)
+		defer cancel()
+		var m wire.Message
+		if m, err = conn.peer.Call(ctx, &wire.AgentStatus{}); err == nil {
+			writeJSON(w, http.StatusOK, m)
+			return
+		}
+	}
+	writeError(w, err)
+}
+
 // drainUpstream begins or, with undo=true, ends a drain. Repeating it has no further effect.
 func (e *Entry) drainUpstream(w http.ResponseWriter, r *http.Request) {
-	vm := r.PathValue("vm")
 	undo := r.URL.Query().Get("undo")
 	if undo != "" && undo != "true" && undo != "false" {
 		writeError(w, errkind.New(errkind.InvalidArgument, "undo is true or false; nothing was done"))
 		return
 	}
-	for _, u := range e.upstreams() {
-		if u.VM != vm {
-			continue
-		}
-		conn, err := e.pool.get(r.Context(), u.DataAddr)
-		if err == nil {
-			_, err = conn.peer.Call(r.Context(), &wire.Drain{VM: vm, Undo: undo == "true"})
-		}
-		if err != nil {
-			writeError(w, err)
-			return
-		}
-		u.Draining = undo != "true"
-		writeJSON(w, http.StatusOK, u)
+	u, conn, err := e.upstreamAgent(r)
+	if err == nil {
+		ctx, cancel := context.WithTimeout(r.Context(), peerTimeout)
+		defer cancel()
+		_, err = conn.peer.Call(ctx, &wire.Drain{VM: u.VM, Undo: undo == "true"})
+	}
+	if err != nil {
+		writeError(w, err)
 		return
 	}
-	writeError(w, errkind.New(errkind.NotFound, "upstream %s; nothing was done", vm))
+	u.Draining = undo != "true"
+	writeJSON(w, http.StatusOK, u)
 }
--- a/entry/http.go
+++ b/entry/http.go
@@ -46,6 +46,7 @@
 	mux.HandleFunc("PUT /v1/config", e.allow(rightAdminister, e.putConfig))
 	mux.HandleFunc("GET /v1/config/history", e.allow(rightRead, e.getConfigHistory))
 	mux.HandleFunc("GET /v1/upstreams", e.allow(rightRead, e.listUpstreams))
+	mux.HandleFunc("GET /v1/upstreams/{vm}", e.allow(rightRead, e.getUpstream))
 	mux.HandleFunc("POST /v1/upstreams/{vm}/drain", e.allow(rightOperate, e.drainUpstream))
 	mux.HandleFunc("GET /v1/status", e.allow(rightRead, e.getStatus))
 	mux.HandleFunc("GET /v1/events", e.allow(rightRead, e.getEvents))
--- a/events/ring.go
+++ b/events/ring.go
@@ -52,7 +52,11 @@
 	return r.after(seq)
 }
 
+// after treats a number above the latest one as 0: the reader followed an earlier process.
 func (r *Ring) after(seq uint64) []Line {
+	if seq > r.next {
+		seq = 0
+	}
 	for i, l := range r.lines {
 		if l.Seq > seq {
 			return append([]Line{}, r.lines[i:]...)
--- a/shard/agents.go
+++ b/shard/agents.go
@@ -155,7 +155,9 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		_, _ = l.caller.Call(ctx, msg)
+		if _, err := l.caller.Call(ctx, msg); err == nil {
+			o.post(ctx, func() { o.configConfirmed(vm, msg.Generation) })
+		}
 	}()
 }
 
--- a/shard/status.go
+++ b/shard/status.go
@@ -114,3 +114,10 @@
 	return wire.VMStatus{VM: v.ID, Zone: v.Zone, Rack: v.Rack, Service: v.Service, Capacity: v.Capacity, Reserved: v.Reserved,
 		Load: v.Load, Tail: v.Tail, Tasks: len(v.Tasks), Connected: v.Connected, Draining: v.Draining, ConfigGen: v.ConfigGen}
 }
+
+// configConfirmed records that the agent of a VM has the configuration.
+func (o *Owner) configConfirmed(vm string, generation uint64) {
+	if v, ok := o.tables.VMs[vm]; ok {
+		v.ConfigGen = max(v.ConfigGen, generation)
+	}
+}
--- a/wire/operator.go
+++ b/wire/operator.go
@@ -15,6 +15,8 @@
 	TypeEntryStatusReply
 	TypeExplainRequest
 	TypeExplainRequestReply
+	TypeAgentStatus
+	TypeAgentStatusReply
 )
 
 func newOperatorMessage(t Type) Message {
@@ -35,6 +37,10 @@
 		return new(ExplainRequest)
 	case TypeExplainRequestReply:
 		return new(ExplainRequestReply)
+	case TypeAgentStatus:
+		return new(AgentStatus)
+	case TypeAgentStatusReply:
+		return new(AgentStatusReply)
 	}
 	return nil
 }
@@ -150,6 +156,25 @@
 	Outcomes []RequestOutcome
 }
 
+// AgentStatus asks an agent for its own state.
+type AgentStatus struct{}
+
+// AgentStatusReply is the state of an agent at the time of the reply.
+type AgentStatusReply struct {
+	VM        string `json:"vm"`
+	Draining  bool   `json:"draining"`
+	Slots     int    `json:"slots"`
+	InUse     int    `json:"slots_in_use"`
+	Tasks     int    `json:"tasks"`
+	ConfigGen uint64 `json:"config_generation"`
+}
+
+// Type implements Message.
+func (*AgentStatus) Type() Type { return TypeAgentStatus }
+
+// Type implements Message.
+func (*AgentStatusReply) Type() Type { return TypeAgentStatusReply }
+
 // Type implements Message.
 func (*Explain) Type() Type { return TypeExplain }
 
