--- a/agent/data.go
+++ b/agent/data.go
@@ -195,17 +195,19 @@
 
 // handleData serves the messages that need no named connection.
 func (a *Agent) handleData(ctx context.Context, m wire.Message, reply wire.Reply) {
-	drain, ok := m.(*wire.Drain)
-	if !ok {
+	switch msg := m.(type) {
+	case *wire.Drain:
+		if msg.Undo {
+			a.Undrain()
+		} else {
+			go a.Drain(ctx)
+		}
+		reply(&wire.Ack{})
+	case *wire.AgentStatus:
+		reply(a.status())
+	default:
 		reply(wire.ErrorReply(errkind.New(errkind.InvalidArgument, "message type %d is not served here", m.Type())))
-		return
-	}
-	if drain.Undo {
-		a.Undrain()
-	} else {
-		go a.Drain(ctx)
 	}
-	reply(&wire.Ack{})
 }
 
 // resolve answers at once, or waits a bounded time for the end of a running request.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/chicorystand/chicorystand/clock"
 	"github.com/chicorystand/chicorystand/confsync"
 	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/history"
 	"github.com/chicorystand/chicorystand/lease"
 	"github.com/chicorystand/chicorystand/metrics"
@@ -37,6 +37,10 @@
 	Log           zerolog.Logger
 	// Dial opens connections to agents and entries; nil uses TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// RequireIdentity refuses callers of the API without a verified certificate.
+	RequireIdentity bool
+	// Events keeps the log lines that operators can follow; nil keeps none.
+	Events *events.Ring
 }
 
 // Entry is a running entry.
@@ -48,6 +52,8 @@
 	pool     *pool
 	metrics  *metrics.Entry
 	requests *requests
+	// outcomes keeps recent outcomes and latencies for operators.
+	outcomes *outcomes
 	seq      atomic.Uint64
 	ctx      context.Context
 
@@ -76,10 +82,12 @@
 			return d.DialContext(ctx, "tcp", addr)
 		}
 	}
-	e := &Entry{cfg: cfg, table: route.NewTable(cfg.Zone, cfg.Incarnation), metrics: metrics.NewEntry(),
+	m := metrics.NewEntry()
+	cfg.Table = m.Table(cfg.Table)
+	e := &Entry{cfg: cfg, table: route.NewTable(cfg.Zone, cfg.Incarnation), metrics: m, outcomes: newOutcomes(),
 		follower: confsync.NewFollower(cfg.Table, cfg.Clock), pollNow: make(chan struct{}, 1),
 		peers: make(map[string]*wire.Peer), entries: make(map[string]confsync.Registration), conns: make(map[*wire.Peer]struct{})}
-	e.requests = newRequests(e.metrics)
+	e.requests = newRequests(m)
 	e.pool = newPool(cfg.Dial, cfg.Incarnation, e.agentNotice)
 	return e
 }
@@ -98,7 +106,7 @@
 		OnMembers: e.membersChanged,
 		OnEvict:   func(k errkind.Kind) { e.metrics.Evictions.WithLabelValues(k.String()).Inc() },
 	})
-	server := &http.Server{Handler: e.handler(), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 64 << 10}
+	server := e.newServer()
 	var wg sync.WaitGroup
 	for _, loop := range []func(){
 		func() { e.manager.Run(ctx) },
--- a/shard/agents.go
+++ b/shard/agents.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/history"
 	"github.com/chicorystand/chicorystand/lease"
 	"github.com/chicorystand/chicorystand/plan"
@@ -108,6 +109,7 @@
 		return nil, errkind.New(errkind.NotOwner, "shard %s is not held", o.cfg.Shard)
 	}
 	o.tables.Ingest(report(vm, m, o.cfg.Clock.Now()))
+	v.ConfigGen = m.ConfigGen
 	v.GrantedUntil = o.cfg.Clock.Now() + lease.ObserverWait(lease.GrantTTL)
 	return &wire.Grant{Seq: m.Seq, Epoch: o.cfg.Epoch, TTLMS: uint32(lease.GrantTTL.Milliseconds()), ConfigGen: o.doc.Generation}, nil
 }
@@ -209,6 +211,7 @@
 	_ = o.Do(ctx, func() {
 		if err == nil {
 			l.configGen = max(l.configGen, msg.Generation)
+			o.configConfirmed(vm, msg.Generation)
 		}
 		if o.agents[vm] != l || msg.Generation < o.doc.Generation {
 			repeat = false
@@ -292,6 +295,7 @@
 
 // evicted records an eviction with the checkpoint from which the task resumes.
 func (o *Owner) evicted(tk *tables.Task, ev *wire.TaskEvent, cause errkind.Kind, done func(error)) {
+	events.TaskEvicted.Log(o.cfg.Log).Str("task", ev.ID).Str("kind", cause.String()).Send()
 	if o.cfg.OnEvict != nil {
 		o.cfg.OnEvict(cause)
 	}
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -28,6 +28,9 @@
 	TickInterval = 100 * time.Millisecond
 	// commitRetryDelay separates commit attempts while the store is unavailable.
 	commitRetryDelay = 250 * time.Millisecond
+	// announceWait is the time in which every live agent has announced itself to a new
+	// owner: a missed heartbeat is noticed after 4 s, and two attempts to reconnect follow.
+	announceWait = 10 * time.Second
 	// callTimeout bounds a call to an agent.
 	callTimeout = 2 * time.Second
 	// stopTimeout bounds a stop, which includes the write of a checkpoint.
@@ -251,7 +254,7 @@
 	case scheduler.Reject:
 		// Before every VM has had the time to announce itself, a task that fits no
 		// known VM may still fit another one.
-		if o.cfg.Clock.Now() >= o.rebuilt+lease.ObserverWait(lease.GrantTTL) || e.Reason != errkind.Infeasible {
+		if o.cfg.Clock.Now() >= o.rebuilt+announceWait || e.Reason != errkind.Infeasible {
 			o.end(tk, task.EventReject, e.Reason, e.Detail, nil)
 		}
 	case scheduler.Park:
