Measure the cost of decisions and learn sizes as ratios

Cause: failed searches were repeated each tick for every waiting shape, and noise in the tail was learnt as interference. The rest was reserved capacity: one amount for a class whose declared sizes differ by a factor of 4 filled the VMs to 98%.

--- /dev/null
+++ b/command/chicorybench/decide.go
@@ -0,0 +1,11 @@
+package chicorybench
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/chicorystand/chicorystand/bench/decide"
+)
+
+func newDecide() *cobra.Command {
+	return benchCommand("decide", "Measure the cost of scheduling decisions and the start latency of urgent work", decide.Run)
+}
--- a/command/chicorybench/root.go
+++ b/command/chicorybench/root.go
@@ -16,7 +16,9 @@
 type runFunc func(ctx context.Context, seed uint64) (*bench.Result, error)
 
 // subcommands lists the constructors of all benchmark commands.
-var subcommands []func() *cobra.Command
+var subcommands = []func() *cobra.Command{
+	newDecide,
+}
 
 // New returns the root command.
 func New() *cobra.Command {
--- a/scheduler/differential_test.go
+++ b/scheduler/differential_test.go
@@ -9,7 +9,6 @@
 	"pgregory.net/rapid"
 
 	"github.com/chicorystand/chicorystand/scheduler"
-	"github.com/chicorystand/chicorystand/scheduler/feasibility"
 	"github.com/chicorystand/chicorystand/scheduler/naive"
 	"github.com/chicorystand/chicorystand/scheduler/sizing"
 	"github.com/chicorystand/chicorystand/scheduler/tables"
@@ -100,7 +99,7 @@
 }
 
 func compareStart(rt *rapid.T, tb *tables.Tables, s *scheduler.Scheduler, cfg scheduler.Config, tk *tables.Task) {
-	r := feasibility.Request{Task: tk, Need: sizing.Reservation(tb, tk), MaxPressure: cfg.MaxPressure()}
+	r := cfg.Request(tb, tk, sizing.Reservation(tb, tk))
 	score := scheduler.ScoringRequest(r, cfg.TailWeight)
 	want := naive.Best(tb, r, score, 0)
 	wantScore := 0.0
--- a/scheduler/feasibility/feasibility.go
+++ b/scheduler/feasibility/feasibility.go
@@ -16,6 +16,8 @@
 	Need task.Resources
 	// MaxPressure is the pressure on a VM's service above which batch tasks are refused.
 	MaxPressure float64
+	// Harms holds the learnt effects of the job class.
+	Harms *tables.Harms
 	// AnyRack drops the rule that spreads tasks over racks.
 	AnyRack bool
 }
@@ -36,7 +38,7 @@
 		return tables.NoAccelerators
 	case !r.AnyRack && rackFull(t, r.Task.Job(), v):
 		return tables.RackFull
-	case tooHarmful(t, r, v):
+	case tooHarmful(r, v):
 		return tables.TooHarmful
 	}
 	return tables.Placed
@@ -82,11 +84,11 @@
 
 // tooHarmful reports whether a batch task would raise the pressure on the VM's service
 // above the limit. A VM without other pressure takes any task, so that none waits for ever.
-func tooHarmful(t *tables.Tables, r Request, v *tables.VM) bool {
+func tooHarmful(r Request, v *tables.VM) bool {
 	if v.Service == "" || r.Task.Record.Spec.Class != task.Batch || v.Pressure == 0 {
 		return false
 	}
-	harm := t.Harm(v.Service, r.Task.Record.Spec.JobClass, tables.LoadBucket(v.Load))
+	harm := r.Harms.On(v.Service, tables.LoadBucket(v.Load))
 	return v.Pressure+harm*float64(r.Need.CPU)/1000 > r.MaxPressure
 }
 
--- a/scheduler/interference/interference.go
+++ b/scheduler/interference/interference.go
@@ -7,14 +7,18 @@
 
 // Rules of learning.
 const (
-	// rate is the step of the normalised least-mean-squares update.
-	rate = 0.15
-	// baseRate is the weight of a report in the tail without batch tasks.
-	baseRate = 0.05
+	// rate is the step of the normalised least-mean-squares update. It falls with the
+	// evidence, down to minRate, so that noise averages out and drift is still followed.
+	rate     = 0.15
+	minRate  = 0.01
+	halfRate = 500.0
+	// baseScale gives the tail without batch tasks a larger step than a class has: it is
+	// common to all VMs of the service.
+	baseScale = 3.0
+	// directRate is the weight of a report from a VM without batch tasks.
+	directRate = 0.05
 	// maxHarm bounds the effect of one processor.
 	maxHarm = 2.0
-	// minNorm keeps the update small when hardly any batch task was on the VM.
-	minNorm = 1.0
 	// maxError bounds the effect of one report, so that a wave from elsewhere is not
 	// attributed to what happens to run beside the service.
 	maxError = 0.5
@@ -40,7 +44,7 @@
 		cpu float64
 	}
 	var terms []term
-	norm, expected := minNorm, 0.0
+	norm, expected := baseScale*baseScale, 0.0
 	v.MixAt(r.At-r.Lag, func(class string, milli int64) {
 		if milli <= 0 {
 			return
@@ -52,18 +56,20 @@
 		expected += x.s.Harm * x.cpu
 	})
 	if len(terms) == 0 {
-		base.Harm += baseRate * (r.Tail - base.Harm)
-		base.Weight++
+		base.Harm += directRate * (r.Tail - base.Harm)
 		return
 	}
 	err := min(max(r.Tail/base.Harm-1-expected, -maxError), maxError)
-	base.Harm += baseRate * 0.1 * err * base.Harm
+	base.Harm *= 1 + step(base)*err*baseScale*baseScale/norm
+	base.Weight++
 	for _, x := range terms {
-		x.s.Harm = min(max(x.s.Harm+rate*err*x.cpu/norm, 0), maxHarm)
+		x.s.Harm = min(max(x.s.Harm+step(x.s)*err*x.cpu/norm, 0), maxHarm)
 		x.s.Weight += x.cpu
 	}
 }
 
+func step(s *tables.Slowdown) float64 { return max(rate/(1+s.Weight/halfRate), minRate) }
+
 func pair(t *tables.Tables, key tables.Pair, initial float64) *tables.Slowdown {
 	s, ok := t.Pairs[key]
 	if !ok {
--- a/scheduler/naive/naive.go
+++ b/scheduler/naive/naive.go
@@ -26,16 +26,20 @@
 
 // Best returns the feasible VM with the highest score, or nil.
 func Best(t *tables.Tables, r feasibility.Request, s scoring.Request, now time.Duration) *tables.VM {
-	if v := best(t, r, s, now); v != nil || r.AnyRack {
+	return bestOf(t, t.SortedVMs(), r, s, now)
+}
+
+func bestOf(t *tables.Tables, vms []*tables.VM, r feasibility.Request, s scoring.Request, now time.Duration) *tables.VM {
+	if v := best(t, vms, r, s, now); v != nil || r.AnyRack {
 		return v
 	}
 	r.AnyRack = true
-	return best(t, r, s, now)
+	return best(t, vms, r, s, now)
 }
 
-func best(t *tables.Tables, r feasibility.Request, s scoring.Request, now time.Duration) *tables.VM {
+func best(t *tables.Tables, vms []*tables.VM, r feasibility.Request, s scoring.Request, now time.Duration) *tables.VM {
 	var out *tables.VM
-	for _, v := range t.SortedVMs() {
+	for _, v := range vms {
 		if feasibility.Filter(t, r, v, now) != tables.Placed {
 			continue
 		}
@@ -65,6 +69,17 @@
 func (FirstFit) Tick(t *tables.Tables, now time.Duration) []scheduler.Effect {
 	t.TakeReports()
 	vms := t.SortedVMs()
+	planned := make(map[string]task.Resources)
+	var effects []scheduler.Effect
+	for _, tk := range bySubmission(t) {
+		if e, ok := firstFit(t, vms, planned, tk); ok {
+			effects = append(effects, e)
+		}
+	}
+	return effects
+}
+
+func bySubmission(t *tables.Tables) []*tables.Task {
 	var pending []*tables.Task
 	for id := range t.Pending {
 		pending = append(pending, t.Tasks[id])
@@ -76,14 +91,7 @@
 		}
 		return a.Record.Spec.ID < b.Record.Spec.ID
 	})
-	planned := make(map[string]task.Resources)
-	var effects []scheduler.Effect
-	for _, tk := range pending {
-		if e, ok := firstFit(t, vms, planned, tk); ok {
-			effects = append(effects, e)
-		}
-	}
-	return effects
+	return pending
 }
 
 func firstFit(t *tables.Tables, vms []*tables.VM, planned map[string]task.Resources, tk *tables.Task) (scheduler.Effect, bool) {
@@ -101,3 +109,28 @@
 	}
 	return scheduler.Effect{}, false
 }
+
+// Scan places tasks in the order of submission on the VM of the best score, found by
+// plain loops over all VMs. It has the scheduler's choice of VM without its indexes.
+type Scan struct{ Config scheduler.Config }
+
+// Tick returns assignments. Like Scheduler.Tick it leaves the tables unchanged.
+func (n Scan) Tick(t *tables.Tables, now time.Duration) []scheduler.Effect {
+	t.TakeReports()
+	vms := t.SortedVMs()
+	var effects []scheduler.Effect
+	for _, tk := range bySubmission(t) {
+		r := n.Config.Request(t, tk, tk.Record.Spec.Declared)
+		if feasibility.Quota(t.Customer(tk.Record.Spec.Customer), r.Need) != tables.Placed {
+			continue
+		}
+		v := bestOf(t, vms, r, scheduler.ScoringRequest(r, n.Config.TailWeight), now)
+		if v == nil {
+			continue
+		}
+		t.Reserve(v, tk, r.Need)
+		defer t.Unreserve(v, tk, r.Need)
+		effects = append(effects, scheduler.Effect{Kind: scheduler.Assign, Task: tk.Record.Spec.ID, VM: v.ID, Reservation: r.Need})
+	}
+	return effects
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -52,9 +52,13 @@
 
 // Limits of one tick and of holds.
 const (
-	// maxFailedShapes bounds the searches without result in a tick. Tasks of the same
+	// maxFailedSearches bounds the searches without result in a tick. Tasks of the same
 	// customer, job class, size and zone share one search.
-	maxFailedShapes = 64
+	maxFailedSearches = 64
+	// firstRetry and lastRetry bound the wait before a shape without a place is searched
+	// again. Urgent tasks do not wait.
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = 1600 * time.Millisecond
 	// maxEvictionSearches bounds the searches for victims in a tick.
 	maxEvictionSearches = 8
 	// victimVMs is the number of VMs compared in such a search.
@@ -109,6 +113,7 @@
 	holds   map[string]hold
 	probing map[string]struct{}
 	hot     map[string]int
+	failed  map[shape]*failure
 	since   time.Duration
 	started bool
 }
@@ -122,7 +127,7 @@
 // New returns a scheduler.
 func New(cfg Config) *Scheduler {
 	return &Scheduler{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0)), holds: make(map[string]hold),
-		probing: make(map[string]struct{}), hot: make(map[string]int)}
+		probing: make(map[string]struct{}), hot: make(map[string]int), failed: make(map[shape]*failure)}
 }
 
 // tick is the state of one run of the systems.
@@ -132,7 +137,7 @@
 	now      time.Duration
 	effects  []Effect
 	planned  []plan
-	failed   map[shape]tables.Reason
+	failures int
 	searches int
 	evicting map[string]bool
 }
@@ -150,6 +155,17 @@
 	zone string
 }
 
+// failure is the last search for a shape without result.
+type failure struct {
+	reason tables.Reason
+	// at is the time of the search.
+	at time.Duration
+	// until is the time before which the shape is not searched again, tries the number of
+	// failures in a row.
+	until time.Duration
+	tries int
+}
+
 // Tick runs every system once. Reservations of the returned assignments are
 // not yet applied to the tables; the caller applies effects that it commits.
 func (s *Scheduler) Tick(t *tables.Tables, now time.Duration) []Effect {
@@ -157,10 +173,11 @@
 	if !s.started && len(t.VMs) > 0 {
 		s.started, s.since = true, now
 	}
-	k := &tick{Scheduler: s, t: t, now: now, failed: make(map[shape]tables.Reason), evicting: make(map[string]bool)}
+	k := &tick{Scheduler: s, t: t, now: now, evicting: make(map[string]bool)}
 	k.ingest()
 	quarantine.Run(t, s.probing, now)
 	k.expireHolds()
+	k.expireFailures()
 	k.place()
 	for i := len(k.planned) - 1; i >= 0; i-- {
 		p := k.planned[i]
@@ -273,7 +290,7 @@
 	}
 	q := queue.New(k.t, k.now, &k.queue)
 	for tk := q.Pop(k.now); tk != nil; tk = q.Pop(k.now) {
-		if len(k.failed) >= maxFailedShapes {
+		if k.failures >= maxFailedSearches {
 			tk.Refuse(tables.NotTried)
 			return
 		}
@@ -286,8 +303,8 @@
 	need := sizing.Reservation(k.t, tk)
 	sh := shape{tk.Job(), need, spec.Zone}
 	_, held := k.holds[spec.ID]
-	if reason, ok := k.failed[sh]; ok && !held {
-		tk.Refuse(reason)
+	if f, ok := k.failed[sh]; ok && !held && (f.until > k.now && !spec.Urgent || f.at == k.now) {
+		tk.Refuse(f.reason)
 		return
 	}
 	c := k.t.Customer(spec.Customer)
@@ -308,11 +325,30 @@
 	k.assign(tk, v, need)
 }
 
+// refuse records the reason and delays the next search for the shape, so that tasks
+// without a place do not take the searches from those behind them.
 func (k *tick) refuse(tk *tables.Task, sh shape, reason tables.Reason) {
-	k.failed[sh] = reason
+	k.failures++
+	f, ok := k.failed[sh]
+	if !ok {
+		f = &failure{}
+		k.failed[sh] = f
+	}
+	f.reason, f.at = reason, k.now
+	f.until = k.now + min(firstRetry<<min(f.tries, 10), lastRetry)
+	f.tries++
 	tk.Refuse(reason)
 }
 
+// expireFailures forgets shapes that were not searched for a while.
+func (k *tick) expireFailures() {
+	for sh, f := range k.failed {
+		if k.now >= f.until+lastRetry {
+			delete(k.failed, sh)
+		}
+	}
+}
+
 func (k *tick) assign(tk *tables.Task, v *tables.VM, need task.Resources) {
 	id := tk.Record.Spec.ID
 	if h, ok := k.holds[id]; ok {
@@ -322,6 +358,7 @@
 		k.probing[v.ID] = struct{}{}
 	}
 	tk.Refused, tk.Waiting = tables.Placed, errkind.None
+	delete(k.failed, shape{tk.Job(), need, tk.Record.Spec.Zone})
 	k.t.Reserve(v, tk, need)
 	k.planned = append(k.planned, plan{tk, v, need})
 	k.effects = append(k.effects, Effect{Kind: Assign, Task: id, VM: v.ID, Reservation: need})
@@ -329,7 +366,7 @@
 
 // choose returns the best VM. The rule about racks is dropped when it alone is in the way.
 func (k *tick) choose(tk *tables.Task, need task.Resources) (*tables.VM, tables.Reason) {
-	r := feasibility.Request{Task: tk, Need: need, MaxPressure: k.cfg.MaxPressure()}
+	r := k.cfg.Request(k.t, tk, need)
 	v, reason := k.search(r)
 	if v == nil && reason == tables.RackFull {
 		r.AnyRack = true
@@ -352,10 +389,15 @@
 	return nil, f.reason()
 }
 
+// Request returns what feasibility depends on for a task with the reservation.
+func (c Config) Request(t *tables.Tables, tk *tables.Task, need task.Resources) feasibility.Request {
+	return feasibility.Request{Task: tk, Need: need, MaxPressure: c.MaxPressure(), Harms: t.HarmsOf(tk.Record.Spec.JobClass)}
+}
+
 // ScoringRequest returns what the scores of a placement depend on.
 func ScoringRequest(r feasibility.Request, tailWeight float64) scoring.Request {
 	spec := &r.Task.Record.Spec
-	return scoring.Request{Class: spec.Class, JobClass: spec.JobClass, Need: r.Need, TailWeight: tailWeight}
+	return scoring.Request{Class: spec.Class, Need: r.Need, TailWeight: tailWeight, Harms: r.Harms}
 }
 
 // finder is one search.
@@ -379,6 +421,10 @@
 		f.refused[tables.NoAccelerators] += g.Size
 		return
 	}
+	if f.harmful(g) {
+		f.refused[tables.TooHarmful] += g.Size
+		return
+	}
 	rows := g.Rows(f.low)
 	if rows == 0 {
 		f.refused[tables.NoCPU] += g.Size
@@ -396,6 +442,15 @@
 	}
 }
 
+// harmful reports whether every VM of the group is refused for its pressure.
+func (f *finder) harmful(g *tables.Group) bool {
+	edge := tables.PressureEdge(g.Pressure)
+	if g.Service == "" || edge == 0 || f.s.Class != task.Batch {
+		return false
+	}
+	return edge+f.r.Harms.On(g.Service, g.Load)*float64(f.r.Need.CPU)/1000 > f.r.MaxPressure
+}
+
 // row returns a feasible VM of the row. The first VM looked at in each cell is random, so
 // that equal VMs share the work.
 func (f *finder) row(g *tables.Group, row uint8) *tables.VM {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -249,7 +249,7 @@
 		Uses: []tables.Use{{Task: tk.Record.Spec.ID, Use: cores(16)}}})
 	w.tick()
 	assert.Equal(t, w.count(scheduler.Grow), 0)
-	assert.Equal(t, w.tb.Size(tk.Job()).Samples, float32(0))
+	assert.Equal(t, w.tb.Size(tk.Job()).Samples, uint32(0))
 }
 
 // Guards against interference blamed on tasks that came after the measurement.
--- a/scheduler/scoring/scoring.go
+++ b/scheduler/scoring/scoring.go
@@ -30,11 +30,12 @@
 
 // Request is what is placed.
 type Request struct {
-	Class    task.Class
-	JobClass string
-	Need     task.Resources
+	Class task.Class
+	Need  task.Resources
 	// TailWeight weighs tail latency (1) against batch throughput and evictions (0).
 	TailWeight float64
+	// Harms holds the learnt effects of the job class.
+	Harms *tables.Harms
 }
 
 // Group returns the part of the score that all VMs of the group share; higher is better.
@@ -47,7 +48,7 @@
 		return score
 	}
 	w := 0.2 + 0.8*r.TailWeight
-	harm := t.Harm(g.Service, r.JobClass, g.Load) * float64(r.Need.CPU) / 1000
+	harm := r.Harms.On(g.Service, g.Load) * float64(r.Need.CPU) / 1000
 	score -= w * harmWeight * harm * (1 + pressureFactor*tables.PressureEdge(g.Pressure))
 	return score - w*loadWeight*float64(g.Load)/tables.LoadBuckets
 }
--- a/scheduler/sizing/sizing.go
+++ b/scheduler/sizing/sizing.go
@@ -16,8 +16,14 @@
 	cpuQuantile    = 0.95
 	memoryQuantile = 0.99
 	margin         = 1.15
-	// decay is applied to a class's samples with each new one; the effective window is 200 samples.
-	decay = 1 - 1.0/200
+	// growth is the weight of a sample over that of the one before; the effective window is 200 samples.
+	growth = 1 + 1.0/200
+	// maxWeight is where weights are scaled down again.
+	maxWeight = 1e6
+	// relearn is the number of samples after which the quantiles are computed again.
+	relearn = 16
+	// ratioUnit makes ratios from 1/64 to 1024 fall into the classes.
+	ratioUnit = 1024
 	// minSamples and minTasks must be reached before a learnt size replaces the declared one.
 	minSamples = 8
 	minTasks   = 2
@@ -58,7 +64,7 @@
 		}
 		use := unthrottled(u)
 		s := t.Size(tk.Job())
-		observe(s, u.Task, use)
+		observe(s, tk, use)
 		if g, ok := outgrown(tk, use, v); ok {
 			grown = append(grown, g)
 		}
@@ -80,20 +86,34 @@
 	return use
 }
 
-func observe(s *tables.Size, id string, use task.Resources) {
+func observe(s *tables.Size, tk *tables.Task, use task.Resources) {
 	if s.Tasks == nil {
 		s.Tasks = make(map[string]struct{}, minTasks)
+		s.Weight = 1
 	}
 	if len(s.Tasks) < minTasks {
-		s.Tasks[id] = struct{}{}
+		s.Tasks[tk.Record.Spec.ID] = struct{}{}
 	}
-	for i := range s.CPU {
-		s.CPU[i] *= decay
-		s.Memory[i] *= decay
+	if s.Weight > maxWeight {
+		rescale(s)
 	}
-	s.Samples = s.Samples*decay + 1
-	s.CPU[bucket(use.CPU)]++
-	s.Memory[bucket(use.Memory)]++
+	s.Samples++
+	s.CPU[bucket(use.CPU)] += s.Weight
+	s.Memory[bucket(use.Memory)] += s.Weight
+	if d := tk.Record.Spec.Declared; d.CPU > 0 && d.Memory > 0 {
+		s.CPURatio[bucket(use.CPU*ratioUnit/d.CPU)] += s.Weight
+		s.MemoryRatio[bucket(use.Memory*ratioUnit/d.Memory)] += s.Weight
+	}
+	s.Weight *= growth
+}
+
+func rescale(s *tables.Size) {
+	for _, h := range []*tables.Uses{&s.CPU, &s.Memory, &s.CPURatio, &s.MemoryRatio} {
+		for i := range h {
+			h[i] /= s.Weight
+		}
+	}
+	s.Weight = 1
 }
 
 // bucket returns the class of an amount: a quarter octave from 16 upwards.
@@ -107,7 +127,7 @@
 // upper returns the upper bound of a class.
 func upper(b int) int64 { return int64(math.Ceil(16 * math.Exp2(float64(b+1)/4))) }
 
-func quantile(h *[tables.SizeBuckets]float32, q float64) int64 {
+func quantile(h *tables.Uses, q float64) int64 {
 	var total, seen float32
 	for _, n := range h {
 		total += n
@@ -130,15 +150,32 @@
 	if !ok || s.Samples < minSamples || len(s.Tasks) < minTasks {
 		return need
 	}
+	if s.LearntAt == 0 || s.Samples-s.LearntAt >= relearn {
+		s.LearntAt = s.Samples
+		s.Learnt = tables.LearntSize{
+			Amount:      task.Resources{CPU: quantile(&s.CPU, cpuQuantile), Memory: quantile(&s.Memory, memoryQuantile)},
+			CPURatio:    float64(quantile(&s.CPURatio, cpuQuantile)) / ratioUnit,
+			MemoryRatio: float64(quantile(&s.MemoryRatio, memoryQuantile)) / ratioUnit,
+		}
+	}
 	learnt := need
-	learnt.CPU = clamp(need.CPU, quantile(&s.CPU, cpuQuantile))
-	learnt.Memory = clamp(need.Memory, quantile(&s.Memory, memoryQuantile))
+	learnt.CPU = clamp(need.CPU, tighter(s.Learnt.Amount.CPU, s.Learnt.CPURatio, need.CPU))
+	learnt.Memory = clamp(need.Memory, tighter(s.Learnt.Amount.Memory, s.Learnt.MemoryRatio, need.Memory))
 	if fits, known := t.EverFits(tk.Record.Spec.Zone, learnt); known && !fits {
 		return need
 	}
 	return learnt
 }
 
+// tighter returns the smaller of two estimates that both cover the use: declared sizes
+// follow real ones by a constant factor in some job classes and not at all in others.
+func tighter(amount int64, ratio float64, declared int64) int64 {
+	if ratio == 0 {
+		return amount
+	}
+	return min(amount, int64(math.Ceil(ratio*float64(declared))))
+}
+
 func clamp(declared, use int64) int64 {
 	if declared == 0 {
 		return int64(float64(use) * margin)
--- a/scheduler/tables/index.go
+++ b/scheduler/tables/index.go
@@ -191,8 +191,9 @@
 	}
 	t.countSpread(tk, v, sign)
 	if tk.Record.Spec.Class == task.Batch {
-		v.addMix(tk.Record.Spec.JobClass, int64(sign)*r.CPU)
-		t.reprice(v)
+		c := classCPU{tk.Record.Spec.JobClass, int64(sign) * r.CPU}
+		v.addMix(c.class, c.cpu)
+		t.price(v, c)
 	}
 	t.use(v, r, sign)
 	t.place(v)
@@ -354,7 +355,7 @@
 		c := classCPU{tk.Record.Spec.JobClass, int64(sign) * tk.Reserved.CPU}
 		v.addMix(c.class, c.cpu)
 		v.changes = append(v.changes, mixChange{t.Now, c})
-		t.reprice(v)
+		t.price(v, c)
 	}
 	old := 0
 	for old < len(v.changes) && v.changes[old].at < t.Now-mixHistory {
@@ -379,6 +380,18 @@
 	}
 }
 
+// price adds the effect of a change of the mix to the pressure. Rounding errors last until
+// the next report, which recomputes the sum.
+func (t *Tables) price(v *VM, c classCPU) {
+	if v.Service == "" {
+		return
+	}
+	v.Pressure = max(v.Pressure+t.Harm(v.Service, c.class, LoadBucket(v.Load))*float64(c.cpu)/1000, 0)
+	if len(v.mix) == 0 {
+		v.Pressure = 0
+	}
+}
+
 // reprice recomputes the pressure from the learnt interference.
 func (t *Tables) reprice(v *VM) {
 	v.Pressure = 0
--- a/scheduler/tables/learnt.go
+++ b/scheduler/tables/learnt.go
@@ -46,15 +46,49 @@
 	return DefaultHarm
 }
 
+// Harms caches the effects of one job class during one search.
+type Harms struct {
+	t       *Tables
+	class   string
+	service string
+	known   [LoadBuckets]bool
+	harm    [LoadBuckets]float64
+}
+
+// HarmsOf returns an empty cache for the class.
+func (t *Tables) HarmsOf(class string) *Harms { return &Harms{t: t, class: class} }
+
+// On returns the effect on a service under a load.
+func (h *Harms) On(service string, load uint8) float64 {
+	if service == "" {
+		return 0
+	}
+	if service != h.service {
+		h.service, h.known = service, [LoadBuckets]bool{}
+	}
+	if !h.known[load] {
+		h.known[load], h.harm[load] = true, h.t.Harm(service, h.class, load)
+	}
+	return h.harm[load]
+}
+
 // SizeBuckets is the number of classes of a learnt size. Each is 1/4 octave (19%).
 const SizeBuckets = 64
 
+// Uses counts decayed samples by class of use.
+type Uses [SizeBuckets]float32
+
 // Size is what was learnt about a job class of a customer.
 type Size struct {
-	// CPU and Memory count decayed samples by class of use.
-	CPU, Memory [SizeBuckets]float32
-	// Samples is the decayed number of samples.
-	Samples float32
+	// CPU and Memory count amounts; CPURatio and MemoryRatio count real over declared use.
+	CPU, Memory, CPURatio, MemoryRatio Uses
+	// Weight is the weight of the next sample; it grows instead of older samples shrinking.
+	Weight float32
+	// Samples is the number of samples.
+	Samples uint32
+	// Learnt holds the quantiles of the counts as of sample LearntAt.
+	Learnt   LearntSize
+	LearntAt uint32
 	// Tasks counts the tasks that contributed, up to the number that is needed.
 	Tasks map[string]struct{}
 	// RunRatio is the mean of real over declared run time; 0 when unknown.
@@ -65,6 +99,12 @@
 	FailedOn map[string]struct{}
 }
 
+// LearntSize is what a reservation must cover, as an amount and as a multiple of the declared size.
+type LearntSize struct {
+	Amount                task.Resources
+	CPURatio, MemoryRatio float64
+}
+
 // Size returns the entity of the job and adds it when it is new.
 func (t *Tables) Size(job JobKey) *Size {
 	s, ok := t.Sizes[job]
