--- a/command/chicoryctl/explain_request.go
+++ b/command/chicoryctl/explain_request.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -34,7 +35,7 @@
 					t.row(q.Entry, q.Service, q.Customer, outcome(q.Kind), q.Kind.Answer().Execution, q.Status, q.DurationMS, q.AgeMS)
 				}
 				for _, r := range x.Reasons {
-					t.row(fmt.Sprintf("%d times: %s", r.Count, outcome(r.Kind)))
+					t.row(fmt.Sprintf("%d times: %s", r.Count, strings.Replace(r.Reason, errkind.None.String(), "answered", 1)))
 				}
 				for _, m := range x.Missing {
 					t.row("no answer from " + m)
--- a/command/chicoryctl/explain_task.go
+++ b/command/chicoryctl/explain_task.go
@@ -68,7 +68,10 @@
 		lines = append(lines, fmt.Sprintf("The latest placement ended with %s.", x.Task.Waiting))
 	}
 	for _, r := range x.Reasons {
-		lines = append(lines, fmt.Sprintf("%d of %d VMs %s (%s).", r.Count, x.VMs, sentence(r.Kind), r.Kind))
+		lines = append(lines, fmt.Sprintf("%d of %d VMs %s (%s).", r.Count, x.VMs, sentence(r.Reason), r.Reason))
+	}
+	for _, r := range x.Refusals {
+		lines = append(lines, fmt.Sprintf("It was passed over on %d ticks: %s.", r.Count, r.Reason))
 	}
 	return lines
 }
--- a/shard/status.go
+++ b/shard/status.go
@@ -1,10 +1,12 @@
 package shard
 
 import (
+	"math"
 	"sort"
 
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/scheduler/feasibility"
+	"github.com/chicorystand/chicorystand/scheduler/sizing"
 	"github.com/chicorystand/chicorystand/scheduler/tables"
 	"github.com/chicorystand/chicorystand/task"
 	"github.com/chicorystand/chicorystand/wire"
@@ -65,15 +67,18 @@
 		return r, nil
 	}
 	r.Waiting = tk.Waiting
-	counts := make(map[errkind.Kind]int)
+	now := o.cfg.Clock.Now()
+	need := feasibility.Request{Task: tk, Need: sizing.Reservation(o.tables, tk), MaxPressure: math.Inf(1)}
+	var counts [tables.NumReasons]int
 	for _, v := range o.tables.VMs {
-		if k := feasibility.Filter(tk, tk.Record.Spec.Declared, v); k != errkind.None {
-			counts[k]++
-		}
+		counts[feasibility.Filter(o.tables, need, v, now)]++
 	}
-	for _, k := range errkind.All() {
-		if counts[k] > 0 {
-			r.Reasons = append(r.Reasons, wire.ReasonCount{Kind: k, Count: counts[k]})
+	for reason := tables.Placed + 1; reason < tables.NumReasons; reason++ {
+		if n := counts[reason]; n > 0 {
+			r.Reasons = append(r.Reasons, wire.ReasonCount{Reason: reason.String(), Count: n})
+		}
+		if n := tk.Refusals[reason]; n > 0 {
+			r.Refusals = append(r.Refusals, wire.ReasonCount{Reason: reason.String(), Count: int(n)})
 		}
 	}
 	for other := range o.tables.Pending {
@@ -88,7 +93,10 @@
 func (o *Owner) Status() *wire.ShardStatusReply {
 	r := &wire.ShardStatusReply{Shard: o.cfg.Shard, Epoch: o.cfg.Epoch}
 	for _, v := range o.tables.SortedVMs() {
-		r.VMs = append(r.VMs, vmStatus(v))
+		st := vmStatus(v)
+		st.Quarantined = o.cfg.Clock.Now() < v.Health.NotBefore || v.Health.Probe != ""
+		st.Used = o.measuredUse(v)
+		r.VMs = append(r.VMs, st)
 	}
 	byCustomer := make(map[string]*wire.QueueStatus)
 	for _, tk := range o.tables.Tasks {
@@ -121,3 +129,32 @@
 		v.ConfigGen = max(v.ConfigGen, generation)
 	}
 }
+
+// observeUse keeps the latest measured use of each task on a VM. Reports hold changed tasks only.
+func (o *Owner) observeUse(vm string, reported []wire.Usage) {
+	if len(reported) == 0 {
+		return
+	}
+	if o.used == nil {
+		o.used = make(map[string]map[string]task.Resources)
+	}
+	if o.used[vm] == nil {
+		o.used[vm] = make(map[string]task.Resources)
+	}
+	for _, u := range reported {
+		o.used[vm][u.ID] = task.Resources{CPU: int64(u.CPU), Memory: int64(u.MemMiB)}
+	}
+}
+
+// measuredUse returns the sum over the VM's tasks and forgets the others.
+func (o *Owner) measuredUse(v *tables.VM) task.Resources {
+	var sum task.Resources
+	for id, use := range o.used[v.ID] {
+		if _, ok := v.Tasks[id]; !ok {
+			delete(o.used[v.ID], id)
+			continue
+		}
+		sum = sum.Add(use)
+	}
+	return sum
+}
