--- a/command/chicoryctl/explain.go
+++ b/command/chicoryctl/explain.go
@@ -1,10 +1,6 @@
 package chicoryctl
 
-import (
-	"github.com/spf13/cobra"
-
-	"github.com/chicorystand/chicorystand/errkind"
-)
+import "github.com/spf13/cobra"
 
 func newExplain(o *options) *cobra.Command {
 	cmd := &cobra.Command{Use: "explain", Short: "Say why a task or a request waits, was refused, moved or evicted"}
@@ -12,21 +8,24 @@
 	return cmd
 }
 
-// sentences explain kinds as reasons of waiting and refusal.
-var sentences = map[errkind.Kind]string{
-	errkind.NotReady:           "are not connected",
-	errkind.Draining:           "are draining",
-	errkind.Infeasible:         "cannot run it because of its zone or size",
-	errkind.CapacityExceeded:   "have too little free capacity",
-	errkind.QuotaExceeded:      "are closed to it by the customer's quota",
-	errkind.RateLimited:        "were refused by the plan's requests per second",
-	errkind.ConcurrencyLimited: "were refused by the plan's concurrency",
-	errkind.UpstreamFailed:     "failed",
+// sentences explain why a VM does not take a task, by the reasons of scheduler/tables.
+var sentences = map[string]string{
+	"no_vm":        "are not connected",
+	"draining":     "are draining",
+	"zone":         "are in another availability zone",
+	"cpu":          "have too few free processors",
+	"memory":       "have too little free memory",
+	"accelerators": "have too few free accelerators",
+	"rack":         "are in a rack that already holds enough tasks of the job",
+	"quota":        "are closed to it by the customer's quota",
+	"quarantine":   "are quarantined",
+	"held":         "keep their free room for another task",
+	"interference": "would harm their service",
 }
 
-func sentence(k errkind.Kind) string {
-	if s, ok := sentences[k]; ok {
+func sentence(reason string) string {
+	if s, ok := sentences[reason]; ok {
 		return s
 	}
-	return "gave " + k.String()
+	return "refuse it"
 }
--- a/entry/api_status.go
+++ b/entry/api_status.go
@@ -51,10 +51,12 @@
 
 // TaskExplanation is the answer of GET /v1/tasks/{id}/explain.
 type TaskExplanation struct {
-	Task    TaskView           `json:"task"`
-	VMs     int                `json:"vms"`
-	Reasons []wire.ReasonCount `json:"reasons"`
-	Ahead   int                `json:"ahead"`
+	Task TaskView `json:"task"`
+	VMs  int      `json:"vms"`
+	// Reasons counts VMs, and Refusals the ticks of the past, by reason.
+	Reasons  []wire.ReasonCount `json:"reasons"`
+	Refusals []wire.ReasonCount `json:"refusals"`
+	Ahead    int                `json:"ahead"`
 }
 
 func (e *Entry) explainTask(w http.ResponseWriter, r *http.Request) {
@@ -72,7 +74,8 @@
 			if x.Waiting != errkind.None {
 				view.Waiting = x.Waiting.String()
 			}
-			writeJSON(w, http.StatusOK, TaskExplanation{Task: view, VMs: x.VMs, Reasons: append([]wire.ReasonCount{}, x.Reasons...), Ahead: x.Ahead})
+			writeJSON(w, http.StatusOK, TaskExplanation{Task: view, VMs: x.VMs, Reasons: append([]wire.ReasonCount{}, x.Reasons...),
+				Refusals: append([]wire.ReasonCount{}, x.Refusals...), Ahead: x.Ahead})
 			return
 		}
 		if errkind.Of(err) != errkind.NotFound {
@@ -116,7 +119,7 @@
 	}
 	for _, k := range append([]errkind.Kind{errkind.None}, errkind.All()...) {
 		if counts[k] > 0 {
-			x.Reasons = append(x.Reasons, wire.ReasonCount{Kind: k, Count: counts[k]})
+			x.Reasons = append(x.Reasons, wire.ReasonCount{Reason: k.String(), Count: counts[k]})
 		}
 	}
 	writeJSON(w, http.StatusOK, x)
--- a/shard/agents.go
+++ b/shard/agents.go
@@ -110,6 +110,7 @@
 	}
 	o.tables.Ingest(report(vm, m, o.cfg.Clock.Now()))
 	v.ConfigGen = m.ConfigGen
+	o.observeUse(vm, m.Usage)
 	v.GrantedUntil = o.cfg.Clock.Now() + lease.ObserverWait(lease.GrantTTL)
 	return &wire.Grant{Seq: m.Seq, Epoch: o.cfg.Epoch, TTLMS: uint32(lease.GrantTTL.Milliseconds()), ConfigGen: o.doc.Generation}, nil
 }
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -72,6 +72,8 @@
 
 // Owner is the actor that owns one shard. All state is used by its loop goroutine only.
 type Owner struct {
+	// used is the measured use by VM and task, for operators.
+	used   map[string]map[string]task.Resources
 	cfg    Config
 	inbox  chan func()
 	tables *tables.Tables
--- a/wire/operator.go
+++ b/wire/operator.go
@@ -47,10 +47,8 @@
 
 // ReasonCount is the number of VMs or attempts with one reason.
 type ReasonCount struct {
-	Kind  errkind.Kind `json:"kind"`
-	Count int          `json:"count"`
-	// Reason is the scheduler's name of the reason, more detailed than Kind; empty for requests.
-	Reason string `json:"reason,omitempty"`
+	Reason string `json:"reason"`
+	Count  int    `json:"count"`
 }
 
 // Explain asks the owner why a task is in its state.
@@ -67,6 +65,8 @@
 	Waiting errkind.Kind
 	VMs     int
 	Reasons []ReasonCount
+	// Refusals counts the ticks on which the task was not placed, by reason.
+	Refusals []ReasonCount
 	// Ahead is the number of pending tasks of the shard that were accepted earlier.
 	Ahead int
 }
