Test shard leases, holds and the commit loop in virtual time

Found by the tests: an owner that was cut off from the store but not from the other entries was not taken over, since only silent owners were suspected. A scan that finds a row unchanged for longer than the lease is now enough, and digests leave out shards whose lease has lapsed. A call on the owner's goroutine that was given up could still write a variable that the caller read.

--- a/entry/config.go
+++ b/entry/config.go
@@ -140,11 +140,13 @@
 	}
 	e.mu.Unlock()
 	for _, o := range e.manager.Owners() {
-		_ = o.Do(r.Context(), func() {
-			for vm, g := range o.ConfigGenerations() {
-				list = append(list, GenerationStatus{Process: vm, Kind: "agent", Generation: g, Lags: g < generation})
-			}
-		})
+		var agents map[string]uint64
+		if o.Do(r.Context(), func() { agents = o.ConfigGenerations() }) != nil {
+			continue
+		}
+		for vm, g := range agents {
+			list = append(list, GenerationStatus{Process: vm, Kind: "agent", Generation: g, Lags: g < generation})
+		}
 	}
 	sort.Slice(list, func(i, j int) bool {
 		return list[i].Kind > list[j].Kind || list[i].Kind == list[j].Kind && list[i].Process < list[j].Process
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -118,11 +118,7 @@
 }
 
 func (e *Entry) sendDigests(ctx context.Context) {
-	d := &wire.Digest{Entry: e.cfg.ID, ConfigGen: e.config().Generation}
-	for _, o := range e.manager.Owners() {
-		_ = o.Do(ctx, func() { d.Shards = append(d.Shards, o.Members().Digest) })
-	}
-	e.notifyPeers(d)
+	e.notifyPeers(&wire.Digest{Entry: e.cfg.ID, ConfigGen: e.config().Generation, Shards: e.manager.Digests(ctx)})
 }
 
 // membersChanged applies a list locally and pushes it to every other entry.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -65,12 +65,14 @@
 type Observation struct {
 	version uint64
 	since   time.Duration
+	last    time.Duration
 	seen    bool
 }
 
 // Observe records the row version at now and reports whether it has been
 // unchanged long enough for a holder with the ttl to have lost its lease.
 func (o *Observation) Observe(version uint64, now, ttl time.Duration) bool {
+	o.last = now
 	if !o.seen || o.version != version {
 		o.seen, o.version, o.since = true, version, now
 		return false
@@ -78,10 +80,8 @@
 	return now-o.since >= ObserverWait(ttl)
 }
 
-// Unchanged returns how long the observed row has been unchanged at now.
-func (o *Observation) Unchanged(now time.Duration) time.Duration {
-	if !o.seen {
-		return 0
-	}
-	return now - o.since
-}
+// Unchanged returns how long the row had been unchanged when it was last observed.
+func (o *Observation) Unchanged() time.Duration { return o.last - o.since }
+
+// Since returns when the row was first observed in its present version.
+func (o *Observation) Since() time.Duration { return o.since }
--- a/shard/agents.go
+++ b/shard/agents.go
@@ -170,16 +170,16 @@
 	if errkind.Of(err) == errkind.NotReady {
 		return false // The connection is closed; the next announcement pushes again.
 	}
-	repeat := err != nil
-	_ = o.Do(ctx, func() {
+	obsolete := false
+	if o.Do(ctx, func() {
 		if err == nil {
 			l.configGen = max(l.configGen, msg.Generation)
 		}
-		if o.agents[vm] != l || msg.Generation < o.doc.Generation {
-			repeat = false
-		}
-	})
-	return repeat
+		obsolete = o.agents[vm] != l || msg.Generation < o.doc.Generation
+	}) != nil {
+		return false
+	}
+	return err != nil && !obsolete
 }
 
 // ConfigGenerations returns the generation that each connected agent has acknowledged.
--- a/shard/manager.go
+++ b/shard/manager.go
@@ -371,3 +371,27 @@
 		<-s.finished
 	}
 }
+
+// Holds reports whether this entry holds a valid lease on the shard and has loaded it.
+func (m *Manager) Holds(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s, ok := m.owned[id]
+	return ok && s.loaded && s.lease.Valid(m.cfg.Clock.Now())
+}
+
+// Digests summarises the membership lists of the shards that this entry holds. A
+// shard whose lease has lapsed is left out, so that other entries suspect it.
+func (m *Manager) Digests(ctx context.Context) []wire.ShardDigest {
+	var out []wire.ShardDigest
+	for _, o := range m.Owners() {
+		if !o.cfg.Valid() {
+			continue
+		}
+		var d wire.ShardDigest
+		if o.Do(ctx, func() { d = o.Members().Digest }) == nil {
+			out = append(out, d)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/shard/manager_test.go
@@ -0,0 +1,407 @@
+package shard_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorystand/chicorystand/clock"
+	"github.com/chicorystand/chicorystand/confsync"
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/platform/standin"
+	"github.com/chicorystand/chicorystand/shard"
+	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/task"
+)
+
+const testShard = "z-0"
+
+// cluster runs shard managers that reach each other without a network.
+type cluster struct {
+	t     *testing.T
+	ctx   context.Context
+	table *standin.Table
+	mu    sync.Mutex
+	nodes map[string]*member
+	// twice counts the moments at which two entries held the same shard.
+	twice int
+}
+
+type member struct {
+	*shard.Manager
+	link     *standin.Link
+	follower *confsync.Follower
+	stop     context.CancelFunc
+	mute     atomic.Bool
+}
+
+func runCluster(t *testing.T, f func(t *testing.T, c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		c := &cluster{t: t, ctx: ctx, table: standin.NewTable(1e6, 1e6), nodes: make(map[string]*member)}
+		go c.watch()
+		f(t, c)
+		assert.Equal(t, c.twice, 0, "two entries held the shard at the same time")
+	})
+}
+
+func (c *cluster) start(id string) *member {
+	ctx, stop := context.WithCancel(c.ctx)
+	m := &member{link: standin.NewLink(c.table), stop: stop}
+	clk := clock.NewRuntime()
+	m.follower = confsync.NewFollower(m.link, clk)
+	m.Manager = shard.NewManager(shard.ManagerConfig{
+		Entry: id, Addr: id, Zone: "z", Incarnation: uint64(time.Now().UnixNano()), Table: m.link, Clock: clk,
+		Log: zerolog.Nop(), Follower: m.follower,
+		AskHold: func(ctx context.Context, other string) bool {
+			c.mu.Lock()
+			n := c.nodes[other]
+			c.mu.Unlock()
+			return n != nil && !n.mute.Load() && n.GrantHold(ctx, id)
+		},
+	})
+	c.mu.Lock()
+	c.nodes[id] = m
+	c.mu.Unlock()
+	m.Want(testShard)
+	go m.Run(ctx)
+	go c.digests(ctx, id, m)
+	return m
+}
+
+func (c *cluster) digests(ctx context.Context, id string, m *member) {
+	for ctx.Err() == nil {
+		shards := m.Digests(ctx)
+		c.mu.Lock()
+		for other, n := range c.nodes {
+			if other != id && !m.mute.Load() {
+				n.Heard(id, shards)
+			}
+		}
+		c.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(8 * time.Second):
+		}
+	}
+}
+
+// holders returns the entries whose lease on the test shard is valid now.
+func (c *cluster) holders() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for id, m := range c.nodes {
+		if m.Holds(testShard) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func (c *cluster) watch() {
+	for c.ctx.Err() == nil {
+		if len(c.holders()) > 1 {
+			c.twice++
+		}
+		select {
+		case <-c.ctx.Done():
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// await returns how long it takes until exactly the entry holds the shard.
+func (c *cluster) await(id string, limit time.Duration) time.Duration {
+	c.t.Helper()
+	began := time.Now()
+	for !slices.Equal(c.holders(), []string{id}) {
+		assert.Assert(c.t, time.Since(began) < limit, "%v hold the shard, not %s", c.holders(), id)
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+func (c *cluster) row() shard.LeaseRow {
+	rows, err := c.table.Get(c.ctx, shard.LeasePrefix+testShard)
+	assert.NilError(c.t, err)
+	var row shard.LeaseRow
+	assert.NilError(c.t, msgpack.Unmarshal(rows[0].Value, &row))
+	return row
+}
+
+// settle starts the entries one after the other; the first one owns the shard.
+func (c *cluster) settle(ids ...string) []*member {
+	var out []*member
+	for _, id := range ids {
+		out = append(out, c.start(id))
+		time.Sleep(20 * time.Second)
+	}
+	c.await(ids[0], time.Second)
+	return out
+}
+
+// Guards against two owners at once, and a takeover that is missed, when the
+// owner is cut off from the store only, when it dies, and when it stops as planned.
+func TestTakeover(t *testing.T) {
+	cases := map[string]struct {
+		leave       func(c *cluster, m *member)
+		least, most time.Duration
+	}{
+		"cut off from store": {func(_ *cluster, m *member) { m.link.SetCut(true) }, 10 * time.Second, 60 * time.Second},
+		"dead": {func(c *cluster, m *member) {
+			m.stop()
+			m.mute.Store(true)
+			c.nodes["b"].Gone("a")
+		}, 10 * time.Second, 19 * time.Second},
+		"dead in silence":   {func(_ *cluster, m *member) { m.stop(); m.mute.Store(true) }, 10 * time.Second, 36 * time.Second},
+		"planned stop":      {func(c *cluster, m *member) { m.Release(c.ctx); c.nodes["b"].Gone("a") }, 0, 4 * time.Second},
+		"restarted at once": {func(c *cluster, m *member) { m.stop(); c.start("a") }, 10 * time.Second, 36 * time.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, func(t *testing.T, c *cluster) {
+				m := c.settle("a", "b")
+				epoch := c.row().Epoch
+				began := time.Now()
+				tc.leave(c, m[0])
+				for c.row().Epoch == epoch || len(c.holders()) != 1 {
+					time.Sleep(10 * time.Millisecond)
+					assert.Assert(t, time.Since(began) < tc.most, "no takeover")
+				}
+				assert.Assert(t, time.Since(began) >= tc.least, "takeover after %v", time.Since(began))
+				assert.Equal(t, c.row().DeferMS, int64(0))
+				if name == "cut off from store" {
+					m[0].link.SetCut(false)
+					time.Sleep(time.Minute)
+					c.await("b", time.Second)
+				}
+			})
+		})
+	}
+}
+
+// Guards against the end of a lease, and of admission, in a store outage without
+// a second fault, against an extension beyond 40 minutes or without every hold,
+// and against an entry that admits or owns something when it starts in an outage.
+func TestStoreOutage(t *testing.T) {
+	cases := map[string]struct {
+		mute   bool
+		length time.Duration
+		held   bool
+	}{
+		"30 minutes":         {false, 30 * time.Minute, true},
+		"longer than 40 min": {false, 41 * time.Minute, false},
+		"one member missing": {true, 2 * time.Minute, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, func(t *testing.T, c *cluster) {
+				m := c.settle("a", "b", "c")
+				time.Sleep(10 * time.Second)
+				m[2].mute.Store(tc.mute)
+				poll(c.ctx, m[0])
+				time.Sleep(2 * time.Second)
+				c.table.SetFaults(standin.Faults{Down: true})
+				late := c.start("d")
+				down := time.Now()
+				for time.Since(down) < tc.length {
+					time.Sleep(time.Second)
+					held := m[0].Holds(testShard)
+					assert.Assert(t, held || !tc.held, "the lease ended after %v", time.Since(down))
+					if tc.held && time.Since(down) > 15*time.Second {
+						assert.NilError(t, m[0].follower.Admit())
+					}
+				}
+				assert.Equal(t, m[0].Holds(testShard), tc.held)
+				assert.Equal(t, errkind.Of(late.follower.Admit()), errkind.NotReady)
+				assert.Equal(t, len(late.Owners()), 0)
+				c.table.SetFaults(standin.Faults{})
+				time.Sleep(40 * time.Second)
+				assert.Equal(t, len(c.holders()), 1)
+				if tc.held {
+					assert.Equal(t, c.row().Epoch, uint64(1), "the shard changed its owner")
+				}
+			})
+		})
+	}
+}
+
+func poll(ctx context.Context, m *member) {
+	go func() {
+		for ctx.Err() == nil {
+			_, _ = m.follower.Poll(ctx)
+			select {
+			case <-ctx.Done():
+			case <-time.After(time.Second):
+			}
+		}
+	}()
+}
+
+// Guards against a reassignment by an entry that the old owner does not ask for
+// holds, and against the loss of the deferral when the shard changes hands again.
+func TestNewcomerDefersReassignment(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		m := c.settle("a", "b")
+		m[0].link.SetCut(true)
+		m[1].link.SetCut(true)
+		time.Sleep(time.Second)
+		newcomer := c.start("c")
+		began := time.Now()
+		for c.row().Owner != "c" {
+			time.Sleep(100 * time.Millisecond)
+			assert.Assert(t, time.Since(began) < time.Minute)
+		}
+		// The old owner may still use holds; two holders with different epochs are the purpose of the deferral.
+		assert.Assert(t, c.row().DeferMS > (39*time.Minute).Milliseconds(), "%d", c.row().DeferMS)
+		time.Sleep(10 * time.Minute)
+		left := c.row().DeferMS
+		assert.Assert(t, left > (29*time.Minute).Milliseconds() && left < (31*time.Minute).Milliseconds(), "%d", left)
+		m[0].stop()
+		m[1].stop()
+		newcomer.Release(c.ctx)
+		d := c.start("d")
+		began = time.Now()
+		for !d.Holds(testShard) {
+			time.Sleep(100 * time.Millisecond)
+			assert.Assert(t, time.Since(began) < time.Minute)
+		}
+		assert.Assert(t, c.row().DeferMS > (28*time.Minute).Milliseconds())
+		time.Sleep(31 * time.Minute)
+		assert.Equal(t, c.row().DeferMS, int64(0))
+		c.twice = 0
+	})
+}
+
+// Guards against a shard that is lost, left without an owner or owned twice when
+// the answer of any write of the lease protocol is lost.
+func TestLostAnswerAtEveryLeaseWrite(t *testing.T) {
+	for n := 1; n <= 8; n++ {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			runCluster(t, func(t *testing.T, c *cluster) {
+				m := c.start("a")
+				m.link.LoseCommit(n)
+				c.await("a", 10*time.Second)
+				time.Sleep(30 * time.Second)
+				assert.Assert(t, m.link.Commits() >= n)
+				c.await("a", time.Second)
+				assert.Equal(t, c.row().Epoch, uint64(1))
+				m.Release(c.ctx)
+				assert.Equal(t, c.row().Owner, "")
+			})
+		})
+	}
+}
+
+func submit(t *testing.T, o *shard.Owner, specs ...task.Spec) []error {
+	t.Helper()
+	ch := make(chan error, len(specs))
+	assert.NilError(t, o.Do(t.Context(), func() {
+		o.Submit(specs, 1, func(_ string, err error) { ch <- err })
+	}))
+	var out []error
+	for range specs {
+		out = append(out, <-ch)
+	}
+	return out
+}
+
+// Guards against a commit of a paused owner that takes effect after the takeover.
+func TestLateCommitIsFenced(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		m := c.settle("a", "b")
+		o, ok := m[0].Owner(testShard)
+		assert.Assert(t, ok)
+		// Half an interval after a renewal, so that the submission is the delayed commit.
+		time.Sleep(2500 * time.Millisecond)
+		c.table.SetFaults(standin.Faults{DelayCommits: 1, CommitDelay: time.Minute})
+		go func() {
+			_ = o.Do(c.ctx, func() { o.Submit([]task.Spec{{ID: "t"}}, 1, func(string, error) {}) })
+		}()
+		time.Sleep(time.Millisecond)
+		c.table.SetFaults(standin.Faults{})
+		m[0].link.SetCut(true)
+		time.Sleep(2 * time.Minute)
+		c.await("b", time.Second)
+		rows, err := c.table.Get(c.ctx, "task/"+testShard+"/t")
+		assert.NilError(t, err)
+		assert.Equal(t, len(rows), 0)
+	})
+}
+
+// Guards against a task that two shards accept under one id, and against a repeat
+// that is refused or written twice.
+func TestTaskIDsAreUniqueOverShards(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		m := c.start("a")
+		m.Want("z-1")
+		time.Sleep(10 * time.Second)
+		first, _ := m.Owner(testShard)
+		second, _ := m.Owner("z-1")
+		assert.NilError(t, submit(t, first, task.Spec{ID: "t", Customer: "x"})[0])
+		assert.NilError(t, submit(t, first, task.Spec{ID: "t", Customer: "x"})[0])
+		assert.NilError(t, submit(t, second, task.Spec{ID: "t", Customer: "x"})[0])
+		assert.Equal(t, errkind.Of(submit(t, second, task.Spec{ID: "t", Customer: "y"})[0]), errkind.AlreadyExists)
+		rows, err := c.table.Scan(c.ctx, "task/", "", 10)
+		assert.NilError(t, err)
+		assert.Equal(t, len(rows), 1)
+	})
+}
+
+// Guards against one write for each task of a cancellation wave, and against a
+// submission that waits behind it.
+func TestCancellationWaveIsBatched(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		m := c.start("a")
+		time.Sleep(10 * time.Second)
+		o, _ := m.Owner(testShard)
+		const n = 3000
+		specs, ids := make([]task.Spec, n), make([]string, n)
+		for i := range specs {
+			ids[i] = fmt.Sprintf("t%04d", i)
+			specs[i] = task.Spec{ID: ids[i]}
+		}
+		for _, err := range submit(t, o, specs...) {
+			assert.NilError(t, err)
+		}
+		before := c.table.Counts().Commits
+		done := make(chan error, n)
+		assert.NilError(t, o.Do(c.ctx, func() { o.Cancel(c.ctx, "", ids, func(_ string, err error) { done <- err }) }))
+		began := time.Now()
+		assert.NilError(t, submit(t, o, task.Spec{ID: "other"})[0])
+		assert.Assert(t, time.Since(began) <= 3*shard.CommitInterval, "the submission waited %v", time.Since(began))
+		for range n {
+			assert.NilError(t, <-done)
+		}
+		assert.Assert(t, c.table.Counts().Commits-before <= n/store.MaxTxnRows+3)
+	})
+}
+
+// Guards against a submission that hangs in an outage, and a change that is lost.
+func TestOutageKeepsChanges(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		m := c.settle("a", "b")
+		o, _ := m[0].Owner(testShard)
+		assert.NilError(t, submit(t, o, task.Spec{ID: "t"})[0])
+		c.table.SetFaults(standin.Faults{Down: true})
+		assert.Equal(t, errkind.Of(submit(t, o, task.Spec{ID: "u"})[0]), errkind.StoreUnavailable)
+		done := make(chan error, 1)
+		assert.NilError(t, o.Do(c.ctx, func() { o.Cancel(c.ctx, "", []string{"t"}, func(_ string, err error) { done <- err }) }))
+		time.Sleep(10 * time.Minute)
+		assert.Equal(t, errkind.Of(submit(t, o, task.Spec{ID: "v"})[0]), errkind.StoreUnavailable)
+		c.table.SetFaults(standin.Faults{})
+		assert.NilError(t, <-done)
+		assert.NilError(t, submit(t, o, task.Spec{ID: "w"})[0])
+	})
+}
--- a/shard/takeover.go
+++ b/shard/takeover.go
@@ -105,7 +105,7 @@
 		if !slices.Contains(reg.Members, m.cfg.Entry) {
 			wait = lease.MaxExtension
 		}
-		if k.obs.Unchanged(now) >= lease.ObserverWait(wait) {
+		if k.obs.Unchanged() >= lease.ObserverWait(wait) {
 			stale = append(stale, k)
 		}
 	}
@@ -206,7 +206,7 @@
 	}
 	for id, k := range m.rows {
 		_, mine := m.owned[id]
-		if mine || !m.acquirable(k, now) {
+		if mine || !k.acquirable() {
 			k.freeFrom = 0
 			continue
 		}
@@ -221,13 +221,10 @@
 	return out
 }
 
-// acquirable reports whether the row is free, absent, or has been unchanged for
-// longer than its owner's lease. m.mu is held.
-func (m *Manager) acquirable(k *knownRow, now time.Duration) bool {
-	if k.row.Owner == "" {
-		return true
-	}
-	return k.version != 0 && k.obs.Unchanged(now) >= lease.ObserverWait(lease.ShardTTL) && m.suspected(k, now)
+// acquirable reports whether the row is free, absent, or was read after it had
+// been unchanged for longer than its owner's lease.
+func (k *knownRow) acquirable() bool {
+	return k.row.Owner == "" || k.version != 0 && k.obs.Unchanged() >= lease.ObserverWait(lease.ShardTTL)
 }
 
 func (m *Manager) delay(id string, k *knownRow) time.Duration {
@@ -285,7 +282,7 @@
 	}
 	if m.newcomer(known.row) {
 		// The observation began after the owner's last renewal.
-		reassignAfter = max(reassignAfter, sentAt-known.obs.Unchanged(sentAt)+lease.ObserverWait(lease.MaxExtension))
+		reassignAfter = max(reassignAfter, known.obs.Since()+lease.ObserverWait(lease.MaxExtension))
 	}
 	rows, err := m.cfg.Table.Get(ctx, epochPrefix+id)
 	if err != nil {
