--- a/shard/committer.go
+++ b/shard/committer.go
@@ -92,6 +92,12 @@
 	c.signal()
 }
 
+// CommitNow writes a transaction outside the commit loop, in turn with its transactions.
+func (c *Committer) CommitNow(ctx context.Context, txn store.Txn) error {
+	_, err := c.writer.Commit(ctx, txn)
+	return err
+}
+
 func (c *Committer) signal() {
 	select {
 	case c.wake <- struct{}{}:
