--- a/agent/data.go
+++ b/agent/data.go
@@ -42,9 +42,12 @@
 const HeaderRequestName = "X-Request-Name"
 
 // newUpstreamClient returns the client of the upstream beside the agent.
-func newUpstreamClient(conns int) *http.Client {
+func newUpstreamClient(conns int, transport http.RoundTripper) *http.Client {
+	if transport == nil {
+		transport = &http.Transport{MaxConnsPerHost: conns, MaxIdleConnsPerHost: conns, DisableCompression: true}
+	}
 	return &http.Client{
-		Transport: &http.Transport{MaxConnsPerHost: conns, MaxIdleConnsPerHost: conns, DisableCompression: true},
+		Transport: transport,
 		// A redirect is an answer of the upstream. Following it could run the request twice.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -195,31 +198,18 @@
 
 // handleData serves the messages that need no named connection.
 func (a *Agent) handleData(ctx context.Context, m wire.Message, reply wire.Reply) {
-	drain, ok := m.(*wire.Drain)
-	if !ok {
+	switch msg := m.(type) {
+	case *wire.Drain:
+		if msg.Undo {
+			a.Undrain()
+		} else {
+			go a.Drain(ctx)
+		}
+		reply(&wire.Ack{})
+	case *wire.AgentStatus:
+		reply(a.status())
+	default:
 		reply(wire.ErrorReply(errkind.New(errkind.InvalidArgument, "message type %d is not served here", m.Type())))
-		return
-	}
-	if drain.Undo {
-		a.undrain()
-	} else {
-		go a.Drain(ctx)
-	}
-	reply(&wire.Ack{})
-}
-
-// undrain opens the gate again and tells the owner and the connected entries.
-func (a *Agent) undrain() {
-	if !a.gate.Undrain() {
-		return
-	}
-	m := &wire.Drain{VM: a.cfg.VM, Undo: true}
-	a.conns.notify(m)
-	a.mu.Lock()
-	owner := a.owner
-	a.mu.Unlock()
-	if owner != nil {
-		_ = owner.Notify(m)
 	}
 }
 
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -114,8 +114,8 @@
 }
 
 func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request) {
-	if !e.beginRequest() {
-		e.refuse(w, unknownService, false, errkind.New(errkind.Draining, "entry %s is stopping", e.cfg.ID))
+	if err := e.beginRequest(); err != nil {
+		e.refuse(w, unknownService, false, err)
 		return
 	}
 	defer e.active.Done()
@@ -182,14 +182,17 @@
 	e.write(w, a.HTTPStatus, append(body, '\n'), false)
 }
 
-func (e *Entry) beginRequest() bool {
+func (e *Entry) beginRequest() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.draining {
-		return false
+		return errkind.New(errkind.Draining, "entry %s is stopping", e.cfg.ID)
+	}
+	if err := e.follower.Admit(); err != nil {
+		return err
 	}
 	e.active.Add(1)
-	return true
+	return nil
 }
 
 func (e *Entry) stopping() bool {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -19,6 +19,12 @@
 	DriftPercent = 1
 	// Margin covers scheduling delay between reading a clock and acting on it.
 	Margin = time.Second
+	// HoldTTL is how long the holder uses a hold, counted from the time it asked.
+	HoldTTL = 10 * time.Second
+	// HoldInterval leaves two further attempts within HoldTTL.
+	HoldInterval = 3 * time.Second
+	// MaxExtension is the longest time after the last successful renewal for which holds extend a lease.
+	MaxExtension = 40 * time.Minute
 )
 
 // ObserverWait returns how long an observer must wait on its own clock before a
@@ -59,15 +65,23 @@
 type Observation struct {
 	version uint64
 	since   time.Duration
+	last    time.Duration
 	seen    bool
 }
 
 // Observe records the row version at now and reports whether it has been
 // unchanged long enough for a holder with the ttl to have lost its lease.
 func (o *Observation) Observe(version uint64, now, ttl time.Duration) bool {
+	o.last = now
 	if !o.seen || o.version != version {
 		o.seen, o.version, o.since = true, version, now
 		return false
 	}
 	return now-o.since >= ObserverWait(ttl)
 }
+
+// Unchanged returns how long the row had been unchanged when it was last observed.
+func (o *Observation) Unchanged() time.Duration { return o.last - o.since }
+
+// Since returns when the row was first observed in its present version.
+func (o *Observation) Since() time.Duration { return o.since }
