Adapt the request tests to the configuration leases

Change: the test cluster applies plans and waits for /readyz; urgent requests are spread over both entries with the same bounds. A request without a body clears the server's read deadline, which would otherwise cancel it after 30 s.

--- a/entry/requests.go
+++ b/entry/requests.go
@@ -252,13 +252,14 @@
 // readRequestBody reads the whole body before the deadline, so that a slow sender
 // holds no resources for longer.
 func readRequestBody(w http.ResponseWriter, r *http.Request, deadline time.Time) ([]byte, error) {
+	rc := http.NewResponseController(w)
 	if r.ContentLength == 0 {
+		_ = rc.SetReadDeadline(time.Time{})
 		return nil, nil
 	}
 	if r.ContentLength > maxRequestBody {
 		return nil, errkind.New(errkind.TooLarge, "the request body exceeds %d bytes", maxRequestBody)
 	}
-	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(deadline)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBody))
 	if err != nil {
@@ -268,7 +269,7 @@
 		}
 		return nil, errkind.Wrap(errkind.InvalidArgument, err, "request body")
 	}
-	// The deadline would otherwise end the connection while the request runs.
+	// A read deadline would otherwise cancel the request while it runs.
 	_ = rc.SetReadDeadline(time.Time{})
 	return body, nil
 }
--- a/entry/requests_test.go
+++ b/entry/requests_test.go
@@ -82,6 +82,7 @@
 		c.startAgent(i, o)
 	}
 	c.awaitReady()
+	c.configure()
 	return c
 }
 
@@ -197,6 +198,9 @@
 	req, err := http.NewRequest(http.MethodPost, c.entries[e].url+"/v1/services/"+serviceName+"/x", strings.NewReader(r.body))
 	assert.NilError(c.t, err)
 	req.Header.Set(entry.HeaderName, r.name)
+	if r.customer == "" {
+		r.customer = "urgent"
+	}
 	req.Header.Set(entry.HeaderCustomer, r.customer)
 	req.Header.Set(entry.HeaderIdempotent, strconv.FormatBool(r.idempotent))
 	if r.deadline > 0 {
@@ -413,19 +417,17 @@
 	t.Parallel()
 	const slots, agents, serviceTime, seconds = 2, 2, 50 * time.Millisecond, 2
 	c := start(t, options{entries: 2, agents: agents, slots: slots, serviceTime: serviceTime})
-	c.configure(plan.Document{Plans: []plan.CustomerPlan{{Customer: "urgent", Plan: "u"}, {Customer: "other", Plan: "o"}},
-		Limits: []plan.Limit{{Plan: "u", Priority: 9}, {Plan: "o", Priority: 1}}})
 	capacity := float64(slots*agents) / serviceTime.Seconds()
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	answered := make(map[string]int)
+	answered, kinds := make(map[string]int), make(map[string]int)
 	deadline := time.Second
 	for i := range int(2 * capacity * seconds) {
 		time.Sleep(time.Duration(float64(time.Second) / capacity / 2))
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			customer := [...]string{"urgent", "other", "other", "other"}[i%4]
+			customer := [...]string{"urgent", "other", "other", "other"}[i/2%4]
 			r := c.send(i%2, request{name: fmt.Sprintf("r-%d", i), customer: customer, deadline: deadline})
 			mu.Lock()
 			defer mu.Unlock()
@@ -433,6 +435,7 @@
 				answered[customer]++
 				return
 			}
+			kinds[customer+" "+r.kind]++
 			assert.Check(t, r.outcome == "not_run", r.kind)
 			assert.Check(t, r.retryAfter != "")
 			assert.Check(t, r.took < deadline*3/4, "a refusal was held back for %v", r.took)
@@ -441,16 +444,18 @@
 	wg.Wait()
 	total := answered["urgent"] + answered["other"]
 	assert.Check(t, float64(total) > 0.7*capacity*seconds, "answered %d of %v possible", total, capacity*seconds)
-	assert.Check(t, float64(answered["urgent"]) > 0.9*capacity*seconds/2, "answered %d urgent requests", answered["urgent"])
+	assert.Check(t, float64(answered["urgent"]) > 0.9*capacity*seconds/2, "answered %d urgent requests, refused %v", answered["urgent"], kinds)
 	for _, m := range c.agents {
 		assert.Check(t, m.upstream.MaxInFlight() <= slots)
 	}
 	c.check()
 }
 
-// configure puts a configuration in force on every entry.
-func (c *cluster) configure(doc plan.Document) {
-	body, err := json.Marshal(doc)
+// configure puts two plans in force and waits until every entry is ready.
+func (c *cluster) configure() {
+	c.t.Helper()
+	body, err := json.Marshal(plan.Document{Plans: []plan.CustomerPlan{{Customer: "urgent", Plan: "u"}, {Customer: "other", Plan: "o"}},
+		Limits: []plan.Limit{{Plan: "u", Priority: 9}, {Plan: "o", Priority: 1}}})
 	assert.NilError(c.t, err)
 	req, err := http.NewRequest(http.MethodPut, c.entries[0].url+"/v1/config", strings.NewReader(string(body)))
 	assert.NilError(c.t, err)
@@ -460,11 +465,11 @@
 	_ = resp.Body.Close()
 	assert.Equal(c.t, resp.StatusCode, http.StatusOK, string(answer))
 	for _, e := range c.entries {
-		for in := (plan.Document{}); in.Generation == 0; time.Sleep(50 * time.Millisecond) {
-			resp, err := c.client.Get(e.url + "/v1/config")
+		for status := 0; status != http.StatusOK; time.Sleep(50 * time.Millisecond) {
+			resp, err := c.client.Get(e.url + "/readyz")
 			assert.NilError(c.t, err)
-			assert.NilError(c.t, json.NewDecoder(resp.Body).Decode(&in))
 			_ = resp.Body.Close()
+			status = resp.StatusCode
 		}
 	}
 }
