Call the upstream on the request's own goroutine

Cause: the profile of chicory-bench route shows net/http's Transport in the agent (two goroutine switches and a wait queue for each request) among the largest parts of the request path, and it may repeat a request by itself.

Change: a RoundTripper for the one upstream writes and reads on the caller's goroutine, keeps idle connections, checks them for a close by the upstream before reuse, and never repeats.

--- a/agent/data.go
+++ b/agent/data.go
@@ -44,13 +44,9 @@
 // newUpstreamClient returns the client of the upstream beside the agent.
 func newUpstreamClient(conns int, transport http.RoundTripper) *http.Client {
 	if transport == nil {
-		transport = &http.Transport{MaxConnsPerHost: conns, MaxIdleConnsPerHost: conns, DisableCompression: true}
-	}
-	return &http.Client{
-		Transport: transport,
-		// A redirect is an answer of the upstream. Following it could run the request twice.
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		transport = newUpstreamTransport(conns)
 	}
+	return &http.Client{Transport: transport}
 }
 
 // dataConns are the open data connections of the agent.
@@ -270,15 +266,12 @@
 	if err != nil {
 		return &wire.Response{Outcome: wire.OutcomeNotRun, Kind: errkind.InvalidArgument, Detail: err.Error()}
 	}
-	if !req.Idempotent {
-		// Without GetBody and with a non-nil body net/http never repeats the request by itself.
-		hr.Body, hr.GetBody = io.NopCloser(bytes.NewReader(req.Body)), nil
-	}
 	if req.ContentType != "" {
 		hr.Header.Set("Content-Type", req.ContentType)
 	}
 	hr.Header.Set(HeaderRequestName, req.Name)
-	resp, err := a.client.Do(hr)
+	// A redirect is an answer of the upstream; following it, as http.Client.Do does, could run the request twice.
+	resp, err := a.client.Transport.RoundTrip(hr)
 	if err != nil {
 		var op *net.OpError
 		if errors.As(err, &op) && op.Op == "dial" {
--- a/entry/requests_test.go
+++ b/entry/requests_test.go
@@ -31,7 +31,7 @@
 
 // cluster is entries and agents with upstreams over loopback.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	ctx      context.Context
 	link     *link
 	recorder *history.Recorder
@@ -60,7 +60,7 @@
 	link                   *link
 }
 
-func start(t *testing.T, o options) *cluster {
+func start(t testing.TB, o options) *cluster {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &cluster{t: t, ctx: ctx, link: o.link, recorder: history.NewRecorder(clock.Boottime{}.Now),
@@ -86,7 +86,7 @@
 	return c
 }
 
-func listen(t *testing.T, addr string) net.Listener {
+func listen(t testing.TB, addr string) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", addr)
 	assert.NilError(t, err)
