Refuse requests of a priority that gets no slot at once

Cause: under sustained overload every request of the lower priority waited for half of its deadline before it was refused.

Change: when a request of a priority waits in vain, only one of that priority or a lower one keeps trying; the others are refused at once until one proceeds.

--- a/route/queue.go
+++ b/route/queue.go
@@ -28,6 +28,9 @@
 	arrivals uint64
 	polling  bool
 	lastWake time.Time
+	// starved is the highest priority at which a request has waited in vain while no
+	// request of that or a lower priority proceeded; -1 when there is none.
+	starved int
 	// interval is the average time between two wakes while requests waited.
 	interval time.Duration
 }
@@ -39,10 +42,12 @@
 	arrival  uint64
 	until    time.Time
 	wake     chan error
+	// entered is true after the first Wait; a request that was woken in vain is not shed then.
+	entered bool
 }
 
 // NewQueue returns a queue of at most limit waiting requests.
-func NewQueue(limit int) *Queue { return &Queue{limit: limit} }
+func NewQueue(limit int) *Queue { return &Queue{limit: limit, starved: -1} }
 
 // Waiter returns a place behind all present waiters of the same or a higher
 // priority. The request waits at most maxWait in total.
@@ -55,7 +60,8 @@
 
 // Wait blocks until the request may try to get a slot. It returns errkind.QueueFull
 // when the request is shed: at once when the queue is full of requests that are not
-// less important or when the expected wait exceeds maxWait, later when a more
+// less important, when the expected wait exceeds maxWait, or when requests of the
+// same or a higher priority wait in vain and one of them is still trying; later when a more
 // important request takes its place or maxWait has passed. It returns
 // errkind.Cancelled when ctx ends first.
 func (q *Queue) Wait(ctx context.Context, w *Waiter) error {
@@ -68,9 +74,9 @@
 	case err := <-w.wake:
 		return err
 	case <-timer.C:
-		return q.leave(w, errkind.New(errkind.QueueFull, "no slot became free in time"))
+		return q.leave(w, errkind.New(errkind.QueueFull, "no slot became free in time"), true)
 	case <-ctx.Done():
-		return q.leave(w, errkind.Wrap(errkind.Cancelled, ctx.Err(), "the caller no longer waits"))
+		return q.leave(w, errkind.Wrap(errkind.Cancelled, ctx.Err(), "the caller no longer waits"), false)
 	}
 }
 
@@ -81,6 +87,10 @@
 	if wait := time.Duration(at) * q.interval; time.Now().Add(wait).After(w.until) {
 		return errkind.New(errkind.QueueFull, "the expected wait of %v is too long", wait)
 	}
+	if !w.entered && w.priority <= q.starved && len(q.waiters) > 0 && q.waiters[len(q.waiters)-1].priority <= q.starved {
+		return errkind.New(errkind.QueueFull, "requests with priority %d wait in vain", q.starved)
+	}
+	w.entered = true
 	if len(q.waiters) >= q.limit {
 		if at == len(q.waiters) {
 			return errkind.New(errkind.QueueFull, "%d requests are waiting", len(q.waiters))
@@ -107,12 +117,15 @@
 }
 
 // leave removes a waiter that gives up. A wake that it received meanwhile is passed on.
-func (q *Queue) leave(w *Waiter, err error) error {
+func (q *Queue) leave(w *Waiter, err error, inVain bool) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for i, o := range q.waiters {
 		if o == w {
 			q.waiters = append(q.waiters[:i], q.waiters[i+1:]...)
+			if inVain {
+				q.starved = max(q.starved, w.priority)
+			}
 			return err
 		}
 	}
@@ -143,6 +156,7 @@
 	for ; n > 0 && len(q.waiters) > 0; n-- {
 		w := q.waiters[0]
 		q.waiters = q.waiters[1:]
+		q.starved = min(q.starved, w.priority-1)
 		w.wake <- nil
 	}
 }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -242,6 +242,37 @@
 	})
 }
 
+// Guards against holding back every request of a priority that gets no slot: only
+// one at a time tries, and the others are refused at once until one proceeds.
+func TestQueueShedsStarvedPriorities(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := route.NewQueue(100)
+		wait := func(priority int, maxWait time.Duration) (time.Duration, error) {
+			start := time.Now()
+			err := q.Wait(context.Background(), q.Waiter(priority, maxWait))
+			return time.Since(start), err
+		}
+		for range 50 {
+			go func() { _, _ = wait(9, time.Hour) }()
+		}
+		synctest.Wait()
+		took, err := wait(1, 100*time.Millisecond)
+		assert.Equal(t, errkind.Of(err), errkind.QueueFull)
+		assert.Equal(t, took, 100*time.Millisecond)
+		go func() { _, _ = wait(1, time.Hour) }()
+		synctest.Wait()
+		for _, priority := range []int{1, 0} {
+			took, err = wait(priority, time.Hour)
+			assert.Equal(t, errkind.Of(err), errkind.QueueFull)
+			assert.Equal(t, took, time.Duration(0))
+		}
+		q.Wake(100)
+		synctest.Wait()
+		_, err = wait(1, time.Hour)
+		assert.NilError(t, err, "a request of the priority has proceeded")
+	})
+}
+
 // Guards against a wake that is lost with a waiter whose caller has gone.
 func TestQueuePassesWakesOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
