Test hedging and hostile data connections

Cause: neither had a test over real connections.

Change: a hanging upstream is hedged for idempotent requests only; silent, cut, oversized, unknown and too many connections to an agent are closed in bounded time while requests on the entry's connection are answered.

--- a/entry/requests_test.go
+++ b/entry/requests_test.go
@@ -558,3 +558,64 @@
 	c.entries[1].kill()
 	c.check()
 }
+
+// Guards against waiting for one slow upstream, and against running a
+// non-idempotent request on a second one.
+func TestHedging(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		t.Run(fmt.Sprintf("idempotent %v", idempotent), func(t *testing.T) {
+			t.Parallel()
+			var once sync.Once
+			c := start(t, options{entries: 1, agents: 2, slots: 2, fault: func(r *http.Request) (f standin.UpstreamFault) {
+				if r.Header.Get(standin.HeaderRequest) == "slow" {
+					once.Do(func() { f = standin.FaultHang })
+				}
+				return f
+			}})
+			r := c.send(0, request{name: "slow", idempotent: idempotent, deadline: 2 * time.Second})
+			if idempotent {
+				assert.Equal(t, r.outcome, "answer", r.kind)
+				assert.Assert(t, r.took < 1500*time.Millisecond, "took %v", r.took)
+				assert.Equal(t, c.executions("slow"), 2)
+			} else {
+				assert.Equal(t, r.outcome, "unknown", r.kind)
+				assert.Equal(t, c.executions("slow"), 1)
+			}
+			c.check()
+		})
+	}
+}
+
+// Guards against hostile connections to an agent that hold resources or disturb
+// the requests on other connections.
+func TestHostileDataConnections(t *testing.T) {
+	t.Parallel()
+	c := start(t, options{entries: 1, agents: 1, slots: 4})
+	addr := c.agents[0].data
+	for name, first := range map[string]string{
+		"says nothing":           "",
+		"sends half a header":    "\x00\x00",
+		"sends a request first":  "\x00\x00\x00\x01\x0c\x01\x00\x00\x00\x01\x90",
+		"sends an oversized one": "\xff\xff\xff\xff\x0c\x01\x00\x00\x00\x01",
+		"sends no known type":    "\x00\x00\x00\x01\xfe\x01\x00\x00\x00\x01\x90",
+	} {
+		conn, err := net.Dial("tcp", addr)
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, first)
+		_ = conn.SetReadDeadline(time.Now().Add(8 * time.Second))
+		_, err = io.Copy(io.Discard, conn)
+		assert.NilError(t, err, "%s: not closed", name)
+	}
+	for range 300 {
+		conn, err := net.Dial("tcp", addr)
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+	}
+	for i := range 20 {
+		r := c.send(0, request{name: fmt.Sprintf("r-%d", i)})
+		assert.Equal(t, r.outcome, "answer", r.kind)
+		assert.Assert(t, r.took < 500*time.Millisecond)
+	}
+	c.check()
+}
