--- a/store/writer.go
+++ b/store/writer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"sync"
 	"time"
 
 	"github.com/chicorystand/chicorystand/errkind"
@@ -22,14 +21,16 @@
 	table Table
 	key   string
 
-	mu      sync.Mutex
+	// lock holds a token while a commit is in progress. Unlike a mutex it is given
+	// up when the caller's context ends.
+	lock    chan struct{}
 	seq     uint64
 	version uint64
 }
 
 // NewWriter returns a writer whose id must be unique to the process incarnation.
 func NewWriter(table Table, id string) *Writer {
-	return &Writer{table: table, key: "writer/" + id}
+	return &Writer{table: table, key: "writer/" + id, lock: make(chan struct{}, 1)}
 }
 
 // Commit applies txn. It returns errkind.StoreAmbiguous only when ctx ends
@@ -37,8 +38,12 @@
 // or nil when the answer was lost and the commit was recognised afterwards; the
 // caller then re-reads the rows it needs.
 func (w *Writer) Commit(ctx context.Context, txn Txn) ([]uint64, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	select {
+	case w.lock <- struct{}{}:
+	case <-ctx.Done():
+		return nil, errkind.Wrap(errkind.StoreUnavailable, ctx.Err(), "wait for an earlier commit")
+	}
+	defer func() { <-w.lock }()
 	seq := w.seq + 1
 	full := w.withToken(txn, seq)
 	versions, err := w.table.Commit(ctx, full)
