Refuse a cancellation while no shard is known

Cause: a cancel at an entry that knew no shard was answered as done, so the task ran on (cells acquire/store down, send/store down). Change: the entry answers not_ready. The fault matrix is written to a page.

--- a/entry/http.go
+++ b/entry/http.go
@@ -222,7 +222,12 @@
 		return
 	}
 	found := make(map[string]wire.TaskResult, len(q.IDs))
-	for _, id := range e.manager.Shards() {
+	shards := e.manager.Shards()
+	if len(shards) == 0 {
+		writeError(w, errkind.New(errkind.NotReady, "no shard is known"))
+		return
+	}
+	for _, id := range shards {
 		m, err := e.callShard(r.Context(), id, &wire.Cancel{Shard: id, Customer: q.Customer, IDs: q.IDs})
 		if err != nil {
 			writeError(w, err)
--- a/faultmatrix/matrix_test.go
+++ b/faultmatrix/matrix_test.go
@@ -239,11 +239,16 @@
 	return ""
 }
 
-// Guards against every single fault at every step: each run must keep every invariant.
+// Guards against every single fault at every step: each run must keep every
+// invariant. The page must show the result of the run.
 func TestSingleFaults(t *testing.T) {
-	for _, x := range allCells() {
+	cells := allCells()
+	p := &page{results: make(map[string]string)}
+	t.Cleanup(func() { p.finish(t, len(cells)) })
+	for _, x := range cells {
 		t.Run(x.name(), func(t *testing.T) {
 			t.Parallel()
+			defer func() { p.note(x, t.Failed()) }()
 			verify(t, x.name(), run(t, x))
 		})
 	}
