--- a/store/writer.go
+++ b/store/writer.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/binary"
-	"sync"
 	"time"
 
 	"github.com/chicorystand/chicorystand/errkind"
@@ -23,7 +22,9 @@
 	table Table
 	key   string
 
-	mu     sync.Mutex
+	// lock holds a token while a commit is in progress. Unlike a mutex it is given
+	// up when the caller's context ends.
+	lock   chan struct{}
 	loaded bool
 	// seq is the last sequence number used, committed the last one that took effect.
 	seq, committed uint64
@@ -35,7 +36,7 @@
 // NewWriter returns a writer. Two live processes must not use the same id; a
 // process that restarts with its id fences what the previous one left in flight.
 func NewWriter(table Table, id string) *Writer {
-	return &Writer{table: table, key: "writer/" + id}
+	return &Writer{table: table, key: "writer/" + id, lock: make(chan struct{}, 1)}
 }
 
 // Commit applies txn and returns the versions of txn.Writes. The version of a
@@ -44,8 +45,12 @@
 // transaction has no effect, now or later; errkind.StoreAmbiguous is returned
 // only when ctx ends before the outcome is known.
 func (w *Writer) Commit(ctx context.Context, txn Txn) ([]uint64, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	select {
+	case w.lock <- struct{}{}:
+	case <-ctx.Done():
+		return nil, errkind.Wrap(errkind.StoreUnavailable, ctx.Err(), "wait for an earlier commit")
+	}
+	defer func() { <-w.lock }()
 	if err := w.prepare(ctx); err != nil {
 		return nil, err
 	}
