--- /dev/null
+++ b/command/chicorybench/policy.go
@@ -0,0 +1,11 @@
+package chicorybench
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/chicorystand/chicorystand/bench/policy"
+)
+
+func newPolicy() *cobra.Command {
+	return benchCommand("policy", "Measure service tail latency, batch throughput and evictions against first-fit", policy.Run)
+}
--- a/command/chicorybench/root.go
+++ b/command/chicorybench/root.go
@@ -18,6 +18,7 @@
 // subcommands lists the constructors of all benchmark commands.
 var subcommands = []func() *cobra.Command{
 	newDecide,
+	newPolicy,
 }
 
 // New returns the root command.
