--- a/shard/owner.go
+++ b/shard/owner.go
@@ -47,8 +47,9 @@
 	// EpochCond is the condition that fences every commit of this owner.
 	EpochCond store.Cond
 	Table     store.Table
-	Writer    *store.Writer
-	Clock     clock.Clock
+	// Commits is the commit loop shared by all shards of the entry.
+	Commits *Committer
+	Clock   clock.Clock
 	// Scheduler configures the decisions; the zero value weighs batch throughput only.
 	Scheduler scheduler.Config
 	Recorder  *history.Recorder
@@ -74,13 +75,13 @@
 	sched  *scheduler.Scheduler
 	agents map[string]*agentLink
 
-	dirty       map[string]*dirtyRow
-	inFlight    bool
-	storeFailed bool
-	retryAt     time.Duration
-	memberVer   uint64
-	doc         plan.Document
-	lost        bool
+	dirty     map[string]*dirtyRow
+	busy      map[string]*dirtyRow
+	source    *commitSource
+	memberVer uint64
+	doc       plan.Document
+	lost      bool
+	stopping  bool
 
 	// unsettled counts the registered commits of each task that are not finished.
 	unsettled map[string]int
@@ -95,6 +96,8 @@
 type agentLink struct {
 	caller   Caller
 	upstream wire.Upstream
+	// configGen is the generation that the agent has acknowledged.
+	configGen uint64
 }
 
 // dirtyRow is a task whose record must be written.
@@ -108,6 +111,7 @@
 func NewOwner(cfg Config) *Owner {
 	return &Owner{cfg: cfg, inbox: make(chan func(), 256), tables: tables.New(), sched: scheduler.New(cfg.Scheduler),
 		agents: make(map[string]*agentLink), dirty: make(map[string]*dirtyRow),
+		busy: make(map[string]*dirtyRow), source: &commitSource{shard: cfg.Shard, epoch: cfg.EpochCond},
 		unsettled: make(map[string]int), stops: make(map[stopKey]*pendingStop), orphans: make(map[string]map[string]struct{})}
 }
 
@@ -219,18 +223,14 @@
 }
 
 func (o *Owner) tick(ctx context.Context) {
-	if o.lost || !o.cfg.Valid() {
+	if o.lost || o.stopping || !o.cfg.Valid() {
 		return
 	}
 	now := o.cfg.Clock.Now()
 	o.expireGrants(now)
 	o.repeatStops(ctx, now)
 	o.deleteExpired(ctx)
-	if o.storeFailed && len(o.dirty) == 0 && !o.inFlight && now >= o.retryAt {
-		// Nothing is left that a commit could show the store's recovery with.
-		o.storeFailed = false
-	}
-	if o.storeFailed {
+	if o.cfg.Commits.Failing() {
 		return
 	}
 	for _, e := range o.sched.Tick(o.tables, now) {
--- a/shard/retention.go
+++ b/shard/retention.go
@@ -14,8 +14,8 @@
 	// TerminalRetention is how long the record of a finished task is kept. A client
 	// that repeats a submission within it is told the outcome of the first one.
 	TerminalRetention = 24 * time.Hour
-	// deleteBatch is the largest number of records deleted in one transaction.
-	deleteBatch = store.MaxTxnRows
+	// deleteBatch is the largest number of records deleted in one transaction; each has a second row for its id.
+	deleteBatch = store.MaxTxnRows / 2
 	// deleteInterval separates deletions, so that they take at most one write in
 	// 10 s from the store budget.
 	deleteInterval = 10 * time.Second
@@ -53,7 +53,7 @@
 // deleteExpired deletes a batch of records whose retention has ended.
 func (o *Owner) deleteExpired(ctx context.Context) {
 	now := o.cfg.Clock.Now()
-	if o.terminal.inFlight || o.storeFailed || now < o.terminal.next {
+	if o.terminal.inFlight || o.cfg.Commits.Failing() || now < o.terminal.next {
 		return
 	}
 	o.terminal.next = now + deleteInterval
@@ -69,14 +69,14 @@
 		}
 		key := Prefix(o.cfg.Shard) + e.id
 		txn.Conds = append(txn.Conds, store.Cond{Key: key, Version: tk.Version})
-		txn.Writes = append(txn.Writes, store.Write{Key: key, Delete: true})
+		txn.Writes = append(txn.Writes, store.Write{Key: key, Delete: true}, store.Write{Key: TaskIDPrefix + e.id, Delete: true})
 	}
 	if len(txn.Writes) == 0 {
 		return
 	}
 	o.terminal.inFlight = true
 	go func() {
-		_, err := o.cfg.Writer.Commit(ctx, txn)
+		err := o.cfg.Commits.CommitNow(ctx, txn)
 		o.post(ctx, func() { o.deleted(batch, err) })
 	}()
 }
