--- a/faultmatrix/cluster_test.go
+++ b/faultmatrix/cluster_test.go
@@ -184,7 +184,7 @@
 	inc := c.incarnation()
 	id := fmt.Sprintf("%s.%d", host, inc)
 	control, web := c.net.listen(host, id+":control"), c.net.listen(host, id+"-web:80")
-	p := entry.New(entry.Config{ID: id, Zone: zoneOf(host), Incarnation: inc, ShardsPerZone: 1, Table: &storeLink{c, host},
+	p := entry.New(entry.Config{ID: host, Zone: zoneOf(host), Incarnation: inc, ShardsPerZone: 1, Table: &storeLink{c, host},
 		Clock: c.clock, Recorder: c.rec, Log: zerolog.Nop(), Dial: c.dial(host)})
 	ctx, cancel := context.WithCancel(c.ctx)
 	e := &entryProc{id: id, host: host, control: id + ":control", web: id + "-web", process: p, cancel: cancel, done: make(chan struct{})}
