Use learnt effects in the guard and size processors by weight

Classes of 19% plus a margin of 15% reserved a third more than the use. Interference was learnt from reservations although tasks were throttled, and from one base for all loads of a quarter.

--- a/bench/policy/model.go
+++ b/bench/policy/model.go
@@ -44,7 +44,8 @@
 	name string
 	// share is the part of the batch work that the class makes up.
 	share float64
-	// harm is the slowdown of the service for each processor in use at load 0.5.
+	// harm is the slowdown of the service for each processor in use at load 0.5 on a VM of
+	// referenceCPU.
 	harm float64
 	cpu  int64
 	mean time.Duration
@@ -60,6 +61,9 @@
 	}
 }
 
+// referenceCPU is the size of a VM to which the harm of a class refers, in thousandths of a processor.
+const referenceCPU = 32000.0
+
 // batchDemand is the real batch demand as a part of the processors not held by services.
 const batchDemand = 0.65
 
@@ -122,6 +126,8 @@
 	now, next        time.Duration
 	reports          []delayed
 	usesGuards       bool
+	// learns is true when the owner tells the guards what it learnt about job classes.
+	learns bool
 
 	hist      *hdrhistogram.Histogram
 	evictions int
--- a/bench/policy/vm.go
+++ b/bench/policy/vm.go
@@ -35,6 +35,8 @@
 		used += use
 		harm += r.harm(j.class) * use * (0.5 + m.load)
 	}
+	// Caches and memory bandwidth grow with the VM, so a processor of a small VM does more harm.
+	harm *= referenceCPU / float64(m.v.Capacity.CPU)
 	contention = max(used/(float64(m.v.Capacity.CPU)/1000), 1)
 	return (1 + harm) * contention * m.wave, contention
 }
@@ -120,7 +122,11 @@
 	}
 	s := guard.Samples{Latencies: m.lat}
 	for _, j := range m.jobs {
-		s.Tasks = append(s.Tasks, guard.Task{ID: j.tk.Record.Spec.ID, JobClass: j.class.name, CPU: int64(1000 * j.use * j.fraction)})
+		harm := 0.0
+		if r.learns {
+			harm = max(r.t.Harm(m.v.Service, j.class.name, tables.LoadBucket(m.v.Load)), 1e-6)
+		}
+		s.Tasks = append(s.Tasks, guard.Task{Harm: harm, ID: j.tk.Record.Spec.ID, JobClass: j.class.name, CPU: int64(1000 * j.use * j.fraction)})
 	}
 	if !r.usesGuards {
 		return
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -21,6 +21,10 @@
 const (
 	throttleAbove = 1.0
 	restoreBelow  = 0.8
+	// restoreExpected is the highest tail expected after a restore of known effect.
+	restoreExpected = 0.95
+	// restoreShare is the part of the throttled tasks' effect that one restore gives back.
+	restoreShare = 0.5
 	// severeAbove throttles every batch task at once instead of the most harmful ones.
 	severeAbove = 1.5
 	// improvement is the relative fall of the tail that shows that a checkpoint helped.
@@ -43,6 +47,21 @@
 	patienceRange = 12 * time.Second
 )
 
+// Tolerated effect of the batch tasks on a service above its target: the base at tail
+// weight 1, base and range at tail weight 0. A smaller effect is not what makes the service
+// slow, and throttling would cost throughput for nothing.
+const (
+	toleratedBase  = 0.02
+	toleratedRange = 0.04
+)
+
+// minEffect is the learnt effect of a task below which throttling it is not worth the
+// throughput.
+const minEffect = 0.01
+
+// minRelief is the learnt effect of a task at the lowest speed that is worth a checkpoint.
+const minRelief = 0.02
+
 // maxUseless is the number of checkpoints without improvement after which the guard
 // stops, since the cause of the slow service is not on this VM.
 const maxUseless = 2
@@ -145,7 +164,7 @@
 	g.forget(s.Tasks)
 	tail := g.Tail()
 	switch {
-	case g.window.total == 0 || (tail > 0 && tail < restoreBelow):
+	case g.window.total == 0 || tail > 0 && g.calm(s.Tasks, tail):
 		g.floorSince, g.useless = never, 0
 		return g.restore(s.Tasks, now)
 	case tail > throttleAbove:
@@ -172,6 +191,23 @@
 	}
 }
 
+// worthwhile reports whether the expected effect of all tasks is above what is left
+// alone. Tasks of unknown effect are always acted on.
+func (g *Guard) worthwhile(tasks []Task, tail float64) bool {
+	sum := 0.0
+	for _, t := range tasks {
+		if t.Harm <= 0 {
+			return true
+		}
+		sum += g.weight(t)
+	}
+	allowed := toleratedBase + toleratedRange*(1-g.cfg.TailWeight)
+	if tail > severeAbove {
+		allowed /= 2
+	}
+	return sum > allowed
+}
+
 // weight is the expected effect of the task on the service at its current speed.
 func (g *Guard) weight(t Task) float64 {
 	harm := t.Harm
@@ -200,10 +236,12 @@
 }
 
 func (g *Guard) escalate(tasks []Task, tail float64, now time.Duration) []Action {
-	if now-g.lastStep < settle {
+	if now-g.lastStep < settle || !g.worthwhile(tasks, tail) {
 		return nil
 	}
-	slower := g.byWeight(tasks, func(t Task) bool { return g.level[t.ID] < len(steps)-1 })
+	slower := g.byWeight(tasks, func(t Task) bool {
+		return g.level[t.ID] < len(steps)-1 && (t.Harm <= 0 || g.weight(t) >= minEffect)
+	})
 	if len(slower) == 0 {
 		return g.checkpoint(tasks, tail, now)
 	}
@@ -264,18 +302,39 @@
 	if now-g.floorSince < patience || g.useless >= maxUseless {
 		return nil
 	}
+	worst := g.byWeight(tasks, func(Task) bool { return true })[0]
+	if worst.Harm > 0 && g.weight(worst) < minRelief {
+		return nil
+	}
 	if tail > g.tailBefore*(1-improvement) {
 		g.useless++
 	} else {
 		g.useless = 0
 	}
-	worst := g.byWeight(tasks, func(Task) bool { return true })[0]
 	delete(g.level, worst.ID)
 	g.floorSince, g.tailBefore = now, tail
 	g.stepped(now)
 	return []Action{{Kind: Checkpoint, Task: worst.ID}}
 }
 
+// calm reports whether there is room to restore a step: the tail is well below the target,
+// or is expected to stay below it by the learnt effects of the tasks to be restored.
+func (g *Guard) calm(tasks []Task, tail float64) bool {
+	if tail < restoreBelow {
+		return true
+	}
+	added := 0.0
+	for _, t := range tasks {
+		if t.Harm <= 0 {
+			return false
+		}
+		if l := g.level[t.ID]; l > 0 {
+			added += restoreShare * g.weight(t) * (steps[l-1]/steps[l] - 1)
+		}
+	}
+	return tail*(1+added) < restoreExpected
+}
+
 // restore speeds up the least harmful throttled tasks by one step.
 func (g *Guard) restore(tasks []Task, now time.Duration) []Action {
 	if g.calmSince == never {
@@ -294,5 +353,5 @@
 		g.wait = max(g.wait/2, restoreWait)
 	}
 	g.lastRestore = now
-	return g.shift(throttled, 0.5, -1)
+	return g.shift(throttled, restoreShare, -1)
 }
--- a/scheduler/feasibility/feasibility.go
+++ b/scheduler/feasibility/feasibility.go
@@ -83,15 +83,20 @@
 }
 
 // tooHarmful reports whether a batch task would raise the pressure on the VM's service
-// above the limit. A VM without other pressure takes any task, so that none waits for ever.
+// above the limit. A VM below half of the limit takes one task of any effect, so that a
+// task that alone exceeds the limit does not wait for an empty VM.
 func tooHarmful(r Request, v *tables.VM) bool {
-	if v.Service == "" || r.Task.Record.Spec.Class != task.Batch || v.Pressure == 0 {
+	if v.Service == "" || r.Task.Record.Spec.Class != task.Batch || v.Pressure <= r.MaxPressure/2 {
 		return false
 	}
-	harm := r.Harms.On(v.Service, tables.LoadBucket(v.Load))
-	return v.Pressure+harm*float64(r.Need.CPU)/1000 > r.MaxPressure
+	own := r.Harms.On(v.Service, tables.LoadBucket(v.Load)) * float64(r.Need.CPU) / 1000
+	return own > Negligible && v.Pressure+own > r.MaxPressure
 }
 
+// Negligible is the effect of a task that is placed at any pressure: refusing quiet tasks
+// beside a noisy one costs throughput and does not help the service.
+const Negligible = 0.02
+
 // Quota returns tables.OverQuota when the reservation would exceed the customer's limits.
 func Quota(c *tables.Customer, reservation task.Resources) tables.Reason {
 	used := c.Used.Add(reservation)
--- a/scheduler/interference/interference.go
+++ b/scheduler/interference/interference.go
@@ -38,7 +38,8 @@
 		return
 	}
 	load := tables.LoadBucket(r.Load)
-	base := pair(t, tables.Pair{Service: v.Service, JobClass: BaseClass, Load: load}, unknownBase)
+	base := baseOf(t, v.Service, r.Load)
+	ratios := measured(t, r)
 	type term struct {
 		s   *tables.Slowdown
 		cpu float64
@@ -51,6 +52,9 @@
 		}
 		key := tables.Pair{Service: v.Service, JobClass: class, Load: load}
 		x := term{pair(t, key, t.Harm(v.Service, class, load)), float64(milli) / 1000}
+		if ratio, ok := ratios[class]; ok {
+			x.cpu *= ratio
+		}
 		terms = append(terms, x)
 		norm += x.cpu * x.cpu
 		expected += x.s.Harm * x.cpu
@@ -70,6 +74,47 @@
 
 func step(s *tables.Slowdown) float64 { return max(rate/(1+s.Weight/halfRate), minRate) }
 
+// baseBuckets is the number of load classes of the tail without batch tasks, which rises
+// with load more steeply than the effect of a class does.
+const baseBuckets = 20
+
+// baseOf returns the tail without batch tasks. A class of load that is new starts from the
+// nearest one that is known.
+func baseOf(t *tables.Tables, service string, load float64) *tables.Slowdown {
+	b := int(min(max(load, 0), 0.99) * baseBuckets)
+	key := func(b int) tables.Pair { return tables.Pair{Service: service, JobClass: BaseClass, Load: uint8(b)} }
+	if s, ok := t.Pairs[key(b)]; ok {
+		return s
+	}
+	for d := 1; d < baseBuckets; d++ {
+		for _, near := range []int{b - d, b + d} {
+			if s, ok := t.Pairs[key(near)]; ok && near >= 0 {
+				return pair(t, key(b), s.Harm)
+			}
+		}
+	}
+	return pair(t, key(b), unknownBase)
+}
+
+// measured returns real over reserved processors by job class, as far as the report tells.
+// Throttled and idle tasks do less harm than their reservations suggest.
+func measured(t *tables.Tables, r tables.Report) map[string]float64 {
+	used, reserved := make(map[string]int64), make(map[string]int64)
+	for _, u := range r.Uses {
+		tk, ok := t.Tasks[u.Task]
+		if !ok || tk.Record.VM != r.VM || tk.Reserved.CPU == 0 || tk.Started > r.At-r.Lag {
+			continue
+		}
+		used[tk.Record.Spec.JobClass] += u.Use.CPU
+		reserved[tk.Record.Spec.JobClass] += tk.Reserved.CPU
+	}
+	ratios := make(map[string]float64, len(used))
+	for class, cpu := range reserved {
+		ratios[class] = float64(used[class]) / float64(cpu)
+	}
+	return ratios
+}
+
 func pair(t *tables.Tables, key tables.Pair, initial float64) *tables.Slowdown {
 	s, ok := t.Pairs[key]
 	if !ok {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -101,7 +101,7 @@
 // Bounds of MaxPressure: the base at tail weight 1, base and range at tail weight 0.
 const (
 	pressureBase  = 0.1
-	pressureRange = 0.4
+	pressureRange = 0.2
 )
 
 // Scheduler holds what the systems keep between ticks besides the tables.
@@ -300,7 +300,7 @@
 
 func (k *tick) placeOne(tk *tables.Task) {
 	spec := &tk.Record.Spec
-	need := sizing.Reservation(k.t, tk)
+	need := sizing.Reservation(k.t, tk, k.cfg.TailWeight)
 	sh := shape{tk.Job(), need, spec.Zone}
 	_, held := k.holds[spec.ID]
 	if f, ok := k.failed[sh]; ok && !held && (f.until > k.now && !spec.Urgent || f.at == k.now) {
@@ -445,10 +445,11 @@
 // harmful reports whether every VM of the group is refused for its pressure.
 func (f *finder) harmful(g *tables.Group) bool {
 	edge := tables.PressureEdge(g.Pressure)
-	if g.Service == "" || edge == 0 || f.s.Class != task.Batch {
+	if g.Service == "" || edge <= f.r.MaxPressure/2 || f.s.Class != task.Batch {
 		return false
 	}
-	return edge+f.r.Harms.On(g.Service, g.Load)*float64(f.r.Need.CPU)/1000 > f.r.MaxPressure
+	own := f.r.Harms.On(g.Service, g.Load) * float64(f.r.Need.CPU) / 1000
+	return own > feasibility.Negligible && edge+own > f.r.MaxPressure
 }
 
 // row returns a feasible VM of the row. The first VM looked at in each cell is random, so
--- a/scheduler/sizing/sizing.go
+++ b/scheduler/sizing/sizing.go
@@ -12,10 +12,15 @@
 
 // Rules of learning.
 const (
-	// quantile of the learnt use that a reservation covers, and the margin above it.
-	cpuQuantile    = 0.95
+	// memoryQuantile is the part of the learnt use that a reservation covers, and margin is
+	// added to it. Memory beyond the reservations ends tasks.
 	memoryQuantile = 0.99
 	margin         = 1.15
+	// Processors are shared when tasks use more than they reserved. The quantile and the
+	// margin rise with the tail weight up to 0.95 and 15%.
+	cpuQuantileBase  = 0.75
+	cpuQuantileRange = 0.2
+	cpuMarginRange   = 0.15
 	// growth is the weight of a sample over that of the one before; the effective window is 200 samples.
 	growth = 1 + 1.0/200
 	// maxWeight is where weights are scaled down again.
@@ -116,27 +121,30 @@
 	s.Weight = 1
 }
 
-// bucket returns the class of an amount: a quarter octave from 16 upwards.
+// perOctave is the number of classes in each doubling of an amount.
+const perOctave = 8
+
+// bucket returns the class of an amount, from 16 upwards.
 func bucket(amount int64) int {
 	if amount <= 16 {
 		return 0
 	}
-	return min(int(4*math.Log2(float64(amount)/16)), tables.SizeBuckets-1)
+	return min(int(perOctave*math.Log2(float64(amount)/16)), tables.SizeBuckets-1)
 }
 
-// upper returns the upper bound of a class.
-func upper(b int) int64 { return int64(math.Ceil(16 * math.Exp2(float64(b+1)/4))) }
-
+// quantile returns the amount below which the part q of the samples lies, interpolated
+// within its class: a whole class more would reserve up to 9% for nothing.
 func quantile(h *tables.Uses, q float64) int64 {
-	var total, seen float32
+	var total, seen float64
 	for _, n := range h {
-		total += n
+		total += float64(n)
 	}
 	for b, n := range h {
-		seen += n
-		if float64(seen) >= q*float64(total) {
-			return upper(b)
+		if seen+float64(n) >= q*total && n > 0 {
+			part := (q*total - seen) / float64(n)
+			return int64(math.Ceil(16 * math.Exp2((float64(b)+part)/perOctave)))
 		}
+		seen += float64(n)
 	}
 	return 0
 }
@@ -144,7 +152,7 @@
 // Reservation returns the amount to reserve for the task: the learnt use with a margin,
 // or the declared amount while too little is known. It never exceeds what the largest VM
 // offers when the declared amount does not.
-func Reservation(t *tables.Tables, tk *tables.Task) task.Resources {
+func Reservation(t *tables.Tables, tk *tables.Task, tailWeight float64) task.Resources {
 	need := tk.Record.Spec.Declared
 	s, ok := t.Sizes[tk.Job()]
 	if !ok || s.Samples < minSamples || len(s.Tasks) < minTasks {
@@ -152,6 +160,7 @@
 	}
 	if s.LearntAt == 0 || s.Samples-s.LearntAt >= relearn {
 		s.LearntAt = s.Samples
+		cpuQuantile := cpuQuantileBase + cpuQuantileRange*tailWeight
 		s.Learnt = tables.LearntSize{
 			Amount:      task.Resources{CPU: quantile(&s.CPU, cpuQuantile), Memory: quantile(&s.Memory, memoryQuantile)},
 			CPURatio:    float64(quantile(&s.CPURatio, cpuQuantile)) / ratioUnit,
@@ -159,8 +168,8 @@
 		}
 	}
 	learnt := need
-	learnt.CPU = clamp(need.CPU, tighter(s.Learnt.Amount.CPU, s.Learnt.CPURatio, need.CPU))
-	learnt.Memory = clamp(need.Memory, tighter(s.Learnt.Amount.Memory, s.Learnt.MemoryRatio, need.Memory))
+	learnt.CPU = clamp(need.CPU, tighter(s.Learnt.Amount.CPU, s.Learnt.CPURatio, need.CPU), 1+cpuMarginRange*tailWeight)
+	learnt.Memory = clamp(need.Memory, tighter(s.Learnt.Amount.Memory, s.Learnt.MemoryRatio, need.Memory), margin)
 	if fits, known := t.EverFits(tk.Record.Spec.Zone, learnt); known && !fits {
 		return need
 	}
@@ -176,7 +185,7 @@
 	return min(amount, int64(math.Ceil(ratio*float64(declared))))
 }
 
-func clamp(declared, use int64) int64 {
+func clamp(declared, use int64, margin float64) int64 {
 	if declared == 0 {
 		return int64(float64(use) * margin)
 	}
--- a/scheduler/tables/learnt.go
+++ b/scheduler/tables/learnt.go
@@ -72,8 +72,8 @@
 	return h.harm[load]
 }
 
-// SizeBuckets is the number of classes of a learnt size. Each is 1/4 octave (19%).
-const SizeBuckets = 64
+// SizeBuckets is the number of classes of a learnt size. Each is 1/8 octave (9%).
+const SizeBuckets = 128
 
 // Uses counts decayed samples by class of use.
 type Uses [SizeBuckets]float32
