--- a/shard/takeover.go
+++ b/shard/takeover.go
@@ -362,6 +362,6 @@
 	if m.cfg.OnOwner != nil {
 		m.cfg.OnOwner(s.owner)
 	}
-	events.ShardAcquired.Log(m.cfg.Log).Str("shard", id).Uint64("epoch", s.row.Epoch).Send()
+	events.ShardAcquired.Log(m.cfg.Log).Str("shard", id).Uint64("epoch", s.owner.cfg.Epoch).Send()
 	s.owner.Run(ctx)
 }
