--- /dev/null
+++ b/bench/control/control.go
@@ -0,0 +1,142 @@
+// Package control measures the control traffic of each daemon in steady state.
+package control
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/chicorystand/chicorystand/bench"
+	"github.com/chicorystand/chicorystand/bench/sim"
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/history"
+	"github.com/chicorystand/chicorystand/task"
+)
+
+// Size of the measured system and the requirement.
+const (
+	agents        = 600
+	entries       = 14
+	zones         = 7
+	tasksRunning  = 5200
+	customers     = 230
+	bound         = 2000
+	settle        = 45 * time.Second
+	measure       = 240 * time.Second
+	submitBatch   = 650
+	startDeadline = 2 * time.Minute
+)
+
+// Run measures the traffic of every daemon over four virtual minutes.
+func Run(ctx context.Context, seed uint64) (*bench.Result, error) {
+	res := &bench.Result{Bench: "control", Seed: seed}
+	err := sim.Virtual(ctx, func(ctx context.Context) error { return run(ctx, res) })
+	return res, err
+}
+
+func run(ctx context.Context, res *bench.Result) error {
+	ctx, cancel := context.WithCancel(ctx)
+	c := sim.Start(ctx, sim.Config{Entries: entries, Agents: agents, Zones: zones, ShardsPerZone: 2, AgentsPerRack: 12,
+		Capacity: task.Resources{CPU: 32000, Memory: 125 << 10}, WorkerStep: 5 * time.Second})
+	defer c.Stop(cancel)
+	if err := prepare(ctx, c); err != nil {
+		return err
+	}
+	time.Sleep(settle)
+	before := snapshot(c)
+	time.Sleep(measure)
+	report(res, c, before)
+	return nil
+}
+
+func prepare(ctx context.Context, c *sim.Cluster) error {
+	if err := c.AwaitReady(ctx, agents); err != nil {
+		return err
+	}
+	if _, err := c.Apply(ctx, 0, sim.Document(0, customers)); err != nil {
+		return err
+	}
+	for n := 0; n < tasksRunning; n += submitBatch {
+		var specs []task.Spec
+		for i := n; i < n+submitBatch; i++ {
+			specs = append(specs, task.Spec{ID: fmt.Sprintf("task-%05d", i), Customer: sim.Customer(i % customers), JobClass: "watcher",
+				Class: task.LatencyCritical, Declared: task.Resources{CPU: 1000, Memory: 1024}})
+		}
+		accepted, err := c.Submit(ctx, n/submitBatch%entries, specs)
+		if err != nil {
+			return err
+		}
+		if accepted != submitBatch {
+			return errkind.New(errkind.Internal, "%d of %d tasks were accepted", accepted, submitBatch)
+		}
+	}
+	deadline := time.Now().Add(startDeadline)
+	for c.Count(history.TaskRunStart) < tasksRunning {
+		if time.Now().After(deadline) {
+			return errkind.New(errkind.NotReady, "%d of %d tasks run", c.Count(history.TaskRunStart), tasksRunning)
+		}
+		time.Sleep(time.Second)
+	}
+	return nil
+}
+
+// snapshot returns the traffic of every daemon with each kind of process.
+func snapshot(c *sim.Cluster) map[string]map[string]sim.Traffic {
+	out := make(map[string]map[string]sim.Traffic)
+	for _, e := range c.Entries {
+		out[e.ID] = c.Net.Traffic(e.ID)
+	}
+	for _, a := range c.Agents {
+		out[a.VM] = c.Net.Traffic(a.VM)
+	}
+	return out
+}
+
+// rate is in bytes a second.
+type rate struct {
+	name           string
+	payload, total float64
+}
+
+func rateOf(name string, after, before sim.Traffic) rate {
+	return rate{name, float64(after.Payload-before.Payload) / measure.Seconds(), float64(after.Total()-before.Total()) / measure.Seconds()}
+}
+
+func report(res *bench.Result, c *sim.Cluster, before map[string]map[string]sim.Traffic) {
+	after := snapshot(c)
+	rates := func(names []string) []rate {
+		var out []rate
+		for _, name := range names {
+			out = append(out, rateOf(name, sim.Sum(after[name]), sim.Sum(before[name])))
+		}
+		sort.Slice(out, func(i, j int) bool { return out[i].total < out[j].total })
+		return out
+	}
+	var es, as []string
+	for _, e := range c.Entries {
+		es = append(es, e.ID)
+	}
+	for _, a := range c.Agents {
+		as = append(as, a.VM)
+	}
+	t := bench.Table{Title: fmt.Sprintf("control traffic in B/s, both directions, %d entries, %d agents, %d tasks, %v of virtual time", entries, agents, tasksRunning, measure),
+		Header: []string{"daemon", "median payload", "median with headers", "largest payload", "largest with headers"}}
+	groups := []struct {
+		name  string
+		rates []rate
+	}{{"entry", rates(es)}, {"agent", rates(as)}}
+	for _, g := range groups {
+		mid, top := g.rates[len(g.rates)/2], g.rates[len(g.rates)-1]
+		t.Add(g.name, mid.payload, mid.total, top.payload, top.total)
+		res.Checks = append(res.Checks, bench.AtMost("payload of the busiest "+g.name, top.payload, bound, "B/s"),
+			bench.AtMost("payload and headers of the busiest "+g.name, top.total, bound, "B/s"))
+	}
+	busiest := groups[0].rates[len(es)-1].name
+	parts := bench.Table{Title: "busiest entry by the other process", Header: []string{"other", "payload", "with headers"}}
+	for _, kind := range []string{"vm", "entry", "store", "client"} {
+		r := rateOf(kind, after[busiest][kind], before[busiest][kind])
+		parts.Add(kind, r.payload, r.total)
+	}
+	res.Tables = append(res.Tables, t, parts)
+}
--- /dev/null
+++ b/bench/sim/cluster.go
@@ -0,0 +1,303 @@
+package sim
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/rs/zerolog"
+
+	"github.com/chicorystand/chicorystand/agent"
+	"github.com/chicorystand/chicorystand/clock"
+	"github.com/chicorystand/chicorystand/entry"
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/history"
+	"github.com/chicorystand/chicorystand/plan"
+	"github.com/chicorystand/chicorystand/platform/standin"
+	"github.com/chicorystand/chicorystand/store/httpstore"
+	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+// Config configures a cluster.
+type Config struct {
+	Entries, Agents, Zones, ShardsPerZone int
+	// AgentsPerRack groups agents into racks.
+	AgentsPerRack int
+	Capacity      task.Resources
+	// WorkerStep is the interval at which attempts advance.
+	WorkerStep time.Duration
+	// CheckpointInterval is the time between periodic checkpoints; 0 disables them.
+	CheckpointInterval time.Duration
+}
+
+// process is the name of the table service's process on the network.
+const storeProcess = "store"
+
+// Cluster is a running cluster.
+type Cluster struct {
+	cfg      Config
+	Net      *Net
+	Table    *standin.Table
+	Objects  *standin.Objects
+	Recorder *history.Recorder
+	Clock    clock.Clock
+	Entries  []*Entry
+	Agents   []*Agent
+
+	ctx    context.Context
+	client *http.Client
+	wg     sync.WaitGroup
+	starts uint64
+}
+
+// Entry is an entry process.
+type Entry struct {
+	ID, Zone string
+	cancel   context.CancelFunc
+	done     chan struct{}
+	alive    bool
+}
+
+// Agent is an agent process on its VM.
+type Agent struct {
+	VM, Zone, Rack string
+	Worker         *standin.Worker
+	cancel         context.CancelFunc
+	alive          bool
+}
+
+// zoneDelay is the one-way delay between availability zones; localDelay is within one.
+const (
+	zoneDelay  = 3500 * time.Microsecond
+	localDelay = 200 * time.Microsecond
+)
+
+// Start starts a cluster in the virtual time of ctx. Stop must be called.
+func Start(ctx context.Context, cfg Config) *Cluster {
+	c := &Cluster{cfg: cfg, Net: NewNet(), Table: standin.NewTable(standin.DefaultWritesPerSecond, standin.DefaultReadsPerSecond),
+		Objects: standin.NewObjects(), Clock: clock.NewRuntime(), ctx: ctx}
+	c.Recorder = history.NewRecorder(c.Clock.Now)
+	zones := make(map[string]string)
+	for i := range cfg.Entries {
+		zones[entryID(i)] = c.zone(i)
+	}
+	for i := range cfg.Agents {
+		zones[vmID(i)] = c.zone(i)
+	}
+	c.Net.Delay = func(a, b string) time.Duration {
+		if zones[a] == zones[b] {
+			return localDelay
+		}
+		return zoneDelay
+	}
+	c.client = &http.Client{Transport: &http.Transport{DialContext: c.dialContext("client"), MaxIdleConnsPerHost: 8}}
+	c.serve(storeProcess, "store:1", standin.Handler(c.Table, c.Objects))
+	for i := range cfg.Entries {
+		c.StartEntry(i)
+		time.Sleep(50 * time.Millisecond)
+	}
+	for i := range cfg.Agents {
+		c.startAgent(i)
+		if i%20 == 0 {
+			// Agents start over several seconds, so that their heartbeats are spread.
+			time.Sleep(250 * time.Millisecond)
+		}
+	}
+	return c
+}
+
+func entryID(i int) string { return fmt.Sprintf("entry-%d", i) }
+func vmID(i int) string    { return fmt.Sprintf("vm-%03d", i) }
+
+func (c *Cluster) zone(i int) string { return fmt.Sprintf("zone-%c", 'a'+i%c.cfg.Zones) }
+
+func (c *Cluster) dialContext(process string) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	dial := c.Net.Dialer(process)
+	return func(ctx context.Context, _, addr string) (net.Conn, error) { return dial(ctx, addr) }
+}
+
+func (c *Cluster) serve(process, addr string, h http.Handler) {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	l := c.Net.Listen(process, addr)
+	c.wg.Add(2)
+	go func() { defer c.wg.Done(); _ = s.Serve(l) }()
+	go func() { defer c.wg.Done(); <-c.ctx.Done(); _ = s.Close() }()
+}
+
+// StartEntry starts or replaces the entry i.
+func (c *Cluster) StartEntry(i int) {
+	id, zone := entryID(i), c.zone(i)
+	control, web := c.Net.Listen(id, id+":1"), c.Net.Listen(id, id+":2")
+	transport := &http.Transport{DialContext: c.dialContext(id), MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
+	c.starts++
+	p := entry.New(entry.Config{ID: id, Zone: zone, Incarnation: c.starts, ShardsPerZone: c.cfg.ShardsPerZone,
+		Table: httpstore.New("http://store:1", transport), Clock: c.Clock, Recorder: c.Recorder, Log: zerolog.Nop(), Dial: c.Net.Dialer(id)})
+	ctx, cancel := context.WithCancel(c.ctx)
+	e := &Entry{ID: id, Zone: zone, cancel: cancel, done: make(chan struct{}), alive: true}
+	if i < len(c.Entries) {
+		c.Entries[i] = e
+	} else {
+		c.Entries = append(c.Entries, e)
+	}
+	c.wg.Add(1)
+	go func() {
+		defer c.wg.Done()
+		defer close(e.done)
+		_ = p.Run(ctx, control, web)
+		transport.CloseIdleConnections()
+	}()
+}
+
+func (c *Cluster) startAgent(i int) {
+	vm, zone, rack := vmID(i), c.zone(i), fmt.Sprintf("rack-%d", i/max(c.cfg.AgentsPerRack, 1))
+	ctx, cancel := context.WithCancel(c.ctx)
+	w := standin.NewWorker(standin.WorkerConfig{VM: vm, Capacity: c.cfg.Capacity, Clock: c.Clock, Objects: c.Objects,
+		Recorder: c.Recorder, Lag: 2 * time.Second, Step: c.cfg.WorkerStep})
+	var entries []string
+	for j := range c.cfg.Entries {
+		entries = append(entries, entryID((i+j)%c.cfg.Entries)+":1")
+	}
+	c.starts++
+	p := agent.New(agent.Config{VM: vm, Zone: zone, Rack: rack, Incarnation: c.starts, Entries: entries, Service: "service",
+		UpstreamURL: "http://upstream", Slots: 8, Conns: 4, CheckpointInterval: c.cfg.CheckpointInterval, Clock: c.Clock,
+		Worker: w, Recorder: c.Recorder, Log: zerolog.Nop(), Dial: c.Net.Dialer(vm)})
+	c.Agents = append(c.Agents, &Agent{VM: vm, Zone: zone, Rack: rack, Worker: w, cancel: cancel, alive: true})
+	data := c.Net.Listen(vm, vm+":1")
+	c.wg.Add(2)
+	go func() { defer c.wg.Done(); w.Run(ctx) }()
+	go func() { defer c.wg.Done(); _ = p.Run(ctx, data) }()
+}
+
+// KillEntry ends an entry without a graceful stop.
+func (c *Cluster) KillEntry(i int) {
+	e := c.Entries[i]
+	e.alive = false
+	c.Net.Kill(e.ID)
+	e.cancel()
+	<-e.done
+}
+
+// KillRack ends every VM of a rack at once.
+func (c *Cluster) KillRack(rack string) int {
+	n := 0
+	for _, a := range c.Agents {
+		if a.Rack == rack && a.alive {
+			a.alive = false
+			a.Worker.Fail()
+			c.Net.Kill(a.VM)
+			a.cancel()
+			n++
+		}
+	}
+	return n
+}
+
+// Stop ends every process and waits for them. cancel must end the context given to Start.
+func (c *Cluster) Stop(cancel context.CancelFunc) {
+	cancel()
+	c.client.CloseIdleConnections()
+	c.wg.Wait()
+}
+
+// Call sends a JSON or YAML body to an entry's HTTP API and decodes the answer.
+func (c *Cluster) Call(ctx context.Context, i int, method, path string, body []byte, into any) error {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+entryID(i)+":2"+path, bytes.NewReader(body))
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err, "build request")
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return errkind.Wrap(errkind.OutcomeUnknown, err, "call %s", path)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errkind.Wrap(errkind.OutcomeUnknown, err, "call %s", path)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errkind.New(errkind.Parse(resp.Header.Get(entry.HeaderKind)), "%s", data)
+	}
+	if into == nil {
+		return nil
+	}
+	return errkind.Wrap(errkind.Internal, json.Unmarshal(data, into), "decode answer")
+}
+
+// Document returns a configuration for n customers based on a generation.
+func Document(base uint64, n int) plan.Document {
+	doc := plan.Document{Generation: base, Limits: []plan.Limit{{Plan: "standard", Priority: 5, ShareWeight: 1}, {Plan: "basic", ShareWeight: 1}}}
+	for i := range n {
+		doc.Plans = append(doc.Plans, plan.CustomerPlan{Customer: Customer(i), Plan: "standard"})
+	}
+	// Every generation differs from the one before it.
+	doc.Limits[1].RequestsPerSecond = float64(base + 1)
+	return doc
+}
+
+// Customer returns the name of a customer.
+func Customer(i int) string { return fmt.Sprintf("team-%03d", i) }
+
+// Apply changes the configuration through an entry.
+func (c *Cluster) Apply(ctx context.Context, i int, doc plan.Document) (plan.Document, error) {
+	body, err := yaml.Marshal(doc)
+	if err != nil {
+		return doc, errkind.Wrap(errkind.Internal, err, "encode configuration")
+	}
+	var out plan.Document
+	err = c.Call(ctx, i, http.MethodPut, "/v1/config", body, &out)
+	return out, err
+}
+
+// Submit submits tasks through an entry and returns how many were accepted.
+func (c *Cluster) Submit(ctx context.Context, i int, specs []task.Spec) (int, error) {
+	body, err := json.Marshal(specs)
+	if err != nil {
+		return 0, errkind.Wrap(errkind.Internal, err, "encode tasks")
+	}
+	var results []wire.TaskResult
+	if err := c.Call(ctx, i, http.MethodPost, "/v1/tasks", body, &results); err != nil {
+		return 0, err
+	}
+	n := 0
+	for _, r := range results {
+		if r.Kind == errkind.None {
+			n++
+		}
+	}
+	return n, nil
+}
+
+// AwaitReady waits until an entry lists the given number of upstreams.
+func (c *Cluster) AwaitReady(ctx context.Context, upstreams int) error {
+	deadline := time.Now().Add(2 * time.Minute)
+	for {
+		var list []wire.Upstream
+		err := c.Call(ctx, 0, http.MethodGet, "/v1/upstreams", nil, &list)
+		if err == nil && len(list) >= upstreams {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return errkind.New(errkind.NotReady, "%d of %d upstreams are known: %v", len(list), upstreams, err)
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+// Count returns the number of recorded events of a kind.
+func (c *Cluster) Count(kind history.Kind) int {
+	n := 0
+	for _, e := range c.Recorder.Events() {
+		if e.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/command/chicorybench/control.go
@@ -0,0 +1,13 @@
+package chicorybench
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/chicorystand/chicorystand/bench/control"
+)
+
+func init() { subcommands = append(subcommands, newControl) }
+
+func newControl() *cobra.Command {
+	return benchCommand("control", "Measure the control traffic of each daemon", control.Run)
+}
