--- a/bench/sim/cluster.go
+++ b/bench/sim/cluster.go
@@ -136,7 +136,7 @@
 func (c *Cluster) StartEntry(i int) {
 	id, zone := entryID(i), c.zone(i)
 	control, web := c.Net.Listen(id, id+":1"), c.Net.Listen(id, id+":2")
-	transport := &http.Transport{DialContext: c.dialContext(id), MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
+	transport := &http.Transport{DialContext: c.dialContext(id), MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute, DisableCompression: true}
 	c.starts++
 	p := entry.New(entry.Config{ID: id, Zone: zone, Incarnation: c.starts, ShardsPerZone: c.cfg.ShardsPerZone,
 		Table: httpstore.New("http://store:1", transport), Clock: c.Clock, Recorder: c.Recorder, Log: zerolog.Nop(), Dial: c.Net.Dialer(id)})
--- /dev/null
+++ b/command/chicorybench/config.go
@@ -0,0 +1,13 @@
+package chicorybench
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/chicorystand/chicorystand/bench/config"
+)
+
+func init() { subcommands = append(subcommands, newConfig) }
+
+func newConfig() *cobra.Command {
+	return benchCommand("config", "Measure how fast an accepted configuration is in force", config.Run)
+}
--- a/confsync/confsync.go
+++ b/confsync/confsync.go
@@ -18,8 +18,11 @@
 
 // Keys in the table service.
 const (
-	KeyCurrent         = "config/current"
-	KeyPending         = "config/pending"
+	KeyCurrent = "config/current"
+	KeyPending = "config/pending"
+	// KeyHead holds the current and pending generations. It is written with the other
+	// two rows, and polled in place of them because it is small.
+	KeyHead            = "config/head"
 	RegistrationPrefix = "entry/"
 )
 
@@ -82,15 +85,28 @@
 // it starts again at 1 when an entry restarts after its row was deleted.
 func Stamp(r store.Row) uint64 { return xxhash.Sum64(r.Value) + r.Version }
 
+// head is the value of KeyHead.
+type head struct {
+	//lint:ignore U1000 selects the array encoding
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Current, Pending uint64
+}
+
 // state is what one read of the configuration rows returned.
 type state struct {
 	current, pending               plan.Document
 	currentVersion, pendingVersion uint64
+	headVersion                    uint64
 }
 
 func decodeState(rows []store.Row) (state, error) {
 	var s state
 	for _, r := range rows {
+		if r.Key == KeyHead {
+			s.headVersion = r.Version
+			continue
+		}
 		doc, err := decodeDocument(r)
 		if err != nil {
 			return state{}, err
--- a/confsync/follower.go
+++ b/confsync/follower.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/chicorystand/chicorystand/clock"
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/lease"
@@ -43,37 +45,50 @@
 	InForce *plan.Document
 }
 
-// Poll reads the configuration rows once.
+// Poll reads the generations, and the document when it is newer than the one in force.
 func (f *Follower) Poll(ctx context.Context) (Change, error) {
 	readAt := f.clock.Now()
-	rows, err := f.table.Get(ctx, KeyCurrent, KeyPending)
+	rows, err := f.table.Get(ctx, KeyHead)
 	if err != nil {
 		return Change{}, err
 	}
-	s, err := decodeState(rows)
-	if err != nil {
-		return Change{}, err
+	var h head
+	if len(rows) == 1 {
+		if err := msgpack.Unmarshal(rows[0].Value, &h); err != nil {
+			return Change{}, errkind.Wrap(errkind.Internal, err, "decode generations")
+		}
+	}
+	var doc plan.Document
+	if h.Current > f.Document().Generation {
+		// The row may be newer than the generations read before, never older.
+		rows, err := f.table.Get(ctx, KeyCurrent)
+		if err != nil || len(rows) == 0 {
+			return Change{}, errkind.Wrap(errkind.StoreUnavailable, err, "read generation %d", h.Current)
+		}
+		if doc, err = decodeDocument(rows[0]); err != nil {
+			return Change{}, err
+		}
 	}
-	return f.observe(readAt, s), nil
+	return f.observe(readAt, h, doc), nil
 }
 
-func (f *Follower) observe(readAt time.Duration, s state) Change {
+// observe applies a read that started at readAt. doc is zero when it was not read.
+func (f *Follower) observe(readAt time.Duration, h head, doc plan.Document) Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var c Change
-	if readAt < f.lease.Renewed() || s.current.Generation < f.doc.Generation {
+	if readAt < f.lease.Renewed() || max(h.Current, doc.Generation) < f.doc.Generation {
 		// An answer that was overtaken by a later read.
 		return c
 	}
 	f.lease.Renew(readAt)
-	if s.current.Generation > f.doc.Generation {
-		f.doc = s.current
-		doc := s.current
+	if doc.Generation > f.doc.Generation {
+		f.doc = doc
 		c.InForce = &doc
 	}
 	f.pending = 0
-	if s.pendingVersion != 0 && s.pending.Generation > f.doc.Generation {
-		f.pending = s.pending.Generation
+	if h.Pending > f.doc.Generation {
+		f.pending = h.Pending
 		if f.pending > f.prepared {
 			f.prepared, f.pendingSince, c.Prepare = f.pending, readAt, true
 		}
--- a/confsync/proposer.go
+++ b/confsync/proposer.go
@@ -37,7 +37,7 @@
 }
 
 func (p *Proposer) read(ctx context.Context) (state, error) {
-	rows, err := p.table.Get(ctx, KeyCurrent, KeyPending)
+	rows, err := p.table.Get(ctx, KeyCurrent, KeyPending, KeyHead)
 	if err != nil {
 		return state{}, err
 	}
@@ -65,9 +65,13 @@
 	if found, accepted, err := s.repeated(next); found || err != nil {
 		return s.answer(next, err), accepted, err
 	}
+	mark, err := msgpack.Marshal(head{Current: s.current.Generation, Pending: next.Generation})
+	if err != nil {
+		return plan.Document{}, false, errkind.Wrap(errkind.Internal, err, "encode generations")
+	}
 	_, err = p.writer.Commit(ctx, store.Txn{
-		Conds:  []store.Cond{{Key: KeyCurrent, Version: s.currentVersion}, {Key: KeyPending}},
-		Writes: []store.Write{{Key: KeyPending, Value: value}},
+		Conds:  []store.Cond{{Key: KeyCurrent, Version: s.currentVersion}, {Key: KeyPending}, {Key: KeyHead, Version: s.headVersion}},
+		Writes: []store.Write{{Key: KeyPending, Value: value}, {Key: KeyHead, Value: mark}},
 	})
 	if errkind.Of(err) != errkind.Conflict {
 		return next, false, err
@@ -206,9 +210,13 @@
 	if err != nil {
 		return errkind.Wrap(errkind.Internal, err, "encode configuration")
 	}
+	mark, err := msgpack.Marshal(head{Current: s.pending.Generation})
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err, "encode generations")
+	}
 	_, err = p.writer.Commit(ctx, store.Txn{
-		Conds:  []store.Cond{{Key: KeyCurrent, Version: s.currentVersion}, {Key: KeyPending, Version: s.pendingVersion}},
-		Writes: []store.Write{{Key: KeyCurrent, Value: value}, {Key: KeyPending, Delete: true}},
+		Conds:  []store.Cond{{Key: KeyCurrent, Version: s.currentVersion}, {Key: KeyPending, Version: s.pendingVersion}, {Key: KeyHead, Version: s.headVersion}},
+		Writes: []store.Write{{Key: KeyCurrent, Value: value}, {Key: KeyHead, Value: mark}, {Key: KeyPending, Delete: true}},
 	})
 	return err
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -94,9 +94,10 @@
 		Entry: e.cfg.ID, Addr: e.addr, Zone: e.cfg.Zone, Incarnation: e.cfg.Incarnation,
 		Table: e.cfg.Table, Clock: e.cfg.Clock, Recorder: e.cfg.Recorder, Log: e.cfg.Log,
 		Follower: e.follower, Promises: promises, AskHold: e.askHold, OnEntries: e.entriesChanged,
-		OnOwner:   e.ownerStarted,
-		OnMembers: e.membersChanged,
-		OnEvict:   func(k errkind.Kind) { e.metrics.Evictions.WithLabelValues(k.String()).Inc() },
+		OnOwner:    e.ownerStarted,
+		OnReleased: func() { e.sendDigests(ctx) },
+		OnMembers:  e.membersChanged,
+		OnEvict:    func(k errkind.Kind) { e.metrics.Evictions.WithLabelValues(k.String()).Inc() },
 	})
 	server := &http.Server{Handler: e.handler(), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 64 << 10}
 	var wg sync.WaitGroup
--- a/shard/manager.go
+++ b/shard/manager.go
@@ -56,6 +56,8 @@
 	suspicion = 20 * time.Second
 	// renewRetry separates attempts of a failed renewal.
 	renewRetry = time.Second
+	// balanceInterval separates hand-overs of shards to entries that own fewer.
+	balanceInterval = 15 * time.Second
 	// stepInterval separates steps of the manager.
 	stepInterval = 250 * time.Millisecond
 )
@@ -88,6 +90,8 @@
 	OnOwner   func(*Owner)
 	OnMembers func(wire.Members)
 	OnEvict   func(cause errkind.Kind)
+	// OnReleased is called after a shard was handed over, so that the other entries learn of it at once.
+	OnReleased func()
 }
 
 // Manager acquires, renews and releases shard leases and runs their owners. It
@@ -112,8 +116,10 @@
 	stopping bool
 	released bool
 	rescan   bool
-	probe    probeResult
-	wg       sync.WaitGroup
+	// nextBalance is the earliest time of the next hand-over.
+	nextBalance time.Duration
+	probe       probeResult
+	wg          sync.WaitGroup
 }
 
 // knownRow is a lease row as last read.
@@ -185,6 +191,11 @@
 			nextProbe = now + probeInterval
 		}
 		m.acquireDue(ctx)
+		if id, ok := m.surplus(now); ok {
+			if err := m.handOver(ctx, id); err != nil {
+				m.cfg.Log.Warn().Err(err).Str("shard", id).Msg("hand shard over")
+			}
+		}
 		sleep(ctx, stepInterval)
 	}
 	m.mu.Lock()
--- a/shard/manager_test.go
+++ b/shard/manager_test.go
@@ -405,3 +405,20 @@
 		assert.NilError(t, submit(t, o, task.Spec{ID: "w"})[0])
 	})
 }
+
+// Guards against shards that stay with the entry that started first, and against
+// a hand-over that leaves a shard without an owner.
+func TestShardsAreBalanced(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		a := c.start("a")
+		for i := range 4 {
+			a.Want(fmt.Sprintf("z-%d", i))
+		}
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, len(a.Owners()), 4)
+		b := c.start("b")
+		time.Sleep(90 * time.Second)
+		assert.Equal(t, len(a.Owners()), 2)
+		assert.Equal(t, len(b.Owners()), 2)
+	})
+}
--- a/shard/renew.go
+++ b/shard/renew.go
@@ -35,20 +35,54 @@
 	}
 }
 
+// handOverPause is how long a shard that was handed over is left to other entries.
+const handOverPause = 5 * time.Second
+
+// handOver releases one shard to the entry with the fewest.
+func (m *Manager) handOver(ctx context.Context, id string) error {
+	m.mu.Lock()
+	s, ok := m.owned[id]
+	m.mu.Unlock()
+	if !ok || !s.loaded {
+		return nil
+	}
+	drainCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	s.owner.Drain(drainCtx)
+	cancel()
+	err := m.commitRenewal(ctx, false, id)
+	s.stop()
+	if err != nil {
+		// The row is still held; the lease ends, as after a failure of this entry.
+		m.lostShard(id, s.owner.cfg.Epoch)
+		return err
+	}
+	if m.cfg.OnReleased != nil {
+		m.cfg.OnReleased()
+	}
+	return nil
+}
+
 // renewal is one transaction over the registration and all owned lease rows.
 type renewal struct {
-	sentAt  time.Duration
-	reg     confsync.Registration
-	ids     []string
-	shards  []*ownedShard
-	rows    []LeaseRow
-	txn     store.Txn
-	release bool
+	sentAt time.Duration
+	reg    confsync.Registration
+	ids    []string
+	shards []*ownedShard
+	rows   []LeaseRow
+	txn    store.Txn
+	// free lists the shards whose rows are marked free.
+	free map[string]bool
+	// unregister deletes the registration.
+	unregister bool
 }
 
 // renew writes the registration and every owned lease row in one transaction.
 // With release the rows are marked free and the registration is deleted.
 func (m *Manager) renew(ctx context.Context, release bool) error {
+	return m.commitRenewal(ctx, release, "")
+}
+
+func (m *Manager) commitRenewal(ctx context.Context, release bool, free string) error {
 	// One renewal at a time: a second one would be conditional on replaced versions.
 	select {
 	case m.renewing <- struct{}{}:
@@ -56,7 +90,7 @@
 		return errkind.Wrap(errkind.StoreUnavailable, ctx.Err(), "a renewal is in progress")
 	}
 	defer func() { <-m.renewing }()
-	r, err := m.prepareRenewal(release)
+	r, err := m.prepareRenewal(release, free)
 	if err != nil || r == nil {
 		return err
 	}
@@ -71,14 +105,14 @@
 	return err
 }
 
-func (m *Manager) prepareRenewal(release bool) (*renewal, error) {
+func (m *Manager) prepareRenewal(release bool, free string) (*renewal, error) {
 	prepared, inForce := m.cfg.Follower.Prepared()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.released {
 		return nil, nil
 	}
-	r := &renewal{sentAt: m.cfg.Clock.Now(), reg: m.own, release: release}
+	r := &renewal{sentAt: m.cfg.Clock.Now(), reg: m.own, unregister: release, free: make(map[string]bool)}
 	members := m.members()
 	r.reg.Counter++
 	r.reg.Prepared, r.reg.InForce, r.reg.Members = prepared, inForce, members
@@ -99,7 +133,8 @@
 			// The row may take effect even if its answer is lost.
 			s.members[member] = true
 		}
-		if release {
+		if release || id == free {
+			r.free[id] = true
 			row.Owner, row.Addr, row.Members = "", "", nil
 		}
 		r.shards, r.rows = append(r.shards, s), append(r.rows, row)
@@ -137,13 +172,17 @@
 func (m *Manager) renewed(r *renewal, versions []uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if r.release {
-		m.released = true
-		for i, id := range r.ids {
-			if m.owned[id] == r.shards[i] {
-				delete(m.owned, id)
+	for i, id := range r.ids {
+		if r.free[id] && m.owned[id] == r.shards[i] {
+			delete(m.owned, id)
+			if k, ok := m.rows[id]; ok {
+				// This entry takes the shard back only if no other one does.
+				*k = knownRow{row: r.rows[i], version: versions[i+1], freeFrom: m.cfg.Clock.Now() + handOverPause}
 			}
 		}
+	}
+	if r.unregister {
+		m.released = true
 		m.cfg.Follower.Unregistered()
 		return
 	}
--- a/shard/takeover.go
+++ b/shard/takeover.go
@@ -235,9 +235,18 @@
 	if m.newcomer(k.row) {
 		d += newcomerDelay
 	}
+	fewest := m.fewest()
+	if more := len(m.owned) - fewest; more > 0 {
+		d += time.Duration(more) * shardCountDelay
+	}
+	return min(d, maxDelay)
+}
+
+// fewest returns the smallest number of shards that another live entry owns. m.mu is held.
+func (m *Manager) fewest() int {
 	counts := make(map[string]int, len(m.entries))
-	for _, row := range m.rows {
-		counts[row.row.Owner]++
+	for _, k := range m.rows {
+		counts[k.row.Owner]++
 	}
 	fewest := math.MaxInt
 	for e := range m.entries {
@@ -245,10 +254,32 @@
 			fewest = min(fewest, counts[e])
 		}
 	}
-	if more := len(m.owned) - fewest; more > 0 {
-		d += time.Duration(more) * shardCountDelay
+	return fewest
+}
+
+// surplus returns a shard to hand over: this entry owns at least two more than
+// another one. Shards of other availability zones are handed over first.
+func (m *Manager) surplus(now time.Duration) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopping || now < m.nextBalance {
+		return "", false
 	}
-	return min(d, maxDelay)
+	m.nextBalance = now + balanceInterval
+	if len(m.owned)-m.fewest() < 2 {
+		return "", false
+	}
+	best := ""
+	for id, s := range m.owned {
+		if !s.loaded || !s.lease.Valid(now) || s.reassignAfter > now {
+			continue
+		}
+		other, bestOther := !strings.HasPrefix(id, m.cfg.Zone+"-"), !strings.HasPrefix(best, m.cfg.Zone+"-")
+		if best == "" || other && !bestOther || other == bestOther && id < best {
+			best = id
+		}
+	}
+	return best, best != ""
 }
 
 // newcomer reports whether the row's owner may extend its lease by holds without
--- a/store/httpstore/client.go
+++ b/store/httpstore/client.go
@@ -57,7 +57,7 @@
 // A nil transport uses a dedicated transport with default settings.
 func New(base string, transport http.RoundTripper) *Client {
 	if transport == nil {
-		transport = &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
+		transport = &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute, DisableCompression: true}
 	}
 	// A redirect is not part of the protocol; following one could apply a commit twice.
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
@@ -126,6 +126,8 @@
 	if err != nil {
 		return nil, errkind.Wrap(errkind.Internal, err, "build request")
 	}
+	// An entry polls every second, so a header of 30 bytes is 1.5% of its control budget.
+	req.Header.Set("User-Agent", "")
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, errkind.Wrap(transportKind(err), err, "%s %s", method, path)
