--- a/entry/config.go
+++ b/entry/config.go
@@ -73,7 +73,11 @@
 }
 
 // ownerStarted gives a new owner the configuration in force.
-func (e *Entry) ownerStarted(o *shard.Owner) { o.SetConfig(e.ctx, e.config()) }
+func (e *Entry) ownerStarted(o *shard.Owner) {
+	o.SetConfig(e.ctx, e.config())
+	// The other entries learn the new owner at once instead of at the next digest.
+	go e.sendDigests(e.ctx)
+}
 
 // accept tries once to accept a pending generation and tells the other entries.
 func (e *Entry) accept(ctx context.Context, generation uint64) (bool, error) {
@@ -140,11 +144,13 @@
 	}
 	e.mu.Unlock()
 	for _, o := range e.manager.Owners() {
-		_ = o.Do(r.Context(), func() {
-			for vm, g := range o.ConfigGenerations() {
-				list = append(list, GenerationStatus{Process: vm, Kind: "agent", Generation: g, Lags: g < generation})
-			}
-		})
+		var agents map[string]uint64
+		if o.Do(r.Context(), func() { agents = o.ConfigGenerations() }) != nil {
+			continue
+		}
+		for vm, g := range agents {
+			list = append(list, GenerationStatus{Process: vm, Kind: "agent", Generation: g, Lags: g < generation})
+		}
 	}
 	sort.Slice(list, func(i, j int) bool {
 		return list[i].Kind > list[j].Kind || list[i].Kind == list[j].Kind && list[i].Process < list[j].Process
