Run the guard in the agent and act on growth

Cause: batch tasks beside a service were never throttled, and use beyond a reservation had no effect on the VM.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -15,6 +15,7 @@
 	"github.com/chicorystand/chicorystand/clock"
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/gate"
+	"github.com/chicorystand/chicorystand/guard"
 	"github.com/chicorystand/chicorystand/history"
 	"github.com/chicorystand/chicorystand/lease"
 	"github.com/chicorystand/chicorystand/ledger"
@@ -41,6 +42,10 @@
 	// CheckpointInterval is the time between periodic checkpoints of batch tasks; 0 disables them.
 	CheckpointInterval time.Duration
 	Heartbeat          time.Duration
+	// LatencyTarget is the p99 that the guard keeps for the service; 0 disables the guard.
+	LatencyTarget time.Duration
+	// TailWeight weighs tail latency (1) against batch throughput and evictions (0).
+	TailWeight float64
 
 	Clock    clock.Clock
 	Worker   platform.Worker
@@ -62,6 +67,9 @@
 	outbox *outbox
 	usage  usageFilter
 
+	latency    latencies
+	protection protection
+
 	// startMu orders starts against the announcement: an attempt is either in the
 	// announced ledger or refused, because it came on an older connection.
 	startMu sync.Mutex
@@ -102,6 +110,9 @@
 		left: make(chan struct{}),
 	}
 	a.outbox = newOutbox(a.sendEvent, a.eventAcked)
+	if cfg.LatencyTarget > 0 {
+		a.protection.guard = guard.New(guard.Config{Target: cfg.LatencyTarget, TailWeight: cfg.TailWeight})
+	}
 	return a
 }
 
@@ -115,7 +126,7 @@
 	var wg sync.WaitGroup
 	for _, loop := range []func(context.Context){
 		func(ctx context.Context) { a.acceptLoop(ctx, data) },
-		a.controlLoop, a.taskLoop,
+		a.controlLoop, a.taskLoop, a.guardLoop,
 	} {
 		wg.Add(1)
 		go func() {
--- a/agent/control.go
+++ b/agent/control.go
@@ -178,7 +178,8 @@
 		load = 1000 * (a.cfg.Slots - free) / a.cfg.Slots
 	}
 	m, err := p.Call(ctx, &wire.Heartbeat{Seq: seq, ConfigGen: a.gate.Generation(), LoadPermille: uint16(load),
-		LagMS: uint16(lag.Milliseconds()), Usage: usage})
+		TailPermille: uint16(a.protection.tail.Load()),
+		LagMS:        uint16(lag.Milliseconds()), Usage: usage})
 	if err != nil {
 		return err
 	}
--- a/devenv/env.go
+++ b/devenv/env.go
@@ -202,6 +202,10 @@
 	return nil
 }
 
+// guardTarget is the guard's target for the p99 of an upstream in multiples of its
+// nominal service time.
+const guardTarget = 2
+
 func (e *Env) startAgent(i int) error {
 	d := e.cfg.Deployment
 	vm, zone := fmt.Sprintf("vm-%02d", i), e.zone(i)
@@ -225,7 +229,11 @@
 	for j := range e.Entries {
 		entries = append(entries, e.Entries[(i+j)%len(e.Entries)].Control)
 	}
-	p := agent.New(agent.Config{VM: vm, Zone: zone, Rack: fmt.Sprintf("rack-%d", i/d.Workers.PerRack), Incarnation: incarnation,
+	target := time.Duration(0)
+	if d.Workers.Guards {
+		target = guardTarget * d.Service.ServiceTime
+	}
+	p := agent.New(agent.Config{LatencyTarget: target, TailWeight: d.Objective.TailWeight, VM: vm, Zone: zone, Rack: fmt.Sprintf("rack-%d", i/d.Workers.PerRack), Incarnation: incarnation,
 		Entries: entries, Service: d.Service.Name, ServiceHeld: d.Service.Held, UpstreamURL: url, Slots: d.Service.Slots,
 		Conns: d.Service.Connections, CheckpointInterval: e.cfg.CheckpointInterval, Clock: e.Clock, Worker: worker,
 		Recorder: e.Recorder, Log: e.cfg.Log.With().Str("vm", vm).Logger(), Dial: e.delayDialer(zone)})
