Carry the objective's tail weight from the settings to the decisions

Cause: the owner always scheduled with weight 0 and daemons had no setting for it. Change: objective.tail_weight for entries and agents, upstream.latency_target for the guard, passed through the shard manager to every owner.

--- a/command/chicoryagent/root.go
+++ b/command/chicoryagent/root.go
@@ -74,7 +74,8 @@
 		srv.handler = &standin.Upstream{VM: s.VM, Incarnation: incarnation, ServiceTime: standinServiceTime, Slowdown: srv.worker.Slowdown}
 	}
 	cfg := agent.Config{VM: s.VM, Zone: s.Zone, Rack: s.Rack, Incarnation: incarnation, Entries: []string{s.Entries},
-		Service: s.Upstream.Service, UpstreamURL: url, Slots: s.Upstream.Slots, Conns: s.Upstream.Connections, CheckpointInterval: s.Checkpoint,
+		Service: s.Upstream.Service, UpstreamURL: url, Slots: s.Upstream.Slots, Conns: s.Upstream.Connections,
+		LatencyTarget: s.Upstream.Latency, TailWeight: s.Objective.TailWeight, CheckpointInterval: s.Checkpoint,
 		Clock: clock.Boottime{}, Worker: srv.worker, Log: p.Log, Dial: identity.Dialer(p.Identity, identity.Entry)}
 	if s.Upstream.Service != "" {
 		cfg.ServiceHeld = resources(s.Upstream.CPUMilli, s.Upstream.Memory, s.Upstream.Accelerators)
--- a/command/chicoryentry/root.go
+++ b/command/chicoryentry/root.go
@@ -43,7 +43,7 @@
 	p.Log = log
 	client := httpstore.New(s.Platform, nil)
 	dial := identity.Dialer(p.Identity, identity.Entry, identity.Agent)
-	en := entry.New(entry.Config{ID: s.ID, Zone: s.Zone, Incarnation: uint64(time.Now().UnixNano()), ShardsPerZone: s.ShardsPerZone,
+	en := entry.New(entry.Config{ID: s.ID, Zone: s.Zone, Incarnation: uint64(time.Now().UnixNano()), ShardsPerZone: s.ShardsPerZone, TailWeight: s.Objective.TailWeight,
 		Table: client, Clock: clock.Boottime{}, Log: log, Dial: dial, RequireIdentity: p.Identity != nil, Events: p.Events})
 	srv := &server{entry: en}
 	people := []identity.Role{identity.Customer, identity.Reader, identity.Operator, identity.Administrator}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/chicorystand/chicorystand/lease"
 	"github.com/chicorystand/chicorystand/metrics"
 	"github.com/chicorystand/chicorystand/route"
+	"github.com/chicorystand/chicorystand/scheduler"
 	"github.com/chicorystand/chicorystand/shard"
 	"github.com/chicorystand/chicorystand/store"
 	"github.com/chicorystand/chicorystand/wire"
@@ -31,10 +32,12 @@
 	// Incarnation is unique to this start of the process.
 	Incarnation   uint64
 	ShardsPerZone int
-	Table         store.Table
-	Clock         clock.Clock
-	Recorder      *history.Recorder
-	Log           zerolog.Logger
+	// TailWeight weighs tail latency (1) against batch throughput and evictions (0).
+	TailWeight float64
+	Table      store.Table
+	Clock      clock.Clock
+	Recorder   *history.Recorder
+	Log        zerolog.Logger
 	// Dial opens connections to agents and entries; nil uses TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// RequireIdentity refuses callers of the API without a verified certificate.
@@ -101,7 +104,7 @@
 	e.manager = shard.NewManager(shard.ManagerConfig{
 		Entry: e.cfg.ID, Addr: e.addr, Zone: e.cfg.Zone, Incarnation: e.cfg.Incarnation,
 		Table: e.cfg.Table, Clock: e.cfg.Clock, Recorder: e.cfg.Recorder, Log: e.cfg.Log,
-		Follower: e.follower, Promises: promises, AskHold: e.askHold, OnEntries: e.entriesChanged,
+		Scheduler: scheduler.Config{TailWeight: e.cfg.TailWeight, Seed: e.cfg.Incarnation}, Follower: e.follower, Promises: promises, AskHold: e.askHold, OnEntries: e.entriesChanged,
 		OnOwner:    e.ownerStarted,
 		OnReleased: func() { e.sendDigests(ctx) },
 		OnMembers:  e.membersChanged,
--- a/settings/field.go
+++ b/settings/field.go
@@ -76,6 +76,8 @@
 		}
 		*p = text
 		return f.checkText(text)
+	case *float64:
+		return f.setFloat(p, text)
 	default:
 		n, err := f.number(text)
 		if err != nil {
@@ -91,6 +93,17 @@
 	return nil
 }
 
+func (f field) setFloat(into *float64, text string) error {
+	n, err := strconv.ParseFloat(text, 64)
+	low, lowErr := strconv.ParseFloat(f.tag.Get("min"), 64)
+	high, highErr := strconv.ParseFloat(f.tag.Get("max"), 64)
+	if err != nil || lowErr != nil || highErr != nil || !(n >= low && n <= high) {
+		return f.mismatch(text)
+	}
+	*into = n
+	return nil
+}
+
 func (f field) mismatch(text string) error {
 	return fmt.Errorf("%q is not allowed; allowed is %s", text, f.allowed())
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -39,6 +39,7 @@
 		Operators string `koanf:"operators" default:"127.0.0.1:7402" kind:"addr" doc:"Address for metrics, profiles and the status page."`
 	} `koanf:"listen"`
 	ShardsPerZone int           `koanf:"shards_per_zone" default:"1" min:"1" max:"64" doc:"Number of shards of each availability zone; the same for all entries."`
+	Objective     Objective     `koanf:"objective"`
 	StopTimeout   time.Duration `koanf:"stop_timeout" default:"35s" min:"1s" max:"10m" doc:"Longest graceful stop after SIGTERM."`
 	Connections   int           `koanf:"connections" default:"4096" min:"16" max:"100000" doc:"Most open connections on each address."`
 	MemoryLimit   Bytes         `koanf:"memory_limit" default:"512MiB" min:"64MiB" max:"64GiB" doc:"Soft memory limit of the Go runtime."`
@@ -46,6 +47,11 @@
 	Security      Security      `koanf:"security"`
 }
 
+// Objective weighs the measures that the decisions trade against each other.
+type Objective struct {
+	TailWeight float64 `koanf:"tail_weight" default:"0.5" min:"0" max:"1" doc:"Weight of the services' tail latency (1) against batch throughput and evictions (0); the same for all entries and agents."`
+}
+
 // Agent holds the settings of chicory-agent.
 type Agent struct {
 	VM      string `koanf:"vm" required:"true" kind:"name" doc:"Name of the VM."`
@@ -57,13 +63,14 @@
 		Operators string `koanf:"operators" default:"127.0.0.1:7502" kind:"addr" doc:"Address for health, metrics and profiles."`
 	} `koanf:"listen"`
 	Upstream struct {
-		Service      string `koanf:"service" kind:"name" doc:"Name of the upstream's service; empty when the VM runs tasks only."`
-		URL          string `koanf:"url" kind:"url" doc:"Address of the upstream; empty with worker standin serves a stand-in upstream."`
-		Slots        int    `koanf:"slots" default:"8" min:"1" max:"4096" doc:"Requests the upstream runs at once."`
-		Connections  int    `koanf:"connections" default:"64" min:"1" max:"65535" doc:"Connections to the upstream."`
-		CPUMilli     int64  `koanf:"cpu_milli" default:"1000" min:"0" max:"1024000" doc:"Processors held for the upstream, in thousandths."`
-		Memory       Bytes  `koanf:"memory" default:"1GiB" min:"0B" max:"16TiB" doc:"Memory held for the upstream."`
-		Accelerators int64  `koanf:"accelerators" default:"0" min:"0" max:"64" doc:"Accelerators held for the upstream."`
+		Service      string        `koanf:"service" kind:"name" doc:"Name of the upstream's service; empty when the VM runs tasks only."`
+		URL          string        `koanf:"url" kind:"url" doc:"Address of the upstream; empty with worker standin serves a stand-in upstream."`
+		Slots        int           `koanf:"slots" default:"8" min:"1" max:"4096" doc:"Requests the upstream runs at once."`
+		Connections  int           `koanf:"connections" default:"64" min:"1" max:"65535" doc:"Connections to the upstream."`
+		Latency      time.Duration `koanf:"latency_target" default:"0s" min:"0s" max:"30s" doc:"Target of the service's p99 latency on this VM; 0s disables the guard."`
+		CPUMilli     int64         `koanf:"cpu_milli" default:"1000" min:"0" max:"1024000" doc:"Processors held for the upstream, in thousandths."`
+		Memory       Bytes         `koanf:"memory" default:"1GiB" min:"0B" max:"16TiB" doc:"Memory held for the upstream."`
+		Accelerators int64         `koanf:"accelerators" default:"0" min:"0" max:"64" doc:"Accelerators held for the upstream."`
 	} `koanf:"upstream"`
 	Worker   string `koanf:"worker" default:"standin" oneof:"standin" doc:"Worker that runs the tasks. standin simulates tasks and is the only value, as the platform's own worker API is not published."`
 	Platform string `koanf:"platform" required:"true" kind:"url" doc:"Address of the platform's object store, used by the stand-in worker for checkpoints."`
@@ -72,6 +79,7 @@
 		Memory       Bytes `koanf:"memory" default:"16GiB" min:"64MiB" max:"16TiB" doc:"Memory of the VM."`
 		Accelerators int64 `koanf:"accelerators" default:"0" min:"0" max:"64" doc:"Accelerators of the VM."`
 	} `koanf:"capacity"`
+	Objective   Objective     `koanf:"objective"`
 	Checkpoint  time.Duration `koanf:"checkpoint" default:"30s" min:"0s" max:"24h" doc:"Time between periodic checkpoints of batch tasks; 0s disables them."`
 	StopTimeout time.Duration `koanf:"stop_timeout" default:"35s" min:"1s" max:"10m" doc:"Longest graceful stop after SIGTERM."`
 	Connections int           `koanf:"connections" default:"1024" min:"16" max:"100000" doc:"Most open connections on each address."`
--- a/shard/manager.go
+++ b/shard/manager.go
@@ -15,6 +15,7 @@
 	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/history"
 	"github.com/chicorystand/chicorystand/lease"
+	"github.com/chicorystand/chicorystand/scheduler"
 	"github.com/chicorystand/chicorystand/store"
 	"github.com/chicorystand/chicorystand/wire"
 )
@@ -77,6 +78,8 @@
 	Clock       clock.Clock
 	Recorder    *history.Recorder
 	Log         zerolog.Logger
+	// Scheduler configures the decisions of every owner.
+	Scheduler scheduler.Config
 	// Follower receives registrations and holds, and supplies the generations of the
 	// registration; nil outside of an entry.
 	Follower *confsync.Follower
--- a/shard/takeover.go
+++ b/shard/takeover.go
@@ -357,7 +357,7 @@
 	}
 	s.owner = NewOwner(Config{
 		Shard: id, Epoch: row.Epoch, EpochCond: store.Cond{Key: epochPrefix + id, Version: versions[1]},
-		Table: m.cfg.Table, Commits: m.commits, Clock: m.cfg.Clock, Recorder: m.cfg.Recorder, Log: m.cfg.Log,
+		Table: m.cfg.Table, Commits: m.commits, Scheduler: m.cfg.Scheduler, Clock: m.cfg.Clock, Recorder: m.cfg.Recorder, Log: m.cfg.Log,
 		Valid: func() bool { return m.valid(id, row.Epoch) }, OnMembers: m.cfg.OnMembers, OnEvict: m.cfg.OnEvict,
 		OnLost: func() { m.lostShard(id, row.Epoch) }, ReassignFrom: reassignAfter,
 	})
