Limit pressure by the room below the latency target

A fixed pressure limit refused batch work beside lightly loaded services and allowed too much beside loaded ones. The limit now follows from the service's learnt tail without batch tasks at its load. Spreading tasks over processors that interference does not ask for left fragments too small for large tasks; its weight falls from 0.4 to 0.1 and that of packing to 0.2.

--- a/scheduler/feasibility/feasibility.go
+++ b/scheduler/feasibility/feasibility.go
@@ -14,8 +14,8 @@
 type Request struct {
 	Task *tables.Task
 	Need task.Resources
-	// MaxPressure is the pressure on a VM's service above which batch tasks are refused.
-	MaxPressure float64
+	// Limits holds the pressure on a service above which batch tasks are refused.
+	Limits *tables.Limits
 	// Harms holds the learnt effects of the job class.
 	Harms *tables.Harms
 	// AnyRack drops the rule that spreads tasks over racks.
@@ -86,11 +86,15 @@
 // above the limit. A VM below half of the limit takes one task of any effect, so that a
 // task that alone exceeds the limit does not wait for an empty VM.
 func tooHarmful(r Request, v *tables.VM) bool {
-	if v.Service == "" || r.Task.Record.Spec.Class != task.Batch || v.Pressure <= r.MaxPressure/2 {
+	if v.Service == "" || r.Task.Record.Spec.Class != task.Batch {
+		return false
+	}
+	limit := r.Limits.On(v.Service, v.Load)
+	if v.Pressure <= limit/2 {
 		return false
 	}
 	own := r.Harms.On(v.Service, tables.LoadBucket(v.Load)) * float64(r.Need.CPU) / 1000
-	return own > Negligible && v.Pressure+own > r.MaxPressure
+	return own > Negligible && v.Pressure+own > limit
 }
 
 // Negligible is the effect of a task that is placed at any pressure: refusing quiet tasks
--- a/scheduler/interference/interference.go
+++ b/scheduler/interference/interference.go
@@ -24,9 +24,6 @@
 	maxError = 0.5
 )
 
-// BaseClass is the pair that holds the tail without batch tasks, as a fraction of the target.
-const BaseClass = ""
-
 // unknownBase is assumed before a report without batch tasks was seen.
 const unknownBase = 0.7
 
@@ -74,26 +71,15 @@
 
 func step(s *tables.Slowdown) float64 { return max(rate/(1+s.Weight/halfRate), minRate) }
 
-// baseBuckets is the number of load classes of the tail without batch tasks, which rises
-// with load more steeply than the effect of a class does.
-const baseBuckets = 20
-
 // baseOf returns the tail without batch tasks. A class of load that is new starts from the
 // nearest one that is known.
 func baseOf(t *tables.Tables, service string, load float64) *tables.Slowdown {
-	b := int(min(max(load, 0), 0.99) * baseBuckets)
-	key := func(b int) tables.Pair { return tables.Pair{Service: service, JobClass: BaseClass, Load: uint8(b)} }
-	if s, ok := t.Pairs[key(b)]; ok {
-		return s
-	}
-	for d := 1; d < baseBuckets; d++ {
-		for _, near := range []int{b - d, b + d} {
-			if s, ok := t.Pairs[key(near)]; ok && near >= 0 {
-				return pair(t, key(b), s.Harm)
-			}
-		}
+	b := tables.BaseBucket(load)
+	initial, ok := t.Base(service, b)
+	if !ok {
+		initial = unknownBase
 	}
-	return pair(t, key(b), unknownBase)
+	return pair(t, tables.BasePair(service, b), initial)
 }
 
 // measured returns real over reserved processors by job class, as far as the report tells.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -92,16 +92,22 @@
 // DefaultConfig weighs tail latency and throughput alike.
 func DefaultConfig() Config { return Config{TailWeight: 0.5, RejectAfter: 10 * time.Second} }
 
-// MaxPressure is the expected relative slowdown of a service up to which batch tasks are
-// placed beside it.
-func (c Config) MaxPressure() float64 {
-	return pressureBase + pressureRange*(1-min(max(c.TailWeight, 0), 1))
+// Limits returns the pressure up to which batch tasks are placed beside services: as much
+// as is expected to keep the tail below a part of the target, given the service's tail
+// without batch tasks at its load.
+func (c Config) Limits(t *tables.Tables) *tables.Limits {
+	w := min(max(c.TailWeight, 0), 1)
+	return t.LimitsOf(maxTail-maxTailRange*w, unknownLimit-unknownRange*w)
 }
 
-// Bounds of MaxPressure: the base at tail weight 1, base and range at tail weight 0.
+// Tail that placements may be expected to cause, as a fraction of the target, at tail
+// weight 0, and how much less it is at tail weight 1; and the same for the pressure beside
+// a service that reports no tail.
 const (
-	pressureBase  = 0.1
-	pressureRange = 0.2
+	maxTail      = 1.0
+	maxTailRange = 0.1
+	unknownLimit = 0.3
+	unknownRange = 0.2
 )
 
 // Scheduler holds what the systems keep between ticks besides the tables.
@@ -239,7 +245,7 @@
 	if !ok || k.hot[vm] < hotReports || float64(len(k.hot)) > max(waveShare*float64(len(k.t.VMs)), 1) {
 		return
 	}
-	if v.Pressure <= k.cfg.MaxPressure() {
+	if v.Pressure <= k.cfg.Limits(k.t).On(v.Service, v.Load) {
 		return
 	}
 	if tk := eviction.Relief(k.t, v, k.now); tk != nil && k.evict([]*tables.Task{tk}, errkind.SlotsFull, "service above its latency target") {
@@ -391,7 +397,7 @@
 
 // Request returns what feasibility depends on for a task with the reservation.
 func (c Config) Request(t *tables.Tables, tk *tables.Task, need task.Resources) feasibility.Request {
-	return feasibility.Request{Task: tk, Need: need, MaxPressure: c.MaxPressure(), Harms: t.HarmsOf(tk.Record.Spec.JobClass)}
+	return feasibility.Request{Task: tk, Need: need, Limits: c.Limits(t), Harms: t.HarmsOf(tk.Record.Spec.JobClass)}
 }
 
 // ScoringRequest returns what the scores of a placement depend on.
@@ -445,11 +451,15 @@
 // harmful reports whether every VM of the group is refused for its pressure.
 func (f *finder) harmful(g *tables.Group) bool {
 	edge := tables.PressureEdge(g.Pressure)
-	if g.Service == "" || edge <= f.r.MaxPressure/2 || f.s.Class != task.Batch {
+	if g.Service == "" || edge == 0 || f.s.Class != task.Batch {
+		return false
+	}
+	limit := f.r.Limits.Highest(g.Service, g.Load)
+	if edge <= limit/2 {
 		return false
 	}
 	own := f.r.Harms.On(g.Service, g.Load) * float64(f.r.Need.CPU) / 1000
-	return own > feasibility.Negligible && edge+own > f.r.MaxPressure
+	return own > feasibility.Negligible && edge+own > limit
 }
 
 // row returns a feasible VM of the row. The first VM looked at in each cell is random, so
--- a/scheduler/scoring/scoring.go
+++ b/scheduler/scoring/scoring.go
@@ -15,8 +15,8 @@
 	pressureFactor    = 4.0
 	loadWeight        = 0.3
 	headroomWeight    = 2.0
-	packWeight        = 0.4
-	spreadWeight      = 0.4
+	packWeight        = 0.2
+	spreadWeight      = 0.1
 	zoneWeight        = 0.2
 	acceleratorWeight = 1.0
 )
--- a/scheduler/tables/learnt.go
+++ b/scheduler/tables/learnt.go
@@ -72,6 +72,88 @@
 	return h.harm[load]
 }
 
+// BaseClass is the job class of the pair that holds a service's tail without batch tasks,
+// as a fraction of its target. Its load is a class of BaseBuckets.
+const BaseClass = ""
+
+// BaseBuckets is the number of load classes of the tail without batch tasks, which rises
+// with load more steeply than the effect of a class does.
+const BaseBuckets = 20
+
+// BasePair returns the pair of the service's tail without batch tasks.
+func BasePair(service string, bucket int) Pair {
+	return Pair{service, BaseClass, uint8(min(max(bucket, 0), BaseBuckets-1))}
+}
+
+// BaseBucket returns the class of a load between 0 and 1.
+func BaseBucket(load float64) int { return int(min(max(load, 0), 0.999) * BaseBuckets) }
+
+// Base returns the service's learnt tail without batch tasks, of the nearest class of load
+// that is known, and false when none is.
+func (t *Tables) Base(service string, bucket int) (float64, bool) {
+	for d := range BaseBuckets {
+		for _, near := range [...]int{bucket - d, bucket + d} {
+			if near < 0 || near >= BaseBuckets {
+				continue
+			}
+			if s, ok := t.Pairs[BasePair(service, near)]; ok {
+				return s.Harm, true
+			}
+		}
+	}
+	return 0, false
+}
+
+// Limits caches the pressure up to which batch tasks are placed beside a service.
+type Limits struct {
+	t *Tables
+	// maxTail is the tail, as a fraction of the target, that placements may be expected to cause.
+	maxTail, unknown float64
+	service          string
+	known            [BaseBuckets]bool
+	limit            [BaseBuckets]float64
+}
+
+// Bounds of a limit: some batch work is placed beside any service, and a service far below
+// its target keeps its processors.
+const (
+	minLimit = 0.03
+	maxLimit = 0.5
+)
+
+// LimitsOf returns an empty cache. unknown is the limit of a service without reports.
+func (t *Tables) LimitsOf(maxTail, unknown float64) *Limits {
+	return &Limits{t: t, maxTail: maxTail, unknown: unknown}
+}
+
+// On returns the limit for a VM with the load.
+func (l *Limits) On(service string, load float64) float64 {
+	return l.bucket(service, BaseBucket(load))
+}
+
+// Highest returns the highest limit within a load bucket.
+func (l *Limits) Highest(service string, load uint8) float64 {
+	const each = BaseBuckets / LoadBuckets
+	highest := 0.0
+	for b := int(load) * each; b < int(load+1)*each; b++ {
+		highest = max(highest, l.bucket(service, b))
+	}
+	return highest
+}
+
+func (l *Limits) bucket(service string, b int) float64 {
+	if service != l.service {
+		l.service, l.known = service, [BaseBuckets]bool{}
+	}
+	if !l.known[b] {
+		l.known[b], l.limit[b] = true, l.unknown
+		if base, ok := l.t.Base(service, b); ok && base > 0 {
+			l.limit[b] = min(max(l.maxTail/base-1, minLimit), maxLimit)
+		}
+	}
+	return l.limit[b]
+}
+
 // SizeBuckets is the number of classes of a learnt size. Each is 1/8 octave (9%).
 const SizeBuckets = 128
 
