--- a/guard/guard.go
+++ b/guard/guard.go
@@ -35,6 +35,8 @@
 const (
 	// Settle lets the effect of a step show in the window before the next step.
 	settle = time.Second
+	// severeSettle is the same for a tail far above the target.
+	severeSettle = 2 * Interval
 	// restoreWait is the time below restoreBelow before one step is restored.
 	restoreWait = 5 * time.Second
 	// maxRestoreWait bounds the wait after repeated relapses.
@@ -55,9 +57,12 @@
 	toleratedRange = 0.04
 )
 
-// minEffect is the learnt effect of a task below which throttling it is not worth the
-// throughput.
-const minEffect = 0.01
+// minEffect is the learnt effect of a task, and minHarmRange (at tail weight 0; none at 1)
+// its effect for each processor, below which throttling it is not worth the throughput.
+const (
+	minEffect    = 0.01
+	minHarmRange = 0.02
+)
 
 // minRelief is the learnt effect of a task at the lowest speed that is worth a checkpoint.
 const minRelief = 0.02
@@ -191,6 +196,15 @@
 	}
 }
 
+// harmful reports whether throttling the task is worth its throughput. A task of unknown
+// effect is.
+func (g *Guard) harmful(t Task, tail float64) bool {
+	if t.Harm <= 0 {
+		return true
+	}
+	return g.weight(t) >= minEffect && (tail > severeAbove || t.Harm >= minHarmRange*(1-g.cfg.TailWeight))
+}
+
 // worthwhile reports whether the expected effect of all tasks is above what is left
 // alone. Tasks of unknown effect are always acted on.
 func (g *Guard) worthwhile(tasks []Task, tail float64) bool {
@@ -236,11 +250,15 @@
 }
 
 func (g *Guard) escalate(tasks []Task, tail float64, now time.Duration) []Action {
-	if now-g.lastStep < settle || !g.worthwhile(tasks, tail) {
+	wait := settle
+	if tail > severeAbove {
+		wait = severeSettle
+	}
+	if now-g.lastStep < wait || !g.worthwhile(tasks, tail) {
 		return nil
 	}
 	slower := g.byWeight(tasks, func(t Task) bool {
-		return g.level[t.ID] < len(steps)-1 && (t.Harm <= 0 || g.weight(t) >= minEffect)
+		return g.level[t.ID] < len(steps)-1 && g.harmful(t, tail)
 	})
 	if len(slower) == 0 {
 		return g.checkpoint(tasks, tail, now)
