Give agents without an owner the configuration with the answer to Locate

After the death of an entry the agents of its shards had no owner to push a new generation to them until the takeover.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -69,6 +69,9 @@
 	// endMu makes the end of an attempt and the event that reports it one step.
 	endMu sync.Mutex
 
+	// configMu orders the records of generations put in force.
+	configMu sync.Mutex
+
 	mu sync.Mutex
 	// ctx ends with the process.
 	ctx      context.Context
--- a/agent/control.go
+++ b/agent/control.go
@@ -49,11 +49,15 @@
 	defer p.Close()
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
-	m, err := p.Call(ctx, &wire.Locate{Zone: a.cfg.Zone, VM: a.cfg.VM})
+	m, err := p.Call(ctx, &wire.Locate{Zone: a.cfg.Zone, VM: a.cfg.VM, ConfigGen: a.gate.Generation()})
 	if err != nil {
 		return "", err
 	}
 	r, ok := m.(*wire.LocateReply)
+	if ok && r.ConfigGen > a.gate.Generation() {
+		// While the shard has no owner, no other message brings a new configuration.
+		a.raiseConfig(r.ConfigGen)
+	}
 	if !ok || r.Addr == "" {
 		return "", errkind.New(errkind.NotReady, "no owner is known for VM %s", a.cfg.VM)
 	}
--- a/agent/tasks.go
+++ b/agent/tasks.go
@@ -28,14 +28,21 @@
 	case *wire.StopTask:
 		go func() { reply(a.stopTask(msg)) }()
 	case *wire.ConfigPush:
-		a.gate.Raise(msg.Generation)
-		a.cfg.Recorder.Record(history.Event{Kind: history.ConfigInForce, Process: a.cfg.VM, Generation: a.gate.Generation()})
+		a.raiseConfig(msg.Generation)
 		reply(&wire.Ack{})
 	default:
 		a.handleData(ctx, m, reply)
 	}
 }
 
+// raiseConfig puts a generation in force. Several connections may deliver one.
+func (a *Agent) raiseConfig(generation uint64) {
+	a.configMu.Lock()
+	defer a.configMu.Unlock()
+	a.gate.Raise(generation)
+	a.cfg.Recorder.Record(history.Event{Kind: history.ConfigInForce, Process: a.cfg.VM, Generation: a.gate.Generation()})
+}
+
 func ackOrError(err error) wire.Message {
 	if err != nil {
 		return wire.ErrorReply(err)
--- a/entry/control.go
+++ b/entry/control.go
@@ -53,7 +53,17 @@
 	}
 }
 
+// locate answers with the owner of a VM's shard and, when the agent's is older,
+// the configuration in force: an agent without an owner learns it here.
 func (e *Entry) locate(m *wire.Locate) *wire.LocateReply {
+	r := e.locateOwner(m)
+	if doc := e.config(); doc.Generation > m.ConfigGen {
+		r.ConfigGen, r.Limits = doc.Generation, doc.Limits
+	}
+	return r
+}
+
+func (e *Entry) locateOwner(m *wire.Locate) *wire.LocateReply {
 	id := shard.Of(m.Zone, m.VM, e.cfg.ShardsPerZone)
 	row, ok := e.manager.Locate(id)
 	if !ok {
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -116,6 +116,8 @@
 type Locate struct {
 	Zone string
 	VM   string
+	// ConfigGen is the generation in force in the agent.
+	ConfigGen uint64
 }
 
 // LocateReply names the owner's address. Addr is empty when no owner is known.
@@ -123,6 +125,9 @@
 	Shard string
 	Epoch uint64
 	Addr  string
+	// ConfigGen and Limits are the configuration in force, set when the agent's is older.
+	ConfigGen uint64
+	Limits    []plan.Limit
 }
 
 // TaskStatus is the state of an attempt on a VM.
