--- a/entry/requests.go
+++ b/entry/requests.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/history"
 	"github.com/chicorystand/chicorystand/metrics"
 	"github.com/chicorystand/chicorystand/plan"
 	"github.com/chicorystand/chicorystand/route"
@@ -129,6 +130,7 @@
 		e.refuse(w, c.service.name, c.req.Idempotent, err)
 		return
 	}
+	e.cfg.Recorder.Record(history.Event{Kind: history.RequestAdmitted, Request: c.req.Name, Process: e.cfg.ID, Generation: c.req.ConfigGen})
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	resp, err := e.run(ctx, c)
 	cancel()
--- a/shard/agents.go
+++ b/shard/agents.go
@@ -132,8 +132,10 @@
 		return
 	}
 	delete(o.agents, vm)
-	o.tables.VMs[vm].Connected = false
-	o.tables.Touch(o.tables.VMs[vm])
+	if v, ok := o.tables.VMs[vm]; ok {
+		v.Connected = false
+		o.tables.Touch(v)
+	}
 	o.publishMembers()
 }
 
--- a/shard/grants.go
+++ b/shard/grants.go
@@ -12,8 +12,9 @@
 // against the current grant and queued again when that was extended, so that a
 // heartbeat costs nothing here and a tick looks at due VMs only.
 type grantQueue struct {
-	items  grantHeap
-	queued map[string]bool
+	items grantHeap
+	// next is the time of the valid entry of each VM; other entries are skipped.
+	next map[string]time.Duration
 }
 
 type grantItem struct {
@@ -21,26 +22,28 @@
 	at time.Duration
 }
 
-// push adds the VM unless it is queued.
+// push adds the VM, or moves its entry to an earlier time.
 func (q *grantQueue) push(vm string, at time.Duration) {
-	if q.queued[vm] {
+	if next, ok := q.next[vm]; ok && next <= at {
 		return
 	}
-	if q.queued == nil {
-		q.queued = make(map[string]bool)
+	if q.next == nil {
+		q.next = make(map[string]time.Duration)
 	}
-	q.queued[vm] = true
+	q.next[vm] = at
 	heap.Push(&q.items, grantItem{vm, at})
 }
 
 // due removes and returns an entry whose time has come.
 func (q *grantQueue) due(now time.Duration) (string, bool) {
-	if len(q.items) == 0 || now < q.items[0].at {
-		return "", false
+	for len(q.items) > 0 && now >= q.items[0].at {
+		it := heap.Pop(&q.items).(grantItem)
+		if next, ok := q.next[it.vm]; ok && next == it.at {
+			delete(q.next, it.vm)
+			return it.vm, true
+		}
 	}
-	vm := heap.Pop(&q.items).(grantItem).vm
-	delete(q.queued, vm)
-	return vm, true
+	return "", false
 }
 
 type grantHeap []grantItem
@@ -56,6 +59,10 @@
 	return x
 }
 
+// vmRetention is how long a VM that lost its grant is remembered. Until then a task
+// that fits only this VM waits for its return.
+const vmRetention = time.Hour
+
 // expireGrants requeues the tasks of VMs whose grants have certainly lapsed.
 func (o *Owner) expireGrants(now time.Duration) {
 	for {
@@ -72,8 +79,13 @@
 			o.grants.push(vm, until)
 			continue
 		}
+		if known && !v.Connected && len(v.Tasks) == 0 && now >= v.GrantedUntil+vmRetention {
+			o.tables.RemoveVM(vm)
+			continue
+		}
 		if known {
 			o.lapsed(vm, v)
+			o.grants.push(vm, v.GrantedUntil+vmRetention)
 		}
 		o.requeueOrphans(vm)
 		o.dropStops(vm)
