--- a/entry/api_config.go
+++ b/entry/api_config.go
@@ -36,8 +36,15 @@
 	Changes   []string `json:"changes"`
 }
 
-func (e *Entry) getConfig(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, e.config())
+// getConfig answers with the accepted document, so that an operator who changes it
+// next starts from the latest generation even when this entry has not read it yet.
+// While the store is unreachable it answers with the document in force.
+func (e *Entry) getConfig(w http.ResponseWriter, r *http.Request) {
+	doc, err := e.proposer.Current(r.Context())
+	if err != nil {
+		doc = e.config()
+	}
+	writeJSON(w, http.StatusOK, doc)
 }
 
 func (e *Entry) putConfig(w http.ResponseWriter, r *http.Request) {
