--- a/agent/control.go
+++ b/agent/control.go
@@ -50,11 +50,15 @@
 	defer p.Close()
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
-	m, err := p.Call(ctx, &wire.Locate{Zone: a.cfg.Zone, VM: a.cfg.VM})
+	m, err := p.Call(ctx, &wire.Locate{Zone: a.cfg.Zone, VM: a.cfg.VM, ConfigGen: a.gate.Generation()})
 	if err != nil {
 		return "", err
 	}
 	r, ok := m.(*wire.LocateReply)
+	if ok && r.ConfigGen > a.gate.Generation() {
+		// While the shard has no owner, no other message brings a new configuration.
+		a.raiseConfig(r.ConfigGen)
+	}
 	if !ok || r.Addr == "" {
 		return "", errkind.New(errkind.NotReady, "no owner is known for VM %s", a.cfg.VM)
 	}
@@ -178,7 +182,8 @@
 		load = 1000 * (a.cfg.Slots - free) / a.cfg.Slots
 	}
 	m, err := p.Call(ctx, &wire.Heartbeat{Seq: seq, ConfigGen: a.gate.Generation(), LoadPermille: uint16(load),
-		LagMS: uint16(lag.Milliseconds()), Usage: usage})
+		TailPermille: uint16(a.protection.tail.Load()),
+		LagMS:        uint16(lag.Milliseconds()), Usage: usage})
 	if err != nil {
 		return err
 	}
--- a/shard/manager.go
+++ b/shard/manager.go
@@ -15,6 +15,7 @@
 	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/history"
 	"github.com/chicorystand/chicorystand/lease"
+	"github.com/chicorystand/chicorystand/scheduler"
 	"github.com/chicorystand/chicorystand/store"
 	"github.com/chicorystand/chicorystand/wire"
 )
@@ -56,6 +57,8 @@
 	suspicion = 20 * time.Second
 	// renewRetry separates attempts of a failed renewal.
 	renewRetry = time.Second
+	// balanceInterval separates hand-overs of shards to entries that own fewer.
+	balanceInterval = 15 * time.Second
 	// stepInterval separates steps of the manager.
 	stepInterval = 250 * time.Millisecond
 )
@@ -75,6 +78,8 @@
 	Clock       clock.Clock
 	Recorder    *history.Recorder
 	Log         zerolog.Logger
+	// Scheduler configures the decisions of every owner.
+	Scheduler scheduler.Config
 	// Follower receives registrations and holds, and supplies the generations of the
 	// registration; nil outside of an entry.
 	Follower *confsync.Follower
@@ -88,6 +93,8 @@
 	OnOwner   func(*Owner)
 	OnMembers func(wire.Members)
 	OnEvict   func(cause errkind.Kind)
+	// OnReleased is called after a shard was handed over, so that the other entries learn of it at once.
+	OnReleased func()
 }
 
 // Manager acquires, renews and releases shard leases and runs their owners. It
@@ -112,8 +119,10 @@
 	stopping bool
 	released bool
 	rescan   bool
-	probe    probeResult
-	wg       sync.WaitGroup
+	// nextBalance is the earliest time of the next hand-over.
+	nextBalance time.Duration
+	probe       probeResult
+	wg          sync.WaitGroup
 }
 
 // knownRow is a lease row as last read.
@@ -185,6 +194,11 @@
 			nextProbe = now + probeInterval
 		}
 		m.acquireDue(ctx)
+		if id, ok := m.surplus(now); ok {
+			if err := m.handOver(ctx, id); err != nil {
+				m.cfg.Log.Warn().Err(err).Str("shard", id).Msg("hand shard over")
+			}
+		}
 		sleep(ctx, stepInterval)
 	}
 	m.mu.Lock()
