Judge a VM by the load that is expected during a batch task

Noisy tasks were placed on VMs whose load was about to rise and slowed the service at the next peak. The load is now extrapolated by 90 s when it rises. The guard keeps classes of small effect for each processor at full speed, waits longer before a checkpoint, and at most 40 s before a restore.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -40,13 +40,13 @@
 	// restoreWait is the time below restoreBelow before one step is restored.
 	restoreWait = 5 * time.Second
 	// maxRestoreWait bounds the wait after repeated relapses.
-	maxRestoreWait = 80 * time.Second
+	maxRestoreWait = 40 * time.Second
 	// relapseWithin is the time after a restore in which a new step counts as caused by it.
 	relapseWithin = 10 * time.Second
 	// patienceBase and patienceRange give the time at the lowest speed before a checkpoint:
 	// base at tail weight 1, base + range at tail weight 0.
-	patienceBase  = 2 * time.Second
-	patienceRange = 12 * time.Second
+	patienceBase  = 4 * time.Second
+	patienceRange = 8 * time.Second
 )
 
 // Tolerated effect of the batch tasks on a service above its target: the base at tail
@@ -57,11 +57,12 @@
 	toleratedRange = 0.04
 )
 
-// minEffect is the learnt effect of a task, and minHarmRange (at tail weight 0; none at 1)
+// minEffect is the learnt effect of a task, and minHarmBase (with minHarmRange at tail weight 0)
 // its effect for each processor, below which throttling it is not worth the throughput.
 const (
 	minEffect    = 0.01
-	minHarmRange = 0.02
+	minHarmBase  = 0.006
+	minHarmRange = 0.006
 )
 
 // minRelief is the learnt effect of a task at the lowest speed that is worth a checkpoint.
@@ -202,7 +203,7 @@
 	if t.Harm <= 0 {
 		return true
 	}
-	return g.weight(t) >= minEffect && (tail > severeAbove || t.Harm >= minHarmRange*(1-g.cfg.TailWeight))
+	return g.weight(t) >= minEffect && (tail > severeAbove || t.Harm >= minHarmBase+minHarmRange*(1-g.cfg.TailWeight))
 }
 
 // worthwhile reports whether the expected effect of all tasks is above what is left
--- a/scheduler/eviction/eviction.go
+++ b/scheduler/eviction/eviction.go
@@ -105,7 +105,7 @@
 func Relief(t *tables.Tables, v *tables.VM, now time.Duration) *tables.Task {
 	var best *tables.Task
 	bestValue := 0.0
-	load := tables.LoadBucket(v.Load)
+	load := tables.LoadBucket(v.ExpectedLoad())
 	for id := range v.Tasks {
 		tk := t.Tasks[id]
 		if !Movable(tk) {
--- a/scheduler/feasibility/feasibility.go
+++ b/scheduler/feasibility/feasibility.go
@@ -89,11 +89,11 @@
 	if v.Service == "" || r.Task.Record.Spec.Class != task.Batch {
 		return false
 	}
-	limit := r.Limits.On(v.Service, v.Load)
+	limit := r.Limits.On(v.Service, v.ExpectedLoad())
 	if v.Pressure <= limit/2 {
 		return false
 	}
-	own := r.Harms.On(v.Service, tables.LoadBucket(v.Load)) * float64(r.Need.CPU) / 1000
+	own := r.Harms.On(v.Service, tables.LoadBucket(v.ExpectedLoad())) * float64(r.Need.CPU) / 1000
 	return own > Negligible && v.Pressure+own > limit
 }
 
--- a/scheduler/naive/naive.go
+++ b/scheduler/naive/naive.go
@@ -18,7 +18,7 @@
 func Score(t *tables.Tables, s scoring.Request, v *tables.VM) float64 {
 	free := v.Free()
 	g := tables.Group{
-		Zone: v.Zone, Service: v.Service, Load: tables.LoadBucket(v.Load), Pressure: tables.PressureBucket(v.Pressure),
+		Zone: v.Zone, Service: v.Service, Load: tables.LoadBucket(v.ExpectedLoad()), Pressure: tables.PressureBucket(v.Pressure),
 		CapBin: tables.CPUBin(v.Capacity.CPU), Accelerators: uint8(min(max(free.Accelerators, 0), tables.MaxAccelerators)),
 	}
 	return scoring.Group(t, s, &g) + scoring.Row(s, &g, tables.CPUBin(free.CPU))
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -104,8 +104,8 @@
 // weight 0, and how much less it is at tail weight 1; and the same for the pressure beside
 // a service that reports no tail.
 const (
-	maxTail      = 0.95
-	maxTailRange = 0.05
+	maxTail      = 0.94
+	maxTailRange = 0.01
 	unknownLimit = 0.3
 	unknownRange = 0.2
 )
--- a/scheduler/tables/index.go
+++ b/scheduler/tables/index.go
@@ -109,7 +109,7 @@
 
 func keyOf(v *VM) groupKey {
 	free := v.Free()
-	return groupKey{zone: v.Zone, service: v.Service, load: LoadBucket(v.Load), pressure: PressureBucket(v.Pressure),
+	return groupKey{zone: v.Zone, service: v.Service, load: LoadBucket(v.ExpectedLoad()), pressure: PressureBucket(v.Pressure),
 		capBin: CPUBin(v.Capacity.CPU), accelerators: uint8(min(max(free.Accelerators, 0), MaxAccelerators))}
 }
 
@@ -386,7 +386,7 @@
 	if v.Service == "" {
 		return
 	}
-	v.Pressure = max(v.Pressure+t.Harm(v.Service, c.class, LoadBucket(v.Load))*float64(c.cpu)/1000, 0)
+	v.Pressure = max(v.Pressure+t.Harm(v.Service, c.class, LoadBucket(v.ExpectedLoad()))*float64(c.cpu)/1000, 0)
 	if len(v.mix) == 0 {
 		v.Pressure = 0
 	}
@@ -398,7 +398,7 @@
 	if v.Service == "" {
 		return
 	}
-	load := LoadBucket(v.Load)
+	load := LoadBucket(v.ExpectedLoad())
 	for _, e := range v.mix {
 		v.Pressure += t.Harm(v.Service, e.class, load) * float64(e.cpu) / 1000
 	}
--- a/scheduler/tables/learnt.go
+++ b/scheduler/tables/learnt.go
@@ -232,7 +232,8 @@
 // Ingest queues a report for the next tick and applies load and tail at once.
 func (t *Tables) Ingest(r Report) {
 	if v, ok := t.VMs[r.VM]; ok {
-		v.Load, v.Tail = r.Load, r.Tail
+		v.observeLoad(r.Load, r.At-r.Lag)
+		v.Tail = r.Tail
 		t.Touch(v)
 	}
 	t.reports = append(t.reports, r)
--- a/scheduler/tables/tables.go
+++ b/scheduler/tables/tables.go
@@ -27,7 +27,9 @@
 	// Tail is the service's p99 divided by its target, 0 when unknown.
 	Tail float64
 	// Load is the used share of the upstream's slots, 0 to 1.
-	Load     float64
+	Load float64
+	// Trend is the smoothed change of Load for each second.
+	Trend    float64
 	Draining bool
 	// Connected is false from the loss of the control connection until the agent announces itself again.
 	Connected bool
@@ -42,6 +44,7 @@
 	// Health is the record of failures on the VM.
 	Health Health
 
+	loadAt  time.Duration
 	mix     []classCPU
 	changes []mixChange
 	group   *Group
@@ -62,6 +65,26 @@
 	Probe string
 }
 
+// Forecast of the load. A batch task stays for minutes, so that a VM whose load rises is
+// judged by where it is going; a falling load is not anticipated.
+const (
+	loadHorizon = 90 * time.Second
+	trendWeight = 0.3
+)
+
+// ExpectedLoad returns the higher of the load now and that expected at the horizon.
+func (v *VM) ExpectedLoad() float64 {
+	return min(max(v.Load, v.Load+v.Trend*loadHorizon.Seconds()), 1)
+}
+
+// observeLoad takes a report of the load into account.
+func (v *VM) observeLoad(load float64, at time.Duration) {
+	if dt := (at - v.loadAt).Seconds(); v.loadAt > 0 && dt > 0 {
+		v.Trend += trendWeight * ((load-v.Load)/dt - v.Trend)
+	}
+	v.Load, v.loadAt = load, at
+}
+
 // Free returns the unreserved capacity.
 func (v *VM) Free() task.Resources { return v.Capacity.Sub(v.Reserved) }
 
