--- a/agent/agent.go
+++ b/agent/agent.go
@@ -77,7 +77,7 @@
 	dataAddr string
 	// checkpoints holds the tasks whose periodic checkpoint is being written.
 	checkpoints map[string]bool
-	peers       map[*wire.Peer]struct{}
+	conns       dataConns
 	left        chan struct{}
 	leftOnce    sync.Once
 }
@@ -93,17 +93,13 @@
 			return d.DialContext(ctx, "tcp", addr)
 		}
 	}
-	if cfg.Transport == nil {
-		cfg.Transport = &http.Transport{MaxConnsPerHost: cfg.Conns, MaxIdleConnsPerHost: cfg.Conns}
-	}
 	a := &Agent{
 		cfg:    cfg,
 		gate:   gate.New(cfg.Incarnation, cfg.Slots),
 		ledger: ledger.New(cfg.Worker.Capacity(), cfg.ServiceHeld),
-		client: &http.Client{Transport: cfg.Transport},
+		client: newUpstreamClient(cfg.Conns, cfg.Transport),
 		ctx:    context.Background(), checkpoints: make(map[string]bool),
-		peers: make(map[*wire.Peer]struct{}),
-		left:  make(chan struct{}),
+		left: make(chan struct{}),
 	}
 	a.outbox = newOutbox(a.sendEvent, a.eventAcked)
 	return a
@@ -156,31 +152,10 @@
 	}
 }
 
-func (a *Agent) acceptLoop(ctx context.Context, l net.Listener) {
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
-		p := wire.NewPeer(conn, func(p *wire.Peer, m wire.Message, reply wire.Reply) { a.handleData(ctx, p, m, reply) })
-		a.mu.Lock()
-		a.peers[p] = struct{}{}
-		a.mu.Unlock()
-		go func() {
-			<-p.Done()
-			a.mu.Lock()
-			delete(a.peers, p)
-			a.mu.Unlock()
-		}()
-	}
-}
-
 func (a *Agent) closePeers() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for p := range a.peers {
-		go p.Close()
-	}
+	a.conns.close()
 	if a.owner != nil {
 		go a.owner.Close()
 	}
@@ -189,12 +164,13 @@
 // drainPoll separates checks of whether tasks have left a draining VM.
 const drainPoll = 100 * time.Millisecond
 
-// Drain makes the upstream leave: the owner is told, the gate closes, and tasks
-// are evicted with a checkpoint. Drain returns when no request is in progress and
-// every eviction is acknowledged, or when ctx ends.
+// Drain makes the upstream leave: the owner and the connected entries are told,
+// the gate closes, and tasks are evicted with a checkpoint. Drain returns when no
+// request is in progress and every eviction is acknowledged, when ctx ends, or
+// when the drain is undone.
 func (a *Agent) Drain(ctx context.Context) {
 	a.cfg.Recorder.Record(history.Event{Kind: history.DrainBegan, VM: a.cfg.VM, Incarnation: a.cfg.Incarnation})
-	idle := a.gate.Drain(a.cfg.Clock.Now())
+	idle, reopened := a.gate.Drain(a.cfg.Clock.Now())
 	a.notifyDrain(false)
 	evicted := make(chan struct{})
 	go func() { defer close(evicted); a.evictAll(ctx) }()
@@ -202,28 +178,32 @@
 		select {
 		case <-done:
 		case <-ctx.Done():
+		case <-reopened:
+			return
 		}
 	}
-	if a.gate.Draining() {
-		a.leftOnce.Do(func() { close(a.left) })
-	}
+	a.leftOnce.Do(func() { close(a.left) })
 }
 
 // Undrain opens a draining upstream again.
 func (a *Agent) Undrain() {
-	a.gate.Undrain()
+	if !a.gate.Undrain() {
+		return
+	}
 	a.cfg.Recorder.Record(history.Event{Kind: history.UpstreamStarted, VM: a.cfg.VM, Incarnation: a.cfg.Incarnation})
 	a.notifyDrain(true)
 }
 
-// notifyDrain tells the owner. A lost notification is made up for by the next
-// announcement, which carries the state.
+// notifyDrain tells the owner and the connected entries. A lost notification is
+// made up for by the next announcement, which carries the state.
 func (a *Agent) notifyDrain(undo bool) {
+	notice := &wire.Drain{VM: a.cfg.VM, Undo: undo}
+	a.conns.notify(notice)
 	a.mu.Lock()
 	owner := a.owner
 	a.mu.Unlock()
 	if owner != nil {
-		_ = owner.Notify(&wire.Drain{VM: a.cfg.VM, Undo: undo})
+		_ = owner.Notify(notice)
 	}
 }
 
--- a/agent/tasks.go
+++ b/agent/tasks.go
@@ -32,7 +32,7 @@
 		a.cfg.Recorder.Record(history.Event{Kind: history.ConfigInForce, Process: a.cfg.VM, Generation: a.gate.Generation()})
 		reply(&wire.Ack{})
 	default:
-		a.handleData(ctx, p, m, reply)
+		a.handleData(ctx, m, reply)
 	}
 }
 
--- a/entry/api_config.go
+++ b/entry/api_config.go
@@ -23,6 +23,8 @@
 	// maxHistoryLines bounds the lines that are kept of one change.
 	maxHistoryLines = 200
 	historyTimeout  = 2 * time.Second
+	inForceTimeout  = 2 * time.Second
+	inForcePoll     = 20 * time.Millisecond
 )
 
 // ConfigChange is an accepted change of plans or limits.
@@ -62,6 +64,7 @@
 		return
 	}
 	events.ConfigApplied.Log(e.cfg.Log).Uint64("generation", accepted.Generation).Str("by", callerOf(r).Name).Send()
+	e.awaitInForce(r.Context(), accepted.Generation)
 	e.recordChange(r, before, doc.Generation, accepted)
 	writeJSON(w, http.StatusOK, accepted)
 }
@@ -72,6 +75,18 @@
 	return current.Generation == doc.Generation+1 && plan.SameLists(doc, current)
 }
 
+// awaitInForce waits a bounded time until the generation is in force here, so
+// that an operator's next call sees the accepted change.
+func (e *Entry) awaitInForce(ctx context.Context, generation uint64) {
+	for end := time.Now().Add(inForceTimeout); e.config().Generation < generation && ctx.Err() == nil && time.Now().Before(end); {
+		e.PollConfig()
+		select {
+		case <-ctx.Done():
+		case <-time.After(inForcePoll):
+		}
+	}
+}
+
 // recordChange keeps the change for the history. The change is in force even when this fails.
 func (e *Entry) recordChange(r *http.Request, before plan.Document, basedOn uint64, after plan.Document) {
 	ctx, cancel := context.WithTimeout(r.Context(), historyTimeout)
--- a/entry/http.go
+++ b/entry/http.go
@@ -45,6 +45,7 @@
 	mux.HandleFunc("GET /v1/config", e.allow(rightRead, e.getConfig))
 	mux.HandleFunc("PUT /v1/config", e.allow(rightAdminister, e.putConfig))
 	mux.HandleFunc("GET /v1/config/history", e.allow(rightRead, e.getConfigHistory))
+	mux.HandleFunc("GET /v1/config/status", e.allow(rightRead, e.configStatus))
 	mux.HandleFunc("GET /v1/upstreams", e.allow(rightRead, e.listUpstreams))
 	mux.HandleFunc("GET /v1/upstreams/{vm}", e.allow(rightRead, e.getUpstream))
 	mux.HandleFunc("POST /v1/upstreams/{vm}/drain", e.allow(rightOperate, e.drainUpstream))
@@ -93,8 +94,8 @@
 	ready := e.ready
 	e.mu.Unlock()
 	switch {
-	case !ready:
-		writeError(w, errkind.New(errkind.NotReady, "entry %s is starting or stopping", e.cfg.ID))
+	case !ready || e.follower.Admit() != nil:
+		writeError(w, errkind.New(errkind.NotReady, "entry %s is starting or stopping, or its configuration is not confirmed", e.cfg.ID))
 	case e.config().Generation == 0:
 		writeError(w, errkind.New(errkind.NotReady, "no configuration is in force; an operator must apply plans and limits"))
 	default:
