--- a/entry/api_tasks.go
+++ b/entry/api_tasks.go
@@ -7,6 +7,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -45,23 +46,33 @@
 	return eligible[xxhash.Sum64String(s.ID)%uint64(len(eligible))], nil
 }
 
-// callShard sends a message to the owner of a shard, which may be this entry.
+// ownerPollInterval separates looks for the owner of a shard that changes hands.
+const ownerPollInterval = 50 * time.Millisecond
+
+// callShard sends a message to the owner of a shard, which may be this entry. While
+// the shard has no known owner, as during a takeover, it waits; errkind.NotReady and
+// errkind.NotOwner prove that nothing was done.
 func (e *Entry) callShard(ctx context.Context, id string, m wire.Message) (wire.Message, error) {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
-	if _, ok := e.manager.Owner(id); ok {
-		ch := make(chan wire.Message, 1)
-		e.handleControl(nil, m, func(r wire.Message) { ch <- r })
+	for {
+		r, err := e.callOwner(ctx, id, m)
+		if k := errkind.Of(err); k != errkind.NotReady && k != errkind.NotOwner {
+			return r, err
+		}
+		e.manager.Suspect(id)
 		select {
-		case r := <-ch:
-			if er, ok := r.(*wire.Error); ok {
-				return nil, errkind.New(er.Kind, "%s", er.Msg)
-			}
-			return r, nil
 		case <-ctx.Done():
-			return nil, errkind.Wrap(errkind.OutcomeUnknown, ctx.Err(), "shard %s", id)
+			return nil, err
+		case <-time.After(ownerPollInterval):
 		}
 	}
+}
+
+func (e *Entry) callOwner(ctx context.Context, id string, m wire.Message) (wire.Message, error) {
+	if _, ok := e.manager.Owner(id); ok {
+		return e.callLocal(ctx, id, m)
+	}
 	row, ok := e.manager.Locate(id)
 	if !ok {
 		return nil, errkind.New(errkind.NotReady, "shard %s has no owner", id)
@@ -75,6 +86,20 @@
 	return p.Call(ctx, m)
 }
 
+func (e *Entry) callLocal(ctx context.Context, id string, m wire.Message) (wire.Message, error) {
+	ch := make(chan wire.Message, 1)
+	e.handleControl(nil, m, func(r wire.Message) { ch <- r })
+	select {
+	case r := <-ch:
+		if er, ok := r.(*wire.Error); ok {
+			return nil, errkind.New(er.Kind, "%s", er.Msg)
+		}
+		return r, nil
+	case <-ctx.Done():
+		return nil, errkind.Wrap(errkind.OutcomeUnknown, ctx.Err(), "shard %s", id)
+	}
+}
+
 // idPattern is what the names of tasks, customers and job classes may hold.
 var idPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$`)
 
--- a/entry/http.go
+++ b/entry/http.go
@@ -44,6 +44,7 @@
 	mux.HandleFunc("GET /v1/requests/{name}/explain", e.allow(rightOwn, e.explainRequest))
 	mux.HandleFunc("GET /v1/config", e.allow(rightRead, e.getConfig))
 	mux.HandleFunc("PUT /v1/config", e.allow(rightAdminister, e.putConfig))
+	mux.HandleFunc("GET /v1/config/status", e.allow(rightRead, e.configStatus))
 	mux.HandleFunc("GET /v1/config/history", e.allow(rightRead, e.getConfigHistory))
 	mux.HandleFunc("GET /v1/config/status", e.allow(rightRead, e.configStatus))
 	mux.HandleFunc("GET /v1/upstreams", e.allow(rightRead, e.listUpstreams))
@@ -98,6 +99,8 @@
 		writeError(w, errkind.New(errkind.NotReady, "entry %s is starting or stopping, or its configuration is not confirmed", e.cfg.ID))
 	case e.config().Generation == 0:
 		writeError(w, errkind.New(errkind.NotReady, "no configuration is in force; an operator must apply plans and limits"))
+	case e.follower.Admit() != nil:
+		writeError(w, errkind.New(errkind.NotReady, "the configuration in force cannot be confirmed"))
 	default:
 		_, _ = io.WriteString(w, "ok\n")
 	}
--- a/shard/status.go
+++ b/shard/status.go
@@ -68,7 +68,7 @@
 	}
 	r.Waiting = tk.Waiting
 	now := o.cfg.Clock.Now()
-	need := feasibility.Request{Task: tk, Need: sizing.Reservation(o.tables, tk), MaxPressure: math.Inf(1)}
+	need := feasibility.Request{Task: tk, Need: sizing.Reservation(o.tables, tk, o.cfg.Scheduler.TailWeight), MaxPressure: math.Inf(1)}
 	var counts [tables.NumReasons]int
 	for _, v := range o.tables.VMs {
 		counts[feasibility.Filter(o.tables, need, v, now)]++
@@ -96,9 +96,6 @@
 		st := vmStatus(v)
 		st.Quarantined = o.cfg.Clock.Now() < v.Health.NotBefore || v.Health.Probe != ""
 		st.Used = o.measuredUse(v)
-		if l, ok := o.agents[v.ID]; ok {
-			st.ConfigGen = max(st.ConfigGen, l.configGen)
-		}
 		r.VMs = append(r.VMs, st)
 	}
 	byCustomer := make(map[string]*wire.QueueStatus)
@@ -126,6 +123,13 @@
 		Load: v.Load, Tail: v.Tail, Tasks: len(v.Tasks), Connected: v.Connected, Draining: v.Draining, ConfigGen: v.ConfigGen}
 }
 
+// configConfirmed records that the agent of a VM has the configuration.
+func (o *Owner) configConfirmed(vm string, generation uint64) {
+	if v, ok := o.tables.VMs[vm]; ok {
+		v.ConfigGen = max(v.ConfigGen, generation)
+	}
+}
+
 // observeUse keeps the latest measured use of each task on a VM. Reports hold changed tasks only.
 func (o *Owner) observeUse(vm string, reported []wire.Usage) {
 	if len(reported) == 0 {
--- a/shard/takeover.go
+++ b/shard/takeover.go
@@ -105,7 +105,7 @@
 		if !slices.Contains(reg.Members, m.cfg.Entry) {
 			wait = lease.MaxExtension
 		}
-		if k.obs.Unchanged(now) >= lease.ObserverWait(wait) {
+		if k.obs.Unchanged() >= lease.ObserverWait(wait) {
 			stale = append(stale, k)
 		}
 	}
@@ -206,7 +206,7 @@
 	}
 	for id, k := range m.rows {
 		_, mine := m.owned[id]
-		if mine || !m.acquirable(k, now) {
+		if mine || !k.acquirable() {
 			k.freeFrom = 0
 			continue
 		}
@@ -221,13 +221,10 @@
 	return out
 }
 
-// acquirable reports whether the row is free, absent, or has been unchanged for
-// longer than its owner's lease. m.mu is held.
-func (m *Manager) acquirable(k *knownRow, now time.Duration) bool {
-	if k.row.Owner == "" {
-		return true
-	}
-	return k.version != 0 && k.obs.Unchanged(now) >= lease.ObserverWait(lease.ShardTTL) && m.suspected(k, now)
+// acquirable reports whether the row is free, absent, or was read after it had
+// been unchanged for longer than its owner's lease.
+func (k *knownRow) acquirable() bool {
+	return k.row.Owner == "" || k.version != 0 && k.obs.Unchanged() >= lease.ObserverWait(lease.ShardTTL)
 }
 
 func (m *Manager) delay(id string, k *knownRow) time.Duration {
@@ -238,9 +235,18 @@
 	if m.newcomer(k.row) {
 		d += newcomerDelay
 	}
+	fewest := m.fewest()
+	if more := len(m.owned) - fewest; more > 0 {
+		d += time.Duration(more) * shardCountDelay
+	}
+	return min(d, maxDelay)
+}
+
+// fewest returns the smallest number of shards that another live entry owns. m.mu is held.
+func (m *Manager) fewest() int {
 	counts := make(map[string]int, len(m.entries))
-	for _, row := range m.rows {
-		counts[row.row.Owner]++
+	for _, k := range m.rows {
+		counts[k.row.Owner]++
 	}
 	fewest := math.MaxInt
 	for e := range m.entries {
@@ -248,10 +254,32 @@
 			fewest = min(fewest, counts[e])
 		}
 	}
-	if more := len(m.owned) - fewest; more > 0 {
-		d += time.Duration(more) * shardCountDelay
+	return fewest
+}
+
+// surplus returns a shard to hand over: this entry owns at least two more than
+// another one. Shards of other availability zones are handed over first.
+func (m *Manager) surplus(now time.Duration) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopping || now < m.nextBalance {
+		return "", false
 	}
-	return min(d, maxDelay)
+	m.nextBalance = now + balanceInterval
+	if len(m.owned)-m.fewest() < 2 {
+		return "", false
+	}
+	best := ""
+	for id, s := range m.owned {
+		if !s.loaded || !s.lease.Valid(now) || s.reassignAfter > now {
+			continue
+		}
+		other, bestOther := !strings.HasPrefix(id, m.cfg.Zone+"-"), !strings.HasPrefix(best, m.cfg.Zone+"-")
+		if best == "" || other && !bestOther || other == bestOther && id < best {
+			best = id
+		}
+	}
+	return best, best != ""
 }
 
 // newcomer reports whether the row's owner may extend its lease by holds without
@@ -285,7 +313,7 @@
 	}
 	if m.newcomer(known.row) {
 		// The observation began after the owner's last renewal.
-		reassignAfter = max(reassignAfter, sentAt-known.obs.Unchanged(sentAt)+lease.ObserverWait(lease.MaxExtension))
+		reassignAfter = max(reassignAfter, known.obs.Since()+lease.ObserverWait(lease.MaxExtension))
 	}
 	rows, err := m.cfg.Table.Get(ctx, epochPrefix+id)
 	if err != nil {
@@ -329,7 +357,7 @@
 	}
 	s.owner = NewOwner(Config{
 		Shard: id, Epoch: row.Epoch, EpochCond: store.Cond{Key: epochPrefix + id, Version: versions[1]},
-		Table: m.cfg.Table, Commits: m.commits, Clock: m.cfg.Clock, Recorder: m.cfg.Recorder, Log: m.cfg.Log,
+		Table: m.cfg.Table, Commits: m.commits, Scheduler: m.cfg.Scheduler, Clock: m.cfg.Clock, Recorder: m.cfg.Recorder, Log: m.cfg.Log,
 		Valid: func() bool { return m.valid(id, row.Epoch) }, OnMembers: m.cfg.OnMembers, OnEvict: m.cfg.OnEvict,
 		OnLost: func() { m.lostShard(id, row.Epoch) }, ReassignFrom: reassignAfter,
 	})
@@ -365,6 +393,6 @@
 	if m.cfg.OnOwner != nil {
 		m.cfg.OnOwner(s.owner)
 	}
-	events.ShardAcquired.Log(m.cfg.Log).Str("shard", id).Uint64("epoch", s.row.Epoch).Send()
+	events.ShardAcquired.Log(m.cfg.Log).Str("shard", id).Uint64("epoch", s.owner.cfg.Epoch).Send()
 	s.owner.Run(ctx)
 }
