--- a/entry/http.go
+++ b/entry/http.go
@@ -46,7 +46,6 @@
 	mux.HandleFunc("PUT /v1/config", e.allow(rightAdminister, e.putConfig))
 	mux.HandleFunc("GET /v1/config/status", e.allow(rightRead, e.configStatus))
 	mux.HandleFunc("GET /v1/config/history", e.allow(rightRead, e.getConfigHistory))
-	mux.HandleFunc("GET /v1/config/status", e.allow(rightRead, e.configStatus))
 	mux.HandleFunc("GET /v1/upstreams", e.allow(rightRead, e.listUpstreams))
 	mux.HandleFunc("GET /v1/upstreams/{vm}", e.allow(rightRead, e.getUpstream))
 	mux.HandleFunc("POST /v1/upstreams/{vm}/drain", e.allow(rightOperate, e.drainUpstream))
