--- a/entry/http.go
+++ b/entry/http.go
@@ -94,8 +94,8 @@
 	ready := e.ready
 	e.mu.Unlock()
 	switch {
-	case !ready:
-		writeError(w, errkind.New(errkind.NotReady, "entry %s is starting or stopping", e.cfg.ID))
+	case !ready || e.follower.Admit() != nil:
+		writeError(w, errkind.New(errkind.NotReady, "entry %s is starting or stopping, or its configuration is not confirmed", e.cfg.ID))
 	case e.config().Generation == 0:
 		writeError(w, errkind.New(errkind.NotReady, "no configuration is in force; an operator must apply plans and limits"))
 	case e.follower.Admit() != nil:
--- a/events/shard.go
+++ b/events/shard.go
@@ -13,6 +13,4 @@
 	ConfigInForce       = define(306, "config_in_force", zerolog.InfoLevel, "A configuration generation is in force in this entry.")
 	ConfigApplied       = define(307, "config_applied", zerolog.InfoLevel, "An operator's change of plans or limits was accepted.")
 	ConfigRefused       = define(308, "config_refused", zerolog.WarnLevel, "An operator's change was not accepted. Nothing was changed.")
-	StoreUnreachable    = define(309, "store_unreachable", zerolog.WarnLevel, "The platform's table service does not answer. Running work continues; submissions and changes are refused until it answers.")
-	StoreReachable      = define(310, "store_reachable", zerolog.InfoLevel, "The platform's table service answers again.")
 )
