--- a/shard/status.go
+++ b/shard/status.go
@@ -68,7 +68,7 @@
 	}
 	r.Waiting = tk.Waiting
 	now := o.cfg.Clock.Now()
-	need := feasibility.Request{Task: tk, Need: sizing.Reservation(o.tables, tk), MaxPressure: math.Inf(1)}
+	need := feasibility.Request{Task: tk, Need: sizing.Reservation(o.tables, tk, o.cfg.Scheduler.TailWeight), MaxPressure: math.Inf(1)}
 	var counts [tables.NumReasons]int
 	for _, v := range o.tables.VMs {
 		counts[feasibility.Filter(o.tables, need, v, now)]++
