Let a dying process lose the message it was about to write

Cause: a process died only after its message was on the way, so that no run lost a result with its agent. Change: a death at a step drops the message that the process was writing, and strikes at the answer in another run.

--- a/faultmatrix/faults_test.go
+++ b/faultmatrix/faults_test.go
@@ -35,7 +35,14 @@
 	name string
 	// message faults strike the message of the step.
 	message bool
-	apply   func(*cluster, *scenario, event) verdict
+	// death faults strike before the message is written, and before the answer is.
+	death bool
+	apply func(*cluster, *scenario, event) verdict
+}
+
+// unwritten drops the message that a process was about to write when it died.
+func (e event) unwritten(host string) verdict {
+	return verdict{drop: e.msg != nil && e.msg.from == host}
 }
 
 // after runs f later unless the run has ended.
@@ -71,14 +78,14 @@
 	{name: "store down", apply: storeFaults(standin.Faults{Down: true}, storeOutage)},
 	{name: "store slow", apply: storeFaults(standin.Faults{Latency: slowLatency}, storeSlowness)},
 	{name: "answer lost after write", apply: storeFaults(standin.Faults{LoseAnswers: 3}, 0)},
-	{name: "entry dies", apply: func(c *cluster, s *scenario, e event) verdict {
+	{name: "entry dies", death: true, apply: func(c *cluster, s *scenario, e event) verdict {
 		host := e.entryHost()
 		c.killEntry(host)
 		c.after(entryRestart, func() { s.ensureEntry(host) })
-		return verdict{}
+		return e.unwritten(host)
 	}},
 	{name: "entry paused past its lease", apply: func(c *cluster, _ *scenario, e event) verdict { return c.pause(e.entryHost(), entryPause) }},
-	{name: "agent dies", apply: func(c *cluster, _ *scenario, e event) verdict {
+	{name: "agent dies", death: true, apply: func(c *cluster, _ *scenario, e event) verdict {
 		id := e.vmHost()
 		v := c.vm(id)
 		c.killAgent(id)
@@ -87,18 +94,19 @@
 				c.startAgent(v)
 			}
 		})
-		return verdict{}
+		return e.unwritten(id)
 	}},
 	{name: "agent paused past its lease", apply: func(c *cluster, _ *scenario, e event) verdict { return c.pause(e.vmHost(), agentPause) }},
-	{name: "VM fails", apply: func(c *cluster, _ *scenario, e event) verdict { return c.loseVMs(e.vmHost()) }},
-	{name: "rack lost", apply: func(c *cluster, _ *scenario, e event) verdict {
+	{name: "VM fails", death: true, apply: func(c *cluster, _ *scenario, e event) verdict { c.loseVMs(e.vmHost()); return e.unwritten(e.vmHost()) }},
+	{name: "rack lost", death: true, apply: func(c *cluster, _ *scenario, e event) verdict {
 		var lost []string
 		for id, p := range places {
 			if p == places[e.vmHost()] {
 				lost = append(lost, id)
 			}
 		}
-		return c.loseVMs(lost...)
+		c.loseVMs(lost...)
+		return e.unwritten(e.vmHost())
 	}},
 	{name: "zone cut off", apply: func(c *cluster, _ *scenario, _ event) verdict {
 		c.net.alter(func() { c.net.cut = func(a, b string) bool { return (zoneOf(a) == "z1") != (zoneOf(b) == "z1") } })
@@ -129,7 +137,7 @@
 	return verdict{}
 }
 
-func (c *cluster) loseVMs(ids ...string) verdict {
+func (c *cluster) loseVMs(ids ...string) {
 	for _, id := range ids {
 		if c.vm(id) == nil {
 			continue
@@ -137,7 +145,6 @@
 		c.failVM(id)
 		c.after(vmReplacement, func() { c.replaceVM(id) })
 	}
-	return verdict{}
 }
 
 // operatorConflict lets two operators propose different documents on the same
--- a/faultmatrix/matrix_test.go
+++ b/faultmatrix/matrix_test.go
@@ -77,7 +77,7 @@
 type cell struct {
 	step  step
 	fault fault
-	// reply applies a message fault to the answer of the step's call.
+	// reply applies the fault to the answer of the step's call.
 	reply bool
 }
 
@@ -223,7 +223,7 @@
 				continue
 			}
 			out = append(out, cell{step: s, fault: f})
-			if f.message && s.reply != 0 {
+			if (f.message || f.death) && s.reply != 0 {
 				out = append(out, cell{step: s, fault: f, reply: true})
 			}
 		}
