--- a/agent/agent.go
+++ b/agent/agent.go
@@ -172,8 +172,15 @@
 	}
 }
 
-// drainPoll separates checks of whether tasks have left a draining VM.
-const drainPoll = 100 * time.Millisecond
+// Timing of a drain.
+const (
+	// drainPoll separates checks of whether tasks have left a draining VM.
+	drainPoll = 100 * time.Millisecond
+	// evictTimeout bounds the wait for checkpoints and acknowledgements. It exceeds
+	// the time in which another entry takes the shard over (16.2 s) and the agent
+	// finds it. Tasks that are left resume from their last recorded checkpoint.
+	evictTimeout = 60 * time.Second
+)
 
 // Drain makes the upstream leave: the owner and the connected entries are told,
 // the gate closes, and tasks are evicted with a checkpoint. Drain returns when no
@@ -221,6 +228,8 @@
 // evictAll evicts every attempt and waits until the owner has acknowledged the
 // evictions. Attempts whose checkpoint cannot be stored keep running until ctx ends.
 func (a *Agent) evictAll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, evictTimeout)
+	defer cancel()
 	for a.gate.Draining() {
 		running := a.cfg.Worker.List()
 		if len(running) == 0 && a.outbox.empty() {
