--- a/shard/status.go
+++ b/shard/status.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"math"
 	"sort"
 
 	"github.com/chicorystand/chicorystand/errkind"
@@ -68,7 +67,7 @@
 	}
 	r.Waiting = tk.Waiting
 	now := o.cfg.Clock.Now()
-	need := feasibility.Request{Task: tk, Need: sizing.Reservation(o.tables, tk, o.cfg.Scheduler.TailWeight), MaxPressure: math.Inf(1)}
+	need := o.cfg.Scheduler.Request(o.tables, tk, sizing.Reservation(o.tables, tk, o.cfg.Scheduler.TailWeight))
 	var counts [tables.NumReasons]int
 	for _, v := range o.tables.VMs {
 		counts[feasibility.Filter(o.tables, need, v, now)]++
