Check in the demo that accepted configurations are in force in every surviving process

Cause: the demo passed no processes to the checker, so this invariant could not fail. Change: the entries and agents that run from start to end are checked.

--- a/demo/report.go
+++ b/demo/report.go
@@ -64,10 +64,23 @@
 		}
 	}
 	r.gather(rep)
-	rep.Violations = summarize(history.Check(events, history.Options{Finished: true, Unfinished: r.watchers}))
+	rep.Violations = summarize(history.Check(events, history.Options{Finished: true, Unfinished: r.watchers, Processes: r.survivors()}))
 	return rep
 }
 
+// survivors names the processes that run from the start to the end, in which every
+// accepted configuration must be in force.
+func (r *runner) survivors() []string {
+	var out []string
+	for _, en := range r.env.Entries[:len(r.env.Entries)-1] {
+		out = append(out, en.ID)
+	}
+	for _, a := range r.env.Agents[:len(r.env.Agents)-1] {
+		out = append(out, a.VM)
+	}
+	return out
+}
+
 func (r *runner) quantile(q float64) float64 {
 	return float64(r.latency.ValueAtQuantile(q)) / float64(time.Millisecond/time.Microsecond)
 }
