Forward the path and query as the caller escaped them

Cause: the path was forwarded unescaped, so that %25, %2F or %3F in it reached the upstream as another path, or failed.

Change: the part of the escaped path below the service is forwarded as it is.

--- a/entry/requests.go
+++ b/entry/requests.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -240,13 +241,17 @@
 	return r.Method == http.MethodGet || r.Method == http.MethodHead || r.Method == http.MethodOptions
 }
 
-// requestPath returns the path below the service with the caller's escaping and query.
+// requestPath returns the path below the service and the query exactly as the
+// caller escaped them.
 func requestPath(r *http.Request) string {
-	path := "/" + r.PathValue("path")
-	if r.URL.RawPath != "" || r.URL.RawQuery != "" {
-		u := *r.URL
-		u.Path, u.RawPath = path, ""
-		return u.RequestURI()
+	// "", "v1", "services", service, rest
+	parts := strings.SplitN(r.URL.EscapedPath(), "/", 5)
+	path := "/"
+	if len(parts) == 5 {
+		path += parts[4]
+	}
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
 	}
 	return path
 }
