--- a/demo/demo.go
+++ b/demo/demo.go
@@ -50,6 +50,8 @@
 	finishTimeout     = 15 * time.Second
 	finishTimeoutKill = 75 * time.Second
 	startTimeout      = 10 * time.Second
+	// requestTimeout ends a request that is never answered; its outcome counts as unknown.
+	requestTimeout = 10 * time.Second
 )
 
 type runner struct {
@@ -75,7 +77,7 @@
 	}
 	defer env.Stop()
 	r := &runner{cfg: cfg, env: env, rand: rand.New(rand.NewPCG(cfg.Seed, 1)),
-		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		client:  &http.Client{Timeout: requestTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 		latency: hdrhistogram.New(1, time.Minute.Microseconds(), 3), outcomes: make(map[string]int),
 		accepted: make(map[string]bool), watchers: make(map[string]bool)}
 	return r.run(ctx)
