Test plan limits over HTTP

Cause: rate and concurrency limits had tests only in package route.

Change: a customer over its rate, over its concurrency and without a plan is refused with proof, and with Retry-After where a repeat can succeed.

--- a/entry/requests_test.go
+++ b/entry/requests_test.go
@@ -454,8 +454,8 @@
 // configure puts two plans in force and waits until every entry is ready.
 func (c *cluster) configure() {
 	c.t.Helper()
-	body, err := json.Marshal(plan.Document{Plans: []plan.CustomerPlan{{Customer: "urgent", Plan: "u"}, {Customer: "other", Plan: "o"}},
-		Limits: []plan.Limit{{Plan: "u", Priority: 9}, {Plan: "o", Priority: 1}}})
+	body, err := json.Marshal(plan.Document{Plans: []plan.CustomerPlan{{Customer: "urgent", Plan: "u"}, {Customer: "other", Plan: "o"}, {Customer: "rated", Plan: "r"}, {Customer: "narrow", Plan: "n"}},
+		Limits: []plan.Limit{{Plan: "u", Priority: 9}, {Plan: "o", Priority: 1}, {Plan: "r", RequestsPerSecond: 0.1}, {Plan: "n", Concurrency: 1}}})
 	assert.NilError(c.t, err)
 	req, err := http.NewRequest(http.MethodPut, c.entries[0].url+"/v1/config", strings.NewReader(string(body)))
 	assert.NilError(c.t, err)
@@ -619,3 +619,28 @@
 	}
 	c.check()
 }
+
+// Guards against customers that use more than their plan, and against refusals
+// without Retry-After or without proof.
+func TestPlanLimits(t *testing.T) {
+	t.Parallel()
+	c := start(t, options{entries: 1, agents: 1, slots: 4, serviceTime: 100 * time.Millisecond})
+	for _, tc := range []struct {
+		customer string
+		kind     errkind.Kind
+	}{
+		{"rated", errkind.RateLimited}, {"narrow", errkind.ConcurrencyLimited}, {"stranger", errkind.PermissionDenied},
+	} {
+		first := make(chan reply, 1)
+		go func() { first <- c.send(0, request{name: tc.customer + "-1", customer: tc.customer}) }()
+		time.Sleep(50 * time.Millisecond)
+		second := c.send(0, request{name: tc.customer + "-2", customer: tc.customer})
+		assert.Equal(t, second.kind, tc.kind.String())
+		assert.Equal(t, second.outcome, "not_run")
+		assert.Equal(t, second.retryAfter != "", tc.kind.Answer().Retryable)
+		if tc.kind != errkind.PermissionDenied {
+			assert.Equal(t, (<-first).outcome, "answer")
+		}
+	}
+	c.check()
+}
