Throttle every class far above the latency target

A wave of outside noise brings the service near saturation, where quiet classes count too. It is rare and short, so throttling them then costs little throughput.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -59,8 +59,10 @@
 
 // minEffect is the learnt effect of a task, and minHarmBase (with minHarmRange at tail weight 0)
 // its effect for each processor, below which throttling it is not worth the throughput.
+// Far above the target, which is rare and short, severeEffect is enough.
 const (
 	minEffect    = 0.01
+	severeEffect = 0.002
 	minHarmBase  = 0.006
 	minHarmRange = 0.006
 )
@@ -203,7 +205,10 @@
 	if t.Harm <= 0 {
 		return true
 	}
-	return g.weight(t) >= minEffect && (tail > severeAbove || t.Harm >= minHarmBase+minHarmRange*(1-g.cfg.TailWeight))
+	if tail > severeAbove {
+		return g.weight(t) >= severeEffect
+	}
+	return g.weight(t) >= minEffect && t.Harm >= minHarmBase+minHarmRange*(1-g.cfg.TailWeight)
 }
 
 // worthwhile reports whether the expected effect of all tasks is above what is left
@@ -218,7 +223,7 @@
 	}
 	allowed := toleratedBase + toleratedRange*(1-g.cfg.TailWeight)
 	if tail > severeAbove {
-		allowed /= 2
+		allowed = severeEffect
 	}
 	return sum > allowed
 }
