--- a/scheduler/tables/tables.go
+++ b/scheduler/tables/tables.go
@@ -31,6 +31,8 @@
 	// Trend is the smoothed change of Load for each second.
 	Trend    float64
 	Draining bool
+	// ConfigGen is the configuration generation that the agent reported.
+	ConfigGen uint64
 	// Connected is false from the loss of the control connection until the agent announces itself again.
 	Connected bool
 	// GrantedUntil is the end of the last grant on the owner's clock, including drift and margin.
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -23,6 +23,7 @@
 	TypeStopTask
 	TypeTaskEvent
 	TypeRequest
+	// TypeReceipt is reserved: receipts are frames of their own flag, without a body.
 	TypeReceipt
 	TypeResponse
 	TypeResolve
@@ -38,6 +39,7 @@
 	TypeLookup
 	TypeLookupReply
 	TypeDrain
+	TypeHello
 )
 
 func newMessage(t Type) Message {
@@ -66,8 +68,6 @@
 		return new(TaskEvent)
 	case TypeRequest:
 		return new(Request)
-	case TypeReceipt:
-		return new(Receipt)
 	case TypeResponse:
 		return new(Response)
 	case TypeResolve:
@@ -96,8 +96,10 @@
 		return new(LookupReply)
 	case TypeDrain:
 		return new(Drain)
+	case TypeHello:
+		return new(Hello)
 	}
-	return nil
+	return newOperatorMessage(t)
 }
 
 // Error is an error reply.
@@ -114,6 +116,8 @@
 type Locate struct {
 	Zone string
 	VM   string
+	// ConfigGen is the generation in force in the agent.
+	ConfigGen uint64
 }
 
 // LocateReply names the owner's address. Addr is empty when no owner is known.
@@ -121,12 +125,17 @@
 	Shard string
 	Epoch uint64
 	Addr  string
+	// ConfigGen and Limits are the configuration in force, set when the agent's is older.
+	ConfigGen uint64
+	Limits    []plan.Limit
 }
 
 // TaskStatus is the state of an attempt on a VM.
 type TaskStatus struct {
-	ID         string
-	Attempt    uint32
+	ID      string
+	Attempt uint32
+	// State is task.Running or task.Suspended, or task.Succeeded or task.Failed for
+	// an attempt whose result is not acknowledged yet.
 	State      string
 	Reserved   task.Resources
 	Checkpoint string
@@ -154,6 +163,15 @@
 type AnnounceReply struct {
 	Shard string
 	Epoch uint64
+	// Stop lists announced attempts that the records have moved past. The agent
+	// stops them before it applies a grant, since they may run elsewhere by now.
+	Stop []AttemptRef
+}
+
+// AttemptRef names one attempt of a task.
+type AttemptRef struct {
+	ID      string
+	Attempt uint32
 }
 
 // Usage is the measured use of one task, lagging by LagMS.
@@ -240,8 +258,15 @@
 	Seq   uint64
 }
 
-// Request asks the agent to run a request on its upstream. The agent sends a
-// Receipt notification at once and a Response as reply.
+// Hello names a data connection. It is the first frame on it. Conn is unique
+// among the connections of one entry incarnation and is never used again.
+type Hello struct {
+	Entry uint64
+	Conn  uint64
+}
+
+// Request asks the agent to run a request on its upstream. The receiving peer
+// sends a receipt at once; the reply is a Response.
 type Request struct {
 	ID          RequestID
 	Incarnation uint64
@@ -256,11 +281,8 @@
 	// DeadlineMS is the remaining time when the frame was written.
 	DeadlineMS uint32
 	Body       []byte
-}
-
-// Receipt tells that the agent has received a request.
-type Receipt struct {
-	ID RequestID
+	// Checksum is the xxhash64 of Body.
+	Checksum uint64
 }
 
 // Outcome of a request at the agent.
@@ -290,23 +312,25 @@
 	FreeSlots uint16
 }
 
-// Resolve asks for the outcome of a request whose answer has not arrived. The
-// agent fences a request that it does not know before it answers not-run.
+// Resolve asks for the outcome of a request whose answer has not arrived. Conn
+// is the connection on which the request was written. Before the agent answers
+// not-run it closes that connection and refuses it for the rest of its incarnation.
 type Resolve struct {
 	ID          RequestID
 	Incarnation uint64
+	Conn        uint64
 }
 
 // Upstream is one member of the routing table.
 type Upstream struct {
-	VM          string
-	Incarnation uint64
-	Zone        string
-	Service     string
-	Slots       uint16
-	Conns       uint16
-	DataAddr    string
-	Draining    bool
+	VM          string `json:"vm"`
+	Incarnation uint64 `json:"incarnation"`
+	Zone        string `json:"zone"`
+	Service     string `json:"service"`
+	Slots       uint16 `json:"slots"`
+	Conns       uint16 `json:"connections"`
+	DataAddr    string `json:"data_address"`
+	Draining    bool   `json:"draining"`
 }
 
 // ShardDigest summarises the membership list of a shard.
@@ -361,9 +385,9 @@
 
 // TaskResult is the result for one task of a batch operation.
 type TaskResult struct {
-	ID     string
-	Kind   errkind.Kind
-	Detail string
+	ID     string       `json:"id"`
+	Kind   errkind.Kind `json:"kind"`
+	Detail string       `json:"detail,omitempty"`
 }
 
 // SubmitReply answers Submit and Cancel in the order of the request.
@@ -384,6 +408,11 @@
 	Customer string
 	IDs      []string
 	Limit    uint16
+	// JobClass and State select tasks when they are not empty.
+	JobClass string
+	State    string
+	// After continues a listing: only ids above it are returned, in order.
+	After string
 }
 
 // LookupReply carries task records and the reasons why pending ones wait.
