Apply the guard's speeds in the model as the agent does

A task that is checkpointed keeps its speed until it has left the VM. The policy benchmark now also shows the scheduler with guards that are not told the learnt effects, which is what the messages carry today.

--- a/bench/policy/model.go
+++ b/bench/policy/model.go
@@ -126,7 +126,8 @@
 	now, next        time.Duration
 	reports          []delayed
 	usesGuards       bool
-	// learns is true when the owner tells the guards what it learnt about job classes.
+	// learns is true when the owner tells the guards what it learnt about job classes, and
+	// the guards tell the owner how far they throttled.
 	learns bool
 
 	hist      *hdrhistogram.Histogram
--- a/bench/policy/policy.go
+++ b/bench/policy/policy.go
@@ -42,6 +42,9 @@
 	noBatch    = "no batch"
 	firstFit   = "first-fit"
 	guardsOnly = "guards on first-fit"
+	// untold is the scheduler at the deployment's weight with guards that the owner does not
+	// tell what it learnt. The messages carry no effects yet.
+	untold = "scheduler, guards not told"
 )
 
 // Weights whose figures are compared on the same load.
@@ -95,7 +98,7 @@
 		return nil, err
 	}
 	target := time.Duration(targetOverIdle * idle[noBatch].P99() * float64(time.Millisecond))
-	names := []string{firstFit, guardsOnly}
+	names := []string{firstFit, guardsOnly, untold}
 	for _, w := range weights {
 		names = append(names, policyName(w))
 	}
@@ -149,6 +152,9 @@
 	case guardsOnly:
 		return newRun(dep, seed, naive.FirstFit{}, target, dep.Objective.TailWeight, true)
 	}
+	if w := dep.Objective.TailWeight; name == untold {
+		return newRun(dep, seed, scheduler.New(scheduler.Config{TailWeight: w, Seed: seed}), target, w, true)
+	}
 	for _, w := range weights {
 		if name == policyName(w) {
 			r := newRun(dep, seed, scheduler.New(scheduler.Config{TailWeight: w, Seed: seed}), target, w, true)
@@ -163,7 +169,7 @@
 	t := bench.Table{Title: fmt.Sprintf("%s, %d seeds of %s", dep.Name, seeds, duration),
 		Header: []string{"policy", "service p50 ms", "p99 ms", "p99.9 ms", "p99 over no batch", "batch work (core h)", "of submitted", "evictions", "failed starts", "start p50 s", "start p99 s"}}
 	idle := out[noBatch].P99()
-	names := []string{noBatch, firstFit, guardsOnly, policyName(weights[0]), policyName(weights[1])}
+	names := []string{noBatch, firstFit, guardsOnly, untold, policyName(weights[0]), policyName(weights[1])}
 	for _, name := range names {
 		o := out[name]
 		t.Add(name, float64(o.Hist.ValueAtQuantile(50))/1e3, o.P99(), float64(o.Hist.ValueAtQuantile(99.9))/1e3, o.P99()/idle,
--- a/bench/policy/vm.go
+++ b/bench/policy/vm.go
@@ -132,12 +132,13 @@
 		return
 	}
 	for _, a := range m.guard.Observe(s, r.now) {
-		j := r.jobs[a.Task]
 		if a.Kind == guard.Checkpoint {
-			r.evict(m, j)
-			continue
+			r.evict(m, r.jobs[a.Task])
 		}
-		j.fraction = a.Fraction
+	}
+	// The agent, too, applies the guard's speeds after each run, to attempts that returned as well.
+	for _, j := range m.jobs {
+		j.fraction = m.guard.Fraction(j.tk.Record.Spec.ID)
 	}
 }
 
@@ -148,7 +149,11 @@
 	}
 	rep := tables.Report{VM: m.v.ID, At: r.now + reportLag, Lag: reportLag, Load: m.load, Tail: m.guard.Tail()}
 	for _, j := range m.jobs {
-		rep.Uses = append(rep.Uses, tables.Use{Task: j.tk.Record.Spec.ID, Fraction: j.fraction,
+		fraction := 0.0
+		if r.learns {
+			fraction = j.fraction
+		}
+		rep.Uses = append(rep.Uses, tables.Use{Task: j.tk.Record.Spec.ID, Fraction: fraction,
 			Use: task.Resources{CPU: int64(1000 * j.use * j.fraction), Memory: j.tk.Record.Spec.Declared.Memory * 9 / 10}})
 	}
 	r.reports = append(r.reports, delayed{rep.At, rep})
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -335,7 +335,7 @@
 	} else {
 		g.useless = 0
 	}
-	delete(g.level, worst.ID)
+	// The task keeps its speed until it has left the VM.
 	g.floorSince, g.tailBefore = now, tail
 	g.stepped(now)
 	return []Action{{Kind: Checkpoint, Task: worst.ID}}
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -153,3 +153,12 @@
 	}
 	assert.Assert(t, first(0.8) < first(0.35))
 }
+
+// Guards against a task that runs at full speed while its checkpoint is being stored.
+func TestTaskStaysSlowUntilItHasLeft(t *testing.T) {
+	v := newVM(0.8, constant(2*target), "noisy")
+	for v.count(guard.Checkpoint) == 0 && v.now < time.Minute {
+		v.run(guard.Interval)
+	}
+	assert.Equal(t, v.g.Fraction("noisy-0"), 0.25)
+}
