Let a VM drain for a large task before others are evicted for it

A non-urgent task now gets two waits of 2 min for a VM that takes no other work. The guard weighs tasks by their use at full speed, since measured use falls with each step and lags, and checkpoints a task only for a learnt effect of 8% or more at the lowest speed.

--- a/agent/guard.go
+++ b/agent/guard.go
@@ -140,7 +140,7 @@
 		}
 		cpu := r.Reserved.CPU
 		if u, ok := use[r.ID]; ok {
-			cpu = u.CPU
+			cpu = max(cpu, u.CPU)
 		}
 		out = append(out, guard.Task{ID: r.ID, JobClass: r.JobClass, CPU: cpu})
 	}
--- a/bench/policy/vm.go
+++ b/bench/policy/vm.go
@@ -126,7 +126,7 @@
 		if r.learns {
 			harm = max(r.t.Harm(m.v.Service, j.class.name, tables.LoadBucket(m.v.Load)), 1e-6)
 		}
-		s.Tasks = append(s.Tasks, guard.Task{Harm: harm, ID: j.tk.Record.Spec.ID, JobClass: j.class.name, CPU: int64(1000 * j.use * j.fraction)})
+		s.Tasks = append(s.Tasks, guard.Task{Harm: harm, ID: j.tk.Record.Spec.ID, JobClass: j.class.name, CPU: max(j.tk.Reserved.CPU, int64(1000*j.use*j.fraction))})
 	}
 	if !r.usesGuards {
 		return
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -68,7 +68,7 @@
 )
 
 // minRelief is the learnt effect of a task at the lowest speed that is worth a checkpoint.
-const minRelief = 0.02
+const minRelief = 0.08
 
 // maxUseless is the number of checkpoints without improvement after which the guard
 // stops, since the cause of the slow service is not on this VM.
@@ -92,7 +92,8 @@
 type Task struct {
 	ID       string
 	JobClass string
-	// CPU is the measured use in thousandths of a processor, or the reservation when unknown.
+	// CPU is the use at full speed in thousandths of a processor: the reservation, or the
+	// measured use when that is higher. Measured use alone falls with each step and lags.
 	CPU int64
 	// Harm is the learnt slowdown of the service for each processor used; 0 when unknown.
 	Harm float64
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -65,10 +65,12 @@
 	victimVMs = 8
 	// holdTime keeps room for the task it was made for; an eviction takes at most 2 s.
 	holdTime = 5 * time.Second
-	// drainTime keeps a VM free of new tasks when the budget does not allow the evictions,
-	// so that it empties by itself. One VM in vmsPerHold may be held.
-	drainTime  = 2 * time.Minute
-	vmsPerHold = 20
+	// drainTime keeps a VM free of new tasks, so that it empties by itself. One VM in
+	// vmsPerHold may be held. Starving tasks that are not urgent get drainsFirst such waits
+	// before others are evicted for them.
+	drainTime   = 2 * time.Minute
+	vmsPerHold  = 20
+	drainsFirst = 2
 	// hotTail and hotReports make a VM a candidate for relief: the guard has had the time
 	// of two reports to bring the tail down.
 	hotTail    = 1.2
@@ -117,6 +119,7 @@
 	queue   queue.Queue
 	budget  eviction.Budget
 	holds   map[string]hold
+	drains  map[string]int
 	probing map[string]struct{}
 	hot     map[string]int
 	failed  map[shape]*failure
@@ -132,7 +135,7 @@
 
 // New returns a scheduler.
 func New(cfg Config) *Scheduler {
-	return &Scheduler{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0)), holds: make(map[string]hold),
+	return &Scheduler{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0)), holds: make(map[string]hold), drains: make(map[string]int),
 		probing: make(map[string]struct{}), hot: make(map[string]int), failed: make(map[shape]*failure)}
 }
 
@@ -279,6 +282,9 @@
 		if k.now >= h.until || !ok || tk.Record.State != task.Pending {
 			k.release(id, h)
 		}
+		if !ok || tk.Record.State != task.Pending {
+			delete(k.drains, id)
+		}
 	}
 }
 
@@ -360,6 +366,7 @@
 	if h, ok := k.holds[id]; ok {
 		k.release(id, h)
 	}
+	delete(k.drains, id)
 	if quarantine.Started(v, id) {
 		k.probing[v.ID] = struct{}{}
 	}
@@ -519,11 +526,13 @@
 		return
 	}
 	until := k.now + holdTime
-	if !k.evict(victims, errkind.CapacityExceeded, "room for task "+spec.ID) {
+	drain := !spec.Urgent && k.drains[spec.ID] < drainsFirst
+	if drain || !k.evict(victims, errkind.CapacityExceeded, "room for task "+spec.ID) {
 		if len(k.holds) >= max(1, len(k.t.VMs)/vmsPerHold) {
 			return
 		}
 		until = k.now + drainTime
+		k.drains[spec.ID]++
 	}
 	best.HeldFor = spec.ID
 	k.holds[spec.ID] = hold{best.ID, until}
