--- a/guard/guard.go
+++ b/guard/guard.go
@@ -59,14 +59,16 @@
 
 // minEffect is the learnt effect of a task, and minHarmBase (with minHarmRange at tail weight 0)
 // its effect for each processor, below which throttling it is not worth the throughput.
+// Far above the target, which is rare and short, severeEffect is enough.
 const (
 	minEffect    = 0.01
+	severeEffect = 0.002
 	minHarmBase  = 0.006
 	minHarmRange = 0.006
 )
 
 // minRelief is the learnt effect of a task at the lowest speed that is worth a checkpoint.
-const minRelief = 0.02
+const minRelief = 0.08
 
 // maxUseless is the number of checkpoints without improvement after which the guard
 // stops, since the cause of the slow service is not on this VM.
@@ -90,7 +92,8 @@
 type Task struct {
 	ID       string
 	JobClass string
-	// CPU is the measured use in thousandths of a processor, or the reservation when unknown.
+	// CPU is the use at full speed in thousandths of a processor: the reservation, or the
+	// measured use when that is higher. Measured use alone falls with each step and lags.
 	CPU int64
 	// Harm is the learnt slowdown of the service for each processor used; 0 when unknown.
 	Harm float64
@@ -203,7 +206,10 @@
 	if t.Harm <= 0 {
 		return true
 	}
-	return g.weight(t) >= minEffect && (tail > severeAbove || t.Harm >= minHarmBase+minHarmRange*(1-g.cfg.TailWeight))
+	if tail > severeAbove {
+		return g.weight(t) >= severeEffect
+	}
+	return g.weight(t) >= minEffect && t.Harm >= minHarmBase+minHarmRange*(1-g.cfg.TailWeight)
 }
 
 // worthwhile reports whether the expected effect of all tasks is above what is left
@@ -218,7 +224,7 @@
 	}
 	allowed := toleratedBase + toleratedRange*(1-g.cfg.TailWeight)
 	if tail > severeAbove {
-		allowed /= 2
+		allowed = severeEffect
 	}
 	return sum > allowed
 }
@@ -330,7 +336,7 @@
 	} else {
 		g.useless = 0
 	}
-	delete(g.level, worst.ID)
+	// The task keeps its speed until it has left the VM.
 	g.floorSince, g.tailBefore = now, tail
 	g.stepped(now)
 	return []Action{{Kind: Checkpoint, Task: worst.ID}}
