--- /dev/null
+++ b/command/chicorydev/docs_test.go
@@ -0,0 +1,91 @@
+package chicorydev
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus/testutil/promlint"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorystand/chicorystand/command/chicoryagent"
+	"github.com/chicorystand/chicorystand/command/chicoryentry"
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/metrics"
+)
+
+const root = "../.."
+
+// Guards against reference documents that differ from the code.
+func TestDocumentsAreCurrent(t *testing.T) {
+	for name, generate := range documents {
+		var buf bytes.Buffer
+		assert.NilError(t, generate(&buf))
+		have, err := os.ReadFile(filepath.Join(root, "docs", name))
+		assert.NilError(t, err)
+		assert.Equal(t, string(have), buf.String(), "run: go run ./cmd/chicory-dev docs")
+	}
+}
+
+// Guards against an event outside its area, or an event or error kind without a meaning.
+func TestCatalogues(t *testing.T) {
+	for _, e := range events.All() {
+		assert.Assert(t, events.Areas[e.Number/100] != "" && e.Meaning != "", e.Name)
+	}
+	var buf bytes.Buffer
+	assert.NilError(t, errkind.WriteDocument(&buf))
+	assert.Assert(t, !strings.Contains(buf.String(), "|  |"), buf.String())
+}
+
+// Guards against metric names and help texts that break the conventions.
+func TestMetricsLint(t *testing.T) {
+	m := metrics.NewEntry()
+	metrics.NewRequests(m.Registry)
+	a := metrics.NewAgent(func() metrics.AgentState { return metrics.AgentState{} })
+	for _, reg := range []interface {
+		Gather() ([]*dto.MetricFamily, error)
+	}{m.Registry, a.Registry} {
+		families, err := reg.Gather()
+		assert.NilError(t, err)
+		var buf bytes.Buffer
+		for _, f := range families {
+			_, err := expfmt.MetricFamilyToText(&buf, f)
+			assert.NilError(t, err)
+		}
+		problems, err := promlint.New(&buf).Lint()
+		assert.NilError(t, err)
+		assert.Equal(t, len(problems), 0, "%v", problems)
+	}
+}
+
+// Guards against settings files of deploy/ that the daemons refuse.
+func TestDeployFilesAreValid(t *testing.T) {
+	for name, cmd := range map[string]interface {
+		SetArgs([]string)
+		Execute() error
+	}{"entry": chicoryentry.New(), "agent": chicoryagent.New()} {
+		cmd.SetArgs([]string{"validate", "--settings", filepath.Join(root, "deploy", name+".yaml")})
+		assert.NilError(t, cmd.Execute())
+	}
+}
+
+// Guards against links in the documents that lead nowhere.
+func TestLinks(t *testing.T) {
+	files := []string{"README.md", "CONTRIBUTING.md", "docs/operators.md", "docs/embedding.md", "docs/glossary.md", "docs/design.md"}
+	link := regexp.MustCompile(`\]\(([^)#:]+)(#[^)]*)?\)`)
+	for _, file := range files {
+		file = filepath.Join(root, file)
+		text, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		for _, m := range link.FindAllStringSubmatch(string(text), -1) {
+			_, err := os.Stat(filepath.Join(filepath.Dir(file), m[1]))
+			assert.NilError(t, err, file)
+		}
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -115,7 +115,7 @@
 	for _, loop := range []func(){
 		func() { e.manager.Run(ctx) },
 		func() { e.acceptLoop(control) },
-		func() { _ = server.Serve(&boundedListener{Listener: web}) },
+		func() { _ = server.Serve(boundCallers(web)) },
 		func() { e.configLoop(ctx) },
 		func() { e.peerLoop(ctx) },
 	} {
--- a/entry/http.go
+++ b/entry/http.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/pprof"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/identity"
 )
 
 // Bounds of the HTTP API.
@@ -33,6 +35,15 @@
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderRead}
 }
 
+// boundCallers bounds the connections of a plain listener. An identity.Listener
+// has its own limit, and net/http must see its TLS connections unwrapped.
+func boundCallers(l net.Listener) net.Listener {
+	if _, ok := l.(*identity.Listener); ok {
+		return l
+	}
+	return &boundedListener{Listener: l}
+}
+
 // handler routes the HTTP API.
 func (e *Entry) handler() http.Handler {
 	mux := http.NewServeMux()
--- /dev/null
+++ b/errkind/example_test.go
@@ -0,0 +1,14 @@
+package errkind_test
+
+import (
+	"fmt"
+
+	"github.com/chicorystand/chicorystand/errkind"
+)
+
+func ExampleOf() {
+	err := fmt.Errorf("send: %w", errkind.New(errkind.SlotsFull, "vm-01"))
+	a := errkind.Of(err).Answer()
+	fmt.Println(a.Name, a.HTTPStatus, a.Execution)
+	// Output: slots_full 503 not_run
+}
--- /dev/null
+++ b/identity/identity_test.go
@@ -0,0 +1,60 @@
+package identity_test
+
+import (
+	"crypto/tls"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorystand/chicorystand/identity"
+)
+
+func issue(t *testing.T, f identity.Files, ca *identity.Authority, name string) {
+	t.Helper()
+	cert, key, err := ca.Issue(identity.Identity{Role: identity.Entry, Name: name}, time.Now().Add(time.Hour))
+	assert.NilError(t, err)
+	for file, data := range map[string][]byte{f.Cert: cert, f.Key: key, f.CA: ca.PEM} {
+		assert.NilError(t, os.WriteFile(file, data, 0o600))
+	}
+}
+
+// Guards against a reload that needs a restart, or that loses the old certificate when the new one is broken.
+func TestReload(t *testing.T) {
+	dir := t.TempDir()
+	f := identity.Files{Cert: filepath.Join(dir, "c"), Key: filepath.Join(dir, "k"), CA: filepath.Join(dir, "a")}
+	ca, err := identity.NewAuthority("test")
+	assert.NilError(t, err)
+	issue(t, f, ca, "old")
+	src, err := identity.Load(f)
+	assert.NilError(t, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := identity.Listen(l, src.ServerConfig(identity.Entry), 4, func(string, net.Addr, error) {})
+	defer func() { _ = server.Close() }()
+	go func() {
+		for {
+			if _, err := server.Accept(); err != nil {
+				return
+			}
+		}
+	}()
+	name := func() string {
+		c, err := identity.Dialer(src, identity.Entry)(t.Context(), l.Addr().String())
+		assert.NilError(t, err)
+		defer func() { _ = c.Close() }()
+		id, ok := identity.OfConn(c.(*tls.Conn))
+		assert.Assert(t, ok)
+		return id.Name
+	}
+	assert.Equal(t, name(), "old")
+	issue(t, f, ca, "new")
+	assert.NilError(t, src.Reload())
+	assert.Equal(t, name(), "new")
+	assert.NilError(t, os.WriteFile(f.Key, []byte("broken"), 0o600))
+	assert.Assert(t, src.Reload() != nil)
+	assert.Equal(t, name(), "new")
+}
--- a/metrics/document.go
+++ b/metrics/document.go
@@ -9,7 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-var descPattern = regexp.MustCompile(`fqName: "([^"]*)", help: "((?:[^"\\]|\\.)*)", constLabels: \{[^}]*\}, variableLabels: \{([^}]*)\}`)
+var descPattern = regexp.MustCompile(`fqName: "([^"]*)", help: "((?:[^"\\]|\\.)*)"(?:, unit: "[^"]*")?, constLabels: \{[^}]*\}, variableLabels: \{([^}]*)\}`)
 
 // WriteDocument writes the list of all metrics as Markdown.
 func WriteDocument(w io.Writer) error {
@@ -18,10 +18,12 @@
 		"256 customers in an entry; every other value is `other`.\n"); err != nil {
 		return err
 	}
+	entry := NewEntry().Registry
+	NewRequests(entry)
 	for _, p := range []struct {
 		name string
 		reg  *prometheus.Registry
-	}{{"chicory-entry", NewEntry().Registry}, {"chicory-agent", NewAgent(func() AgentState { return AgentState{} }).Registry}} {
+	}{{"chicory-entry", entry}, {"chicory-agent", NewAgent(func() AgentState { return AgentState{} }).Registry}} {
 		if _, err := fmt.Fprintf(w, "\n## %s\n\n| Metric | Labels | Meaning |\n| --- | --- | --- |\n", p.name); err != nil {
 			return err
 		}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -151,9 +151,9 @@
 		m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return f(state()) }))
 	}
 	g("chicory_agent_capacity_cpu_milli", "Processors of the VM, in thousandths.", func(s AgentState) float64 { return float64(s.CapacityCPU) })
-	g("chicory_agent_capacity_memory_mebibytes", "Memory of the VM, in MiB.", func(s AgentState) float64 { return float64(s.CapacityMemory) })
+	g("chicory_agent_capacity_memory_bytes", "Memory of the VM.", func(s AgentState) float64 { return float64(s.CapacityMemory << 20) })
 	g("chicory_agent_reserved_cpu_milli", "Reserved processors, in thousandths.", func(s AgentState) float64 { return float64(s.ReservedCPU) })
-	g("chicory_agent_reserved_memory_mebibytes", "Reserved memory, in MiB.", func(s AgentState) float64 { return float64(s.ReservedMemory) })
+	g("chicory_agent_reserved_memory_bytes", "Reserved memory.", func(s AgentState) float64 { return float64(s.ReservedMemory << 20) })
 	g("chicory_agent_slots", "Requests that the upstream runs at once.", func(s AgentState) float64 { return float64(s.Slots) })
 	g("chicory_agent_free_slots", "Unused slots of the upstream.", func(s AgentState) float64 { return float64(s.FreeSlots) })
 	g("chicory_agent_config_generation", "Lowest configuration generation that the agent accepts.", func(s AgentState) float64 { return float64(s.Generation) })
--- /dev/null
+++ b/task/example_test.go
@@ -0,0 +1,17 @@
+package task_test
+
+import (
+	"fmt"
+
+	"github.com/chicorystand/chicorystand/task"
+)
+
+func ExampleNext() {
+	state, err := task.Next(task.Pending, task.EventAssign)
+	fmt.Println(state, err)
+	_, err = task.Next(task.Succeeded, task.EventCancel)
+	fmt.Println(err != nil)
+	// Output:
+	// assigned <nil>
+	// true
+}
