--- a/events/process.go
+++ b/events/process.go
@@ -15,5 +15,4 @@
 	ReloadFailed      = define(521, "reload_failed", zerolog.ErrorLevel, "Certificates or settings could not be read again. The previous ones stay in use.")
 	ConnectionRefused = defineHot(530, "connection_refused", zerolog.WarnLevel, "A connection was refused. The field reason names the cause.")
 	AccessDenied      = defineHot(531, "access_denied", zerolog.WarnLevel, "A caller lacks the right for an operation.")
-	ServeFailed       = define(540, "serve_failed", zerolog.ErrorLevel, "A listener ended unexpectedly.")
 )
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -12,6 +12,7 @@
 
 	"github.com/chicorystand/chicorystand/clock"
 	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/history"
 	"github.com/chicorystand/chicorystand/lease"
 	"github.com/chicorystand/chicorystand/plan"
@@ -246,6 +247,10 @@
 // apply checks a decision against the current state and stages it. The agent is
 // contacted after the record is durable.
 func (o *Owner) apply(ctx context.Context, e scheduler.Effect) {
+	if e.Kind == scheduler.Quarantine {
+		events.VMQuarantined.Log(o.cfg.Log).Str("shard", o.cfg.Shard).Str("vm", e.VM).Send()
+		return
+	}
 	tk, ok := o.tables.Tasks[e.Task]
 	if !ok {
 		return
@@ -338,6 +343,7 @@
 	}, func(err error) {
 		if err == nil {
 			o.recordTerminal(tk)
+			o.logEnd(tk)
 			if task.Terminal(tk.Record.State) {
 				o.terminal.add(tk.Record.Spec.ID, tk.Record.EndedUnixMilli)
 			}
--- a/shard/status.go
+++ b/shard/status.go
@@ -4,6 +4,7 @@
 	"sort"
 
 	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/scheduler/feasibility"
 	"github.com/chicorystand/chicorystand/scheduler/sizing"
 	"github.com/chicorystand/chicorystand/scheduler/tables"
@@ -157,3 +158,16 @@
 	}
 	return sum
 }
+
+// logEnd logs the ends that operators must look at.
+func (o *Owner) logEnd(tk *tables.Task) {
+	event := events.TaskRejected
+	switch tk.Record.State {
+	case task.Parked:
+		event = events.TaskParked
+	case task.Rejected:
+	default:
+		return
+	}
+	event.Log(o.cfg.Log).Str("shard", o.cfg.Shard).Str("task", tk.Record.Spec.ID).Str("kind", tk.Record.Reason.String()).Str("detail", tk.Record.Detail).Send()
+}
