Run the daemons under mutual TLS in a test

Cause: TLS between separate processes and the rights of chicoryctl's roles were tested in one process only.

Change: chicory-dev certificates issues trial certificates; a test runs platform, entry and agent with them and checks what each role may do.

--- a/command/chicoryctl/ctl_test.go
+++ b/command/chicoryctl/ctl_test.go
@@ -143,6 +143,13 @@
 	env.Table.SetFaults(standin.Faults{Down: true})
 	out, code := ctl(t, server, "plans: []", "plan", "apply", "-f", "-")
 	assert.Equal(t, code, exit(errkind.StoreUnavailable), out)
+	out, code = ctl(t, server, "[{id: t9, customer: a, job_class: c, resources: {cpu_milli: 1}}]", "task", "submit", "-f", "-")
+	assert.Equal(t, code, exit(errkind.StoreUnavailable), out)
+	out, code = ctl(t, server, "", "plan", "history")
+	assert.Equal(t, code, exit(errkind.StoreUnavailable), out)
+	out, code = ctl(t, server, "", "status")
+	assert.Equal(t, code, 0, out)
+	assert.Assert(t, strings.Contains(out, "does not answer"), out)
 	out, code = ctl(t, "http://127.0.0.1:1", "", "status")
 	assert.Equal(t, code, exit(errkind.NotReady), out)
 }
--- a/command/chicorydev/process_test.go
+++ b/command/chicorydev/process_test.go
@@ -193,3 +193,51 @@
 	}
 	assert.Equal(t, serve.stop(), 0, serve.output())
 }
+
+// Guards against processes that do not reach each other, or callers that are not
+// told apart, when every connection uses mutual TLS.
+func TestDaemonsWithTLS(t *testing.T) {
+	bin, certs := build(t), t.TempDir()
+	platform, control, api := freePort(t), freePort(t), freePort(t)
+	launch(t, filepath.Join(bin, "chicory-dev"), "platform", "--listen", platform).await("platform  http://")
+	issued := launch(t, filepath.Join(bin, "chicory-dev"), "certificates", "--dir", certs)
+	<-issued.done
+	tls := func(name string) []string {
+		file := filepath.Join(certs, name)
+		return []string{"--security.plaintext=false", "--security.cert=" + file + ".pem", "--security.key=" + file + ".key", "--security.ca=" + filepath.Join(certs, "ca.pem")}
+	}
+	en := launch(t, filepath.Join(bin, "chicory-entry"), append(tls("entry-0"), "run", "--settings", "deploy/entry.yaml", "--platform=http://"+platform,
+		"--listen.control="+control, "--listen.api="+api, "--listen.operators=127.0.0.1:0")...)
+	en.await(`"event":500`)
+	ag := launch(t, filepath.Join(bin, "chicory-agent"), append(tls("vm-00"), "run", "--settings", "deploy/agent.yaml", "--platform=http://"+platform,
+		"--entries="+control, "--listen.data=127.0.0.1:0", "--listen.operators=127.0.0.1:0")...)
+	ctl := func(role string, args ...string) (string, int) {
+		file := filepath.Join(certs, role)
+		cmd := exec.CommandContext(t.Context(), filepath.Join(bin, "chicoryctl"), append([]string{"--server", "https://" + api, "--cert", file + ".pem",
+			"--key", file + ".key", "--ca", filepath.Join(certs, "ca.pem")}, args...)...)
+		cmd.Dir = root
+		out, _ := cmd.CombinedOutput()
+		return string(out), cmd.ProcessState.ExitCode()
+	}
+	eventually(t, "the upstream is a member", func() bool { out, _ := ctl("reader", "upstream", "list"); return strings.Contains(out, "vm-00") })
+	denied := errkind.PermissionDenied.Answer().ExitCode
+	for _, c := range []struct {
+		role, args string
+		code       int
+	}{
+		{"operator", "limit apply -f deploy/lists/limits.yaml", denied},
+		{"administrator", "limit apply -f deploy/lists/limits.yaml", 0},
+		{"administrator", "plan apply -f deploy/lists/plans.yaml", 0},
+		{"belfry-kiosk", "task submit -f deploy/lists/tasks.yaml", denied},
+		{"belfry-kiosk", "task wait route-plan-1 --wait 30s", 0},
+		{"belfry-kiosk", "task cancel --customer partner-hotel", denied},
+		{"reader", "upstream drain vm-00", denied},
+		{"operator", "upstream drain vm-00 --wait 30s", 0},
+		{"reader", "status", 0},
+	} {
+		out, code := ctl(c.role, strings.Fields(c.args)...)
+		assert.Equal(t, code, c.code, "%s: %s: %s", c.role, c.args, out)
+	}
+	assert.Equal(t, ag.stop(), 0, ag.output())
+	assert.Equal(t, en.stop(), 0, en.output())
+}
--- a/command/chicorydev/root.go
+++ b/command/chicorydev/root.go
@@ -17,7 +17,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newDemo(), newServe(), newPlatform(), newDocs())
+	root.AddCommand(newDemo(), newServe(), newPlatform(), newDocs(), newCertificates())
 	return root
 }
 
