Date the configuration by every read of its rows

Cause: the follower reads config/head since the configuration has two phases, so that chicory_config_age_seconds grew although the configuration was confirmed.

Change: reads of every configuration row count; a test uses the follower's key. Every file of deploy/ is validated in a test.

--- a/command/chicorydev/docs_test.go
+++ b/command/chicorydev/docs_test.go
@@ -11,10 +11,12 @@
 	"github.com/prometheus/client_golang/prometheus/testutil/promlint"
 	dto "github.com/prometheus/client_model/go"
 	"github.com/prometheus/common/expfmt"
+	"github.com/spf13/cobra"
 	"gotest.tools/v3/assert"
 
 	"github.com/chicorystand/chicorystand/command/chicoryagent"
 	"github.com/chicorystand/chicorystand/command/chicoryentry"
+	"github.com/chicorystand/chicorystand/devenv"
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/metrics"
@@ -64,14 +66,21 @@
 	}
 }
 
-// Guards against settings files of deploy/ that the daemons refuse.
+// Guards against files of deploy/ that the commands refuse.
 func TestDeployFilesAreValid(t *testing.T) {
-	for name, cmd := range map[string]interface {
-		SetArgs([]string)
-		Execute() error
-	}{"entry": chicoryentry.New(), "agent": chicoryagent.New()} {
-		cmd.SetArgs([]string{"validate", "--settings", filepath.Join(root, "deploy", name+".yaml")})
-		assert.NilError(t, cmd.Execute())
+	files, err := filepath.Glob(filepath.Join(root, "deploy", "*.yaml"))
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) >= 4)
+	daemons := map[string]*cobra.Command{"entry": chicoryentry.New(), "agent": chicoryagent.New()}
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".yaml")
+		if cmd, ok := daemons[name]; ok {
+			cmd.SetArgs([]string{"validate", "--settings", file})
+			assert.NilError(t, cmd.Execute(), file)
+			continue
+		}
+		_, err := devenv.Load(name)
+		assert.NilError(t, err, file)
 	}
 }
 
--- a/metrics/store.go
+++ b/metrics/store.go
@@ -65,7 +65,7 @@
 
 // Key prefixes whose successful reads and writes date the configuration and the leases.
 const (
-	configPrefix = "config/current"
+	configPrefix = "config/"
 	leasePrefix  = "shard/"
 )
 
--- /dev/null
+++ b/metrics/store_test.go
@@ -0,0 +1,29 @@
+package metrics_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorystand/chicorystand/confsync"
+	"github.com/chicorystand/chicorystand/metrics"
+	"github.com/chicorystand/chicorystand/platform/standin"
+)
+
+// Guards against ages that stay at "never" because the keys of the rows changed,
+// and a store that counts as reachable while it is down.
+func TestStoreHealthAndAges(t *testing.T) {
+	m := metrics.NewEntry()
+	raw := standin.NewTable(400, 2000)
+	table := m.Table(raw)
+	assert.Assert(t, !m.Store.Reachable() && m.ConfigReadAge() < 0)
+	_, err := table.Get(context.Background(), confsync.KeyHead)
+	assert.NilError(t, err)
+	assert.Assert(t, m.Store.Reachable() && m.ConfigReadAge() >= 0 && m.ConfigReadAge() < time.Minute)
+	raw.SetFaults(standin.Faults{Down: true})
+	time.Sleep(time.Millisecond)
+	_, err = table.Scan(context.Background(), "x", "", 1)
+	assert.Assert(t, err != nil && !m.Store.Reachable())
+}
