Add the recovery and store benchmarks

The writer and the probe of the store wait with a semaphore in place of a mutex: waiting for a mutex stops virtual time, and a waiting commit now heeds its context.

--- a/bench/config/config.go
+++ b/bench/config/config.go
@@ -45,7 +45,7 @@
 
 func run(ctx context.Context, res *bench.Result) error {
 	ctx, cancel := context.WithCancel(ctx)
-	c := sim.Start(ctx, sim.Config{Entries: entries, Agents: agents, Zones: zones, ShardsPerZone: 2, AgentsPerRack: 12,
+	c := sim.Start(ctx, sim.Config{Seed: res.Seed, Entries: entries, Agents: agents, Zones: zones, ShardsPerZone: 2, AgentsPerRack: 12,
 		Capacity: task.Resources{CPU: 32000, Memory: 125 << 10}, WorkerStep: 10 * time.Second})
 	defer c.Stop(cancel)
 	if err := c.AwaitReady(ctx, agents); err != nil {
--- a/bench/control/control.go
+++ b/bench/control/control.go
@@ -37,7 +37,7 @@
 
 func run(ctx context.Context, res *bench.Result) error {
 	ctx, cancel := context.WithCancel(ctx)
-	c := sim.Start(ctx, sim.Config{Entries: entries, Agents: agents, Zones: zones, ShardsPerZone: 2, AgentsPerRack: 12,
+	c := sim.Start(ctx, sim.Config{Seed: res.Seed, Entries: entries, Agents: agents, Zones: zones, ShardsPerZone: 2, AgentsPerRack: 12,
 		Capacity: task.Resources{CPU: 32000, Memory: 125 << 10}, WorkerStep: 5 * time.Second})
 	defer c.Stop(cancel)
 	if err := prepare(ctx, c); err != nil {
--- /dev/null
+++ b/bench/recovery/recovery.go
@@ -0,0 +1,295 @@
+// Package recovery measures how fast work is placed again after failures, and
+// whether work is lost, doubled or disturbed.
+package recovery
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/chicorystand/chicorystand/bench"
+	"github.com/chicorystand/chicorystand/bench/sim"
+	"github.com/chicorystand/chicorystand/history"
+	"github.com/chicorystand/chicorystand/lease"
+	"github.com/chicorystand/chicorystand/platform/standin"
+	"github.com/chicorystand/chicorystand/shard"
+	"github.com/chicorystand/chicorystand/task"
+)
+
+// Size of the measured system and the requirement.
+const (
+	agents    = 36
+	entries   = 3
+	zones     = 3
+	rackSize  = 3
+	customers = 20
+	watchers  = 36
+	bound     = 5 * time.Second
+	outage    = 30 * time.Minute
+	// submitInterval separates batch tasks, which are submitted all the time.
+	submitInterval = 400 * time.Millisecond
+	finish         = 5 * time.Minute
+)
+
+// Run kills an entry, replaces one, loses a rack and takes the store down for 30
+// virtual minutes, while tasks are submitted.
+func Run(ctx context.Context, seed uint64) (*bench.Result, error) {
+	res := &bench.Result{Bench: "recover", Seed: seed}
+	err := sim.Virtual(ctx, func(ctx context.Context) error { return run(ctx, res) })
+	return res, err
+}
+
+type runner struct {
+	*sim.Cluster
+	rand     *rand.Rand
+	next     int
+	accepted map[string]bool
+	forever  map[string]bool
+	refused  int
+}
+
+func run(ctx context.Context, res *bench.Result) error {
+	ctx, cancel := context.WithCancel(ctx)
+	c := sim.Start(ctx, sim.Config{Seed: res.Seed, Entries: entries, Agents: agents, Zones: zones, ShardsPerZone: 1, AgentsPerRack: rackSize,
+		Capacity: task.Resources{CPU: 32000, Memory: 125 << 10}, WorkerStep: 100 * time.Millisecond, CheckpointInterval: 5 * time.Second})
+	defer c.Stop(cancel)
+	r := &runner{Cluster: c, rand: rand.New(rand.NewPCG(res.Seed, 2)), accepted: make(map[string]bool), forever: make(map[string]bool)}
+	if err := r.prepare(ctx); err != nil {
+		return err
+	}
+	t := bench.Table{Title: "recovery", Header: []string{"failure", "next placement after s", "allowed after s", "beyond s"}}
+	add := func(name string, took, allowed time.Duration) {
+		t.Add(name, took.Seconds(), allowed.Seconds(), (took - allowed).Seconds())
+		res.Checks = append(res.Checks, bench.AtMost("placement beyond what the lease allows, "+name, (took-allowed).Seconds(), bound.Seconds(), "s"))
+	}
+	took, err := r.entryDies(ctx)
+	if err != nil {
+		return err
+	}
+	add("entry dies", took, lease.ObserverWait(lease.ShardTTL))
+	if took, err = r.entryReplaced(ctx); err != nil {
+		return err
+	}
+	add("entry replaced", took, 0)
+	first, last := r.rackLost(ctx)
+	add("rack lost, first task", first, lease.ObserverWait(lease.GrantTTL))
+	add("rack lost, last task", last, lease.ObserverWait(lease.GrantTTL))
+	suspended, ended := r.storeDown(ctx)
+	res.Checks = append(res.Checks, bench.AtMost("tasks suspended in the outage", float64(suspended), 0, ""),
+		bench.AtMost("watchers ended in the outage", float64(ended), 0, ""))
+	r.finish(res)
+	res.Tables = append(res.Tables, t)
+	return nil
+}
+
+func (r *runner) prepare(ctx context.Context) error {
+	if err := r.AwaitReady(ctx, agents); err != nil {
+		return err
+	}
+	time.Sleep(45 * time.Second)
+	if _, err := r.Apply(ctx, 0, sim.Document(0, customers)); err != nil {
+		return err
+	}
+	var specs []task.Spec
+	for i := range watchers {
+		id := fmt.Sprintf("watcher-%d", i)
+		r.forever[id] = true
+		specs = append(specs, task.Spec{ID: id, Customer: sim.Customer(i % customers), JobClass: "watcher", Class: task.LatencyCritical,
+			Declared: task.Resources{CPU: 1000, Memory: 1024}})
+	}
+	if _, err := r.Submit(ctx, 0, specs); err != nil {
+		return err
+	}
+	r.load(ctx, 60*time.Second, 0)
+	return nil
+}
+
+// load submits batch tasks through an entry for d.
+func (r *runner) load(ctx context.Context, d time.Duration, entry int) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(submitInterval) {
+		r.submit(ctx, entry)
+	}
+}
+
+func (r *runner) submit(ctx context.Context, entry int) {
+	id := fmt.Sprintf("batch-%05d", r.next)
+	r.next++
+	n, err := r.Submit(ctx, entry, []task.Spec{{ID: id, Customer: sim.Customer(r.rand.IntN(customers)), JobClass: "route-plan",
+		Declared: task.Resources{CPU: 2000, Memory: 2048}, Duration: 20*time.Second + time.Duration(r.rand.Int64N(int64(60*time.Second)))}})
+	if err == nil && n == 1 {
+		r.accepted[id] = true
+		return
+	}
+	r.refused++
+}
+
+// owned returns the shards that an entry owns.
+func (r *runner) owned(ctx context.Context, id string) map[string]bool {
+	out := make(map[string]bool)
+	rows, _ := r.Table.Scan(ctx, shard.LeasePrefix, "", 100)
+	for _, row := range rows {
+		var l shard.LeaseRow
+		if msgpack.Unmarshal(row.Value, &l) == nil && l.Owner == id {
+			out[row.Key[len(shard.LeasePrefix):]] = true
+		}
+	}
+	return out
+}
+
+// placed returns the first start after a time on a VM of the shards.
+func (r *runner) placed(after time.Duration, shards map[string]bool) (time.Duration, bool) {
+	zones := make(map[string]string)
+	for _, a := range r.Agents {
+		zones[a.VM] = a.Zone
+	}
+	for _, e := range r.Recorder.Events() {
+		if e.Kind == history.TaskRunStart && e.At > after && shards[shard.Of(zones[e.VM], e.VM, 1)] {
+			return e.At, true
+		}
+	}
+	return 0, false
+}
+
+// awaitPlacement submits until every shard of the set has placed a task.
+func (r *runner) awaitPlacement(ctx context.Context, from time.Duration, shards map[string]bool, entry int) (time.Duration, error) {
+	var longest time.Duration
+	for id := range shards {
+		for {
+			at, ok := r.placed(from, map[string]bool{id: true})
+			if ok {
+				longest = max(longest, at-from)
+				break
+			}
+			if r.Clock.Now() > from+finish {
+				return finish, nil
+			}
+			r.submit(ctx, entry)
+			time.Sleep(submitInterval)
+		}
+	}
+	return longest, nil
+}
+
+func (r *runner) entryDies(ctx context.Context) (time.Duration, error) {
+	shards := r.owned(ctx, r.Entries[entries-1].ID)
+	from := r.Clock.Now()
+	r.KillEntry(entries - 1)
+	took, err := r.awaitPlacement(ctx, from, shards, 0)
+	r.StartEntry(entries - 1)
+	r.load(ctx, 90*time.Second, 0)
+	return took, err
+}
+
+func (r *runner) entryReplaced(ctx context.Context) (time.Duration, error) {
+	shards := r.owned(ctx, r.Entries[1].ID)
+	r.StopEntry(ctx, 1)
+	from := r.Clock.Now()
+	took, err := r.awaitPlacement(ctx, from, shards, 0)
+	r.StartEntry(1)
+	r.load(ctx, 90*time.Second, 0)
+	return took, err
+}
+
+// rackLost ends the rack with the most tasks and returns when the first and the last of them run elsewhere.
+func (r *runner) rackLost(ctx context.Context) (time.Duration, time.Duration) {
+	byRack := make(map[string]map[string]bool)
+	rack := r.Agents[0].Rack
+	for _, a := range r.Agents {
+		if byRack[a.Rack] == nil {
+			byRack[a.Rack] = make(map[string]bool)
+		}
+		for _, t := range a.Worker.List() {
+			byRack[a.Rack][t.ID] = true
+		}
+		if len(byRack[a.Rack]) > len(byRack[rack]) {
+			rack = a.Rack
+		}
+	}
+	lost := byRack[rack]
+	from := r.Clock.Now()
+	r.KillRack(rack)
+	r.load(ctx, 60*time.Second, 0)
+	first, last := finish, time.Duration(0)
+	for id := range lost {
+		at := finish
+		for _, e := range r.Recorder.Events() {
+			if e.Kind == history.TaskRunStart && e.Task == id && e.At > from {
+				at = e.At - from
+				break
+			}
+		}
+		first, last = min(first, at), max(last, at)
+	}
+	return first, last
+}
+
+// storeDown takes the store down and returns how many tasks were suspended and how many watchers ended.
+func (r *runner) storeDown(ctx context.Context) (int, int) {
+	from := r.Clock.Now()
+	r.Table.SetFaults(standin.Faults{Down: true})
+	r.load(ctx, 10*time.Second, 0)
+	time.Sleep(outage - 10*time.Second)
+	r.Table.SetFaults(standin.Faults{})
+	to := r.Clock.Now()
+	r.load(ctx, 60*time.Second, 0)
+	suspended, ended := 0, 0
+	for _, e := range r.Recorder.Events() {
+		if e.At < from || e.At > to+30*time.Second {
+			continue
+		}
+		switch {
+		case e.Kind == history.TaskSuspended:
+			suspended++
+		case e.Kind == history.TaskRunEnd && r.forever[e.Task]:
+			ended++
+		}
+	}
+	return suspended, ended
+}
+
+func (r *runner) finish(res *bench.Result) {
+	for end := time.Now().Add(finish); time.Now().Before(end) && r.open() > 0; {
+		time.Sleep(time.Second)
+	}
+	violations := history.Check(r.Recorder.Events(), history.Options{Finished: true, Unfinished: r.forever})
+	lost, double := 0, 0
+	t := bench.Table{Title: "history", Header: []string{"invariant", "first violation"}}
+	for _, v := range violations {
+		switch v.Invariant {
+		case history.NothingLost:
+			lost++
+		case history.NoDoubleRun, history.ResumeOnce:
+			double++
+		}
+		if len(t.Rows) < 10 {
+			t.Add(v.Invariant, v.Detail)
+		}
+	}
+	res.Tables = append(res.Tables, t)
+	sum := bench.Table{Title: "tasks", Header: []string{"accepted", "refused or unknown", "unfinished"}}
+	sum.Add(len(r.accepted), r.refused, r.open())
+	res.Tables = append(res.Tables, sum)
+	res.Checks = append(res.Checks, bench.AtMost("tasks lost or with two ends", float64(lost), 0, ""),
+		bench.AtMost("tasks run twice at once or resumed twice", float64(double), 0, ""),
+		bench.AtMost("accepted tasks that did not finish", float64(r.open()), 0, ""))
+}
+
+// open returns the number of accepted batch tasks without an end.
+func (r *runner) open() int {
+	ended := make(map[string]bool)
+	for _, e := range r.Recorder.Events() {
+		if e.Kind == history.TaskCompleted || e.Kind == history.TaskTerminal {
+			ended[e.Task] = true
+		}
+	}
+	n := 0
+	for id := range r.accepted {
+		if !ended[id] {
+			n++
+		}
+	}
+	return n
+}
--- a/bench/sim/cluster.go
+++ b/bench/sim/cluster.go
@@ -28,6 +28,7 @@
 
 // Config configures a cluster.
 type Config struct {
+	Seed                                  uint64
 	Entries, Agents, Zones, ShardsPerZone int
 	// AgentsPerRack groups agents into racks.
 	AgentsPerRack int
@@ -61,9 +62,9 @@
 // Entry is an entry process.
 type Entry struct {
 	ID, Zone string
+	process  *entry.Entry
 	cancel   context.CancelFunc
 	done     chan struct{}
-	alive    bool
 }
 
 // Agent is an agent process on its VM.
@@ -82,7 +83,7 @@
 
 // Start starts a cluster in the virtual time of ctx. Stop must be called.
 func Start(ctx context.Context, cfg Config) *Cluster {
-	c := &Cluster{cfg: cfg, Net: NewNet(), Table: standin.NewTable(standin.DefaultWritesPerSecond, standin.DefaultReadsPerSecond),
+	c := &Cluster{cfg: cfg, Net: NewNet(cfg.Seed), Table: standin.NewTable(standin.DefaultWritesPerSecond, standin.DefaultReadsPerSecond),
 		Objects: standin.NewObjects(), Clock: clock.NewRuntime(), ctx: ctx}
 	c.Recorder = history.NewRecorder(c.Clock.Now)
 	zones := make(map[string]string)
@@ -141,7 +142,7 @@
 	p := entry.New(entry.Config{ID: id, Zone: zone, Incarnation: c.starts, ShardsPerZone: c.cfg.ShardsPerZone,
 		Table: httpstore.New("http://store:1", transport), Clock: c.Clock, Recorder: c.Recorder, Log: zerolog.Nop(), Dial: c.Net.Dialer(id)})
 	ctx, cancel := context.WithCancel(c.ctx)
-	e := &Entry{ID: id, Zone: zone, cancel: cancel, done: make(chan struct{}), alive: true}
+	e := &Entry{ID: id, Zone: zone, cancel: cancel, done: make(chan struct{}), process: p}
 	if i < len(c.Entries) {
 		c.Entries[i] = e
 	} else {
@@ -179,12 +180,17 @@
 // KillEntry ends an entry without a graceful stop.
 func (c *Cluster) KillEntry(i int) {
 	e := c.Entries[i]
-	e.alive = false
 	c.Net.Kill(e.ID)
 	e.cancel()
 	<-e.done
 }
 
+// StopEntry ends an entry gracefully.
+func (c *Cluster) StopEntry(ctx context.Context, i int) {
+	c.Entries[i].process.Shutdown(ctx)
+	c.KillEntry(i)
+}
+
 // KillRack ends every VM of a rack at once.
 func (c *Cluster) KillRack(rack string) int {
 	n := 0
--- a/bench/sim/net.go
+++ b/bench/sim/net.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"strings"
@@ -35,19 +36,24 @@
 
 // Net is an in-memory network between named processes.
 type Net struct {
-	// Delay is the one-way delay between two processes.
+	// Delay is the one-way delay between two processes. Each write takes up to
+	// maxJitter times as long.
 	Delay func(from, to string) time.Duration
 
 	mu        sync.Mutex
 	listeners map[string]*Listener
 	traffic   map[string]map[string]*Traffic
 	conns     map[*conn]struct{}
+	rand      *rand.Rand
 	cut       func(from, to string) bool
 }
 
-// NewNet returns a network without delay.
-func NewNet() *Net {
-	return &Net{listeners: make(map[string]*Listener), traffic: make(map[string]map[string]*Traffic), conns: make(map[*conn]struct{})}
+// maxJitter is the largest factor of the delay.
+const maxJitter = 4
+
+// NewNet returns a network whose jitter follows seed.
+func NewNet(seed uint64) *Net {
+	return &Net{rand: rand.New(rand.NewPCG(seed, 1)), listeners: make(map[string]*Listener), traffic: make(map[string]map[string]*Traffic), conns: make(map[*conn]struct{})}
 }
 
 // Traffic returns what a process exchanged with each kind of process: the part of
@@ -326,11 +332,18 @@
 	if c.net.isCut(c.local, c.remote) {
 		return len(b), nil
 	}
-	c.out.queue = append(c.out.queue, chunk{due: now.Add(c.out.delay), data: append([]byte(nil), b...)})
+	c.out.queue = append(c.out.queue, chunk{due: now.Add(c.net.jitter(c.out.delay)), data: append([]byte(nil), b...)})
 	c.out.signal()
 	return len(b), nil
 }
 
+// jitter returns the delay of one write: most are close to d.
+func (n *Net) jitter(d time.Duration) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Duration(float64(d) * min(maxJitter, 0.8+0.2*n.rand.ExpFloat64()))
+}
+
 func (c *conn) both(payload, segments int) {
 	c.net.count(c.local, c.remote, payload, segments)
 	c.net.count(c.remote, c.local, payload, segments)
--- /dev/null
+++ b/command/chicorybench/recover.go
@@ -0,0 +1,13 @@
+package chicorybench
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/chicorystand/chicorystand/bench/recovery"
+)
+
+func init() { subcommands = append(subcommands, newRecover) }
+
+func newRecover() *cobra.Command {
+	return benchCommand("recover", "Measure recovery from failures of entries, racks and the store", recovery.Run)
+}
--- /dev/null
+++ b/command/chicorybench/store.go
@@ -0,0 +1,13 @@
+package chicorybench
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/chicorystand/chicorystand/bench/store"
+)
+
+func init() { subcommands = append(subcommands, newStore) }
+
+func newStore() *cobra.Command {
+	return benchCommand("store", "Measure the store operations for each task start", store.Run)
+}
--- a/shard/holds.go
+++ b/shard/holds.go
@@ -21,7 +21,8 @@
 	at        time.Duration
 	reachable bool
 	done      bool
-	busy      sync.Mutex
+	// busy is a semaphore, since the holder waits for the store.
+	busy chan struct{}
 }
 
 // GrantHold answers another entry's request for a hold. It is granted only when
@@ -36,8 +37,12 @@
 }
 
 func (m *Manager) storeReachable(ctx context.Context) bool {
-	m.probe.busy.Lock()
-	defer m.probe.busy.Unlock()
+	select {
+	case m.probe.busy <- struct{}{}:
+	case <-ctx.Done():
+		return true
+	}
+	defer func() { <-m.probe.busy }()
 	if m.probe.done && m.cfg.Clock.Now()-m.probe.at < probeLife {
 		return m.probe.reachable
 	}
--- a/shard/manager.go
+++ b/shard/manager.go
@@ -166,6 +166,7 @@
 		renewNow: make(chan struct{}, 1), renewing: make(chan struct{}, 1), owned: make(map[string]*ownedShard), rows: make(map[string]*knownRow),
 		wanted: make(map[string]bool), heard: make(map[string]time.Duration), entries: make(map[string]*knownEntry),
 		own:      confsync.Registration{ID: cfg.Entry, Addr: cfg.Addr, Zone: cfg.Zone, Incarnation: cfg.Incarnation},
+		probe:    probeResult{busy: make(chan struct{}, 1)},
 		regLease: lease.Extended{TTL: confsync.LeaseTTL},
 	}
 }
--- a/store/writer.go
+++ b/store/writer.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/binary"
-	"sync"
 	"time"
 
 	"github.com/chicorystand/chicorystand/errkind"
@@ -23,7 +22,8 @@
 	table Table
 	key   string
 
-	mu     sync.Mutex
+	// busy is a semaphore, since the holder waits for the store. It guards the rest.
+	busy   chan struct{}
 	loaded bool
 	// seq is the last sequence number used, committed the last one that took effect.
 	seq, committed uint64
@@ -35,7 +35,7 @@
 // NewWriter returns a writer. Two live processes must not use the same id; a
 // process that restarts with its id fences what the previous one left in flight.
 func NewWriter(table Table, id string) *Writer {
-	return &Writer{table: table, key: "writer/" + id}
+	return &Writer{table: table, key: "writer/" + id, busy: make(chan struct{}, 1)}
 }
 
 // Commit applies txn and returns the versions of txn.Writes. The version of a
@@ -44,8 +44,12 @@
 // transaction has no effect, now or later; errkind.StoreAmbiguous is returned
 // only when ctx ends before the outcome is known.
 func (w *Writer) Commit(ctx context.Context, txn Txn) ([]uint64, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	select {
+	case w.busy <- struct{}{}:
+	case <-ctx.Done():
+		return nil, errkind.Wrap(errkind.StoreUnavailable, ctx.Err(), "another transaction is in progress")
+	}
+	defer func() { <-w.busy }()
 	if err := w.prepare(ctx); err != nil {
 		return nil, err
 	}
