--- a/agent/agent.go
+++ b/agent/agent.go
@@ -15,6 +15,7 @@
 	"github.com/chicorystand/chicorystand/clock"
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/gate"
+	"github.com/chicorystand/chicorystand/guard"
 	"github.com/chicorystand/chicorystand/history"
 	"github.com/chicorystand/chicorystand/lease"
 	"github.com/chicorystand/chicorystand/ledger"
@@ -41,6 +42,10 @@
 	// CheckpointInterval is the time between periodic checkpoints of batch tasks; 0 disables them.
 	CheckpointInterval time.Duration
 	Heartbeat          time.Duration
+	// LatencyTarget is the p99 that the guard keeps for the service; 0 disables the guard.
+	LatencyTarget time.Duration
+	// TailWeight weighs tail latency (1) against batch throughput and evictions (0).
+	TailWeight float64
 
 	Clock    clock.Clock
 	Worker   platform.Worker
@@ -62,6 +67,9 @@
 	outbox *outbox
 	usage  usageFilter
 
+	latency    latencies
+	protection protection
+
 	// startMu orders starts against the announcement: an attempt is either in the
 	// announced ledger or refused, because it came on an older connection.
 	startMu sync.Mutex
@@ -105,6 +113,9 @@
 		left: make(chan struct{}),
 	}
 	a.outbox = newOutbox(a.sendEvent, a.eventAcked)
+	if cfg.LatencyTarget > 0 {
+		a.protection.guard = guard.New(guard.Config{Target: cfg.LatencyTarget, TailWeight: cfg.TailWeight})
+	}
 	return a
 }
 
@@ -118,7 +129,7 @@
 	var wg sync.WaitGroup
 	for _, loop := range []func(context.Context){
 		func(ctx context.Context) { a.acceptLoop(ctx, data) },
-		a.controlLoop, a.taskLoop,
+		a.controlLoop, a.taskLoop, a.guardLoop,
 	} {
 		wg.Add(1)
 		go func() {
@@ -164,8 +175,15 @@
 	}
 }
 
-// drainPoll separates checks of whether tasks have left a draining VM.
-const drainPoll = 100 * time.Millisecond
+// Timing of a drain.
+const (
+	// drainPoll separates checks of whether tasks have left a draining VM.
+	drainPoll = 100 * time.Millisecond
+	// evictTimeout bounds the wait for checkpoints and acknowledgements. It exceeds
+	// the time in which another entry takes the shard over (16.2 s) and the agent
+	// finds it. Tasks that are left resume from their last recorded checkpoint.
+	evictTimeout = 60 * time.Second
+)
 
 // Drain makes the upstream leave: the owner and the connected entries are told,
 // the gate closes, and tasks are evicted with a checkpoint. Drain returns when no
@@ -213,6 +231,8 @@
 // evictAll evicts every attempt and waits until the owner has acknowledged the
 // evictions. Attempts whose checkpoint cannot be stored keep running until ctx ends.
 func (a *Agent) evictAll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, evictTimeout)
+	defer cancel()
 	for a.gate.Draining() {
 		running := a.cfg.Worker.List()
 		if len(running) == 0 && a.outbox.empty() {
--- a/agent/control.go
+++ b/agent/control.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/task"
 	"github.com/chicorystand/chicorystand/wire"
 )
@@ -21,8 +22,8 @@
 func (a *Agent) controlLoop(ctx context.Context) {
 	for i := 0; ctx.Err() == nil; i++ {
 		entry := a.cfg.Entries[i%len(a.cfg.Entries)]
-		if err := a.session(ctx, entry); err != nil {
-			a.cfg.Log.Debug().Err(err).Str("vm", a.cfg.VM).Msg("control session ended")
+		if err := a.session(ctx, entry); err != nil && ctx.Err() == nil {
+			events.ControlLost.Log(a.cfg.Log).Err(err).Send()
 		}
 		select {
 		case <-ctx.Done():
@@ -181,7 +182,8 @@
 		load = 1000 * (a.cfg.Slots - free) / a.cfg.Slots
 	}
 	m, err := p.Call(ctx, &wire.Heartbeat{Seq: seq, ConfigGen: a.gate.Generation(), LoadPermille: uint16(load),
-		LagMS: uint16(lag.Milliseconds()), Usage: usage})
+		TailPermille: uint16(a.protection.tail.Load()),
+		LagMS:        uint16(lag.Milliseconds()), Usage: usage})
 	if err != nil {
 		return err
 	}
--- a/agent/data.go
+++ b/agent/data.go
@@ -44,13 +44,9 @@
 // newUpstreamClient returns the client of the upstream beside the agent.
 func newUpstreamClient(conns int, transport http.RoundTripper) *http.Client {
 	if transport == nil {
-		transport = &http.Transport{MaxConnsPerHost: conns, MaxIdleConnsPerHost: conns, DisableCompression: true}
-	}
-	return &http.Client{
-		Transport: transport,
-		// A redirect is an answer of the upstream. Following it could run the request twice.
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		transport = newUpstreamTransport(conns)
 	}
+	return &http.Client{Transport: transport}
 }
 
 // dataConns are the open data connections of the agent.
@@ -162,6 +158,9 @@
 
 func (c *dataConn) hello(m *wire.Hello) {
 	id := gate.Conn{Entry: m.Entry, Seq: m.Conn}
+	if c.named && c.id == id {
+		return
+	}
 	if c.named || c.agent.gate.Open(id, c.peer.Close) != nil {
 		c.peer.Close()
 		return
@@ -195,17 +194,19 @@
 
 // handleData serves the messages that need no named connection.
 func (a *Agent) handleData(ctx context.Context, m wire.Message, reply wire.Reply) {
-	drain, ok := m.(*wire.Drain)
-	if !ok {
+	switch msg := m.(type) {
+	case *wire.Drain:
+		if msg.Undo {
+			a.Undrain()
+		} else {
+			go a.Drain(ctx)
+		}
+		reply(&wire.Ack{})
+	case *wire.AgentStatus:
+		reply(a.status())
+	default:
 		reply(wire.ErrorReply(errkind.New(errkind.InvalidArgument, "message type %d is not served here", m.Type())))
-		return
 	}
-	if drain.Undo {
-		a.Undrain()
-	} else {
-		go a.Drain(ctx)
-	}
-	reply(&wire.Ack{})
 }
 
 // resolve answers at once, or waits a bounded time for the end of a running request.
@@ -252,7 +253,9 @@
 	defer timer.Stop()
 	ctx, cancel := context.WithTimeout(ctx, deadline+abandonAfter)
 	defer cancel()
+	ended := a.latency.begin(a.cfg.Clock.Now())
 	resp := a.forward(ctx, req)
+	ended(a.cfg.Clock.Now())
 	free := a.gate.Finish(req.ID, resp, a.cfg.Clock.Now())
 	answer(*resp, free)
 }
@@ -265,15 +268,12 @@
 	if err != nil {
 		return &wire.Response{Outcome: wire.OutcomeNotRun, Kind: errkind.InvalidArgument, Detail: err.Error()}
 	}
-	if !req.Idempotent {
-		// Without GetBody and with a non-nil body net/http never repeats the request by itself.
-		hr.Body, hr.GetBody = io.NopCloser(bytes.NewReader(req.Body)), nil
-	}
 	if req.ContentType != "" {
 		hr.Header.Set("Content-Type", req.ContentType)
 	}
 	hr.Header.Set(HeaderRequestName, req.Name)
-	resp, err := a.client.Do(hr)
+	// A redirect is an answer of the upstream; following it, as http.Client.Do does, could run the request twice.
+	resp, err := a.client.Transport.RoundTrip(hr)
 	if err != nil {
 		var op *net.OpError
 		if errors.As(err, &op) && op.Op == "dial" {
--- a/confsync/proposer.go
+++ b/confsync/proposer.go
@@ -44,6 +44,12 @@
 	return decodeState(rows)
 }
 
+// Current returns the accepted document.
+func (p *Proposer) Current(ctx context.Context) (plan.Document, error) {
+	s, err := p.read(ctx)
+	return s.current, err
+}
+
 // Propose writes doc as the pending successor of the generation it names. It
 // returns the document with its new generation, and whether that is already
 // accepted: a repeated proposal finds its first. On errkind.Conflict the returned
--- a/entry/config.go
+++ b/entry/config.go
@@ -73,7 +73,11 @@
 }
 
 // ownerStarted gives a new owner the configuration in force.
-func (e *Entry) ownerStarted(o *shard.Owner) { o.SetConfig(e.ctx, e.config()) }
+func (e *Entry) ownerStarted(o *shard.Owner) {
+	o.SetConfig(e.ctx, e.config())
+	// The other entries learn the new owner at once instead of at the next digest.
+	go e.sendDigests(e.ctx)
+}
 
 // accept tries once to accept a pending generation and tells the other entries.
 func (e *Entry) accept(ctx context.Context, generation uint64) (bool, error) {
--- a/events/shard.go
+++ b/events/shard.go
@@ -11,4 +11,6 @@
 	StoreRecovered      = define(304, "store_recovered", zerolog.InfoLevel, "Commits succeed again.")
 	ConfigAccepted      = define(305, "config_accepted", zerolog.InfoLevel, "A configuration generation was accepted.")
 	ConfigInForce       = define(306, "config_in_force", zerolog.InfoLevel, "A configuration generation is in force in this entry.")
+	ConfigApplied       = define(307, "config_applied", zerolog.InfoLevel, "An operator's change of plans or limits was accepted.")
+	ConfigRefused       = define(308, "config_refused", zerolog.WarnLevel, "An operator's change was not accepted. Nothing was changed.")
 )
--- a/scheduler/feasibility/feasibility.go
+++ b/scheduler/feasibility/feasibility.go
@@ -14,8 +14,10 @@
 type Request struct {
 	Task *tables.Task
 	Need task.Resources
-	// MaxPressure is the pressure on a VM's service above which batch tasks are refused.
-	MaxPressure float64
+	// Limits holds the pressure on a service above which batch tasks are refused.
+	Limits *tables.Limits
+	// Harms holds the learnt effects of the job class.
+	Harms *tables.Harms
 	// AnyRack drops the rule that spreads tasks over racks.
 	AnyRack bool
 }
@@ -36,7 +38,7 @@
 		return tables.NoAccelerators
 	case !r.AnyRack && rackFull(t, r.Task.Job(), v):
 		return tables.RackFull
-	case tooHarmful(t, r, v):
+	case tooHarmful(r, v):
 		return tables.TooHarmful
 	}
 	return tables.Placed
@@ -81,15 +83,24 @@
 }
 
 // tooHarmful reports whether a batch task would raise the pressure on the VM's service
-// above the limit. A VM without other pressure takes any task, so that none waits for ever.
-func tooHarmful(t *tables.Tables, r Request, v *tables.VM) bool {
-	if v.Service == "" || r.Task.Record.Spec.Class != task.Batch || v.Pressure == 0 {
+// above the limit. A VM below half of the limit takes one task of any effect, so that a
+// task that alone exceeds the limit does not wait for an empty VM.
+func tooHarmful(r Request, v *tables.VM) bool {
+	if v.Service == "" || r.Task.Record.Spec.Class != task.Batch {
 		return false
 	}
-	harm := t.Harm(v.Service, r.Task.Record.Spec.JobClass, tables.LoadBucket(v.Load))
-	return v.Pressure+harm*float64(r.Need.CPU)/1000 > r.MaxPressure
+	limit := r.Limits.On(v.Service, v.ExpectedLoad())
+	if v.Pressure <= limit/2 {
+		return false
+	}
+	own := r.Harms.On(v.Service, tables.LoadBucket(v.ExpectedLoad())) * float64(r.Need.CPU) / 1000
+	return own > Negligible && v.Pressure+own > limit
 }
 
+// Negligible is the effect of a task that is placed at any pressure: refusing quiet tasks
+// beside a noisy one costs throughput and does not help the service.
+const Negligible = 0.02
+
 // Quota returns tables.OverQuota when the reservation would exceed the customer's limits.
 func Quota(c *tables.Customer, reservation task.Resources) tables.Reason {
 	used := c.Used.Add(reservation)
--- a/scheduler/sizing/sizing.go
+++ b/scheduler/sizing/sizing.go
@@ -12,12 +12,23 @@
 
 // Rules of learning.
 const (
-	// quantile of the learnt use that a reservation covers, and the margin above it.
-	cpuQuantile    = 0.95
+	// memoryQuantile is the part of the learnt use that a reservation covers, and margin is
+	// added to it. Memory beyond the reservations ends tasks.
 	memoryQuantile = 0.99
 	margin         = 1.15
-	// decay is applied to a class's samples with each new one; the effective window is 200 samples.
-	decay = 1 - 1.0/200
+	// Processors are shared when tasks use more than they reserved. The quantile and the
+	// margin rise with the tail weight up to 0.8 and 5%.
+	cpuQuantileBase  = 0.5
+	cpuQuantileRange = 0.3
+	cpuMarginRange   = 0.05
+	// growth is the weight of a sample over that of the one before; the effective window is 200 samples.
+	growth = 1 + 1.0/200
+	// maxWeight is where weights are scaled down again.
+	maxWeight = 1e6
+	// relearn is the number of samples after which the quantiles are computed again.
+	relearn = 16
+	// ratioUnit makes ratios from 1/64 to 1024 fall into the classes.
+	ratioUnit = 1024
 	// minSamples and minTasks must be reached before a learnt size replaces the declared one.
 	minSamples = 8
 	minTasks   = 2
@@ -58,7 +69,7 @@
 		}
 		use := unthrottled(u)
 		s := t.Size(tk.Job())
-		observe(s, u.Task, use)
+		observe(s, tk, use)
 		if g, ok := outgrown(tk, use, v); ok {
 			grown = append(grown, g)
 		}
@@ -80,43 +91,60 @@
 	return use
 }
 
-func observe(s *tables.Size, id string, use task.Resources) {
+func observe(s *tables.Size, tk *tables.Task, use task.Resources) {
 	if s.Tasks == nil {
 		s.Tasks = make(map[string]struct{}, minTasks)
+		s.Weight = 1
 	}
 	if len(s.Tasks) < minTasks {
-		s.Tasks[id] = struct{}{}
+		s.Tasks[tk.Record.Spec.ID] = struct{}{}
 	}
-	for i := range s.CPU {
-		s.CPU[i] *= decay
-		s.Memory[i] *= decay
+	if s.Weight > maxWeight {
+		rescale(s)
 	}
-	s.Samples = s.Samples*decay + 1
-	s.CPU[bucket(use.CPU)]++
-	s.Memory[bucket(use.Memory)]++
+	s.Samples++
+	s.CPU[bucket(use.CPU)] += s.Weight
+	s.Memory[bucket(use.Memory)] += s.Weight
+	if d := tk.Record.Spec.Declared; d.CPU > 0 && d.Memory > 0 {
+		s.CPURatio[bucket(use.CPU*ratioUnit/d.CPU)] += s.Weight
+		s.MemoryRatio[bucket(use.Memory*ratioUnit/d.Memory)] += s.Weight
+	}
+	s.Weight *= growth
+}
+
+func rescale(s *tables.Size) {
+	for _, h := range []*tables.Uses{&s.CPU, &s.Memory, &s.CPURatio, &s.MemoryRatio} {
+		for i := range h {
+			h[i] /= s.Weight
+		}
+	}
+	s.Weight = 1
 }
 
-// bucket returns the class of an amount: a quarter octave from 16 upwards.
+// perOctave is the number of classes in each doubling of an amount.
+const perOctave = 8
+
+// bucket returns the class of an amount, from 16 upwards.
 func bucket(amount int64) int {
 	if amount <= 16 {
 		return 0
 	}
-	return min(int(4*math.Log2(float64(amount)/16)), tables.SizeBuckets-1)
+	return min(int(perOctave*math.Log2(float64(amount)/16)), tables.SizeBuckets-1)
 }
 
-// upper returns the upper bound of a class.
-func upper(b int) int64 { return int64(math.Ceil(16 * math.Exp2(float64(b+1)/4))) }
-
-func quantile(h *[tables.SizeBuckets]float32, q float64) int64 {
-	var total, seen float32
+// quantile returns the amount below which the part q of the samples lies, interpolated
+// within its class: a whole class more would reserve up to 9% for nothing.
+func quantile(h *tables.Uses, q float64) int64 {
+	var total, seen float64
 	for _, n := range h {
-		total += n
+		total += float64(n)
 	}
 	for b, n := range h {
-		seen += n
-		if float64(seen) >= q*float64(total) {
-			return upper(b)
+		if seen+float64(n) >= q*total && n > 0 {
+			part := (q*total - seen) / float64(n)
+			return int64(math.Ceil(16 * math.Exp2((float64(b)+part)/perOctave)))
 		}
+		seen += float64(n)
 	}
 	return 0
 }
@@ -124,22 +152,40 @@
 // Reservation returns the amount to reserve for the task: the learnt use with a margin,
 // or the declared amount while too little is known. It never exceeds what the largest VM
 // offers when the declared amount does not.
-func Reservation(t *tables.Tables, tk *tables.Task) task.Resources {
+func Reservation(t *tables.Tables, tk *tables.Task, tailWeight float64) task.Resources {
 	need := tk.Record.Spec.Declared
 	s, ok := t.Sizes[tk.Job()]
 	if !ok || s.Samples < minSamples || len(s.Tasks) < minTasks {
 		return need
 	}
+	if s.LearntAt == 0 || s.Samples-s.LearntAt >= relearn {
+		s.LearntAt = s.Samples
+		cpuQuantile := cpuQuantileBase + cpuQuantileRange*tailWeight
+		s.Learnt = tables.LearntSize{
+			Amount:      task.Resources{CPU: quantile(&s.CPU, cpuQuantile), Memory: quantile(&s.Memory, memoryQuantile)},
+			CPURatio:    float64(quantile(&s.CPURatio, cpuQuantile)) / ratioUnit,
+			MemoryRatio: float64(quantile(&s.MemoryRatio, memoryQuantile)) / ratioUnit,
+		}
+	}
 	learnt := need
-	learnt.CPU = clamp(need.CPU, quantile(&s.CPU, cpuQuantile))
-	learnt.Memory = clamp(need.Memory, quantile(&s.Memory, memoryQuantile))
+	learnt.CPU = clamp(need.CPU, tighter(s.Learnt.Amount.CPU, s.Learnt.CPURatio, need.CPU), 1+cpuMarginRange*tailWeight)
+	learnt.Memory = clamp(need.Memory, tighter(s.Learnt.Amount.Memory, s.Learnt.MemoryRatio, need.Memory), margin)
 	if fits, known := t.EverFits(tk.Record.Spec.Zone, learnt); known && !fits {
 		return need
 	}
 	return learnt
 }
 
-func clamp(declared, use int64) int64 {
+// tighter returns the smaller of two estimates that both cover the use: declared sizes
+// follow real ones by a constant factor in some job classes and not at all in others.
+func tighter(amount int64, ratio float64, declared int64) int64 {
+	if ratio == 0 {
+		return amount
+	}
+	return min(amount, int64(math.Ceil(ratio*float64(declared))))
+}
+
+func clamp(declared, use int64, margin float64) int64 {
 	if declared == 0 {
 		return int64(float64(use) * margin)
 	}
