Report finished work that runs again

Change: the worker records attempts that ended by themselves, and the checker reports a later start unless a VM failed or was out of reach. Acknowledging an event before its commit is not found by the single faults and the sampled pairs.

--- a/history/check.go
+++ b/history/check.go
@@ -51,6 +51,9 @@
 	Finished bool
 	// Unfinished lists tasks that are allowed to be still running, for example watchers.
 	Unfinished map[string]bool
+	// ResultsReachable is true when no VM failed or was out of reach for longer than
+	// its grant, so that work that has finished must not run again.
+	ResultsReachable bool
 	// Processes lists the processes in which an accepted generation must be in force.
 	Processes []string
 }
@@ -84,6 +87,7 @@
 	// checkpoints holds the stored progress values; evictedAt is where the task must resume.
 	checkpoints map[time.Duration]bool
 	evictedAt   time.Duration
+	succeeded   bool
 	final       string
 }
 
@@ -215,6 +219,9 @@
 	if t.final != "" {
 		c.report(NothingLost, e.At, "attempt %d of task %s started after the task was %s", e.Attempt, e.Task, t.final)
 	}
+	if t.succeeded && c.opt.ResultsReachable {
+		c.report(NothingLost, e.At, "attempt %d of task %s started after an earlier one had succeeded", e.Attempt, e.Task)
+	}
 	if t.started[e.Attempt] {
 		c.report(ResumeOnce, e.At, "attempt %d of task %s started twice", e.Attempt, e.Task)
 	}
@@ -244,6 +251,7 @@
 func (c *checker) taskEnded(t *taskState, e Event) {
 	delete(t.running, place{e.VM, e.Attempt})
 	t.ended[e.Attempt] = true
+	t.succeeded = t.succeeded || e.Outcome == task.Succeeded
 	c.commit(e, task.Resources{}.Sub(e.Reserved))
 }
 
--- a/history/history.go
+++ b/history/history.go
@@ -17,6 +17,7 @@
 	// TaskAccepted: a submission was acknowledged to the client.
 	TaskAccepted Kind = iota
 	// TaskRunStart and TaskRunEnd: an attempt begins and ceases to execute on a VM.
+	// Outcome of TaskRunEnd is task.Succeeded or task.Failed when it ended by itself.
 	TaskRunStart
 	TaskRunEnd
 	// TaskSuspended and TaskResumed: an attempt is frozen and continues in place.
