--- /dev/null
+++ b/agent/outbox_test.go
@@ -0,0 +1,61 @@
+package agent
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/platform"
+	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+// Guards against events of one attempt that overtake each other, are given up
+// before they are acknowledged, or are reported twice.
+func TestOutboxKeepsOrderUntilAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var sent, acked []string
+		up := false
+		o := newOutbox(func(_ context.Context, ev *wire.TaskEvent) error {
+			time.Sleep(time.Second)
+			if !up {
+				return errkind.New(errkind.OutcomeUnknown, "lost")
+			}
+			sent = append(sent, ev.Event+ev.Checkpoint)
+			return nil
+		}, func(ev *wire.TaskEvent) { acked = append(acked, ev.Event+ev.Checkpoint) })
+		post := func(event, ref string) {
+			o.post(t.Context(), &wire.TaskEvent{ID: "t", Attempt: 1, Event: event, Checkpoint: ref})
+		}
+		post(wire.TaskCheckpointed, "1")
+		post(wire.TaskCheckpointed, "2")
+		post(wire.TaskCheckpointed, "3")
+		time.Sleep(5 * time.Second)
+		up = true
+		post(wire.TaskSucceeded, "")
+		post(wire.TaskSucceeded, "")
+		assert.Assert(t, o.final("t", 1) != nil)
+		time.Sleep(5 * time.Second)
+		assert.DeepEqual(t, sent, []string{wire.TaskSucceeded})
+		assert.DeepEqual(t, acked, sent)
+		assert.Assert(t, o.empty())
+	})
+}
+
+// Guards against heartbeats that carry every use and exceed the control budget,
+// and against a change that is never reported.
+func TestUsageFilterReportsChangesOnly(t *testing.T) {
+	var f usageFilter
+	use := func(cpu int64) []platform.Usage { return []platform.Usage{{ID: "t", Use: task.Resources{CPU: cpu}}} }
+	assert.Equal(t, len(f.changed(use(100), 0)), 1)
+	assert.Equal(t, len(f.changed(use(200), 8*time.Second)), 0, "the last report is recent")
+	assert.Equal(t, len(f.changed(use(200), 16*time.Second)), 1)
+	assert.Equal(t, len(f.changed(use(215), 40*time.Second)), 0, "a change of 7.5%")
+	assert.Equal(t, len(f.changed(use(230), 60*time.Second)), 1, "changes add up")
+	f.reset()
+	assert.Equal(t, len(f.changed(use(230), 61*time.Second)), 1, "a new owner has no report yet")
+}
