Acknowledge a repeated cancellation only when it is durable

Cause: a cancel that repeated one whose commit was in progress was answered as done at once; when that commit failed, the task ran on. The pair propagate/store down + answer/entry paused past its lease showed it. Change: the answer waits for the commit.

--- a/faultmatrix/pairs_test.go
+++ b/faultmatrix/pairs_test.go
@@ -63,6 +63,29 @@
 	return out
 }
 
+// cellOf returns the possible cell with the name.
+func cellOf(t *testing.T, name string) cell {
+	for _, c := range allCells() {
+		if c.name() == name {
+			return c
+		}
+	}
+	t.Fatalf("no cell %q", name)
+	return cell{}
+}
+
+// Guards against a repeated cancellation that is acknowledged while the commit of
+// the first one has not taken effect and never will. The order of goroutines
+// decides whether a run shows it, so that the pair runs several times.
+func TestRepeatedCancelIsDurable(t *testing.T) {
+	for i := range 10 {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			t.Parallel()
+			verify(t, "repeated-cancel", run(t, cellOf(t, "propagate/store_down"), cellOf(t, "answer/entry_paused_past_its_lease")))
+		})
+	}
+}
+
 // Guards against two faults that are harmless alone. A pair in which the first
 // fault keeps the second step from being reached counts as its first fault only.
 func TestFaultPairs(t *testing.T) {
--- a/shard/agents.go
+++ b/shard/agents.go
@@ -383,7 +383,8 @@
 		case !ok || (customer != "" && tk.Record.Spec.Customer != customer):
 			done(id, errkind.New(errkind.NotFound, "task %s", id))
 		case tk.Record.State == task.Cancelled:
-			done(id, nil)
+			// An earlier call may still wait for its commit, which can fail.
+			o.whenDurable(id, func(err error) { done(id, err) })
 		case task.Terminal(tk.Record.State):
 			done(id, errkind.New(errkind.Conflict, "task %s is %s", id, tk.Record.State))
 		default:
