--- a/shard/holds.go
+++ b/shard/holds.go
@@ -21,7 +21,9 @@
 	at        time.Duration
 	reachable bool
 	done      bool
-	busy      sync.Mutex
+	// turn holds a token while a read is in progress. A caller that is not served
+	// within its context does not grant a hold.
+	turn chan struct{}
 }
 
 // GrantHold answers another entry's request for a hold. It is granted only when
@@ -36,8 +38,12 @@
 }
 
 func (m *Manager) storeReachable(ctx context.Context) bool {
-	m.probe.busy.Lock()
-	defer m.probe.busy.Unlock()
+	select {
+	case m.probe.turn <- struct{}{}:
+	case <-ctx.Done():
+		return true
+	}
+	defer func() { <-m.probe.turn }()
 	if m.probe.done && m.cfg.Clock.Now()-m.probe.at < probeLife {
 		return m.probe.reachable
 	}
--- a/shard/manager.go
+++ b/shard/manager.go
@@ -165,8 +165,8 @@
 	}
 	return &Manager{
 		cfg: cfg, renewals: store.NewWriter(cfg.Table, cfg.Entry+"/lease"), takers: store.NewWriter(cfg.Table, cfg.Entry+"/acquire"),
-		commits:  NewCommitter(cfg.Table, store.NewWriter(cfg.Table, cfg.Entry+"/commit"), cfg.Clock, cfg.Log),
-		renewNow: make(chan struct{}, 1), renewing: make(chan struct{}, 1), owned: make(map[string]*ownedShard), rows: make(map[string]*knownRow),
+		commits: NewCommitter(cfg.Table, store.NewWriter(cfg.Table, cfg.Entry+"/commit"), cfg.Clock, cfg.Log),
+		probe:   probeResult{turn: make(chan struct{}, 1)}, renewNow: make(chan struct{}, 1), renewing: make(chan struct{}, 1), owned: make(map[string]*ownedShard), rows: make(map[string]*knownRow),
 		wanted: make(map[string]bool), heard: make(map[string]time.Duration), entries: make(map[string]*knownEntry),
 		own:      confsync.Registration{ID: cfg.Entry, Addr: cfg.Addr, Zone: cfg.Zone, Incarnation: cfg.Incarnation},
 		regLease: lease.Extended{TTL: confsync.LeaseTTL},
