Forget VMs that left while their service was slow

A VM that was hot when it disconnected counted as part of a wave for ever and could keep the owner from relieving others. The test fails without the change.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -183,6 +183,7 @@
 		s.started, s.since = true, now
 	}
 	k := &tick{Scheduler: s, t: t, now: now, evicting: make(map[string]bool)}
+	k.forgetHot()
 	k.ingest()
 	quarantine.Run(t, s.probing, now)
 	k.expireHolds()
@@ -242,6 +243,15 @@
 	}
 }
 
+// forgetHot drops VMs that left while hot, so that they do not count as part of a wave.
+func (k *tick) forgetHot() {
+	for id := range k.hot {
+		if v, ok := k.t.VMs[id]; !ok || !v.Connected {
+			delete(k.hot, id)
+		}
+	}
+}
+
 // relieve moves the most harmful task off a VM that the guard could not bring below target.
 func (k *tick) relieve(vm string) {
 	v, ok := k.t.VMs[vm]
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -376,6 +376,37 @@
 	}
 }
 
+// Guards against VMs that left while slow and then hide a slow VM as part of a wave for ever.
+func TestHotVMsThatLeftDoNotCountAsAWave(t *testing.T) {
+	w := newWorld(t, 12)
+	for b := range uint8(tables.LoadBuckets) {
+		w.tb.Pairs[tables.Pair{Service: "svc", JobClass: "c", Load: b}] = &tables.Slowdown{Harm: 0.2}
+	}
+	for range 36 {
+		w.submit("a", "c", cores(4), nil)
+	}
+	w.tick()
+	for _, v := range w.tb.VMs {
+		v.Service = "svc"
+		w.tb.Touch(v)
+	}
+	report := func(from, to int) {
+		w.now += 8 * time.Second
+		for i := from; i < to; i++ {
+			w.tb.Ingest(tables.Report{VM: fmt.Sprintf("vm-%d", i), At: w.now, Lag: 5 * time.Second, Tail: 3, Load: 0.5})
+		}
+		w.tick()
+	}
+	report(0, 6)
+	for i := range 6 {
+		w.tb.VMs[fmt.Sprintf("vm-%d", i)].Connected = false
+	}
+	for range 5 {
+		report(11, 12)
+	}
+	assert.Assert(t, w.count(scheduler.Evict) >= 1)
+}
+
 // Guards against a share that ignores the plan's weight, and against a flood of one customer.
 func TestFairShareFollowsWeights(t *testing.T) {
 	w := newWorld(t, 3)
