Count terminal records found at a takeover as ends in the recovery benchmark

The checker takes a terminal record that a new owner reads as the end of a task; the benchmark did not.

--- a/bench/recovery/recovery.go
+++ b/bench/recovery/recovery.go
@@ -281,7 +281,8 @@
 func (r *runner) open() int {
 	ended := make(map[string]bool)
 	for _, e := range r.Recorder.Events() {
-		if e.Kind == history.TaskCompleted || e.Kind == history.TaskTerminal {
+		// TaskFound is a terminal record that a new owner read: the entry that wrote it died before it reported the end.
+		if e.Kind == history.TaskCompleted || e.Kind == history.TaskTerminal || e.Kind == history.TaskFound {
 			ended[e.Task] = true
 		}
 	}
