--- a/shard/holds.go
+++ b/shard/holds.go
@@ -21,8 +21,9 @@
 	at        time.Duration
 	reachable bool
 	done      bool
-	// busy is a semaphore, since the holder waits for the store.
-	busy chan struct{}
+	// turn holds a token while a read is in progress. A caller that is not served
+	// within its context does not grant a hold.
+	turn chan struct{}
 }
 
 // GrantHold answers another entry's request for a hold. It is granted only when
@@ -38,11 +39,11 @@
 
 func (m *Manager) storeReachable(ctx context.Context) bool {
 	select {
-	case m.probe.busy <- struct{}{}:
+	case m.probe.turn <- struct{}{}:
 	case <-ctx.Done():
 		return true
 	}
-	defer func() { <-m.probe.busy }()
+	defer func() { <-m.probe.turn }()
 	if m.probe.done && m.cfg.Clock.Now()-m.probe.at < probeLife {
 		return m.probe.reachable
 	}
