--- a/agent/outbox_test.go
+++ b/agent/outbox_test.go
@@ -35,11 +35,13 @@
 		post(wire.TaskCheckpointed, "2")
 		post(wire.TaskCheckpointed, "3")
 		time.Sleep(5 * time.Second)
+		synctest.Wait()
 		up = true
 		post(wire.TaskSucceeded, "")
 		post(wire.TaskSucceeded, "")
 		assert.Assert(t, o.final("t", 1) != nil)
 		time.Sleep(5 * time.Second)
+		synctest.Wait()
 		assert.DeepEqual(t, sent, []string{wire.TaskSucceeded})
 		assert.DeepEqual(t, acked, sent)
 		assert.Assert(t, o.empty())
