--- /dev/null
+++ b/command/chicorybench/capacity.go
@@ -0,0 +1,11 @@
+package chicorybench
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/chicorystand/chicorystand/bench/capacity"
+)
+
+func newCapacity() *cobra.Command {
+	return benchCommand("capacity", "Measure how cost grows from 150 to 600 agents", capacity.Run)
+}
--- a/command/chicorybench/config.go
+++ b/command/chicorybench/config.go
@@ -6,8 +6,6 @@
 	"github.com/chicorystand/chicorystand/bench/config"
 )
 
-func init() { subcommands = append(subcommands, newConfig) }
-
 func newConfig() *cobra.Command {
 	return benchCommand("config", "Measure how fast an accepted configuration is in force", config.Run)
 }
--- a/command/chicorybench/control.go
+++ b/command/chicorybench/control.go
@@ -6,8 +6,6 @@
 	"github.com/chicorystand/chicorystand/bench/control"
 )
 
-func init() { subcommands = append(subcommands, newControl) }
-
 func newControl() *cobra.Command {
 	return benchCommand("control", "Measure the control traffic of each daemon", control.Run)
 }
--- a/command/chicorybench/recover.go
+++ b/command/chicorybench/recover.go
@@ -6,8 +6,6 @@
 	"github.com/chicorystand/chicorystand/bench/recovery"
 )
 
-func init() { subcommands = append(subcommands, newRecover) }
-
 func newRecover() *cobra.Command {
 	return benchCommand("recover", "Measure recovery from failures of entries, racks and the store", recovery.Run)
 }
--- a/command/chicorybench/report.go
+++ b/command/chicorybench/report.go
@@ -11,8 +11,6 @@
 	"github.com/chicorystand/chicorystand/errkind"
 )
 
-func init() { subcommands = append(subcommands, newReport) }
-
 // maxResult bounds a file of results in bytes.
 const maxResult = 64 << 20
 
--- a/command/chicorybench/root.go
+++ b/command/chicorybench/root.go
@@ -17,8 +17,15 @@
 
 // subcommands lists the constructors of all benchmark commands.
 var subcommands = []func() *cobra.Command{
+	newCapacity,
+	newConfig,
+	newControl,
 	newDecide,
 	newPolicy,
+	newRecover,
+	newReport,
+	newRoute,
+	newStore,
 }
 
 // New returns the root command.
--- a/command/chicorybench/route.go
+++ b/command/chicorybench/route.go
@@ -13,8 +13,6 @@
 	"github.com/chicorystand/chicorystand/errkind"
 )
 
-func init() { subcommands = append(subcommands, newRoute) }
-
 func newRoute() *cobra.Command {
 	var profile string
 	var serviceTime time.Duration
--- a/command/chicorybench/store.go
+++ b/command/chicorybench/store.go
@@ -6,8 +6,6 @@
 	"github.com/chicorystand/chicorystand/bench/store"
 )
 
-func init() { subcommands = append(subcommands, newStore) }
-
 func newStore() *cobra.Command {
 	return benchCommand("store", "Measure the store operations for each task start", store.Run)
 }
