Remove a deadlock between choosing an upstream and changing the membership list

Cause: Picker.Pick holds the picker's lock while it asks the table whether an upstream is leaving, and Table.rebuild held the table's lock while it called Picker.Retain. The goroutine dump of a demo that hung shows requests waiting in Table.Service behind a change of the list. Ruled out: load (the machine was idle), the demo's client (its requests had ended). Change: the table calls the picker after it has released its lock; a second lock orders the changes.

--- a/route/table.go
+++ b/route/table.go
@@ -23,6 +23,10 @@
 type Table struct {
 	picker *Picker
 
+	// update orders changes of the lists, including what the picker keeps of them.
+	update sync.Mutex
+	// mu is taken while the picker's lock is held, so it must not be held while the
+	// picker is called.
 	mu        sync.RWMutex
 	shards    map[string]shardMembers
 	byService map[string][]wire.Upstream
@@ -46,13 +50,26 @@
 // owner starts with an empty list; upstreams of the previous owner stay in use until
 // they are listed, restarted, or takeoverGrace has passed.
 func (t *Table) Apply(m wire.Members) bool {
+	t.update.Lock()
+	defer t.update.Unlock()
+	listed := t.replace(m)
+	if listed == nil {
+		return false
+	}
+	t.picker.Retain(listed)
+	return true
+}
+
+// replace changes the list of a shard and returns the upstreams listed then, or nil
+// when m is older than the known list.
+func (t *Table) replace(m wire.Members) map[Key]bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
 	old := t.shards[m.Digest.Shard]
 	d := old.list.Digest
 	if m.Digest.Epoch < d.Epoch || (m.Digest.Epoch == d.Epoch && m.Digest.Version <= d.Version) {
-		return false
+		return nil
 	}
 	next := shardMembers{list: m, previous: old.previous, until: old.until}
 	if m.Digest.Epoch > d.Epoch && len(old.list.Upstreams) > 0 {
@@ -60,18 +77,21 @@
 		time.AfterFunc(takeoverGrace, t.refresh)
 	}
 	t.shards[m.Digest.Shard] = next
-	t.rebuild(now)
-	return true
+	return t.rebuild(now)
 }
 
 func (t *Table) refresh() {
+	t.update.Lock()
+	defer t.update.Unlock()
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.rebuild(time.Now())
+	listed := t.rebuild(time.Now())
+	t.mu.Unlock()
+	t.picker.Retain(listed)
 }
 
-// rebuild computes the lists for each service. Slices that readers hold are not changed.
-func (t *Table) rebuild(now time.Time) {
+// rebuild computes the lists for each service and returns every listed upstream.
+// Slices that readers hold are not changed.
+func (t *Table) rebuild(now time.Time) map[Key]bool {
 	t.byService = make(map[string][]wire.Upstream)
 	listed := make(map[Key]bool)
 	vms := make(map[string]bool)
@@ -98,7 +118,7 @@
 			delete(t.draining, k)
 		}
 	}
-	t.picker.Retain(listed)
+	return listed
 }
 
 // Known returns the digest of a shard's list.
