--- a/scheduler/sizing/sizing.go
+++ b/scheduler/sizing/sizing.go
@@ -17,9 +17,9 @@
 	memoryQuantile = 0.99
 	margin         = 1.15
 	// Processors are shared when tasks use more than they reserved. The quantile and the
-	// margin rise with the tail weight up to 0.8 and 5%.
-	cpuQuantileBase  = 0.5
-	cpuQuantileRange = 0.3
+	// margin rise with the tail weight up to 0.48 and 5%.
+	cpuQuantileBase  = 0.38
+	cpuQuantileRange = 0.1
 	cpuMarginRange   = 0.05
 	// growth is the weight of a sample over that of the one before; the effective window is 200 samples.
 	growth = 1 + 1.0/200
