--- a/bench/capacity/capacity.go
+++ b/bench/capacity/capacity.go
@@ -10,9 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/chicorystand/chicorystand/bench"
-	"github.com/chicorystand/chicorystand/bench/sim"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/history"
+	"github.com/chicorystand/chicorystand/bench/inmem"
 	"github.com/chicorystand/chicorystand/task"
 )
 
@@ -25,7 +23,6 @@
 	settle          = 45 * time.Second
 	measure         = 120 * time.Second
 	startDeadline   = 2 * time.Minute
-	submitBatch     = 500
 )
 
 var sizes = []int{150, 300, 600}
@@ -55,7 +52,7 @@
 	var samples []sample
 	for _, n := range sizes {
 		var s sample
-		err := sim.Virtual(ctx, func(ctx context.Context) (err error) {
+		err := inmem.Virtual(ctx, func(ctx context.Context) (err error) {
 			s, err = measureSize(ctx, n)
 			return err
 		})
@@ -70,11 +67,11 @@
 
 func measureSize(ctx context.Context, agents int) (sample, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	c := sim.Start(ctx, sim.Config{Entries: entries, Agents: agents, Zones: zones, ShardsPerZone: 2, AgentsPerRack: 12,
+	c := inmem.Start(ctx, inmem.Config{Entries: entries, Agents: agents, Zones: zones, ShardsPerZone: 2, AgentsPerRack: 12,
 		Capacity: task.Resources{CPU: 32000, Memory: 125 << 10}, WorkerStep: 5 * time.Second})
 	defer c.Stop(cancel)
 	s := sample{agents: agents, tasks: agents * tasksPerHundred / 100}
-	if err := load(ctx, c, s.tasks, agents); err != nil {
+	if err := c.RunTasks(ctx, s.tasks, customers, startDeadline); err != nil {
 		return s, err
 	}
 	time.Sleep(settle)
@@ -91,37 +88,10 @@
 	return s, nil
 }
 
-func load(ctx context.Context, c *sim.Cluster, tasks, agents int) error {
-	if err := c.AwaitReady(ctx, agents); err != nil {
-		return err
-	}
-	if _, err := c.Apply(ctx, 0, sim.Document(0, customers)); err != nil {
-		return err
-	}
-	for n := 0; n < tasks; n += submitBatch {
-		var specs []task.Spec
-		for i := n; i < min(n+submitBatch, tasks); i++ {
-			specs = append(specs, task.Spec{ID: fmt.Sprintf("task-%05d", i), Customer: sim.Customer(i % customers), JobClass: "watcher",
-				Class: task.LatencyCritical, Declared: task.Resources{CPU: 1000, Memory: 1024}})
-		}
-		if _, err := c.Submit(ctx, n/submitBatch%entries, specs); err != nil {
-			return err
-		}
-	}
-	deadline := time.Now().Add(startDeadline)
-	for c.Count(history.TaskRunStart) < tasks {
-		if time.Now().After(deadline) {
-			return errkind.New(errkind.NotReady, "%d of %d tasks run", c.Count(history.TaskRunStart), tasks)
-		}
-		time.Sleep(time.Second)
-	}
-	return nil
-}
-
-func entryTraffic(c *sim.Cluster) map[string]uint64 {
+func entryTraffic(c *inmem.Cluster) map[string]uint64 {
 	out := make(map[string]uint64)
 	for _, e := range c.Entries {
-		out[e.ID] = uint64(sim.Sum(c.Net.Traffic(e.ID)).Total())
+		out[e.ID] = uint64(inmem.Sum(c.Net.Traffic(e.ID)).Total())
 	}
 	return out
 }
--- a/bench/config/config.go
+++ b/bench/config/config.go
@@ -9,7 +9,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/chicorystand/chicorystand/bench"
-	"github.com/chicorystand/chicorystand/bench/sim"
+	"github.com/chicorystand/chicorystand/bench/inmem"
 	"github.com/chicorystand/chicorystand/history"
 	"github.com/chicorystand/chicorystand/task"
 )
@@ -29,7 +29,7 @@
 // dead, and with one availability zone cut off and back.
 func Run(ctx context.Context, seed uint64) (*bench.Result, error) {
 	res := &bench.Result{Bench: "config", Seed: seed}
-	err := sim.Virtual(ctx, func(ctx context.Context) error { return run(ctx, res) })
+	err := inmem.Virtual(ctx, func(ctx context.Context) error { return run(ctx, res) })
 	return res, err
 }
 
@@ -45,7 +45,7 @@
 
 func run(ctx context.Context, res *bench.Result) error {
 	ctx, cancel := context.WithCancel(ctx)
-	c := sim.Start(ctx, sim.Config{Seed: res.Seed, Entries: entries, Agents: agents, Zones: zones, ShardsPerZone: 2, AgentsPerRack: 12,
+	c := inmem.Start(ctx, inmem.Config{Seed: res.Seed, Entries: entries, Agents: agents, Zones: zones, ShardsPerZone: 2, AgentsPerRack: 12,
 		Capacity: task.Resources{CPU: 32000, Memory: 125 << 10}, WorkerStep: 10 * time.Second})
 	defer c.Stop(cancel)
 	if err := c.AwaitReady(ctx, agents); err != nil {
@@ -56,7 +56,7 @@
 	apply := func(p *phase, n int) error {
 		for range n {
 			at := c.Clock.Now()
-			doc, err := c.Apply(ctx, int(gen)%2, sim.Document(gen, customers))
+			doc, err := c.Apply(ctx, int(gen)%2, inmem.Document(gen, customers))
 			if err != nil {
 				return err
 			}
@@ -98,7 +98,7 @@
 }
 
 // isolate marks the processes of the last zone.
-func isolate(c *sim.Cluster, p, dead *phase) map[string]bool {
+func isolate(c *inmem.Cluster, p, dead *phase) map[string]bool {
 	isolated := make(map[string]bool)
 	zone := c.Entries[zones-1].Zone
 	for _, e := range c.Entries {
@@ -115,7 +115,7 @@
 	return isolated
 }
 
-func report(res *bench.Result, c *sim.Cluster, phases []*phase) {
+func report(res *bench.Result, c *inmem.Cluster, phases []*phase) {
 	events := c.Recorder.Events()
 	accepted := make(map[uint64]time.Duration)
 	inForce := make(map[string]map[uint64]time.Duration)
@@ -167,7 +167,7 @@
 	res.Checks = append(res.Checks, bench.AtMost("reversals", float64(reversals), 0, ""))
 }
 
-func processes(c *sim.Cluster) []string {
+func processes(c *inmem.Cluster) []string {
 	var out []string
 	for _, e := range c.Entries {
 		out = append(out, e.ID)
--- a/bench/control/control.go
+++ b/bench/control/control.go
@@ -8,9 +8,7 @@
 	"time"
 
 	"github.com/chicorystand/chicorystand/bench"
-	"github.com/chicorystand/chicorystand/bench/sim"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/history"
+	"github.com/chicorystand/chicorystand/bench/inmem"
 	"github.com/chicorystand/chicorystand/task"
 )
 
@@ -24,23 +22,22 @@
 	bound         = 2000
 	settle        = 45 * time.Second
 	measure       = 240 * time.Second
-	submitBatch   = 650
 	startDeadline = 2 * time.Minute
 )
 
 // Run measures the traffic of every daemon over four virtual minutes.
 func Run(ctx context.Context, seed uint64) (*bench.Result, error) {
 	res := &bench.Result{Bench: "control", Seed: seed}
-	err := sim.Virtual(ctx, func(ctx context.Context) error { return run(ctx, res) })
+	err := inmem.Virtual(ctx, func(ctx context.Context) error { return run(ctx, res) })
 	return res, err
 }
 
 func run(ctx context.Context, res *bench.Result) error {
 	ctx, cancel := context.WithCancel(ctx)
-	c := sim.Start(ctx, sim.Config{Seed: res.Seed, Entries: entries, Agents: agents, Zones: zones, ShardsPerZone: 2, AgentsPerRack: 12,
+	c := inmem.Start(ctx, inmem.Config{Seed: res.Seed, Entries: entries, Agents: agents, Zones: zones, ShardsPerZone: 2, AgentsPerRack: 12,
 		Capacity: task.Resources{CPU: 32000, Memory: 125 << 10}, WorkerStep: 5 * time.Second})
 	defer c.Stop(cancel)
-	if err := prepare(ctx, c); err != nil {
+	if err := c.RunTasks(ctx, tasksRunning, customers, startDeadline); err != nil {
 		return err
 	}
 	time.Sleep(settle)
@@ -50,40 +47,9 @@
 	return nil
 }
 
-func prepare(ctx context.Context, c *sim.Cluster) error {
-	if err := c.AwaitReady(ctx, agents); err != nil {
-		return err
-	}
-	if _, err := c.Apply(ctx, 0, sim.Document(0, customers)); err != nil {
-		return err
-	}
-	for n := 0; n < tasksRunning; n += submitBatch {
-		var specs []task.Spec
-		for i := n; i < n+submitBatch; i++ {
-			specs = append(specs, task.Spec{ID: fmt.Sprintf("task-%05d", i), Customer: sim.Customer(i % customers), JobClass: "watcher",
-				Class: task.LatencyCritical, Declared: task.Resources{CPU: 1000, Memory: 1024}})
-		}
-		accepted, err := c.Submit(ctx, n/submitBatch%entries, specs)
-		if err != nil {
-			return err
-		}
-		if accepted != submitBatch {
-			return errkind.New(errkind.Internal, "%d of %d tasks were accepted", accepted, submitBatch)
-		}
-	}
-	deadline := time.Now().Add(startDeadline)
-	for c.Count(history.TaskRunStart) < tasksRunning {
-		if time.Now().After(deadline) {
-			return errkind.New(errkind.NotReady, "%d of %d tasks run", c.Count(history.TaskRunStart), tasksRunning)
-		}
-		time.Sleep(time.Second)
-	}
-	return nil
-}
-
 // snapshot returns the traffic of every daemon with each kind of process.
-func snapshot(c *sim.Cluster) map[string]map[string]sim.Traffic {
-	out := make(map[string]map[string]sim.Traffic)
+func snapshot(c *inmem.Cluster) map[string]map[string]inmem.Traffic {
+	out := make(map[string]map[string]inmem.Traffic)
 	for _, e := range c.Entries {
 		out[e.ID] = c.Net.Traffic(e.ID)
 	}
@@ -99,16 +65,16 @@
 	payload, total float64
 }
 
-func rateOf(name string, after, before sim.Traffic) rate {
+func rateOf(name string, after, before inmem.Traffic) rate {
 	return rate{name, float64(after.Payload-before.Payload) / measure.Seconds(), float64(after.Total()-before.Total()) / measure.Seconds()}
 }
 
-func report(res *bench.Result, c *sim.Cluster, before map[string]map[string]sim.Traffic) {
+func report(res *bench.Result, c *inmem.Cluster, before map[string]map[string]inmem.Traffic) {
 	after := snapshot(c)
 	rates := func(names []string) []rate {
 		var out []rate
 		for _, name := range names {
-			out = append(out, rateOf(name, sim.Sum(after[name]), sim.Sum(before[name])))
+			out = append(out, rateOf(name, inmem.Sum(after[name]), inmem.Sum(before[name])))
 		}
 		sort.Slice(out, func(i, j int) bool { return out[i].total < out[j].total })
 		return out
--- a/bench/sim/cluster.go
+++ b/bench/inmem/cluster.go
@@ -1,4 +1,4 @@
-package sim
+package inmem
 
 import (
 	"bytes"
@@ -307,3 +307,39 @@
 	}
 	return n
 }
+
+// submitBatch is the number of tasks in one call of RunTasks.
+const submitBatch = 500
+
+// RunTasks applies a configuration for the customers, submits latency-critical tasks
+// without an end through all entries in turn, and waits until all of them run.
+func (c *Cluster) RunTasks(ctx context.Context, tasks, customers int, timeout time.Duration) error {
+	if err := c.AwaitReady(ctx, c.cfg.Agents); err != nil {
+		return err
+	}
+	if _, err := c.Apply(ctx, 0, Document(0, customers)); err != nil {
+		return err
+	}
+	for n := 0; n < tasks; n += submitBatch {
+		var specs []task.Spec
+		for i := n; i < min(n+submitBatch, tasks); i++ {
+			specs = append(specs, task.Spec{ID: fmt.Sprintf("task-%05d", i), Customer: Customer(i % customers), JobClass: "watcher",
+				Class: task.LatencyCritical, Declared: task.Resources{CPU: 1000, Memory: 1024}})
+		}
+		accepted, err := c.Submit(ctx, n/submitBatch%c.cfg.Entries, specs)
+		if err != nil {
+			return err
+		}
+		if accepted != len(specs) {
+			return errkind.New(errkind.Internal, "%d of %d tasks were accepted", accepted, len(specs))
+		}
+	}
+	deadline := time.Now().Add(timeout)
+	for c.Count(history.TaskRunStart) < tasks {
+		if time.Now().After(deadline) {
+			return errkind.New(errkind.NotReady, "%d of %d tasks run", c.Count(history.TaskRunStart), tasks)
+		}
+		time.Sleep(time.Second)
+	}
+	return nil
+}
--- a/bench/sim/net.go
+++ b/bench/inmem/net.go
@@ -1,6 +1,6 @@
-// Package sim runs entries, agents and the table service in one process over an
+// Package inmem runs entries, agents and the table service in one process over an
 // in-memory network in virtual time, and counts the bytes of each process.
-package sim
+package inmem
 
 import (
 	"context"
@@ -180,7 +180,7 @@
 
 type address string
 
-func (address) Network() string  { return "sim" }
+func (address) Network() string  { return "inmem" }
 func (a address) String() string { return string(a) }
 
 // Dialer returns a dial function of a process.
@@ -190,20 +190,20 @@
 		l, ok := n.listeners[addr]
 		n.mu.Unlock()
 		if !ok {
-			return nil, &net.OpError{Op: "dial", Net: "sim", Err: errkind.New(errkind.NotReady, "connection to %s refused", addr)}
+			return nil, &net.OpError{Op: "dial", Net: "inmem", Err: errkind.New(errkind.NotReady, "connection to %s refused", addr)}
 		}
 		if n.isCut(process, l.process) {
 			<-ctx.Done()
-			return nil, &net.OpError{Op: "dial", Net: "sim", Err: ctx.Err()}
+			return nil, &net.OpError{Op: "dial", Net: "inmem", Err: ctx.Err()}
 		}
 		a, b := n.pair(process, l.process, addr)
 		select {
 		case l.queue <- b:
 			return a, nil
 		case <-l.done:
-			return nil, &net.OpError{Op: "dial", Net: "sim", Err: net.ErrClosed}
+			return nil, &net.OpError{Op: "dial", Net: "inmem", Err: net.ErrClosed}
 		case <-ctx.Done():
-			return nil, &net.OpError{Op: "dial", Net: "sim", Err: ctx.Err()}
+			return nil, &net.OpError{Op: "dial", Net: "inmem", Err: ctx.Err()}
 		}
 	}
 }
--- a/bench/sim/virtual.go
+++ b/bench/inmem/virtual.go
@@ -1,4 +1,4 @@
-package sim
+package inmem
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 	"time"
 )
 
-var errVirtual = errors.New("the simulation failed; see the output")
+var errVirtual = errors.New("the run in virtual time failed; see the output")
 
 // Virtual runs f in virtual time: clocks advance only when every goroutine that f
 // started waits. f must end its goroutines before it returns. The standard library
@@ -30,7 +30,7 @@
 	stdout := os.Stdout
 	os.Stdout = os.Stderr
 	defer func() { os.Stdout = stdout }()
-	m := testing.MainStart(deps{}, []testing.InternalTest{{Name: "simulation", F: body}}, nil, nil, nil)
+	m := testing.MainStart(deps{}, []testing.InternalTest{{Name: "virtual time", F: body}}, nil, nil, nil)
 	if parseErr := flag.CommandLine.Parse(nil); parseErr != nil {
 		return parseErr
 	}
--- a/bench/recovery/recovery.go
+++ b/bench/recovery/recovery.go
@@ -11,7 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/chicorystand/chicorystand/bench"
-	"github.com/chicorystand/chicorystand/bench/sim"
+	"github.com/chicorystand/chicorystand/bench/inmem"
 	"github.com/chicorystand/chicorystand/history"
 	"github.com/chicorystand/chicorystand/lease"
 	"github.com/chicorystand/chicorystand/platform/standin"
@@ -38,12 +38,12 @@
 // virtual minutes, while tasks are submitted.
 func Run(ctx context.Context, seed uint64) (*bench.Result, error) {
 	res := &bench.Result{Bench: "recover", Seed: seed}
-	err := sim.Virtual(ctx, func(ctx context.Context) error { return run(ctx, res) })
+	err := inmem.Virtual(ctx, func(ctx context.Context) error { return run(ctx, res) })
 	return res, err
 }
 
 type runner struct {
-	*sim.Cluster
+	*inmem.Cluster
 	rand     *rand.Rand
 	next     int
 	accepted map[string]bool
@@ -53,7 +53,7 @@
 
 func run(ctx context.Context, res *bench.Result) error {
 	ctx, cancel := context.WithCancel(ctx)
-	c := sim.Start(ctx, sim.Config{Seed: res.Seed, Entries: entries, Agents: agents, Zones: zones, ShardsPerZone: 1, AgentsPerRack: rackSize,
+	c := inmem.Start(ctx, inmem.Config{Seed: res.Seed, Entries: entries, Agents: agents, Zones: zones, ShardsPerZone: 1, AgentsPerRack: rackSize,
 		Capacity: task.Resources{CPU: 32000, Memory: 125 << 10}, WorkerStep: 250 * time.Millisecond, CheckpointInterval: 5 * time.Second})
 	defer c.Stop(cancel)
 	r := &runner{Cluster: c, rand: rand.New(rand.NewPCG(res.Seed, 2)), accepted: make(map[string]bool), forever: make(map[string]bool)}
@@ -90,14 +90,14 @@
 		return err
 	}
 	time.Sleep(45 * time.Second)
-	if _, err := r.Apply(ctx, 0, sim.Document(0, customers)); err != nil {
+	if _, err := r.Apply(ctx, 0, inmem.Document(0, customers)); err != nil {
 		return err
 	}
 	var specs []task.Spec
 	for i := range watchers {
 		id := fmt.Sprintf("watcher-%d", i)
 		r.forever[id] = true
-		specs = append(specs, task.Spec{ID: id, Customer: sim.Customer(i % customers), JobClass: "watcher", Class: task.LatencyCritical,
+		specs = append(specs, task.Spec{ID: id, Customer: inmem.Customer(i % customers), JobClass: "watcher", Class: task.LatencyCritical,
 			Declared: task.Resources{CPU: 1000, Memory: 1024}})
 	}
 	if _, err := r.Submit(ctx, 0, specs); err != nil {
@@ -117,7 +117,7 @@
 func (r *runner) submit(ctx context.Context, entry int) {
 	id := fmt.Sprintf("batch-%05d", r.next)
 	r.next++
-	n, err := r.Submit(ctx, entry, []task.Spec{{ID: id, Customer: sim.Customer(r.rand.IntN(customers)), JobClass: "route-plan",
+	n, err := r.Submit(ctx, entry, []task.Spec{{ID: id, Customer: inmem.Customer(r.rand.IntN(customers)), JobClass: "route-plan",
 		Declared: task.Resources{CPU: 2000, Memory: 2048}, Duration: 20*time.Second + time.Duration(r.rand.Int64N(int64(60*time.Second)))}})
 	if err == nil && n == 1 {
 		r.accepted[id] = true
--- a/bench/store/store.go
+++ b/bench/store/store.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/chicorystand/chicorystand/bench"
-	"github.com/chicorystand/chicorystand/bench/sim"
+	"github.com/chicorystand/chicorystand/bench/inmem"
 	"github.com/chicorystand/chicorystand/history"
 	"github.com/chicorystand/chicorystand/task"
 )
@@ -29,20 +29,20 @@
 // Run measures single submissions, and then 130 starts/s through all entries.
 func Run(ctx context.Context, seed uint64) (*bench.Result, error) {
 	res := &bench.Result{Bench: "store", Seed: seed}
-	err := sim.Virtual(ctx, func(ctx context.Context) error { return run(ctx, res) })
+	err := inmem.Virtual(ctx, func(ctx context.Context) error { return run(ctx, res) })
 	return res, err
 }
 
 func run(ctx context.Context, res *bench.Result) error {
 	ctx, cancel := context.WithCancel(ctx)
-	c := sim.Start(ctx, sim.Config{Seed: res.Seed, Entries: entries, Agents: agents, Zones: zones, ShardsPerZone: 2, AgentsPerRack: 12,
+	c := inmem.Start(ctx, inmem.Config{Seed: res.Seed, Entries: entries, Agents: agents, Zones: zones, ShardsPerZone: 2, AgentsPerRack: 12,
 		Capacity: task.Resources{CPU: 64000, Memory: 250 << 10}, WorkerStep: 500 * time.Millisecond})
 	defer c.Stop(cancel)
 	if err := c.AwaitReady(ctx, agents); err != nil {
 		return err
 	}
 	time.Sleep(45 * time.Second)
-	if _, err := c.Apply(ctx, 0, sim.Document(0, customers)); err != nil {
+	if _, err := c.Apply(ctx, 0, inmem.Document(0, customers)); err != nil {
 		return err
 	}
 	time.Sleep(15 * time.Second)
@@ -64,7 +64,7 @@
 type figures struct{ starts, writes, rows, reads float64 }
 
 // phase submits single tasks at a rate, through the entries in turn.
-func phase(ctx context.Context, c *sim.Cluster, t *bench.Table, name string, perSecond int, seed uint64) figures {
+func phase(ctx context.Context, c *inmem.Cluster, t *bench.Table, name string, perSecond int, seed uint64) figures {
 	r := rand.New(rand.NewPCG(seed, uint64(perSecond)))
 	before, startsBefore := c.Table.Counts(), c.Count(history.TaskRunStart)
 	end := time.Now().Add(measure)
@@ -75,7 +75,7 @@
 		}
 		id, customer := fmt.Sprintf("task-%d-%05d", perSecond, i), r.IntN(customers)
 		go func() {
-			_, _ = c.Submit(ctx, i%entries, []task.Spec{{ID: id, Customer: sim.Customer(customer), JobClass: "short",
+			_, _ = c.Submit(ctx, i%entries, []task.Spec{{ID: id, Customer: inmem.Customer(customer), JobClass: "short",
 				Declared: task.Resources{CPU: 1000, Memory: 512}, Duration: 8 * time.Second}})
 		}()
 		time.Sleep(time.Duration(float64(time.Second) / float64(perSecond) * (0.5 + r.Float64())))
