Test that a submission is written with its assignment and never started twice

Cause: the combined write had no test of its own. Change: tests of the number of writes and of a submission that another shard has accepted; the end of such a submission is not recorded here either. Conclusion: the combined write keeps the budget and the uniqueness of ids.

--- a/shard/commit.go
+++ b/shard/commit.go
@@ -12,6 +12,8 @@
 	"github.com/chicorystand/chicorystand/task"
 )
 
+func encodeRecord(rec task.Record) ([]byte, error) { return msgpack.Marshal(rec) }
+
 func decodeRecord(data []byte) (task.Record, error) {
 	var rec task.Record
 	err := msgpack.Unmarshal(data, &rec)
@@ -40,7 +42,7 @@
 	items := make([]*commitItem, 0, len(ids))
 	for _, id := range ids {
 		tk := o.tables.Tasks[id]
-		value, err := msgpack.Marshal(tk.Record)
+		value, err := encodeRecord(tk.Record)
 		if err != nil {
 			o.cfg.Log.Error().Err(err).Str("task", id).Msg("encode task record")
 			continue
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -367,7 +367,8 @@
 			t.Record.EndedUnixMilli = time.Now().UnixMilli()
 		}
 	}, func(err error) {
-		if err == nil {
+		// The same submission may have been accepted by another shard before.
+		if err == nil && o.tables.Tasks[tk.Record.Spec.ID] == tk {
 			o.recordTerminal(tk)
 			o.logEnd(tk)
 			if task.Terminal(tk.Record.State) {
--- /dev/null
+++ b/shard/submit_test.go
@@ -0,0 +1,81 @@
+package shard
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/task"
+)
+
+// submitOne submits a task that fits every VM and returns the answer.
+func (w *fuzzWorld) submitOne(id string) error {
+	answer := make(chan error, 1)
+	w.do(func() {
+		spec := task.Spec{ID: id, Customer: "c", JobClass: "j", Declared: fuzzSize, Duration: time.Hour}
+		w.owner.Submit([]task.Spec{spec}, 1, func(_ string, err error) { answer <- err })
+	})
+	time.Sleep(time.Second)
+	return <-answer
+}
+
+func (w *fuzzWorld) runningOn(id string) int {
+	n := 0
+	w.locked(func() {
+		for _, a := range w.agents {
+			if _, ok := a.running[id]; ok {
+				n++
+			}
+		}
+	})
+	return n
+}
+
+// Guards against a start that costs more writes than the budget of 2, and against a
+// start before the submission is durable.
+func TestSubmissionIsWrittenWithItsAssignment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		w := newFuzzWorld(t, ctx)
+		defer w.stop()
+		before := w.table.Counts().Commits
+		assert.NilError(t, w.submitOne("t"))
+		assert.Equal(t, w.runningOn("t"), 1)
+		assert.Equal(t, w.table.Counts().Commits-before, int64(1))
+	})
+}
+
+// Guards against a second run of a task that another shard has accepted under the
+// same id: the repeat is answered, and nothing is started here.
+func TestSubmissionAcceptedElsewhereIsNotStarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		w := newFuzzWorld(t, ctx)
+		defer w.stop()
+		assert.NilError(t, w.submitOne("t"))
+		rows, err := w.table.Get(ctx, Prefix("s")+"t")
+		assert.NilError(t, err)
+		_, err = w.table.Commit(ctx, store.Txn{Writes: []store.Write{
+			{Key: TaskIDPrefix + "u", Value: []byte("other")}, {Key: Prefix("other") + "u", Value: withID(t, rows[0].Value, "u")},
+		}})
+		assert.NilError(t, err)
+		assert.NilError(t, w.submitOne("u"))
+		assert.Equal(t, w.runningOn("u"), 0)
+	})
+}
+
+// withID returns the encoded record with another task id.
+func withID(t *testing.T, value []byte, id string) []byte {
+	rec, err := decodeRecord(value)
+	assert.NilError(t, err)
+	rec.Spec.ID = id
+	out, err := encodeRecord(rec)
+	assert.NilError(t, err)
+	return out
+}
