Refuse malformed YAML and limits that are not finite numbers

Cause: fuzzing the plan document found that .nan and .inf pass the checks of amounts, and that the YAML decoder panics on some malformed documents, for example an unknown tag in place of a list; decoding stood in six places. Conclusion: a malformed list is refused and leaves what is in force untouched.

--- a/command/chicoryctl/list_apply.go
+++ b/command/chicoryctl/list_apply.go
@@ -11,6 +11,7 @@
 
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/plan"
+	"github.com/chicorystand/chicorystand/strictyaml"
 )
 
 // listChange is the content of a file that changes one list.
@@ -50,8 +51,8 @@
 // parseList reads one list strictly and reports whether it names a generation.
 func parseList(file string, data []byte, k listKind) (plan.Document, bool, error) {
 	var doc plan.Document
-	if err := yaml.UnmarshalWithOptions(data, &doc, yaml.Strict()); err != nil {
-		return doc, false, errkind.New(errkind.InvalidArgument, "%s:%s", file, yaml.FormatError(err, false, false))
+	if err := strictyaml.Decode(file, data, &doc); err != nil {
+		return doc, false, err
 	}
 	other := doc
 	other.Generation = 0
--- a/command/chicoryctl/options.go
+++ b/command/chicoryctl/options.go
@@ -1,19 +1,17 @@
 package chicoryctl
 
 import (
-	"bytes"
 	"crypto/tls"
-	"io"
 	"net/http"
 	"os"
 	"path/filepath"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/spf13/cobra"
 
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/identity"
+	"github.com/chicorystand/chicorystand/strictyaml"
 )
 
 const (
@@ -93,8 +91,8 @@
 	if err != nil {
 		return c, errkind.Wrap(errkind.InvalidArgument, err, "config file")
 	}
-	if err := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict()).Decode(&c); err != nil && err != io.EOF {
-		return c, errkind.New(errkind.InvalidArgument, "%s:%s", file, yaml.FormatError(err, false, false))
+	if err := strictyaml.Decode(file, data, &c); err != nil {
+		return c, err
 	}
 	return c, nil
 }
--- a/command/chicoryctl/task_submit.go
+++ b/command/chicoryctl/task_submit.go
@@ -3,11 +3,11 @@
 import (
 	"net/http"
 
-	"github.com/goccy/go-yaml"
 	"github.com/spf13/cobra"
 
 	"github.com/chicorystand/chicorystand/entry"
 	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/strictyaml"
 	"github.com/chicorystand/chicorystand/task"
 	"github.com/chicorystand/chicorystand/wire"
 )
@@ -57,8 +57,8 @@
 		return nil, err
 	}
 	var specs []task.Spec
-	if err := yaml.UnmarshalWithOptions(data, &specs, yaml.Strict()); err != nil {
-		return nil, errkind.New(errkind.InvalidArgument, "%s:%s", file, yaml.FormatError(err, false, false))
+	if err := strictyaml.Decode(file, data, &specs); err != nil {
+		return nil, err
 	}
 	if len(specs) == 0 {
 		return nil, errkind.New(errkind.InvalidArgument, "%s holds no task; nothing was submitted", file)
--- a/devenv/deployment.go
+++ b/devenv/deployment.go
@@ -3,14 +3,12 @@
 package devenv
 
 import (
-	"bytes"
 	"time"
 
-	"github.com/goccy/go-yaml"
-
 	"github.com/chicorystand/chicorystand/deploy"
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/plan"
+	"github.com/chicorystand/chicorystand/strictyaml"
 	"github.com/chicorystand/chicorystand/task"
 )
 
@@ -74,9 +72,8 @@
 		return Deployment{}, errkind.New(errkind.NotFound, "no deployment %q", name)
 	}
 	var d Deployment
-	dec := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
-	if err := dec.Decode(&d); err != nil {
-		return Deployment{}, errkind.New(errkind.InvalidArgument, "%s: %s", file, yaml.FormatError(err, false, true))
+	if err := strictyaml.Decode(file, data, &d); err != nil {
+		return Deployment{}, err
 	}
 	return d, d.Config.Validate()
 }
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -3,14 +3,12 @@
 package plan
 
 import (
-	"bytes"
 	"fmt"
-	"io"
+	"math"
 	"strings"
 
-	"github.com/goccy/go-yaml"
-
 	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/strictyaml"
 )
 
 // Bounds of the document.
@@ -53,9 +51,8 @@
 // Parse reads a YAML document strictly and validates it. Errors name file, line and field.
 func Parse(file string, data []byte) (Document, error) {
 	var doc Document
-	dec := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict(), yaml.DisallowUnknownField())
-	if err := dec.Decode(&doc); err != nil && err != io.EOF {
-		return Document{}, errkind.New(errkind.InvalidArgument, "%s: %s", file, yaml.FormatError(err, false, true))
+	if err := strictyaml.Decode(file, data, &doc); err != nil {
+		return Document{}, err
 	}
 	if err := doc.Validate(); err != nil {
 		return Document{}, errkind.Wrap(errkind.InvalidArgument, err, "%s", file)
@@ -94,13 +91,17 @@
 		if l.Priority < 0 || l.Priority > MaxPriority {
 			report("limits[%d].priority: %d is outside 0..%d", i, l.Priority, MaxPriority)
 		}
-		if l.RequestsPerSecond < 0 || l.Concurrency < 0 || l.CPUMilli < 0 || l.MemoryMiB < 0 || l.Accelerators < 0 || l.ShareWeight < 0 {
-			report("limits[%d]: amounts of plan %q must not be negative", i, l.Plan)
+		if !amount(l.RequestsPerSecond) || l.Concurrency < 0 || l.CPUMilli < 0 || l.MemoryMiB < 0 || l.Accelerators < 0 || !amount(l.ShareWeight) {
+			report("limits[%d]: amounts of plan %q must be finite and not negative", i, l.Plan)
 		}
 	}
 	return seen
 }
 
+// amount reports whether v is a finite number that is not negative. YAML also has
+// values that are not numbers, and no comparison with those holds.
+func amount(v float64) bool { return v >= 0 && !math.IsInf(v, 1) }
+
 func (d Document) validatePlans(limits map[string]bool, report func(string, ...any)) {
 	seen := make(map[string]bool, len(d.Plans))
 	for i, p := range d.Plans {
--- a/settings/load.go
+++ b/settings/load.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"bytes"
 	"fmt"
 	"os"
 	"sort"
@@ -17,6 +16,7 @@
 	"github.com/spf13/pflag"
 
 	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/strictyaml"
 )
 
 // maxFile bounds a settings file in bytes.
@@ -73,9 +73,8 @@
 	if len(data) > maxFile {
 		return errkind.New(errkind.TooLarge, "settings file %s has %d bytes, at most %d", l.file, len(data), maxFile)
 	}
-	dec := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
-	if err := dec.Decode(&l.values); err != nil && len(bytes.TrimSpace(data)) > 0 {
-		return errkind.New(errkind.InvalidArgument, "%s:%s", l.file, yaml.FormatError(err, false, false))
+	if err := strictyaml.Decode(l.file, data, &l.values); err != nil {
+		return err
 	}
 	l.tree, err = parser.ParseBytes(data, 0)
 	return errkind.Wrap(errkind.InvalidArgument, err, "%s", l.file)
