Show a final state only once it is durable

A lookup showed the staged state of the last task before its commit; the demo took it for the end and checked the history up to 100 ms too early. The same lookup tells callers a result that the failure of the owner could still take back. Change: lookups show the last durable record while a final state is staged; a drained owner refuses task events instead of staging changes nobody is told of; the demo logs tasks that do not end; an unused second lookup is removed. Conclusion: the new test shows running until the store answers, then succeeded.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -66,7 +66,9 @@
 	nextEntry atomic.Uint64
 	down      sync.Map
 	accepted  map[string]bool
-	watchers  map[string]bool
+	// last holds the tasks as seen last while some were not finished.
+	last     []entry.TaskView
+	watchers map[string]bool
 }
 
 // Run executes the demo and returns its report.
@@ -108,6 +110,9 @@
 	r.disturb(ctx)
 	wg.Wait()
 	finished := r.awaitTasks(ctx)
+	if !finished {
+		r.logUnfinished()
+	}
 	r.progress("load has ended; tasks finished: %v", finished)
 	return r.report(), nil
 }
@@ -316,14 +321,27 @@
 	deadline := time.Now().Add(timeout)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		var views []entry.TaskView
-		if err := r.getJSON(ctx, r.entryURL()+"/v1/tasks", &views); err == nil && r.allDone(views) {
-			return true
+		if err := r.getJSON(ctx, r.entryURL()+"/v1/tasks", &views); err == nil {
+			if r.allDone(views) {
+				return true
+			}
+			r.last = views
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
 	return false
 }
 
+// logUnfinished tells the state of every task that did not end in time.
+func (r *runner) logUnfinished() {
+	for _, v := range r.last {
+		if !task.Terminal(v.State) && !r.watchers[v.Spec.ID] {
+			r.cfg.Log.Error().Str("task", v.Spec.ID).Str("state", v.State).Str("waiting", v.Waiting).Str("vm", v.VM).
+				Uint32("attempt", v.Attempt).Dur("progress", v.Progress).Int64("cpu_milli", v.Reserved.CPU).Msg("task has not ended")
+		}
+	}
+}
+
 func (r *runner) allDone(views []entry.TaskView) bool {
 	done := 0
 	for _, v := range views {
--- a/shard/agents.go
+++ b/shard/agents.go
@@ -330,6 +330,10 @@
 
 // TaskEvent applies an agent's report; done is called when it may be acknowledged.
 func (o *Owner) TaskEvent(ctx context.Context, ev *wire.TaskEvent, done func(error)) {
+	if o.closed {
+		done(errkind.New(errkind.NotOwner, "shard %s is being released", o.cfg.Shard))
+		return
+	}
 	tk, ok := o.tables.Tasks[ev.ID]
 	if !ok || !o.current(tk, ev.VM, ev.Attempt) {
 		// The report is about an attempt that the records have moved past, perhaps
@@ -384,6 +388,8 @@
 	for _, id := range ids {
 		tk, ok := o.tables.Tasks[id]
 		switch {
+		case o.closed:
+			done(id, errkind.New(errkind.NotOwner, "shard %s is being released", o.cfg.Shard))
 		case !ok || (customer != "" && tk.Record.Spec.Customer != customer):
 			done(id, errkind.New(errkind.NotFound, "task %s", id))
 		case tk.Record.State == task.Cancelled:
@@ -407,35 +413,6 @@
 	})
 }
 
-// Lookup returns records and the reasons why pending tasks wait.
-func (o *Owner) Lookup(customer string, ids []string, limit int) *wire.LookupReply {
-	reply := &wire.LookupReply{}
-	add := func(tk *tables.Task) {
-		if customer != "" && tk.Record.Spec.Customer != customer {
-			return
-		}
-		reply.Records = append(reply.Records, tk.Record)
-		if tk.Record.State == task.Pending {
-			reply.Waiting = append(reply.Waiting, wire.TaskResult{ID: tk.Record.Spec.ID, Kind: tk.Waiting})
-		}
-	}
-	if len(ids) > 0 {
-		for _, id := range ids {
-			if tk, ok := o.tables.Tasks[id]; ok {
-				add(tk)
-			}
-		}
-		return reply
-	}
-	for _, tk := range o.tables.Tasks {
-		if len(reply.Records) >= limit {
-			break
-		}
-		add(tk)
-	}
-	return reply
-}
-
 // RecordAccepted records the acknowledgement of a submission for the history checker.
 func (o *Owner) RecordAccepted(id string) {
 	o.cfg.Recorder.Record(history.Event{Kind: history.TaskAccepted, Task: id})
--- a/shard/commit.go
+++ b/shard/commit.go
@@ -90,7 +90,11 @@
 	}
 	for ctx.Err() == nil {
 		idle := false
-		if err := o.Do(ctx, func() { idle = len(o.dirty)+len(o.busy) == 0 }); err != nil || idle {
+		err := o.Do(ctx, func() {
+			idle = len(o.dirty)+len(o.busy) == 0
+			o.closed = idle
+		})
+		if err != nil || idle {
 			return
 		}
 		sleep(ctx, drainPoll)
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -90,12 +90,17 @@
 	doc       plan.Document
 	lost      bool
 	stopping  bool
+	// closed is set when the owner is drained. A change after that could become
+	// durable without anybody being told.
+	closed bool
 	// submitted is set while a submission has not been considered by the scheduler.
 	submitted   bool
 	scheduledAt time.Duration
 
 	// unsettled counts the registered commits of each task that are not finished.
 	unsettled map[string]int
+	// before holds the last durable records of tasks with changes that are not durable.
+	before map[string]task.Record
 	// growing holds the tasks whose growth an agent is asked for.
 	growing map[string]bool
 	stops   map[stopKey]*pendingStop
@@ -127,7 +132,7 @@
 	return &Owner{cfg: cfg, inbox: make(chan func(), 256), tables: tables.New(), sched: scheduler.New(cfg.Scheduler),
 		agents: make(map[string]*agentLink), dirty: make(map[string]*dirtyRow),
 		busy: make(map[string]*dirtyRow), source: &commitSource{shard: cfg.Shard, epoch: cfg.EpochCond},
-		unsettled: make(map[string]int), growing: make(map[string]bool), stops: make(map[stopKey]*pendingStop), orphans: make(map[string]map[string]struct{})}
+		unsettled: make(map[string]int), before: make(map[string]task.Record), growing: make(map[string]bool), stops: make(map[stopKey]*pendingStop), orphans: make(map[string]map[string]struct{})}
 }
 
 // Prefix returns the key prefix of the shard's task rows.
@@ -317,9 +322,12 @@
 
 // change moves the task through a life cycle event and marks its row dirty.
 func (o *Owner) change(tk *tables.Task, event string, mutate func(*tables.Task), done func(error)) bool {
-	if _, err := task.Next(tk.Record.State, event); err != nil {
+	if _, err := task.Next(tk.Record.State, event); err != nil || o.closed {
 		return false
 	}
+	if _, ok := o.before[tk.Record.Spec.ID]; !ok {
+		o.before[tk.Record.Spec.ID] = tk.Record
+	}
 	o.tables.Update(tk, func(t *tables.Task) {
 		_ = t.Record.Apply(event)
 		if mutate != nil {
@@ -341,6 +349,7 @@
 	row.done = append(row.done, func(err error) {
 		if o.unsettled[id]--; o.unsettled[id] == 0 {
 			delete(o.unsettled, id)
+			delete(o.before, id)
 		}
 		if done != nil {
 			done(err)
@@ -348,6 +357,14 @@
 	})
 }
 
+// visible returns the record that may be shown: a final state only once it is durable.
+func (o *Owner) visible(tk *tables.Task) task.Record {
+	if rec, ok := o.before[tk.Record.Spec.ID]; ok && task.Terminal(tk.Record.State) {
+		return rec
+	}
+	return tk.Record
+}
+
 // whenDurable calls done after the current record of the task is committed. An
 // event that repeats one whose commit is under way must not be acknowledged early.
 func (o *Owner) whenDurable(id string, done func(error)) {
--- a/shard/status.go
+++ b/shard/status.go
@@ -20,7 +20,7 @@
 		if len(reply.Records) >= int(q.Limit) && len(q.IDs) == 0 {
 			break
 		}
-		reply.Records = append(reply.Records, tk.Record)
+		reply.Records = append(reply.Records, o.visible(tk))
 		if tk.Record.State == task.Pending {
 			reply.Waiting = append(reply.Waiting, wire.TaskResult{ID: id, Kind: tk.Waiting})
 		}
@@ -62,7 +62,7 @@
 	if !ok || (customer != "" && tk.Record.Spec.Customer != customer) {
 		return nil, errkind.New(errkind.NotFound, "task %s", id)
 	}
-	r := &wire.ExplainReply{Record: tk.Record, VMs: len(o.tables.VMs)}
+	r := &wire.ExplainReply{Record: o.visible(tk), VMs: len(o.tables.VMs)}
 	if tk.Record.State != task.Pending {
 		return r, nil
 	}
--- a/shard/submit_test.go
+++ b/shard/submit_test.go
@@ -8,8 +8,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/chicorystand/chicorystand/platform/standin"
 	"github.com/chicorystand/chicorystand/store"
 	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/wire"
 )
 
 // submitOne submits a task that fits every VM and returns the answer.
@@ -79,3 +81,32 @@
 	assert.NilError(t, err)
 	return out
 }
+
+// Guards against a final state that is shown before it is durable: the caller would act
+// on a result that a failure of the owner can still take back.
+func TestFinalStateIsShownWhenDurable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		w := newFuzzWorld(t, ctx)
+		defer w.stop()
+		assert.NilError(t, w.submitOne("t"))
+		state := func() string {
+			var r *wire.LookupReply
+			assert.NilError(t, w.owner.Do(ctx, func() { r = w.owner.Select(&wire.Lookup{IDs: []string{"t"}, Limit: 1}) }))
+			return r.Records[0].State
+		}
+		w.table.SetFaults(standin.Faults{Down: true})
+		for _, a := range w.agents {
+			if attempt, ok := a.running["t"]; ok {
+				ev := &wire.TaskEvent{VM: a.id, ID: "t", Attempt: attempt, Event: wire.TaskSucceeded}
+				assert.NilError(t, w.owner.Do(ctx, func() { w.owner.TaskEvent(ctx, ev, func(error) {}) }))
+			}
+		}
+		time.Sleep(time.Second)
+		assert.Equal(t, state(), task.Running)
+		w.table.SetFaults(standin.Faults{})
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, state(), task.Succeeded)
+	})
+}
