Share the scale of learnt effects and the body of upstream start and stop

Cause: the agent and the shard owner each defined the scale of the same message field; two verbs of chicoryctl differed in one argument. Change: wire.PartsPerMillion; one command constructor for both verbs. Conclusion: each stands once.

--- a/agent/learnt.go
+++ b/agent/learnt.go
@@ -1,9 +1,10 @@
 package agent
 
-import "sync"
+import (
+	"sync"
 
-// partsPerMillion scales wire.ClassHarm.
-const partsPerMillion = 1e6
+	"github.com/chicorystand/chicorystand/wire"
+)
 
 // harms holds the learnt effects of job classes on the service, as the owner sent them.
 type harms struct {
@@ -21,7 +22,7 @@
 	if h.byClass == nil {
 		h.byClass = make(map[string]float64)
 	}
-	h.byClass[class] = float64(ppm) / partsPerMillion
+	h.byClass[class] = float64(ppm) / wire.PartsPerMillion
 }
 
 func (h *harms) get(class string) float64 {
--- a/command/chicoryctl/upstream_start.go
+++ b/command/chicoryctl/upstream_start.go
@@ -3,10 +3,15 @@
 import "github.com/spf13/cobra"
 
 func newUpstreamStart(o *options) *cobra.Command {
+	return o.drainingCommand("start", "Give new work to an upstream again that was stopped or drained", false)
+}
+
+// drainingCommand returns a command that sets whether an upstream drains.
+func (o *options) drainingCommand(verb, short string, draining bool) *cobra.Command {
 	return &cobra.Command{
-		Use:               "start VM",
-		Short:             "Give new work to an upstream again that was stopped or drained",
-		Example:           "  chicoryctl upstream start vm-00",
+		Use:               verb + " VM",
+		Short:             short,
+		Example:           "  chicoryctl upstream " + verb + " vm-00",
 		Args:              cobra.ExactArgs(1),
 		ValidArgsFunction: o.completeUpstreams,
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -14,7 +19,7 @@
 			if err != nil {
 				return err
 			}
-			u, err := c.setDraining(cmd.Context(), args[0], false)
+			u, err := c.setDraining(cmd.Context(), args[0], draining)
 			if err != nil {
 				return err
 			}
--- a/shard/learnt.go
+++ b/shard/learnt.go
@@ -10,12 +10,8 @@
 	"github.com/chicorystand/chicorystand/wire"
 )
 
-const (
-	// partsPerMillion scales wire.ClassHarm.
-	partsPerMillion = 1e6
-	// harmChangePercent is the smallest change of a learnt effect that is sent to an agent.
-	harmChangePercent = 10
-)
+// harmChangePercent is the smallest change of a learnt effect that is sent to an agent.
+const harmChangePercent = 10
 
 // harmPPM returns the learnt effect of a job class on the VM's service in
 // millionths, at least 1 so that it differs from "not known".
@@ -23,7 +19,7 @@
 	if v.Service == "" {
 		return 0
 	}
-	return uint32(max(o.tables.Harm(v.Service, class, tables.LoadBucket(v.Load))*partsPerMillion, 1))
+	return uint32(max(o.tables.Harm(v.Service, class, tables.LoadBucket(v.Load))*wire.PartsPerMillion, 1))
 }
 
 // learnt notes that the agent is sent the effect of a class.
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -226,6 +226,9 @@
 	Declared task.Resources
 }
 
+// PartsPerMillion scales ClassHarm.HarmPPM and StartTask.HarmPPM.
+const PartsPerMillion = 1e6
+
 // ClassHarm is the learnt relative slowdown of the VM's service for each processor
 // that tasks of the job class use, in millionths.
 type ClassHarm struct {
