Move the worker interface and the stand-ins out of platform/

The folder platform/ is to hold the adapter of the users' platform and nothing else. The interface to workers becomes package worker, the stand-ins package standin. No behaviour changes; the build and vet pass.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -19,7 +19,7 @@
 	"github.com/chicorystand/chicorystand/history"
 	"github.com/chicorystand/chicorystand/lease"
 	"github.com/chicorystand/chicorystand/ledger"
-	"github.com/chicorystand/chicorystand/platform"
+	"github.com/chicorystand/chicorystand/worker"
 	"github.com/chicorystand/chicorystand/task"
 	"github.com/chicorystand/chicorystand/wire"
 )
@@ -48,7 +48,7 @@
 	TailWeight float64
 
 	Clock    clock.Clock
-	Worker   platform.Worker
+	Worker   worker.Worker
 	Recorder *history.Recorder
 	Log      zerolog.Logger
 	// Transport carries requests to the upstream; nil uses TCP.
--- a/agent/guard.go
+++ b/agent/guard.go
@@ -8,7 +8,7 @@
 
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/guard"
-	"github.com/chicorystand/chicorystand/platform"
+	"github.com/chicorystand/chicorystand/worker"
 	"github.com/chicorystand/chicorystand/task"
 )
 
@@ -132,7 +132,7 @@
 	}
 }
 
-func (a *Agent) guardTasks(running []platform.Running, use map[string]task.Resources) []guard.Task {
+func (a *Agent) guardTasks(running []worker.Running, use map[string]task.Resources) []guard.Task {
 	var out []guard.Task
 	for _, r := range running {
 		if r.Class != task.Batch || r.Suspended {
@@ -164,7 +164,7 @@
 // whole has no room for it: processors are throttled back to the reservation; the
 // batch task with the largest excess of memory is throttled, then checkpointed.
 // Latency-critical tasks are left to the owner, which learns of the use by heartbeats.
-func (a *Agent) limitGrowth(running []platform.Running, use map[string]task.Resources, speeds map[string]float64, evict map[string]errkind.Kind) {
+func (a *Agent) limitGrowth(running []worker.Running, use map[string]task.Resources, speeds map[string]float64, evict map[string]errkind.Kind) {
 	total := a.cfg.ServiceHeld
 	worst, excess := "", int64(0)
 	for _, r := range running {
@@ -196,7 +196,7 @@
 
 // limitProcessors throttles batch tasks back to their reserved processors while
 // the tasks at full speed would use more than the VM has.
-func (a *Agent) limitProcessors(running []platform.Running, use map[string]task.Resources) {
+func (a *Agent) limitProcessors(running []worker.Running, use map[string]task.Resources) {
 	now, p := a.cfg.Clock.Now(), &a.protection
 	if now < p.limitedAt+limitInterval {
 		return
@@ -229,7 +229,7 @@
 }
 
 // applySpeeds tells the worker the speeds that changed.
-func (a *Agent) applySpeeds(running []platform.Running, speeds map[string]float64) {
+func (a *Agent) applySpeeds(running []worker.Running, speeds map[string]float64) {
 	next := make(map[string]float64)
 	for _, r := range running {
 		want := speedOf(speeds, r.ID)
--- a/agent/outbox_test.go
+++ b/agent/outbox_test.go
@@ -9,7 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/platform"
+	"github.com/chicorystand/chicorystand/worker"
 	"github.com/chicorystand/chicorystand/task"
 	"github.com/chicorystand/chicorystand/wire"
 )
@@ -52,7 +52,7 @@
 // and against a change that is never reported.
 func TestUsageFilterReportsChangesOnly(t *testing.T) {
 	var f usageFilter
-	use := func(cpu int64) []platform.Usage { return []platform.Usage{{ID: "t", Use: task.Resources{CPU: cpu}}} }
+	use := func(cpu int64) []worker.Usage { return []worker.Usage{{ID: "t", Use: task.Resources{CPU: cpu}}} }
 	assert.Equal(t, len(f.changed(use(100), nil, 0)), 1)
 	assert.Equal(t, len(f.changed(use(200), nil, 8*time.Second)), 0, "the last report is recent")
 	assert.Equal(t, len(f.changed(use(200), nil, 16*time.Second)), 1)
--- a/agent/tasks.go
+++ b/agent/tasks.go
@@ -7,7 +7,7 @@
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/history"
 	"github.com/chicorystand/chicorystand/ledger"
-	"github.com/chicorystand/chicorystand/platform"
+	"github.com/chicorystand/chicorystand/worker"
 	"github.com/chicorystand/chicorystand/task"
 	"github.com/chicorystand/chicorystand/wire"
 )
@@ -67,7 +67,7 @@
 	if err := a.ledger.Admit(m.Epoch, ledger.Entry{ID: m.ID, Attempt: m.Attempt, Reserved: m.Reserved}); err != nil {
 		return err
 	}
-	err := a.cfg.Worker.Start(platform.Start{
+	err := a.cfg.Worker.Start(worker.Start{
 		ID: m.ID, Customer: m.Customer, JobClass: m.JobClass, Class: m.Class, Attempt: m.Attempt, Reserved: m.Reserved, Declared: m.Declared,
 		Duration: time.Duration(m.DurationMS) * time.Millisecond, Progress: time.Duration(m.ProgressMS) * time.Millisecond,
 		Checkpoint: m.Checkpoint,
@@ -87,7 +87,7 @@
 }
 
 // running lists the attempts on the worker with their reservations in the ledger.
-func (a *Agent) running() []platform.Running {
+func (a *Agent) running() []worker.Running {
 	reserved := make(map[string]ledger.Entry)
 	for _, e := range a.ledger.Entries() {
 		reserved[e.ID] = e
@@ -196,13 +196,13 @@
 	}
 }
 
-func (a *Agent) finished(ctx context.Context, f platform.Finished) {
+func (a *Agent) finished(ctx context.Context, f worker.Finished) {
 	a.ledger.End(f.ID, f.Attempt, a.cfg.Clock.Now())
 	a.recordCommitment()
 	a.outbox.post(ctx, a.resultEvent(f))
 }
 
-func (a *Agent) resultEvent(f platform.Finished) *wire.TaskEvent {
+func (a *Agent) resultEvent(f worker.Finished) *wire.TaskEvent {
 	ev := &wire.TaskEvent{VM: a.cfg.VM, ID: f.ID, Attempt: f.Attempt, Event: wire.TaskSucceeded}
 	if f.Err != nil {
 		ev.Event, ev.Reason, ev.Detail = wire.TaskFailed, errkind.Of(f.Err), f.Err.Error()
--- a/agent/usage.go
+++ b/agent/usage.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/chicorystand/chicorystand/platform"
+	"github.com/chicorystand/chicorystand/worker"
 	"github.com/chicorystand/chicorystand/task"
 	"github.com/chicorystand/chicorystand/wire"
 )
@@ -41,7 +41,7 @@
 
 // changed returns the attempts whose usage differs from the last report by more
 // than usageChangePercent, or nothing when the last report is recent.
-func (f *usageFilter) changed(measured []platform.Usage, speeds map[string]float64, now time.Duration) []wire.Usage {
+func (f *usageFilter) changed(measured []worker.Usage, speeds map[string]float64, now time.Duration) []wire.Usage {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.sent && now-f.sentAt < usageInterval {
--- a/bench/inmem/cluster.go
+++ b/bench/inmem/cluster.go
@@ -20,7 +20,7 @@
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/history"
 	"github.com/chicorystand/chicorystand/plan"
-	"github.com/chicorystand/chicorystand/platform/standin"
+	"github.com/chicorystand/chicorystand/standin"
 	"github.com/chicorystand/chicorystand/store/httpstore"
 	"github.com/chicorystand/chicorystand/task"
 	"github.com/chicorystand/chicorystand/wire"
--- a/bench/route/env.go
+++ b/bench/route/env.go
@@ -19,7 +19,7 @@
 	"github.com/chicorystand/chicorystand/entry"
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/plan"
-	"github.com/chicorystand/chicorystand/platform/standin"
+	"github.com/chicorystand/chicorystand/standin"
 	"github.com/chicorystand/chicorystand/task"
 	"github.com/chicorystand/chicorystand/wire"
 )
--- a/command/chicoryagent/root.go
+++ b/command/chicoryagent/root.go
@@ -20,7 +20,7 @@
 	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/identity"
 	"github.com/chicorystand/chicorystand/metrics"
-	"github.com/chicorystand/chicorystand/platform/standin"
+	"github.com/chicorystand/chicorystand/standin"
 	"github.com/chicorystand/chicorystand/settings"
 	"github.com/chicorystand/chicorystand/store/httpstore"
 	"github.com/chicorystand/chicorystand/task"
--- a/command/chicoryctl/ctl_test.go
+++ b/command/chicoryctl/ctl_test.go
@@ -22,7 +22,7 @@
 	"github.com/chicorystand/chicorystand/entry"
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/platform/standin"
+	"github.com/chicorystand/chicorystand/standin"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/command/chicorydev/platform.go
+++ b/command/chicorydev/platform.go
@@ -10,7 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/platform/standin"
+	"github.com/chicorystand/chicorystand/standin"
 )
 
 func newPlatform() *cobra.Command {
--- a/confsync/confsync_test.go
+++ b/confsync/confsync_test.go
@@ -18,7 +18,7 @@
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/lease"
 	"github.com/chicorystand/chicorystand/plan"
-	"github.com/chicorystand/chicorystand/platform/standin"
+	"github.com/chicorystand/chicorystand/standin"
 	"github.com/chicorystand/chicorystand/store"
 )
 
--- a/devenv/env.go
+++ b/devenv/env.go
@@ -16,7 +16,7 @@
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/platform/standin"
+	"github.com/chicorystand/chicorystand/standin"
 	"github.com/chicorystand/chicorystand/store/httpstore"
 )
 
--- a/faultmatrix/cluster_test.go
+++ b/faultmatrix/cluster_test.go
@@ -19,8 +19,8 @@
 	"github.com/chicorystand/chicorystand/entry"
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/platform"
-	"github.com/chicorystand/chicorystand/platform/standin"
+	"github.com/chicorystand/chicorystand/worker"
+	"github.com/chicorystand/chicorystand/standin"
 	"github.com/chicorystand/chicorystand/store"
 	"github.com/chicorystand/chicorystand/task"
 )
@@ -309,7 +309,7 @@
 	c *cluster
 }
 
-func (u *usageFault) Usage() ([]platform.Usage, time.Duration) {
+func (u *usageFault) Usage() ([]worker.Usage, time.Duration) {
 	list, lag := u.Worker.Usage()
 	u.c.mu.Lock()
 	mode := u.c.badUsage
--- a/faultmatrix/faults_test.go
+++ b/faultmatrix/faults_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/platform/standin"
+	"github.com/chicorystand/chicorystand/standin"
 )
 
 // Lengths of faults, chosen against the leases: a shard lease is 15 s, a grant 30 s.
--- a/metrics/store_test.go
+++ b/metrics/store_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/chicorystand/chicorystand/confsync"
 	"github.com/chicorystand/chicorystand/metrics"
-	"github.com/chicorystand/chicorystand/platform/standin"
+	"github.com/chicorystand/chicorystand/standin"
 )
 
 // Guards against ages that stay at "never" because the keys of the rows changed,
--- a/shard/lifecycle_test.go
+++ b/shard/lifecycle_test.go
@@ -18,7 +18,7 @@
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/lease"
 	"github.com/chicorystand/chicorystand/ledger"
-	"github.com/chicorystand/chicorystand/platform/standin"
+	"github.com/chicorystand/chicorystand/standin"
 	"github.com/chicorystand/chicorystand/scheduler"
 	"github.com/chicorystand/chicorystand/store"
 	"github.com/chicorystand/chicorystand/task"
--- a/shard/submit_test.go
+++ b/shard/submit_test.go
@@ -8,7 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/platform/standin"
+	"github.com/chicorystand/chicorystand/standin"
 	"github.com/chicorystand/chicorystand/store"
 	"github.com/chicorystand/chicorystand/task"
 	"github.com/chicorystand/chicorystand/wire"
--- a/platform/standin/worker.go
+++ b/standin/worker.go
@@ -9,7 +9,7 @@
 	"github.com/chicorystand/chicorystand/clock"
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/platform"
+	"github.com/chicorystand/chicorystand/worker"
 	"github.com/chicorystand/chicorystand/store"
 	"github.com/chicorystand/chicorystand/task"
 )
@@ -43,11 +43,11 @@
 // Worker is an in-memory worker. Attempts advance while Run is active.
 type Worker struct {
 	cfg      WorkerConfig
-	finished chan platform.Finished
+	finished chan worker.Finished
 
 	mu       sync.Mutex
 	attempts map[string]*attempt
-	results  map[resultKey]platform.Finished
+	results  map[resultKey]worker.Finished
 	until    time.Duration
 	failed   bool
 }
@@ -58,7 +58,7 @@
 }
 
 type attempt struct {
-	start     platform.Start
+	start     worker.Start
 	progress  time.Duration
 	fraction  float64
 	suspended bool
@@ -76,8 +76,8 @@
 	if cfg.Step == 0 {
 		cfg.Step = 20 * time.Millisecond
 	}
-	return &Worker{cfg: cfg, finished: make(chan platform.Finished, finishedBuffer), attempts: make(map[string]*attempt),
-		results: make(map[resultKey]platform.Finished)}
+	return &Worker{cfg: cfg, finished: make(chan worker.Finished, finishedBuffer), attempts: make(map[string]*attempt),
+		results: make(map[resultKey]worker.Finished)}
 }
 
 // Run advances attempts until ctx ends.
@@ -112,7 +112,7 @@
 		a.progress += time.Duration(float64(elapsed) * a.fraction)
 		if err, done := w.outcome(a); done {
 			w.finish(id, a, err)
-			f := platform.Finished{ID: id, Attempt: a.start.Attempt, Err: err}
+			f := worker.Finished{ID: id, Attempt: a.start.Attempt, Err: err}
 			w.results[resultKey{id, f.Attempt}] = f
 			select {
 			case w.finished <- f:
@@ -186,11 +186,11 @@
 	w.cfg.Recorder.Record(e)
 }
 
-// Capacity implements platform.Worker.
+// Capacity implements worker.Worker.
 func (w *Worker) Capacity() task.Resources { return w.cfg.Capacity }
 
-// Start implements platform.Worker.
-func (w *Worker) Start(s platform.Start) error {
+// Start implements worker.Worker.
+func (w *Worker) Start(s worker.Start) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.failed {
@@ -209,7 +209,7 @@
 	return nil
 }
 
-// Renew implements platform.Worker.
+// Renew implements worker.Worker.
 func (w *Worker) Renew(until time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -218,7 +218,7 @@
 	}
 }
 
-// Throttle implements platform.Worker.
+// Throttle implements worker.Worker.
 func (w *Worker) Throttle(id string, fraction float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -227,40 +227,40 @@
 	}
 }
 
-// Checkpoint implements platform.Worker. The object is written without the lock,
+// Checkpoint implements worker.Worker. The object is written without the lock,
 // so that a slow object store does not delay the end of a lease.
-func (w *Worker) Checkpoint(id string, attemptNo uint32) (platform.Checkpoint, error) {
+func (w *Worker) Checkpoint(id string, attemptNo uint32) (worker.Checkpoint, error) {
 	cp, err := w.snapshot(id, attemptNo)
 	if err != nil {
-		return platform.Checkpoint{}, err
+		return worker.Checkpoint{}, err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), checkpointTimeout)
 	defer cancel()
 	if err := w.cfg.Objects.Put(ctx, cp.Ref, []byte(cp.Progress.String())); err != nil {
-		return platform.Checkpoint{}, err
+		return worker.Checkpoint{}, err
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	a, ok := w.attempts[id]
 	if !ok || a.start.Attempt != attemptNo {
-		return platform.Checkpoint{}, errkind.New(errkind.NotFound, "attempt %d of task %s has ended", attemptNo, id)
+		return worker.Checkpoint{}, errkind.New(errkind.NotFound, "attempt %d of task %s has ended", attemptNo, id)
 	}
 	w.cfg.Recorder.Record(history.Event{Kind: history.TaskCheckpoint, Task: id, Attempt: attemptNo, VM: w.cfg.VM, Progress: cp.Progress})
 	return cp, nil
 }
 
-func (w *Worker) snapshot(id string, attemptNo uint32) (platform.Checkpoint, error) {
+func (w *Worker) snapshot(id string, attemptNo uint32) (worker.Checkpoint, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	a, ok := w.attempts[id]
 	if !ok || a.start.Attempt != attemptNo {
-		return platform.Checkpoint{}, errkind.New(errkind.NotFound, "attempt %d of task %s", attemptNo, id)
+		return worker.Checkpoint{}, errkind.New(errkind.NotFound, "attempt %d of task %s", attemptNo, id)
 	}
 	a.ckpts++
-	return platform.Checkpoint{Ref: fmt.Sprintf("checkpoint/%s/%d-%d", id, attemptNo, a.ckpts), Progress: a.progress}, nil
+	return worker.Checkpoint{Ref: fmt.Sprintf("checkpoint/%s/%d-%d", id, attemptNo, a.ckpts), Progress: a.progress}, nil
 }
 
-// Stop implements platform.Worker.
+// Stop implements worker.Worker.
 func (w *Worker) Stop(id string, attemptNo uint32) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -269,25 +269,25 @@
 	}
 }
 
-// List implements platform.Worker.
-func (w *Worker) List() []platform.Running {
+// List implements worker.Worker.
+func (w *Worker) List() []worker.Running {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	out := make([]platform.Running, 0, len(w.attempts))
+	out := make([]worker.Running, 0, len(w.attempts))
 	for _, a := range w.attempts {
-		out = append(out, platform.Running{Start: a.start, Suspended: a.suspended, Progress: a.progress})
+		out = append(out, worker.Running{Start: a.start, Suspended: a.suspended, Progress: a.progress})
 	}
 	return out
 }
 
-// Usage implements platform.Worker.
-func (w *Worker) Usage() ([]platform.Usage, time.Duration) {
+// Usage implements worker.Worker.
+func (w *Worker) Usage() ([]worker.Usage, time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	out := make([]platform.Usage, 0, len(w.attempts))
+	out := make([]worker.Usage, 0, len(w.attempts))
 	for id, a := range w.attempts {
 		f, declared := w.behavior(a.start.JobClass).UsageFactor, a.declared()
-		out = append(out, platform.Usage{ID: id, Use: task.Resources{
+		out = append(out, worker.Usage{ID: id, Use: task.Resources{
 			CPU:    int64(float64(declared.CPU) * f * a.fraction),
 			Memory: int64(float64(declared.Memory) * f),
 		}})
@@ -295,21 +295,21 @@
 	return out, w.cfg.Lag
 }
 
-// Finished implements platform.Worker.
-func (w *Worker) Finished() <-chan platform.Finished { return w.finished }
+// Finished implements worker.Worker.
+func (w *Worker) Finished() <-chan worker.Finished { return w.finished }
 
-// Results implements platform.Worker.
-func (w *Worker) Results() []platform.Finished {
+// Results implements worker.Worker.
+func (w *Worker) Results() []worker.Finished {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	out := make([]platform.Finished, 0, len(w.results))
+	out := make([]worker.Finished, 0, len(w.results))
 	for _, f := range w.results {
 		out = append(out, f)
 	}
 	return out
 }
 
-// Acknowledge implements platform.Worker.
+// Acknowledge implements worker.Worker.
 func (w *Worker) Acknowledge(id string, attemptNo uint32) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/store/writer_test.go
+++ b/store/writer_test.go
@@ -14,7 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/platform/standin"
+	"github.com/chicorystand/chicorystand/standin"
 	"github.com/chicorystand/chicorystand/store"
 )
 
--- a/platform/platform.go
+++ b/worker/worker.go
@@ -1,5 +1,5 @@
-// Package platform defines the interface to the platform's workers.
-package platform
+// Package worker defines the interface to the platform's workers.
+package worker
 
 import (
 	"time"
