--- a/agent/guard.go
+++ b/agent/guard.go
@@ -8,8 +8,8 @@
 
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/guard"
-	"github.com/chicorystand/chicorystand/worker"
 	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/worker"
 )
 
 // latencies collects how long the upstream took for the forwarded requests.
--- a/agent/tasks.go
+++ b/agent/tasks.go
@@ -7,9 +7,9 @@
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/history"
 	"github.com/chicorystand/chicorystand/ledger"
-	"github.com/chicorystand/chicorystand/worker"
 	"github.com/chicorystand/chicorystand/task"
 	"github.com/chicorystand/chicorystand/wire"
+	"github.com/chicorystand/chicorystand/worker"
 )
 
 // Timing of task events.
--- a/bench/recovery/recovery.go
+++ b/bench/recovery/recovery.go
@@ -14,8 +14,8 @@
 	"github.com/chicorystand/chicorystand/bench/inmem"
 	"github.com/chicorystand/chicorystand/history"
 	"github.com/chicorystand/chicorystand/lease"
-	"github.com/chicorystand/chicorystand/standin"
 	"github.com/chicorystand/chicorystand/shard"
+	"github.com/chicorystand/chicorystand/standin"
 	"github.com/chicorystand/chicorystand/task"
 )
 
--- a/command/chicoryagent/root.go
+++ b/command/chicoryagent/root.go
@@ -15,20 +15,21 @@
 	"github.com/chicorystand/chicorystand/agent"
 	"github.com/chicorystand/chicorystand/clock"
 	"github.com/chicorystand/chicorystand/command/daemon"
+	"github.com/chicorystand/chicorystand/command/deployed"
 	"github.com/chicorystand/chicorystand/entry"
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/identity"
 	"github.com/chicorystand/chicorystand/metrics"
-	"github.com/chicorystand/chicorystand/standin"
 	"github.com/chicorystand/chicorystand/settings"
+	"github.com/chicorystand/chicorystand/standin"
 	"github.com/chicorystand/chicorystand/store/httpstore"
 	"github.com/chicorystand/chicorystand/task"
 )
 
 // New returns the root command.
 func New() *cobra.Command {
-	return daemon.Command(daemon.Spec{
+	root := daemon.Command(daemon.Spec{
 		Name: "chicory-agent", Short: "Admit requests to the upstream of a VM and run its tasks",
 		New: func() any { return new(settings.Agent) },
 		Common: func(v any) daemon.Common {
@@ -37,6 +38,8 @@
 		},
 		Open: open,
 	})
+	root.AddCommand(deployed.NewAgent())
+	return root
 }
 
 // standinServiceTime is the service time of the stand-in upstream.
--- a/command/chicoryentry/root.go
+++ b/command/chicoryentry/root.go
@@ -12,6 +12,7 @@
 
 	"github.com/chicorystand/chicorystand/clock"
 	"github.com/chicorystand/chicorystand/command/daemon"
+	"github.com/chicorystand/chicorystand/command/deployed"
 	"github.com/chicorystand/chicorystand/entry"
 	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/identity"
@@ -21,7 +22,7 @@
 
 // New returns the root command.
 func New() *cobra.Command {
-	return daemon.Command(daemon.Spec{
+	root := daemon.Command(daemon.Spec{
 		Name: "chicory-entry", Short: "Serve callers and operators, route requests and own shards",
 		New: func() any { return new(settings.Entry) },
 		Common: func(v any) daemon.Common {
@@ -30,6 +31,8 @@
 		},
 		Open: open,
 	})
+	root.AddCommand(deployed.NewEntry())
+	return root
 }
 
 type server struct {
--- /dev/null
+++ b/command/deployed/agent.go
@@ -0,0 +1,69 @@
+package deployed
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/chicorystand/chicorystand/command/run"
+	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/member"
+	"github.com/chicorystand/chicorystand/metrics"
+	"github.com/chicorystand/chicorystand/platform"
+	"github.com/chicorystand/chicorystand/vmagent"
+)
+
+// NewAgent returns the verb that runs the agent on the platform.
+func NewAgent() *cobra.Command {
+	return &cobra.Command{
+		Use:   "platform",
+		Short: "Run beside an executor on the users' platform until SIGTERM",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			p, err := newProcess()
+			if err != nil {
+				return run.Reported(err)
+			}
+			defer p.closeLog()
+			return run.Reported(p.runAgent())
+		},
+	}
+}
+
+// agentStop is how long orders in progress may end after SIGTERM. The executor
+// goes on, so the next process should start soon.
+const agentStop = 100 * time.Millisecond
+
+func (p *process) runAgent() error {
+	ctx, cancel := p.signals()
+	defer cancel()
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	m := metrics.NewDeployment(metrics.DeploymentSources{Owning: func() bool { return false },
+		ManifestVersion: func() int64 { return 0 }, OwnerSilence: p.link.Silent})
+	a := vmagent.New(work, vmagent.Config{Name: p.settings.Node, Client: platform.NewExecutors(), Clock: p.clock, Log: p.log,
+		Link: p.link, Pacing: p.settings.Bounds.Pacing, Observe: m.ObserveOrder})
+	beats, err := p.listen(ctx, p.settings.Heartbeats)
+	if err != nil {
+		return err
+	}
+	self := p.member(member.Agent)
+	control, err := p.listen(ctx, self.Address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: platform.HeartbeatHandler(a), ReadHeaderTimeout: time.Second}
+	go p.serveHTTP(server, beats)
+	go member.Serve(control, p.link, a.Handle)
+	go p.serveMetrics(ctx, m.Registry)
+	go member.KeepRegistered(work, p.store, self, p.link.Silent)
+	events.ProcessStarted.Log(p.log).Str("role", "agent").Str("heartbeats", p.settings.Heartbeats).Str("control", self.Address).
+		Uint64("incarnation", self.Incarnation).Send()
+	<-ctx.Done()
+	events.ProcessStopping.Log(p.log).Send()
+	time.Sleep(agentStop)
+	events.ProcessStopped.Log(p.log).Send()
+	return nil
+}
--- /dev/null
+++ b/command/deployed/entry.go
@@ -0,0 +1,149 @@
+package deployed
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/chicorystand/chicorystand/command/run"
+	"github.com/chicorystand/chicorystand/coordinator"
+	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/follow"
+	"github.com/chicorystand/chicorystand/gateway"
+	"github.com/chicorystand/chicorystand/manifest"
+	"github.com/chicorystand/chicorystand/member"
+	"github.com/chicorystand/chicorystand/metrics"
+	"github.com/chicorystand/chicorystand/platform"
+)
+
+// NewEntry returns the verb that runs the entry on the platform.
+func NewEntry() *cobra.Command {
+	return &cobra.Command{
+		Use:   "platform",
+		Short: "Serve requesters on the users' platform and own the work, until SIGTERM",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			p, err := newProcess()
+			if err != nil {
+				return run.Reported(err)
+			}
+			defer p.closeLog()
+			return run.Reported(p.runEntry())
+		},
+	}
+}
+
+const (
+	// storeSilence is how long the store may be silent before the entry asks for no new connections.
+	storeSilence = 3 * time.Second
+	// leaveRotation is how long the platform takes to send no new connections here:
+	// two readings of the readiness, one second apart, and some margin.
+	leaveRotation = 2500 * time.Millisecond
+	// stopMargin is kept free at the end of the grace period.
+	stopMargin = time.Second
+	// idleCheck is the time between two looks at the open connections during a stop.
+	idleCheck = 50 * time.Millisecond
+	// headerTimeout and idleTimeout bound connections of requesters.
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 15 * time.Second
+)
+
+// entryProcess is the entry with its servers.
+type entryProcess struct {
+	*process
+	manifest *manifest.Follower
+	followed *follow.Table
+	stopping atomic.Bool
+	open     atomic.Int64
+}
+
+func (p *process) runEntry() error {
+	ctx, cancel := p.signals()
+	defer cancel()
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	e := &entryProcess{process: p, manifest: manifest.NewFollower(platform.ManifestKey, platform.DecodeManifest, p.log)}
+	e.followed = follow.New(p.store, platform.ManifestTable, e.manifest, p.clock, p.log)
+	self := p.member(member.Entry)
+	candidate := coordinator.NewCandidate(coordinator.Config{Store: p.store, Clock: p.clock, Log: p.log, Bounds: p.bounds(),
+		Member: self, Manifest: e.manifest.Current}, p.link.Silent)
+	m := metrics.NewDeployment(metrics.DeploymentSources{Owning: candidate.Owning, ManifestVersion: e.version, OwnerSilence: p.link.Silent})
+	g := gateway.New(p.store, p.clock, p.log, p.link, e.manifest.Current, m.ObserveAnswer)
+	control, err := p.listen(ctx, self.Address)
+	if err != nil {
+		return err
+	}
+	requests, err := p.listen(ctx, p.settings.Requests)
+	if err != nil {
+		return err
+	}
+	readiness, err := p.listen(ctx, p.settings.Readiness)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: platform.RequestHandler(g), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: e.connState}
+	probe := &http.Server{Handler: platform.ReadinessHandler(e.ready), ReadHeaderTimeout: headerTimeout}
+	go e.followed.Run(work, 0)
+	go member.Serve(control, p.link, p.link.Handle)
+	go member.KeepRegistered(work, p.store, self, p.link.Silent)
+	go p.serveHTTP(server, requests)
+	go p.serveHTTP(probe, readiness)
+	go p.serveMetrics(ctx, m.Registry)
+	owned := make(chan struct{})
+	go func() {
+		defer close(owned)
+		candidate.Run(ctx)
+	}()
+	events.ProcessStarted.Log(p.log).Str("role", "entry").Str("requests", p.settings.Requests).Str("control", self.Address).
+		Uint64("incarnation", self.Incarnation).Send()
+	<-ctx.Done()
+	e.shutdown(server, owned)
+	return nil
+}
+
+func (e *entryProcess) version() int64 {
+	if m := e.manifest.Current(); m != nil {
+		return m.Version
+	}
+	return 0
+}
+
+// ready reports whether new connections should come here.
+func (e *entryProcess) ready() bool {
+	age, ok := e.followed.Age()
+	return !e.stopping.Load() && e.manifest.Current() != nil && ok && age < storeSilence
+}
+
+func (e *entryProcess) connState(_ net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		e.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		e.open.Add(-1)
+	default:
+	}
+}
+
+// shutdown gives up the ownership, leaves the rotation, and serves open
+// connections until they are gone or the grace period is nearly over.
+func (e *entryProcess) shutdown(server *http.Server, owned <-chan struct{}) {
+	start := time.Now()
+	e.stopping.Store(true)
+	events.ProcessStopping.Log(e.log).Int64("connections", e.open.Load()).Send()
+	server.SetKeepAlivesEnabled(false)
+	<-owned
+	end := start.Add(e.settings.Bounds.Grace - stopMargin)
+	for time.Now().Before(end) && (time.Since(start) < leaveRotation || e.open.Load() > 0) {
+		time.Sleep(idleCheck)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		events.StopTimedOut.Log(e.log).Int64("connections", e.open.Load()).Err(err).Send()
+	}
+	events.ProcessStopped.Log(e.log).Send()
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,111 @@
+// Package dispatch decides for all submissions of a deployment: which tasks may
+// start, where, and what their ends mean. Its state is held in tables of jobs,
+// tasks and executors. Reports change the tables, systems run over them in Tick,
+// and nothing that a decision causes leaves the package before the records that
+// it depends on are committed.
+//
+// The package uses no network and no clock of its own. An Owner is not safe for
+// concurrent use.
+package dispatch
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chicorystand/chicorystand/manifest"
+	"github.com/chicorystand/chicorystand/submission"
+)
+
+// Bounds are the figures of a deployment that the owner's time-outs follow.
+type Bounds struct {
+	// Lease is how far ahead of its clock an executor may run without contact.
+	Lease time.Duration
+	// StoreLoss is how long an owner extends leases without a successful commit.
+	StoreLoss time.Duration
+	// StopTimeout is the longest time that a task takes to stop.
+	StopTimeout time.Duration
+	// EarlyStart is how much before its due time an occurrence may start.
+	EarlyStart time.Duration
+	// Retention is how long the record of an ended submission is kept.
+	Retention time.Duration
+}
+
+const (
+	// clockRate is the slowest rate of an executor's clock: it may be 2% slow.
+	clockRate = 0.98
+	// leaseMargin is added to the end of a lease, for the resolution of the clocks.
+	leaseMargin = 150 * time.Millisecond
+	// maxBatch is the largest number of records in one commit; the store accepts
+	// 100 entries in a transaction, some of which belong to the lease.
+	maxBatch = 90
+)
+
+// leaseEnd returns how long it takes at most until an executor's clock has advanced by d.
+func leaseEnd(d time.Duration) time.Duration {
+	return time.Duration(float64(d)/clockRate) + leaseMargin
+}
+
+// Owner holds the tables.
+type Owner struct {
+	bounds Bounds
+	epoch  uint64
+	// since is when this owner took over.
+	since time.Duration
+	log   zerolog.Logger
+	// unix converts the owner's clock to Unix milliseconds.
+	unix func(now time.Duration) int64
+
+	manifest  *manifest.Manifest
+	jobs      map[string]*job
+	executors map[submission.Incarnation]*node
+	// waiting holds the steps with tasks that may start.
+	waiting map[stepKey]*waitingStep
+	// timed holds jobs with occurrences that are not due yet.
+	timed map[string]*job
+	dirty map[string]*job
+	// changed tells that a placement may succeed that did not before.
+	changed bool
+	// lastCommit is when the last successful commit was sent.
+	lastCommit time.Duration
+	outbox     map[submission.Incarnation]*outbox
+	pending    effects
+	stats      Counters
+}
+
+// Counters are totals since the owner started.
+type Counters struct {
+	Starts, Ends, Failures, Lost, Rejected uint64
+}
+
+// New returns an owner without work. now is the owner's clock, which includes
+// time in suspension; unix converts it to Unix milliseconds.
+func New(b Bounds, epoch uint64, now time.Duration, unix func(time.Duration) int64, log zerolog.Logger) *Owner {
+	return &Owner{bounds: b, epoch: epoch, since: now, lastCommit: now, log: log, unix: unix, jobs: make(map[string]*job),
+		executors: make(map[submission.Incarnation]*node), waiting: make(map[stepKey]*waitingStep), timed: make(map[string]*job),
+		dirty: make(map[string]*job), outbox: make(map[submission.Incarnation]*outbox), pending: newEffects()}
+}
+
+// Epoch returns the owner's epoch.
+func (o *Owner) Epoch() uint64 { return o.epoch }
+
+// Counters returns the totals.
+func (o *Owner) Counters() Counters { return o.stats }
+
+// SetManifest puts a manifest in force. Older versions are ignored.
+func (o *Owner) SetManifest(m *manifest.Manifest) {
+	if o.manifest == nil || m.Version > o.manifest.Version {
+		o.manifest = m
+		o.changed = true
+	}
+}
+
+// Tick runs the systems.
+func (o *Owner) Tick(now time.Duration) {
+	o.expireLeases(now)
+	o.releaseDue(now)
+	o.evacuate(now)
+	o.place(now)
+	o.repeatOrders(now)
+	o.forget(now)
+}
--- /dev/null
+++ b/dispatch/place.go
@@ -0,0 +1,202 @@
+package dispatch
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/ordering"
+	"github.com/chicorystand/chicorystand/placement"
+	"github.com/chicorystand/chicorystand/submission"
+)
+
+// place gives executors to the tasks that wait, in the order of package ordering.
+func (o *Owner) place(now time.Duration) {
+	if !o.changed || len(o.waiting) == 0 {
+		return
+	}
+	o.changed = false
+	for _, w := range o.ordered(now) {
+		o.placeStep(w, now)
+	}
+}
+
+// ordered returns the waiting steps in the order in which they get executors.
+func (o *Owner) ordered(now time.Duration) []*waitingStep {
+	type entry struct {
+		step *waitingStep
+		key  ordering.Waiting
+	}
+	list := make([]entry, 0, len(o.waiting))
+	for _, w := range o.waiting {
+		list = append(list, entry{w, w.orderingKey()})
+	}
+	slices.SortFunc(list, func(a, b entry) int {
+		if ordering.Less(&a.key, &b.key, now) {
+			return -1
+		}
+		return 1
+	})
+	out := make([]*waitingStep, len(list))
+	for i := range list {
+		out[i] = list[i].step
+	}
+	return out
+}
+
+func (w *waitingStep) orderingKey() ordering.Waiting {
+	s := w.job.sub
+	arrived := w.job.arrived
+	if due := s.Due(w.key.occurrence); due > 0 {
+		arrived += time.Duration(due-s.Accepted) * time.Millisecond
+	}
+	allowed := time.Duration(float64(chain(s, 0)) * max(1, s.Stretch))
+	return ordering.Waiting{Priority: s.Priority, Due: arrived + allowed + s.TargetLatency,
+		Remaining: chain(s, w.key.step), Arrived: arrived, ID: s.ID}
+}
+
+// chain returns the estimated time of the longest chain of steps from the given
+// step to the end; for step 0 it is the longest chain of all.
+func chain(s *submission.Submission, from int) time.Duration {
+	longest := make([]time.Duration, len(s.Steps))
+	var all time.Duration
+	for i := len(s.Steps) - 1; i >= 0; i-- {
+		longest[i] += s.Steps[i].Estimate
+		for _, d := range s.Steps[i].DependsOn {
+			longest[d] = max(longest[d], longest[i])
+		}
+		all = max(all, longest[i])
+	}
+	if from == 0 {
+		return all
+	}
+	return longest[from]
+}
+
+func (o *Owner) placeStep(w *waitingStep, now time.Duration) {
+	s := w.job.sub
+	step := &s.Steps[w.key.step]
+	places, nodes := o.nodes(o.service(s), now)
+	if len(places) == 0 {
+		return
+	}
+	tasks := w.tasks
+	if step.Gang {
+		o.placeGang(w, places, nodes, now)
+		return
+	}
+	onNode := o.countByNode(w)
+	left := tasks[:0]
+	for i, t := range tasks {
+		p := placement.Choose(o.query(w, t, step, onNode, ""), places)
+		if p < 0 {
+			left = append(left, tasks[i:]...)
+			break
+		}
+		onNode[places[p].ID]++
+		o.assign(t, nodes[p], now)
+	}
+	o.setWaiting(w, left)
+}
+
+func (o *Owner) setWaiting(w *waitingStep, left []*taskEntry) {
+	w.tasks = left
+	if len(left) == 0 {
+		delete(o.waiting, w.key)
+	}
+}
+
+// service returns the pool that the queue's tasks go to under the manifest in force.
+func (o *Owner) service(s *submission.Submission) string {
+	if o.manifest != nil {
+		if r := o.manifest.Route(s.Queue); r != nil {
+			return r.Service
+		}
+	}
+	return s.Service
+}
+
+func (o *Owner) query(w *waitingStep, t *taskEntry, step *submission.Step, onNode map[string]int, rack string) placement.Query {
+	return placement.Query{Step: step, Rack: rack,
+		OnNode: func(id string) int { return onNode[id] },
+		Avoid:  func(id string) bool { return slices.Contains(t.failedOn, id) }}
+}
+
+// countByNode counts the running tasks of the step on each executor.
+func (o *Owner) countByNode(w *waitingStep) map[string]int {
+	counts := make(map[string]int)
+	for _, t := range w.job.stepTasks(w.key) {
+		if t.node != nil {
+			counts[t.node.info.ID]++
+		}
+	}
+	return counts
+}
+
+// placeGang places all members or none. They share a run number.
+func (o *Owner) placeGang(w *waitingStep, places []*placement.Node, nodes []*node, now time.Duration) {
+	step := &w.job.sub.Steps[w.key.step]
+	onNode, rack := o.countByNode(w), ""
+	var chosen []int
+	var run uint32
+	trial := make([]*placement.Node, len(places))
+	for i, p := range places {
+		c := *p
+		trial[i] = &c
+	}
+	for _, t := range w.tasks {
+		p := placement.Choose(o.query(w, t, step, onNode, rack), trial)
+		if p < 0 {
+			return
+		}
+		trial[p].Reserved = trial[p].Reserved.Add(t.reserved())
+		if step.Fills {
+			trial[p].Filling += step.Request.CPU
+		}
+		onNode[trial[p].ID]++
+		rack = trial[p].Rack
+		chosen = append(chosen, p)
+		run = max(run, t.rec.Run)
+	}
+	for i, t := range w.tasks {
+		t.rec.Run = run
+		o.assign(t, nodes[chosen[i]], now)
+	}
+	o.setWaiting(w, nil)
+}
+
+// assign reserves the executor and records the start. The order is sent once the record is durable.
+func (o *Owner) assign(t *taskEntry, n *node, now time.Duration) {
+	t.rec.State, t.rec.Executor = submission.TaskAssigned, n.info.Incarnation
+	t.rec.Run++
+	t.node, t.phase, t.changedAt, t.percent = n, phaseRecorded, now, 0
+	n.reserve(t)
+	o.dirty[t.job.sub.ID] = t.job
+	o.pending.starts = append(o.pending.starts, t)
+	events.TaskPlaced.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", n.info.ID).
+		Dur("waited", now-t.job.arrived).Int64("reserved_cpu", n.place.Reserved.CPU).Int64("filling_cpu", n.place.Filling).
+		Dur("list_age", now-n.clockAt).Send()
+}
+
+// evacuate moves tasks off executors that leave, where that saves work.
+func (o *Owner) evacuate(now time.Duration) {
+	for _, n := range o.executors {
+		if n.gone || !n.info.Draining {
+			continue
+		}
+		for t := range n.tasks {
+			if t.phase == phaseRunning && !t.stopping && t.step().Checkpoints && now >= n.drainEnd-evacuationLead {
+				o.stop(t, now)
+			}
+		}
+	}
+}
+
+// evacuationLead is how long before the end of its drain time an executor's tasks are stopped.
+const evacuationLead = 700 * time.Millisecond
+
+func sortNodes(places []*placement.Node, nodes []*node) {
+	slices.SortFunc(places, func(a, b *placement.Node) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(nodes, func(a, b *node) int { return strings.Compare(a.info.ID, b.info.ID) })
+}
--- /dev/null
+++ b/dispatch/reports.go
@@ -0,0 +1,279 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/executor"
+	"github.com/chicorystand/chicorystand/placement"
+	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+// missingLists is the number of complete lists without a run after which it is taken as lost.
+const missingLists = 2
+
+// settleTime is how long a run may be missing from lists that were read before it started.
+const settleTime = 1500 * time.Millisecond
+
+// Report takes in what an agent says about an executor.
+func (o *Owner) Report(r *wire.Report, now time.Duration) {
+	if r.Gone {
+		o.executorGone(r.Info.Incarnation, now)
+		return
+	}
+	o.replaceOlder(r.Info, now)
+	n := o.node(r.Info.Incarnation)
+	if n.gone {
+		return
+	}
+	first := n.agent == ""
+	o.updateNode(n, r, now)
+	if first {
+		events.ExecutorFound.Log(o.log).Str("executor", r.Info.ID).Int64("born", r.Info.Born).Str("agent", r.Agent).
+			Str("zone", r.Info.Zone).Str("rack", r.Info.Rack).Int64("cpu", r.Info.Capacity.CPU).Send()
+	}
+	if r.Epoch != o.epoch {
+		return
+	}
+	n.lost = false
+	o.applyEnds(n, r.Ended, now)
+	if r.Full {
+		o.applyList(n, r.Running, now)
+	}
+}
+
+// replaceOlder ends older lifetimes at the same id or address: the executor's
+// process has been replaced, so nothing of them runs.
+func (o *Owner) replaceOlder(info executor.Info, now time.Duration) {
+	for inc, n := range o.executors {
+		if n.gone || inc == info.Incarnation {
+			continue
+		}
+		if (inc.ID == info.ID || n.info.Address == info.Address) && inc.Born < info.Born {
+			o.executorGone(inc, now)
+		}
+	}
+}
+
+func (o *Owner) updateNode(n *node, r *wire.Report, now time.Duration) {
+	if !n.info.Draining && r.Info.Draining {
+		n.drainEnd = now + r.Info.Remaining
+		events.ExecutorDraining.Log(o.log).Str("executor", r.Info.ID).Dur("remaining", r.Info.Remaining).Int("tasks", len(n.tasks)).Send()
+	}
+	if !n.connected {
+		// Orders that were on their way may be lost with the earlier connection.
+		for t := range n.tasks {
+			t.orderedAt, t.stopSent = 0, 0
+		}
+		n.describe = true
+	}
+	draining := n.info.Draining || r.Info.Draining
+	n.info, n.agent, n.connected = r.Info, r.Agent, true
+	n.info.Draining = draining
+	n.place.Kind, n.place.Rack, n.place.Capacity = r.Info.Kind, r.Info.Rack, r.Info.Capacity
+	if r.Info.Clock > n.clock || n.clockAt == 0 {
+		n.clock, n.clockAt = r.Info.Clock, now
+	}
+}
+
+// executorGone frees the tasks of a lifetime that has ended.
+func (o *Owner) executorGone(inc submission.Incarnation, now time.Duration) {
+	n := o.executors[inc]
+	if n == nil || n.gone {
+		return
+	}
+	n.gone = true
+	events.ExecutorGone.Log(o.log).Str("executor", inc.ID).Int64("born", inc.Born).Int("tasks", len(n.tasks)).Send()
+	o.requeueAll(n, now)
+	delete(o.outbox, inc)
+}
+
+func (o *Owner) requeueAll(n *node, now time.Duration) {
+	for t := range n.tasks {
+		o.stats.Lost++
+		events.RunLost.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", n.info.ID).
+			Bool("gone", n.gone).Dur("silent", now-n.clockAt).Send()
+		o.requeue(t, now)
+	}
+}
+
+// AgentLost tells that the connection to an agent has ended.
+func (o *Owner) AgentLost(agent string) {
+	for _, n := range o.executors {
+		if n.agent == agent {
+			n.connected = false
+		}
+	}
+}
+
+// expireLeases frees the tasks of executors that were silent until their lease ended.
+func (o *Owner) expireLeases(now time.Duration) {
+	for _, n := range o.executors {
+		if n.gone || n.lost || now <= n.expiresAt() {
+			continue
+		}
+		n.lost, n.adopted = true, false
+		if len(n.tasks) > 0 || n.agent != "" {
+			events.LeaseExpired.Log(o.log).Str("executor", n.info.ID).Int("tasks", len(n.tasks)).
+				Dur("silent", now-n.clockAt).Int64("granted", n.granted).Int64("clock", n.clock).Send()
+		}
+		o.requeueAll(n, now)
+	}
+}
+
+// applyEnds takes in ends in the order of their numbers.
+func (o *Owner) applyEnds(n *node, ends []executor.End, now time.Duration) {
+	for _, e := range ends {
+		if e.Number <= n.lastEnd {
+			continue
+		}
+		n.lastEnd = e.Number
+		o.pending.acks[n] = struct{}{}
+		t := o.find(e.Task)
+		if t == nil || t.rec.State != submission.TaskAssigned || t.rec.Run != e.Run || t.node != n {
+			events.EndIgnored.Log(o.log).Str("task", e.Task).Uint32("run", e.Run).Str("cause", e.Cause.String()).
+				Str("executor", n.info.ID).Send()
+			continue
+		}
+		o.applyEnd(t, n, e, now)
+	}
+}
+
+func (o *Owner) applyEnd(t *taskEntry, n *node, e executor.End, now time.Duration) {
+	o.stats.Ends++
+	events.RunEnded.Log(o.log).Str("task", e.Task).Uint32("run", e.Run).Str("cause", e.Cause.String()).
+		Str("executor", n.info.ID).Dur("after", now-t.changedAt).Int64("end", e.Number).Send()
+	if e.Checkpoint != "" {
+		t.rec.Checkpoint = e.Checkpoint
+	}
+	switch e.Cause {
+	case executor.Done:
+		n.health.observe(false, now)
+		o.endDone(t, now)
+	case executor.Failed:
+		n.health.observe(true, now)
+		o.endFailed(t, n, now)
+	default:
+		o.requeue(t, now)
+	}
+}
+
+func (o *Owner) endDone(t *taskEntry, now time.Duration) {
+	if t.step().LongRunning {
+		o.requeue(t, now)
+		return
+	}
+	if !t.step().Gang {
+		o.done(t, now)
+		return
+	}
+	// The members of a gang end together; one end stands for all.
+	for _, member := range t.job.stepTasks(stepKey{t.job.sub.ID, t.id.Occurrence, t.id.Step}) {
+		if member.rec.State != submission.TaskDone {
+			o.done(member, now)
+		}
+	}
+}
+
+func (o *Owner) endFailed(t *taskEntry, n *node, now time.Duration) {
+	o.stats.Failures++
+	t.failedOn = append(t.failedOn, n.info.ID)
+	if t.step().LongRunning {
+		o.requeue(t, now)
+		return
+	}
+	t.rec.Failures++
+	if t.job.sub.MaxAttempts > 0 && int(t.rec.Failures) >= t.job.sub.MaxAttempts && !t.job.state.Final() {
+		o.free(t, now)
+		t.rec.State = submission.TaskFailed
+		events.AttemptsUsedUp.Log(o.log).Str("task", t.name()).Uint16("failures", t.rec.Failures).Strs("executors", t.failedOn).Send()
+		o.finish(t.job, submission.Failed, now)
+		return
+	}
+	o.requeue(t, now)
+}
+
+// applyList compares the executor's complete list with the tables.
+func (o *Owner) applyList(n *node, running []executor.Run, now time.Duration) {
+	listed := make(map[*taskEntry]struct{}, len(running))
+	for i := range running {
+		r := &running[i]
+		t := o.find(r.Task)
+		if t == nil || t.node != n || t.rec.Run != r.Number || t.rec.State != submission.TaskAssigned {
+			events.RunUnknown.Log(o.log).Str("task", r.Task).Uint32("run", r.Number).Str("executor", n.info.ID).Send()
+			o.out(n).stop(r.Task, r.Number)
+			continue
+		}
+		listed[t] = struct{}{}
+		o.applyRun(t, r, now)
+	}
+	first := !n.adopted
+	if first {
+		// An earlier owner is refused from now on, and has granted at most this much.
+		n.granted = max(n.granted, n.clock+o.bounds.Lease.Milliseconds())
+		n.unknownUntil = 0
+	}
+	n.describe = n.describe || first
+	n.adopted = true
+	for t := range n.tasks {
+		if _, ok := listed[t]; !ok {
+			o.applyMissing(t, n, first, now)
+		}
+	}
+	o.changed = o.changed || first
+}
+
+func (o *Owner) applyRun(t *taskEntry, r *executor.Run, now time.Duration) {
+	if t.phase != phaseRunning {
+		o.confirm(t, now)
+	}
+	t.missing = 0
+	if r.Checkpoint != "" {
+		t.rec.Checkpoint = r.Checkpoint
+	}
+	t.percent = r.Percent
+	if t.job.state.Final() && !t.stopping {
+		o.stop(t, now)
+	}
+}
+
+// confirm records that the executor runs the task.
+func (o *Owner) confirm(t *taskEntry, now time.Duration) {
+	t.phase, t.changedAt, t.job.started = phaseRunning, now, true
+}
+
+// applyMissing handles a run that the executor does not list.
+func (o *Owner) applyMissing(t *taskEntry, n *node, first bool, now time.Duration) {
+	switch {
+	case first && t.phase == phaseAdopted:
+		// The list was read under this epoch: an order of an earlier epoch is refused from now on.
+		events.RunLost.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", n.info.ID).Bool("adopted", true).Send()
+		o.requeue(t, now)
+	case t.stopping && t.stopAcked != 0:
+		if now-t.stopAcked > o.bounds.StopTimeout+settleTime/3 {
+			o.requeue(t, now)
+		}
+	case t.phase == phaseRunning && now-t.changedAt > settleTime:
+		if t.missing++; t.missing >= missingLists {
+			o.stop(t, now)
+		}
+	}
+}
+
+// nodes returns the placement tables of the executors that can take tasks of a service.
+func (o *Owner) nodes(service string, now time.Duration) ([]*placement.Node, []*node) {
+	var places []*placement.Node
+	var nodes []*node
+	for _, n := range o.executors {
+		if n.gone || n.lost || !n.adopted || !n.connected || n.info.Draining || n.info.Service != service || now < n.closedUntil {
+			continue
+		}
+		n.place.Closed = false
+		n.place.Suspicion = n.health.share(now)
+		places = append(places, &n.place)
+		nodes = append(nodes, n)
+	}
+	sortNodes(places, nodes)
+	return places, nodes
+}
--- /dev/null
+++ b/dispatch/tables.go
@@ -0,0 +1,249 @@
+package dispatch
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/chicorystand/chicorystand/executor"
+	"github.com/chicorystand/chicorystand/placement"
+	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/task"
+)
+
+// phase is what the owner knows of a run beyond its record.
+type phase uint8
+
+const (
+	// phaseIdle: no run is assigned.
+	phaseIdle phase = iota
+	// phaseRecorded: the start waits for its commit.
+	phaseRecorded
+	// phaseAdopted: a record names the run, and the executor has not reported yet.
+	phaseAdopted
+	// phaseOrdered: the start was sent and is not answered.
+	phaseOrdered
+	// phaseRunning: the executor runs it.
+	phaseRunning
+)
+
+// taskEntry is a task in the table of tasks.
+type taskEntry struct {
+	job *job
+	id  submission.TaskID
+	rec submission.TaskRecord
+	// node is where the run is assigned, nil when there is none or it is not known yet.
+	node  *node
+	phase phase
+	// changedAt is when the phase was entered.
+	changedAt time.Duration
+	orderedAt time.Duration
+	// stopping tells that a stop was ordered; stopAcked when it was answered, 0 before.
+	stopping  bool
+	stopSent  time.Duration
+	stopAcked time.Duration
+	// percent is the last reported progress.
+	percent int
+	// missing counts complete lists of the executor that lacked the run.
+	missing int
+	// failedOn lists the executors on which a run has failed.
+	failedOn []string
+}
+
+func (t *taskEntry) step() *submission.Step { return &t.job.sub.Steps[t.id.Step] }
+
+func (t *taskEntry) name() string { return t.job.sub.Name(t.id) }
+
+// reserved returns what the task takes from its executor's capacity.
+func (t *taskEntry) reserved() task.Resources {
+	r := t.step().Request
+	if t.step().Fills {
+		r.CPU = 0
+	}
+	return r
+}
+
+// job is a submission in the table of jobs.
+type job struct {
+	sub   *submission.Submission
+	tasks []*taskEntry
+	state submission.State
+	// shown is the last state that is durable.
+	shown submission.State
+	ended int64
+	// endedAt is when the job reached its final state, for its removal.
+	endedAt time.Duration
+	arrived time.Duration
+	// remaining counts the tasks that are not done, by occurrence and step.
+	remaining [][]int
+	// released is the number of occurrences whose due time has come.
+	released int
+	started  bool
+}
+
+func newJob(s *submission.Submission, now time.Duration) *job {
+	j := &job{sub: s, arrived: now}
+	for k := range s.Repeats() {
+		counts := make([]int, len(s.Steps))
+		for step := range s.Steps {
+			counts[step] = s.Steps[step].Count
+			for i := range s.Steps[step].Count {
+				j.tasks = append(j.tasks, &taskEntry{job: j, id: submission.TaskID{Occurrence: k, Step: step, Index: i}})
+			}
+		}
+		j.remaining = append(j.remaining, counts)
+	}
+	return j
+}
+
+// task returns a task by its id, nil when there is none.
+func (j *job) task(id submission.TaskID) *taskEntry {
+	s := j.sub
+	if id.Occurrence < 0 || id.Occurrence >= s.Repeats() || id.Step < 0 || id.Step >= len(s.Steps) ||
+		id.Index < 0 || id.Index >= s.Steps[id.Step].Count {
+		return nil
+	}
+	return j.tasks[j.offset(id)]
+}
+
+func (j *job) offset(id submission.TaskID) int {
+	n := id.Occurrence * j.sub.TasksPerOccurrence()
+	for i := range id.Step {
+		n += j.sub.Steps[i].Count
+	}
+	return n + id.Index
+}
+
+// stepTasks returns the tasks of one step of one occurrence.
+func (j *job) stepTasks(k stepKey) []*taskEntry {
+	first := j.offset(submission.TaskID{Occurrence: k.occurrence, Step: k.step})
+	return j.tasks[first : first+j.sub.Steps[k.step].Count]
+}
+
+// record returns the durable form.
+func (j *job) record() submission.Record {
+	r := submission.Record{State: j.state, Ended: j.ended, Tasks: make([]submission.TaskRecord, len(j.tasks))}
+	for i, t := range j.tasks {
+		r.Tasks[i] = t.rec
+	}
+	return r
+}
+
+// idle reports whether no run of the job is assigned.
+func (j *job) idle() bool {
+	for _, t := range j.tasks {
+		if t.rec.State == submission.TaskAssigned {
+			return false
+		}
+	}
+	return true
+}
+
+// stepKey names a step of one occurrence of a job.
+type stepKey struct {
+	job              string
+	occurrence, step int
+}
+
+// waitingStep is a step with tasks that may start.
+type waitingStep struct {
+	key   stepKey
+	job   *job
+	tasks []*taskEntry
+}
+
+// node is an executor in the table of executors.
+type node struct {
+	info  executor.Info
+	agent string
+	place placement.Node
+	// adopted tells that a complete list was read under this owner's epoch.
+	adopted bool
+	// connected tells that the agent's connection is up.
+	connected bool
+	// describe tells that the agent has to be told of the runs it did not start.
+	describe bool
+	gone     bool
+	// lost tells that the lease has expired without contact.
+	lost bool
+	// clock is the executor's clock in milliseconds when clockAt was the time here.
+	clock   int64
+	clockAt time.Duration
+	// granted is the highest end of the lease that was sent, on the executor's clock.
+	granted int64
+	// unknownUntil bounds the lease that an earlier owner may have granted.
+	unknownUntil time.Duration
+	// lastEnd is the number of the last end that the tables reflect, durableEnd that of the last committed one.
+	lastEnd, durableEnd int64
+	tasks               map[*taskEntry]struct{}
+	// closedUntil keeps new tasks away for a while after a refusal.
+	closedUntil time.Duration
+	drainEnd    time.Duration
+	health      health
+}
+
+// reserve books the task on the node.
+func (n *node) reserve(t *taskEntry) {
+	n.tasks[t] = struct{}{}
+	n.place.Reserved = n.place.Reserved.Add(t.reserved())
+	if t.step().Fills {
+		n.place.Filling += t.step().Request.CPU
+	}
+	if t.step().Serves() {
+		n.place.Serving++
+	}
+}
+
+// release undoes reserve.
+func (n *node) release(t *taskEntry) {
+	if _, ok := n.tasks[t]; !ok {
+		return
+	}
+	delete(n.tasks, t)
+	n.place.Reserved = n.place.Reserved.Sub(t.reserved())
+	if t.step().Fills {
+		n.place.Filling -= t.step().Request.CPU
+	}
+	if t.step().Serves() {
+		n.place.Serving--
+	}
+}
+
+// expiresAt is when no run of the node can be alive without contact.
+func (n *node) expiresAt() time.Duration {
+	if n.clockAt == 0 {
+		return n.unknownUntil
+	}
+	left := time.Duration(max(0, n.granted-n.clock)) * time.Millisecond
+	return max(n.unknownUntil, n.clockAt+leaseEnd(left))
+}
+
+// parseTask reads a task's name on the platform.
+func parseTask(name string) (string, submission.TaskID, bool) {
+	parts := strings.Split(name, ".")
+	if len(parts) != 4 {
+		return "", submission.TaskID{}, false
+	}
+	var n [3]int
+	for i := range n {
+		v, err := strconv.Atoi(parts[i+1])
+		if err != nil {
+			return "", submission.TaskID{}, false
+		}
+		n[i] = v
+	}
+	return parts[0], submission.TaskID{Occurrence: n[0], Step: n[1], Index: n[2]}, true
+}
+
+// find returns the task with the name, nil when it is not in the tables.
+func (o *Owner) find(name string) *taskEntry {
+	id, tid, ok := parseTask(name)
+	if !ok {
+		return nil
+	}
+	j := o.jobs[id]
+	if j == nil {
+		return nil
+	}
+	return j.task(tid)
+}
--- a/events/events.go
+++ b/events/events.go
@@ -24,7 +24,7 @@
 }
 
 // Areas maps the hundreds of event numbers to their area.
-var Areas = map[int]string{1: "Scheduler", 2: "Requests", 3: "Shards, store and configuration", 4: "Agent", 5: "Processes and security"}
+var Areas = map[int]string{1: "Scheduler", 2: "Requests", 3: "Shards, store and configuration", 4: "Agent", 5: "Processes and security", 6: "Dispatch"}
 
 var table = make(map[int]Event)
 
--- a/faultmatrix/cluster_test.go
+++ b/faultmatrix/cluster_test.go
@@ -19,10 +19,10 @@
 	"github.com/chicorystand/chicorystand/entry"
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/worker"
 	"github.com/chicorystand/chicorystand/standin"
 	"github.com/chicorystand/chicorystand/store"
 	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/worker"
 )
 
 // Names and sizes of the simulated deployment.
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,239 @@
+// Package gateway is the entry's side towards requesters on the platform: it
+// makes submissions and cancellations durable, and answers what requesters ask.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chicorystand/chicorystand/clock"
+	"github.com/chicorystand/chicorystand/dispatch"
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/manifest"
+	"github.com/chicorystand/chicorystand/member"
+	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+const (
+	// ownerTimeout bounds a question to the owner; after it the store is asked.
+	ownerTimeout = 400 * time.Millisecond
+	// writeRetry is the pause before a write is tried again.
+	writeRetry = 50 * time.Millisecond
+	// writeBudget is how long a write is tried before the requester is told to come back.
+	writeBudget = 1200 * time.Millisecond
+	// answerMargin is kept free before the requester's deadline to send the answer.
+	answerMargin = 150 * time.Millisecond
+	// countsMaxAge is the oldest queue count that is given out.
+	countsMaxAge = 5 * time.Second
+	// maxCached bounds the final states that are remembered.
+	maxCached = 20_000
+	// retryAfter is the delay after which a refused requester may come back.
+	retryAfter = time.Second
+)
+
+// Gateway implements platform.Requests.
+type Gateway struct {
+	store store.Table
+	clock clock.Clock
+	log   zerolog.Logger
+	// owner is the connection from the owner.
+	owner    *member.OwnerLink
+	manifest func() *manifest.Manifest
+	observe  func(method string, status int, took time.Duration, err error)
+
+	mu    sync.Mutex
+	final map[string]submission.State
+}
+
+// New returns a gateway. observe is told of each answer, for the metrics.
+func New(s store.Table, c clock.Clock, log zerolog.Logger, owner *member.OwnerLink, m func() *manifest.Manifest,
+	observe func(method string, status int, took time.Duration, err error)) *Gateway {
+	return &Gateway{store: s, clock: c, log: log, owner: owner, manifest: m, observe: observe, final: make(map[string]submission.State)}
+}
+
+// Manifest returns the manifest in force, nil before the first.
+func (g *Gateway) Manifest() *manifest.Manifest { return g.manifest() }
+
+// Submit makes a submission durable. A repeated submission succeeds without effect.
+func (g *Gateway) Submit(ctx context.Context, r *manifest.Route, s *submission.Submission) error {
+	s.Queue, s.Service, s.Priority, s.MaxAttempts = r.Name, r.Service, r.Priority, r.MaxAttempts
+	s.Stretch, s.TargetLatency, s.Accepted = r.Stretch, r.TargetLatency, time.Now().UnixMilli()
+	value, err := s.Encode()
+	if err != nil {
+		return err
+	}
+	key := dispatch.WorkKey(s.ID)
+	err = g.write(ctx, store.Txn{Conds: []store.Cond{{Key: key}}, Writes: []store.Write{{Key: key, Value: value}}})
+	if errkind.Of(err) == errkind.Conflict {
+		return nil // the row exists: an earlier request with this id was accepted
+	}
+	return err
+}
+
+// write commits a transaction that has the same effect when it is sent again.
+// It returns errkind.StoreUnavailable only when no attempt can have taken effect.
+func (g *Gateway) write(ctx context.Context, txn store.Txn) error {
+	ctx, cancel := context.WithTimeout(ctx, g.budget(ctx))
+	defer cancel()
+	uncertain := false
+	for {
+		_, err := g.store.Commit(ctx, txn)
+		switch errkind.Of(err) {
+		case errkind.StoreAmbiguous:
+			uncertain = true
+		case errkind.StoreUnavailable:
+		default:
+			return err
+		}
+		select {
+		case <-time.After(writeRetry):
+			if ctx.Err() == nil {
+				continue
+			}
+		case <-ctx.Done():
+		}
+		if uncertain {
+			return errkind.Wrap(errkind.StoreAmbiguous, err, "the outcome is not known")
+		}
+		return errkind.Wrap(errkind.StoreUnavailable, err, "nothing was written")
+	}
+}
+
+// budget returns how long a write may be tried.
+func (g *Gateway) budget(ctx context.Context) time.Duration {
+	budget := writeBudget
+	if d, ok := ctx.Deadline(); ok {
+		budget = min(budget, time.Until(d)-answerMargin)
+	}
+	return max(budget, writeRetry)
+}
+
+// State returns the state of a submission, errkind.NotFound when there is none.
+func (g *Gateway) State(ctx context.Context, _ *manifest.Route, id string) (submission.State, error) {
+	if state, ok := g.cached(id); ok {
+		return state, nil
+	}
+	state, known := g.askOwner(ctx, id)
+	if !known {
+		var err error
+		if state, err = g.readState(ctx, id); err != nil {
+			return 0, err
+		}
+	}
+	if state.Final() {
+		g.remember(id, state)
+	}
+	return state, nil
+}
+
+func (g *Gateway) askOwner(ctx context.Context, id string) (submission.State, bool) {
+	p := g.owner.Peer()
+	if p == nil {
+		return 0, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	msg, err := p.Call(ctx, &wire.StateQuery{ID: id})
+	if err != nil {
+		return 0, false
+	}
+	r, ok := msg.(*wire.StateReply)
+	if !ok || !r.Known || r.State > uint8(submission.Cancelled) {
+		return 0, false
+	}
+	return submission.State(r.State), true
+}
+
+// readState reads the state from the store, for a submission that the owner
+// does not know yet or while there is no owner.
+func (g *Gateway) readState(ctx context.Context, id string) (submission.State, error) {
+	rows, err := g.store.Get(ctx, dispatch.ProgressKey(id))
+	if err != nil {
+		return 0, err
+	}
+	if len(rows) > 0 {
+		state, err := submission.DecodeState(rows[0].Value)
+		if err != nil || state.Final() {
+			return state, err
+		}
+		return submission.Running, nil
+	}
+	rows, err = g.store.Get(ctx, dispatch.WorkKey(id))
+	if err != nil {
+		return 0, err
+	}
+	if len(rows) == 0 {
+		return 0, errkind.New(errkind.NotFound, "no submission has the id %s", id)
+	}
+	return submission.Queued, nil
+}
+
+func (g *Gateway) cached(id string) (submission.State, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s, ok := g.final[id]
+	return s, ok
+}
+
+func (g *Gateway) remember(id string, s submission.State) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.final) >= maxCached {
+		clear(g.final)
+	}
+	g.final[id] = s
+}
+
+// Cancel makes a cancellation durable.
+func (g *Gateway) Cancel(ctx context.Context, _ *manifest.Route, id string) error {
+	rows, err := g.store.Get(ctx, dispatch.WorkKey(id))
+	if err != nil {
+		return err
+	}
+	if len(rows) == 0 {
+		return errkind.New(errkind.NotFound, "no submission has the id %s", id)
+	}
+	key := dispatch.CancelKey(id)
+	err = g.write(ctx, store.Txn{Conds: []store.Cond{{Key: key}}, Writes: []store.Write{{Key: key}}})
+	if errkind.Of(err) == errkind.Conflict {
+		return nil // an earlier request has cancelled it
+	}
+	return err
+}
+
+// Pending returns the last count that the owner has sent.
+func (g *Gateway) Pending(_ context.Context, r *manifest.Route) (int, error) {
+	counts, age := g.owner.Counts()
+	if age > countsMaxAge {
+		return 0, errkind.New(errkind.NotReady, "the owner's last count is %s old", age.Round(time.Millisecond))
+	}
+	return counts[r.Name], nil
+}
+
+// RetryAfter implements platform.Requests.
+func (g *Gateway) RetryAfter(error) time.Duration { return retryAfter }
+
+// Answered implements platform.Requests.
+func (g *Gateway) Answered(r *manifest.Route, method, id string, status int, took time.Duration, err error) {
+	g.observe(method, status, took, err)
+	queue, version := "", int64(0)
+	if r != nil {
+		queue = r.Name
+	}
+	if m := g.manifest(); m != nil {
+		version = m.Version
+	}
+	event := events.RequestAnswered
+	if method == http.MethodGet && err == nil {
+		event = events.StateAsked
+	}
+	event.Log(g.log).Str("id", id).Str("method", method).Str("queue", queue).Int("status", status).
+		Dur("took", took).Int64("manifest", version).AnErr("error", err).Send()
+}
--- /dev/null
+++ b/member/link.go
@@ -0,0 +1,141 @@
+package member
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chicorystand/chicorystand/clock"
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+// firstFrame bounds the time until an accepted connection sends something.
+const firstFrame = 2 * time.Second
+
+// Serve accepts the owner's connections on l until l is closed.
+func Serve(l net.Listener, link *OwnerLink, handle wire.Handler) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		p := wire.Accept(conn, handle, firstFrame)
+		go func() {
+			<-p.Done()
+			link.Lost(p)
+		}()
+	}
+}
+
+// OwnerLink is a member's connection from the owner with the highest epoch.
+type OwnerLink struct {
+	clock clock.Clock
+	log   zerolog.Logger
+	heard atomic.Int64
+
+	mu       sync.Mutex
+	epoch    uint64
+	peer     *wire.Peer
+	counts   map[string]int
+	countsAt time.Duration
+}
+
+// NewOwnerLink returns a link that has not heard an owner.
+func NewOwnerLink(c clock.Clock, log zerolog.Logger) *OwnerLink {
+	return &OwnerLink{clock: c, log: log}
+}
+
+// Silent returns how long the owner was not heard.
+func (l *OwnerLink) Silent() time.Duration {
+	at := l.heard.Load()
+	if at == 0 {
+		return time.Hour
+	}
+	return l.clock.Now() - time.Duration(at)
+}
+
+// Epoch returns the highest epoch that was heard.
+func (l *OwnerLink) Epoch() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.epoch
+}
+
+// Peer returns the connection from the owner, nil when there is none.
+func (l *OwnerLink) Peer() *wire.Peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.peer
+}
+
+// Counts returns the last queue counts and their age.
+func (l *OwnerLink) Counts() (map[string]int, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.counts == nil {
+		return nil, time.Hour
+	}
+	return l.counts, l.clock.Now() - l.countsAt
+}
+
+// Accept takes in a Lead message. It reports whether the epoch is the highest
+// so far, and whether it or the connection is new.
+func (l *OwnerLink) Accept(p *wire.Peer, m *wire.Lead) (accepted, changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if m.Epoch < l.epoch {
+		return false, false
+	}
+	changed = m.Epoch != l.epoch || l.peer != p
+	if m.Epoch != l.epoch {
+		events.LeaderSeen.Log(l.log).Uint64("epoch", m.Epoch).Str("owner", m.Owner).Uint64("before", l.epoch).Send()
+	}
+	l.epoch, l.peer = m.Epoch, p
+	l.heard.Store(int64(l.clock.Now()))
+	return true, changed
+}
+
+// Current reports whether the connection is that of the owner, and notes that it was heard.
+func (l *OwnerLink) Current(p *wire.Peer) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p != l.peer {
+		return false
+	}
+	l.heard.Store(int64(l.clock.Now()))
+	return true
+}
+
+// Lost forgets the connection.
+func (l *OwnerLink) Lost(p *wire.Peer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.peer == p {
+		l.peer = nil
+	}
+}
+
+// Handle serves the owner's messages to an entry.
+func (l *OwnerLink) Handle(p *wire.Peer, msg wire.Message, reply wire.Reply) {
+	switch m := msg.(type) {
+	case *wire.Lead:
+		if ok, _ := l.Accept(p, m); !ok {
+			reply(wire.ErrorReply(errkind.New(errkind.StaleEpoch, "epoch %d is known", l.Epoch())))
+			return
+		}
+		reply(&wire.Ack{})
+	case *wire.QueueCounts:
+		if l.Current(p) {
+			l.mu.Lock()
+			l.counts, l.countsAt = m.Counts, l.clock.Now()
+			l.mu.Unlock()
+		}
+	default:
+		reply(wire.ErrorReply(errkind.New(errkind.InvalidArgument, "unexpected message type %d", msg.Type())))
+	}
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,118 @@
+// Package placement chooses the executor for a task. It is pure: it sees tables
+// and returns a choice.
+package placement
+
+import (
+	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/task"
+)
+
+// Node is an executor as the placement sees it.
+type Node struct {
+	ID, Kind, Rack string
+	Capacity       task.Resources
+	// Reserved is the sum of the requests of tasks that count against the capacity.
+	Reserved task.Resources
+	// Filling is the sum of processors of tasks that use what others leave over, in thousandths.
+	Filling int64
+	// Serving counts the tasks with a latency target.
+	Serving int
+	// Closed executors take no new task.
+	Closed bool
+	// Suspicion lies between 0 and 1: the share of recent runs that failed or stood still.
+	Suspicion float64
+}
+
+// Query is one task to be placed.
+type Query struct {
+	Step *submission.Step
+	// OnNode returns how many tasks of the same step and occurrence a node holds.
+	OnNode func(id string) int
+	// Avoid reports nodes on which the task has failed.
+	Avoid func(id string) bool
+	// Rack is preferred for steps that run on one rack, empty when none is chosen yet.
+	Rack string
+	// Allowed reports whether the queue's policy admits the node; nil admits all.
+	Allowed func(id string) bool
+}
+
+const (
+	// avoidPenalty makes a node on which the task failed the last choice.
+	avoidPenalty = 100.0
+	// rackPenalty is the cost of being away from the data, or from the other tasks of the step.
+	rackPenalty = 10.0
+	// suspicionPenalty weighs the share of failed runs against load.
+	suspicionPenalty = 20.0
+	// servingPenalty keeps tasks that disturb others away from those that serve.
+	servingPenalty = 0.5
+	// fillOverlapPenalty is the cost of taking the processors of tasks that fill.
+	fillOverlapPenalty = 0.5
+)
+
+// Choose returns the position of the best node, or -1 when none can take the task now.
+func Choose(q Query, nodes []*Node) int {
+	best, bestCost := -1, 0.0
+	for i, n := range nodes {
+		if !Fits(q, n) {
+			continue
+		}
+		if c := cost(q, n); best < 0 || c < bestCost {
+			best, bestCost = i, c
+		}
+	}
+	return best
+}
+
+// Fits reports whether the node can take the task now without going over its
+// capacity or a constraint of the step.
+func Fits(q Query, n *Node) bool {
+	s := q.Step
+	if n.Closed || (s.Label != "" && s.Label != n.Kind && s.Label != n.Rack) {
+		return false
+	}
+	if q.Allowed != nil && !q.Allowed(n.ID) {
+		return false
+	}
+	if s.MaxPerExecutor > 0 && q.OnNode != nil && q.OnNode(n.ID) >= s.MaxPerExecutor {
+		return false
+	}
+	need := s.Request
+	if s.Fills {
+		// Processors are not counted for such a task; what is free bounds its speed.
+		if n.Reserved.CPU+n.Filling+need.CPU > n.Capacity.CPU {
+			return false
+		}
+		need.CPU = 0
+	}
+	return n.Reserved.Add(need).Fits(n.Capacity)
+}
+
+// FitsEmpty reports whether the step's task fits the node when nothing else runs there.
+func FitsEmpty(s *submission.Step, n *Node) bool {
+	return (s.Label == "" || s.Label == n.Kind || s.Label == n.Rack) && s.Request.Fits(n.Capacity)
+}
+
+func cost(q Query, n *Node) float64 {
+	s := q.Step
+	capacity := float64(max(1, n.Capacity.CPU))
+	load := float64(n.Reserved.CPU+n.Filling+s.Request.CPU) / capacity
+	c := load
+	if s.Fills {
+		c += servingPenalty * float64(min(n.Serving, 2))
+	} else {
+		over := float64(n.Reserved.CPU+n.Filling+s.Request.CPU-n.Capacity.CPU) / capacity
+		if over > 0 {
+			c += fillOverlapPenalty + over
+		}
+	}
+	if q.Avoid != nil && q.Avoid(n.ID) {
+		c += avoidPenalty
+	}
+	if s.DataRack != "" && s.DataRack != n.Rack {
+		c += rackPenalty
+	}
+	if s.SameRack && q.Rack != "" && q.Rack != n.Rack {
+		c += rackPenalty
+	}
+	return c + suspicionPenalty*n.Suspicion
+}
--- a/shard/manager_test.go
+++ b/shard/manager_test.go
@@ -17,8 +17,8 @@
 	"github.com/chicorystand/chicorystand/clock"
 	"github.com/chicorystand/chicorystand/confsync"
 	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/standin"
 	"github.com/chicorystand/chicorystand/shard"
+	"github.com/chicorystand/chicorystand/standin"
 	"github.com/chicorystand/chicorystand/store"
 	"github.com/chicorystand/chicorystand/task"
 )
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -9,9 +9,9 @@
 	"github.com/chicorystand/chicorystand/clock"
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/worker"
 	"github.com/chicorystand/chicorystand/store"
 	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/worker"
 )
 
 // Behavior tells how tasks of a job class really behave, as opposed to what was declared.
--- a/store/store.go
+++ b/store/store.go
@@ -3,7 +3,10 @@
 // writes recognisable when their answer was lost.
 package store
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // MaxTxnRows is the largest number of rows a transaction may write.
 const MaxTxnRows = 100
@@ -57,3 +60,51 @@
 	// Delete removes the object. Deleting an absent object is not an error.
 	Delete(ctx context.Context, key string) error
 }
+
+// Change is a row as of its newest version, or the removal of a row.
+type Change struct {
+	Row
+	Deleted bool
+}
+
+// Page is a part of a table as of one version of the store.
+type Page struct {
+	// Changes holds the rows in key order for List and in order of change for Changes.
+	Changes []Change
+	// More tells that rows after the last one were left out.
+	More bool
+	// Version is the version of the whole store that the page reflects.
+	Version uint64
+}
+
+// Follower reads whole tables and follows their changes. A table is the part of
+// a key before the first slash.
+type Follower interface {
+	Table
+	// List returns rows of the table with a key greater than after, in key order.
+	List(ctx context.Context, table, after string) (Page, error)
+	// Changes waits at most wait for changes of the table later than version.
+	// It fails with errkind.NotFound when the store no longer has that history.
+	Changes(ctx context.Context, table string, version uint64, wait time.Duration) (Page, error)
+}
+
+// ReadAll returns all rows of a table and the version from which Changes misses nothing.
+func ReadAll(ctx context.Context, f Follower, table string) (rows []Row, version uint64, err error) {
+	after := ""
+	for {
+		page, err := f.List(ctx, table, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		if version == 0 {
+			version = page.Version
+		}
+		for _, c := range page.Changes {
+			rows = append(rows, c.Row)
+			after = c.Key
+		}
+		if !page.More || len(page.Changes) == 0 {
+			return rows, version, nil
+		}
+	}
+}
--- /dev/null
+++ b/submission/record.go
@@ -0,0 +1,168 @@
+package submission
+
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/chicorystand/chicorystand/errkind"
+)
+
+// State is the state of a submission as its requester sees it.
+type State uint8
+
+// States. Completed, Failed and Cancelled are final.
+const (
+	Queued State = iota
+	Running
+	Completed
+	Failed
+	Cancelled
+)
+
+// Final reports whether the state never changes again.
+func (s State) Final() bool { return s >= Completed }
+
+// String returns the name of the state in logs.
+func (s State) String() string {
+	return [...]string{"queued", "running", "completed", "failed", "cancelled"}[s]
+}
+
+// TaskState is the durable state of a task.
+type TaskState uint8
+
+// Task states. A task is Assigned from the moment its start is recorded until
+// its end is recorded or it is certain that the start has no effect.
+const (
+	TaskPending TaskState = iota
+	TaskAssigned
+	TaskDone
+	TaskFailed
+)
+
+// Incarnation identifies one lifetime of an executor.
+type Incarnation struct {
+	ID string `msgpack:"i"`
+	// Born is the start of the lifetime in Unix milliseconds.
+	Born int64 `msgpack:"b"`
+}
+
+// TaskRecord is the durable part of a task.
+type TaskRecord struct {
+	State TaskState
+	// Run is the number of the last start, 0 before the first.
+	Run uint32
+	// Failures counts the runs that ended as failed.
+	Failures uint16
+	// Executor is where the run is assigned.
+	Executor Incarnation
+	// Checkpoint is the last known saved progress, empty for none.
+	Checkpoint string
+}
+
+// Record is the durable progress of a submission. Tasks holds all occurrences
+// in order, and within one the steps in order.
+type Record struct {
+	State State
+	// Ended is the time of the final state in Unix milliseconds, 0 before.
+	Ended int64
+	Tasks []TaskRecord
+}
+
+// encodedRecord is the stored form: one array for each field, and executors by
+// their position in a list, as most tasks share a few of them.
+type encodedRecord struct {
+	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by the encoder
+	State       State
+	Ended       int64
+	States      []byte
+	Runs        []uint32
+	Failures    []uint16
+	Executors   []Incarnation
+	Assigned    []uint16
+	Checkpoints map[int]string
+}
+
+// Encode returns the stored form.
+func (r *Record) Encode() ([]byte, error) {
+	n := len(r.Tasks)
+	e := encodedRecord{State: r.State, Ended: r.Ended, States: make([]byte, n), Runs: make([]uint32, n),
+		Failures: make([]uint16, n), Assigned: make([]uint16, n)}
+	positions := make(map[Incarnation]uint16)
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		e.States[i], e.Runs[i], e.Failures[i] = byte(t.State), t.Run, t.Failures
+		if t.State == TaskAssigned {
+			e.Assigned[i] = position(positions, &e.Executors, t.Executor)
+		}
+		if t.Checkpoint != "" && t.State != TaskDone {
+			if e.Checkpoints == nil {
+				e.Checkpoints = make(map[int]string)
+			}
+			e.Checkpoints[i] = t.Checkpoint
+		}
+	}
+	b, err := msgpack.Marshal(&e)
+	return b, errkind.Wrap(errkind.Internal, err, "encode progress record")
+}
+
+func position(positions map[Incarnation]uint16, list *[]Incarnation, inc Incarnation) uint16 {
+	p, ok := positions[inc]
+	if !ok {
+		p = uint16(len(*list))
+		positions[inc] = p
+		*list = append(*list, inc)
+	}
+	return p
+}
+
+// DecodeRecord reads the stored form of a record with the given number of tasks.
+func DecodeRecord(b []byte, tasks int) (Record, error) {
+	var e encodedRecord
+	if err := msgpack.Unmarshal(b, &e); err != nil {
+		return Record{}, errkind.Wrap(errkind.InvalidArgument, err, "decode progress record")
+	}
+	if len(e.States) != tasks || len(e.Runs) != tasks || len(e.Failures) != tasks || len(e.Assigned) != tasks || e.State > Cancelled {
+		return Record{}, errkind.New(errkind.InvalidArgument, "progress record has %d tasks, expected %d", len(e.States), tasks)
+	}
+	r := Record{State: e.State, Ended: e.Ended, Tasks: make([]TaskRecord, tasks)}
+	for i := range r.Tasks {
+		t := TaskRecord{State: TaskState(e.States[i]), Run: e.Runs[i], Failures: e.Failures[i], Checkpoint: e.Checkpoints[i]}
+		if t.State > TaskFailed {
+			return Record{}, errkind.New(errkind.InvalidArgument, "task state %d is not defined", t.State)
+		}
+		if t.State == TaskAssigned {
+			if int(e.Assigned[i]) >= len(e.Executors) {
+				return Record{}, errkind.New(errkind.InvalidArgument, "task %d names an executor that is not listed", i)
+			}
+			t.Executor = e.Executors[e.Assigned[i]]
+		}
+		r.Tasks[i] = t
+	}
+	return r, nil
+}
+
+// DecodeState reads only the submission's state from the stored form of a record.
+func DecodeState(b []byte) (State, error) {
+	var e encodedRecord
+	if err := msgpack.Unmarshal(b, &e); err != nil {
+		return 0, errkind.Wrap(errkind.InvalidArgument, err, "decode state of progress record")
+	}
+	if e.State > Cancelled {
+		return 0, errkind.New(errkind.InvalidArgument, "state %d is not defined", e.State)
+	}
+	return e.State, nil
+}
+
+// Encode returns the stored form of the submission.
+func (s *Submission) Encode() ([]byte, error) {
+	b, err := msgpack.Marshal(s)
+	return b, errkind.Wrap(errkind.Internal, err, "encode submission")
+}
+
+// Decode reads the stored form of a submission and validates it.
+func Decode(b []byte) (*Submission, error) {
+	s := new(Submission)
+	if err := msgpack.Unmarshal(b, s); err != nil {
+		return nil, errkind.Wrap(errkind.InvalidArgument, err, "decode submission")
+	}
+	return s, s.Validate()
+}
--- /dev/null
+++ b/submission/submission.go
@@ -0,0 +1,174 @@
+// Package submission defines the work that a requester hands in: steps of tasks
+// with dependencies, and the record of their progress.
+package submission
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/task"
+)
+
+// Bounds of a submission.
+const (
+	// MaxSteps is the largest number of steps.
+	MaxSteps = 256
+	// MaxTasks is the largest number of tasks over all steps of one occurrence.
+	MaxTasks = 10_000
+	// MaxSpecification is the largest specification in bytes.
+	MaxSpecification = 4_000
+	// MaxOccurrences is the largest number of repetitions.
+	MaxOccurrences = 10_000
+)
+
+// Step is a group of equal tasks.
+type Step struct {
+	Count   int            `msgpack:"n"`
+	Request task.Resources `msgpack:"r"`
+	// Estimate is the requester's rough estimate of a task's run time.
+	Estimate time.Duration `msgpack:"e,omitempty"`
+	// DependsOn lists earlier steps all of whose tasks must be done first.
+	DependsOn []int `msgpack:"d,omitempty"`
+	// Checkpoints tells that tasks save their progress.
+	Checkpoints bool `msgpack:"c,omitempty"`
+	// Gang tells that the tasks work only together.
+	Gang bool `msgpack:"g,omitempty"`
+	// SameRack tells that the tasks are slower on more than one rack.
+	SameRack bool `msgpack:"sr,omitempty"`
+	// Label is required of the executor when not empty.
+	Label string `msgpack:"l,omitempty"`
+	// DataRack is the rack that holds the data, empty when there is none.
+	DataRack string `msgpack:"dr,omitempty"`
+	// MaxPerExecutor bounds the tasks of one occurrence on one executor; 0 means no bound.
+	MaxPerExecutor int `msgpack:"a,omitempty"`
+	// Speculative allows copies to run in parallel.
+	Speculative bool `msgpack:"sp,omitempty"`
+	// LongRunning tasks run until the submission is cancelled.
+	LongRunning bool `msgpack:"lr,omitempty"`
+	// Image names what the tasks run; tasks of one image behave alike.
+	Image string `msgpack:"i,omitempty"`
+	// LatencyTarget is the bound on the tail latency of a task that serves its own users, 0 for none.
+	LatencyTarget time.Duration `msgpack:"t,omitempty"`
+	// Fills tells that the tasks use the processor time that others leave over,
+	// and that their processors are not counted against the executor's capacity.
+	Fills bool `msgpack:"f,omitempty"`
+	// MaxUnavailable is the disruption budget of a long-running step.
+	MaxUnavailable int `msgpack:"mu,omitempty"`
+}
+
+// Serves reports whether the step's tasks have users of their own.
+func (s *Step) Serves() bool { return s.LatencyTarget > 0 }
+
+// Submission is accepted work. It does not change after acceptance.
+type Submission struct {
+	ID string `msgpack:"id"`
+	// Queue is the name of the route it was submitted to.
+	Queue string `msgpack:"q"`
+	// Service names the executors that run it, as of its acceptance.
+	Service       string `msgpack:"s"`
+	Specification string `msgpack:"x"`
+	Steps         []Step `msgpack:"st"`
+	// Occurrences is how often the steps run, 1 for a plain submission.
+	Occurrences int `msgpack:"o,omitempty"`
+	// FirstStart is the due time of occurrence 0 in Unix milliseconds, 0 for at once.
+	FirstStart int64 `msgpack:"fs,omitempty"`
+	// Interval is the time between occurrences.
+	Interval time.Duration `msgpack:"iv,omitempty"`
+	// Accepted is the time of acceptance in Unix milliseconds.
+	Accepted int64 `msgpack:"at"`
+	// Policy of the queue at the time of acceptance.
+	Priority      int           `msgpack:"p,omitempty"`
+	MaxAttempts   int           `msgpack:"ma,omitempty"`
+	Stretch       float64       `msgpack:"sx,omitempty"`
+	TargetLatency time.Duration `msgpack:"tl,omitempty"`
+}
+
+// TaskID identifies a task inside a submission.
+type TaskID struct {
+	Occurrence, Step, Index int
+}
+
+// Name returns the task's name on the platform: submission, occurrence, step, index.
+func (s *Submission) Name(t TaskID) string {
+	return fmt.Sprintf("%s.%d.%d.%d", s.ID, t.Occurrence, t.Step, t.Index)
+}
+
+// Repeats returns the number of occurrences, at least 1.
+func (s *Submission) Repeats() int { return max(1, s.Occurrences) }
+
+// TasksPerOccurrence returns the number of tasks of all steps.
+func (s *Submission) TasksPerOccurrence() int {
+	n := 0
+	for i := range s.Steps {
+		n += s.Steps[i].Count
+	}
+	return n
+}
+
+// LongRunning reports whether any step runs until cancelled.
+func (s *Submission) LongRunning() bool {
+	for i := range s.Steps {
+		if s.Steps[i].LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// Due returns when occurrence k may start, in Unix milliseconds; 0 means at once.
+func (s *Submission) Due(k int) int64 {
+	if s.Occurrences == 0 || s.FirstStart == 0 {
+		return 0
+	}
+	return s.FirstStart + int64(k)*s.Interval.Milliseconds()
+}
+
+// Validate reports the first problem as errkind.InvalidArgument.
+func (s *Submission) Validate() error {
+	if len(s.ID) != 16 || !isHex(s.ID) {
+		return errkind.New(errkind.InvalidArgument, "the id is not 16 hexadecimal digits")
+	}
+	if len(s.Specification) > MaxSpecification {
+		return errkind.New(errkind.InvalidArgument, "the specification has %d bytes, at most %d", len(s.Specification), MaxSpecification)
+	}
+	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
+		return errkind.New(errkind.InvalidArgument, "%d steps, allowed are 1 to %d", len(s.Steps), MaxSteps)
+	}
+	if s.Occurrences < 0 || s.Occurrences > MaxOccurrences || s.Interval < 0 {
+		return errkind.New(errkind.InvalidArgument, "repeat count or interval out of range")
+	}
+	for i := range s.Steps {
+		if err := s.Steps[i].validate(i); err != nil {
+			return err
+		}
+	}
+	if n := s.TasksPerOccurrence() * s.Repeats(); n > MaxTasks {
+		return errkind.New(errkind.InvalidArgument, "%d tasks, at most %d", n, MaxTasks)
+	}
+	return nil
+}
+
+func (s *Step) validate(number int) error {
+	if s.Count <= 0 || s.Count > MaxTasks {
+		return errkind.New(errkind.InvalidArgument, "step %d has %d tasks", number, s.Count)
+	}
+	if s.Request.CPU < 0 || s.Request.Memory < 0 || s.Request.Accelerators < 0 || s.Estimate < 0 || s.MaxPerExecutor < 0 {
+		return errkind.New(errkind.InvalidArgument, "step %d has a negative size", number)
+	}
+	for _, d := range s.DependsOn {
+		if d < 0 || d >= number {
+			return errkind.New(errkind.InvalidArgument, "step %d depends on step %d", number, d)
+		}
+	}
+	return nil
+}
+
+func isHex(s string) bool {
+	for _, c := range s {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/vmagent/vmagent.go
@@ -0,0 +1,172 @@
+// Package vmagent runs beside the executors of one VM: it takes their
+// heartbeats, extends their leases as far as the owner of the work allows,
+// carries out the owner's orders and reports what runs and what has ended.
+//
+// It is the only process that calls its executors, and it decides nothing about
+// where tasks run.
+package vmagent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chicorystand/chicorystand/clock"
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/executor"
+	"github.com/chicorystand/chicorystand/member"
+	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+// Config is what an agent needs.
+type Config struct {
+	Name   string
+	Client executor.Client
+	Clock  clock.Clock
+	Log    zerolog.Logger
+	Link   *member.OwnerLink
+	// Pacing is the delay until a change of pace has its effect.
+	Pacing time.Duration
+	// Observe is told of each answer to an order, for the metrics.
+	Observe func(order string, a executor.Answer)
+}
+
+// Agent holds the table of executors on the VM.
+type Agent struct {
+	cfg Config
+	ctx context.Context
+
+	mu        sync.Mutex
+	executors map[submission.Incarnation]*unit
+	// newest is the start of the newest lifetime at each address.
+	newest map[string]int64
+	ended  map[submission.Incarnation]struct{}
+}
+
+// New returns an agent that works until ctx ends.
+func New(ctx context.Context, cfg Config) *Agent {
+	return &Agent{cfg: cfg, ctx: ctx, executors: make(map[submission.Incarnation]*unit), newest: make(map[string]int64),
+		ended: make(map[submission.Incarnation]struct{})}
+}
+
+// Heartbeat takes in what an executor says about itself.
+func (a *Agent) Heartbeat(info executor.Info) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, over := a.ended[info.Incarnation]; over || info.Born < a.newest[info.Address] {
+		// A heartbeat of an earlier lifetime that was delayed on its way.
+		return true
+	}
+	a.newest[info.Address] = info.Born
+	for inc, u := range a.executors {
+		if inc != info.Incarnation && inc.Born < info.Born && (u.info.Address == info.Address || inc.ID == info.ID) {
+			a.endLocked(u, "replaced")
+		}
+	}
+	u := a.executors[info.Incarnation]
+	if u == nil {
+		u = newUnit(a, info)
+		a.executors[info.Incarnation] = u
+		go u.poll()
+	} else if info.Sequence < u.info.Sequence {
+		return true
+	}
+	if u.beats == 0 || u.info.Draining != info.Draining {
+		events.ExecutorSeen.Log(a.cfg.Log).Str("executor", info.ID).Int64("born", info.Born).Str("service", info.Service).
+			Bool("draining", info.Draining).Dur("remaining", info.Remaining).Int64("sequence", info.Sequence).Send()
+		u.wakeUp()
+	}
+	u.beats++
+	// The clock in a heartbeat may be older than one that came with a list.
+	info.Clock = max(info.Clock, u.info.Clock)
+	info.Draining = info.Draining || u.info.Draining
+	u.info = info
+	return true
+}
+
+// Leave takes note of the planned end of an executor.
+func (a *Agent) Leave(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for inc, u := range a.executors {
+		if inc.ID == id {
+			a.endLocked(u, "left")
+		}
+	}
+}
+
+// endLocked takes note that a lifetime of an executor has ended. The caller holds mu.
+func (a *Agent) endLocked(u *unit, cause string) {
+	inc := u.info.Incarnation
+	if a.executors[inc] != u {
+		return
+	}
+	delete(a.executors, inc)
+	a.ended[inc] = struct{}{}
+	u.cancel()
+	events.ExecutorEnded.Log(a.cfg.Log).Str("executor", inc.ID).Int64("born", inc.Born).Str("cause", cause).Send()
+	a.send(&wire.Report{Epoch: a.cfg.Link.Epoch(), Agent: a.cfg.Name, Info: u.info, Gone: true})
+}
+
+// send reports to the owner. Without a connection the report is dropped: the
+// next owner gets a complete list.
+func (a *Agent) send(m wire.Message) {
+	if p := a.cfg.Link.Peer(); p != nil {
+		// A connection that cannot be written to is noticed by the owner.
+		_ = p.Notify(m)
+	}
+}
+
+// Handle serves the owner's messages.
+func (a *Agent) Handle(p *wire.Peer, msg wire.Message, reply wire.Reply) {
+	switch m := msg.(type) {
+	case *wire.Lead:
+		ok, changed := a.cfg.Link.Accept(p, m)
+		if !ok {
+			reply(wire.ErrorReply(errkind.New(errkind.StaleEpoch, "epoch %d is known", a.cfg.Link.Epoch())))
+			return
+		}
+		reply(&wire.Ack{})
+		if changed {
+			a.newOwner()
+		}
+	case *wire.Orders:
+		if a.cfg.Link.Current(p) && m.Epoch == a.cfg.Link.Epoch() {
+			a.orders(m)
+		}
+	default:
+		reply(wire.ErrorReply(errkind.New(errkind.InvalidArgument, "unexpected message type %d", msg.Type())))
+	}
+}
+
+// newOwner reports everything again.
+func (a *Agent) newOwner() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for inc := range a.ended {
+		a.send(&wire.Report{Epoch: a.cfg.Link.Epoch(), Agent: a.cfg.Name, Info: executor.Info{Incarnation: inc}, Gone: true})
+	}
+	for _, u := range a.executors {
+		u.reported = 0
+		u.wakeUp()
+	}
+}
+
+func (a *Agent) orders(m *wire.Orders) {
+	inc := submission.Incarnation{ID: m.Executor, Born: m.Born}
+	a.mu.Lock()
+	u := a.executors[inc]
+	_, over := a.ended[inc]
+	a.mu.Unlock()
+	if u == nil {
+		if over {
+			a.send(&wire.Report{Epoch: m.Epoch, Agent: a.cfg.Name, Info: executor.Info{Incarnation: inc}, Gone: true})
+		}
+		return
+	}
+	u.orders(m)
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -102,6 +102,9 @@
 	case TypeResizeTask:
 		return new(ResizeTask)
 	}
+	if t >= TypeLead {
+		return newDispatchMessage(t)
+	}
 	return newOperatorMessage(t)
 }
 
