Keep tasks that fill apart from tasks that serve; list executors without a busy loop

Change: a flag asks for one list without a wait; placement prices mixing the two kinds on one node. The owner logs a summary every two seconds.

--- a/command/deployed/process.go
+++ b/command/deployed/process.go
@@ -104,6 +104,12 @@
 func (f *flushWriter) Write(p []byte) (int, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.w.Available() < len(p) {
+		// A line is written whole, so that lines of other processes cannot split it.
+		if err := f.w.Flush(); err != nil {
+			return 0, err
+		}
+	}
 	return f.w.Write(p)
 }
 
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -32,6 +32,8 @@
 	leaseInterval = 500 * time.Millisecond
 	// countInterval is the time between two reports of the queue counts.
 	countInterval = 700 * time.Millisecond
+	// statusInterval is the time between two summaries in the log.
+	statusInterval = 2 * time.Second
 	// inboxSize bounds the messages that wait for the owner's loop.
 	inboxSize = 4096
 )
@@ -63,6 +65,7 @@
 	lastCommit time.Duration
 	lastLease  time.Duration
 	lastCounts time.Duration
+	lastStatus time.Duration
 	wg         sync.WaitGroup
 }
 
@@ -308,6 +311,10 @@
 		o.lastCounts = now
 		o.links.broadcast(member.Entry, &wire.QueueCounts{Epoch: o.core.Epoch(), Counts: o.core.Pending()})
 	}
+	if now-o.lastStatus >= statusInterval {
+		o.lastStatus = now
+		o.core.LogStatus(now)
+	}
 	return nil
 }
 
--- a/events/dispatch.go
+++ b/events/dispatch.go
@@ -26,6 +26,7 @@
 	MemberConnected  = define(624, "member_connected", zerolog.InfoLevel, "The owner reaches an agent or an entry.")
 	MemberLost       = define(625, "member_lost", zerolog.WarnLevel, "The owner's connection to an agent or an entry has ended.")
 	LeaderSeen       = define(626, "owner_seen", zerolog.InfoLevel, "An agent or an entry has a new owner.")
+	OwnerStatus      = define(627, "owner_status", zerolog.InfoLevel, "A summary of the owner's tables, every two seconds. Sums of processors are in thousandths.")
 	ManifestApplied  = define(630, "manifest_applied", zerolog.InfoLevel, "A version of the manifest is in force in this process.")
 	ManifestInvalid  = define(631, "manifest_invalid", zerolog.ErrorLevel, "The manifest in the store cannot be read. The previous one stays in force.")
 	FollowFailed     = define(632, "follow_failed", zerolog.WarnLevel, "A table of the store cannot be followed. What is known stays in use.")
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -43,10 +43,14 @@
 	rackPenalty = 10.0
 	// suspicionPenalty weighs the share of failed runs against load.
 	suspicionPenalty = 20.0
-	// servingPenalty keeps tasks that disturb others away from those that serve.
-	servingPenalty = 0.5
-	// fillOverlapPenalty is the cost of taking the processors of tasks that fill.
-	fillOverlapPenalty = 0.5
+	// mixPenalty is the cost of putting tasks that fill and tasks that serve on one
+	// node, where the first disturb the second.
+	mixPenalty = 4.0
+	// openPenalty is the cost of opening another node to tasks that serve, which
+	// takes it away from those that fill.
+	openPenalty = 1.0
+	// shiftPenalty is the cost of taking processors from tasks that fill.
+	shiftPenalty = 0.5
 )
 
 // Choose returns the position of the best node, or -1 when none can take the task now.
@@ -96,15 +100,7 @@
 	s := q.Step
 	capacity := float64(max(1, n.Capacity.CPU))
 	load := float64(n.Reserved.CPU+n.Filling+s.Request.CPU) / capacity
-	c := load
-	if s.Fills {
-		c += servingPenalty * float64(min(n.Serving, 2))
-	} else {
-		over := float64(n.Reserved.CPU+n.Filling+s.Request.CPU-n.Capacity.CPU) / capacity
-		if over > 0 {
-			c += fillOverlapPenalty + over
-		}
-	}
+	c := load + separation(s, n, load)
 	if q.Avoid != nil && q.Avoid(n.ID) {
 		c += avoidPenalty
 	}
@@ -116,3 +112,29 @@
 	}
 	return c + suspicionPenalty*n.Suspicion
 }
+
+// separation keeps tasks that fill and tasks that serve on different nodes, and
+// other tasks with those that serve, so that they leave the rest to those that fill.
+func separation(s *submission.Step, n *Node, load float64) float64 {
+	switch {
+	case s.Fills:
+		return mixPenalty * float64(min(n.Serving, 2))
+	case s.Serves():
+		c := 0.0
+		if n.Filling > 0 {
+			c += mixPenalty
+		}
+		if n.Serving == 0 {
+			c += openPenalty
+		}
+		return c
+	}
+	c := 0.0
+	if n.Filling > 0 {
+		c += shiftPenalty
+	}
+	if load > 1 {
+		c += load
+	}
+	return c
+}
--- a/vmagent/unit.go
+++ b/vmagent/unit.go
@@ -55,6 +55,8 @@
 	beats    int
 	leaseEnd int64
 	lastSeen int64
+	// listNow tells that the next list is wanted without a wait.
+	listNow bool
 	// reported is the number of the last end that was sent to the owner.
 	reported int64
 	starting map[runKey]context.CancelFunc
@@ -70,7 +72,13 @@
 		pacer: newPacer()}
 }
 
-// wakeUp makes the next list be read at once.
+// list makes a list be read as soon as possible. The caller holds the agent's mu.
+func (u *unit) list() {
+	u.listNow = true
+	u.wakeUp()
+}
+
+// wakeUp ends a pause.
 func (u *unit) wakeUp() {
 	select {
 	case u.wake <- struct{}{}:
@@ -148,8 +156,8 @@
 	u.agent.mu.Lock()
 	defer u.agent.mu.Unlock()
 	h := executor.Hold{Epoch: epoch, Deadline: u.leaseEnd, LastSeen: u.lastSeen, Wait: listWait}
-	if u.reported == 0 || len(u.wake) > 0 {
-		h.Wait = 0
+	if u.listNow {
+		h.Wait, u.listNow = 0, false
 	}
 	return h, u.info
 }
@@ -168,7 +176,6 @@
 	if n := len(r.Ended); n > 0 {
 		u.reported = max(u.reported, r.Ended[n-1].Number)
 	}
-	u.reported = max(u.reported, u.lastSeen, 1)
 	changes := u.pacer.next(snap.Running, u.runs, u.agent.cfg.Clock.Now(), u.agent.cfg.Pacing)
 	info := u.info
 	u.agent.mu.Unlock()
--- a/vmagent/vmagent.go
+++ b/vmagent/vmagent.go
@@ -78,7 +78,7 @@
 	if u.beats == 0 || u.info.Draining != info.Draining {
 		events.ExecutorSeen.Log(a.cfg.Log).Str("executor", info.ID).Int64("born", info.Born).Str("service", info.Service).
 			Bool("draining", info.Draining).Dur("remaining", info.Remaining).Int64("sequence", info.Sequence).Send()
-		u.wakeUp()
+		u.list()
 	}
 	u.beats++
 	// The clock in a heartbeat may be older than one that came with a list.
@@ -152,7 +152,7 @@
 	}
 	for _, u := range a.executors {
 		u.reported = 0
-		u.wakeUp()
+		u.list()
 	}
 }
 
