Report all unrecorded ends with each list; mix tasks by learnt contention

Ruled out: the commit order (ends are in the batch before their ack). Change: every list carries all ends that are not recorded. Package contention learns the rise in tail latency by pair of images; placement allows a task that fills beside one that serves while the expected latency stays below 0.7 of the target, and counts 0.6 of the processors of tasks that serve as used.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/chicorystand/chicorystand/contention"
 	"github.com/chicorystand/chicorystand/manifest"
 	"github.com/chicorystand/chicorystand/submission"
 )
@@ -70,6 +71,7 @@
 	lastCommit time.Duration
 	outbox     map[submission.Incarnation]*outbox
 	pending    effects
+	contention *contention.Model
 	stats      Counters
 }
 
@@ -83,7 +85,7 @@
 func New(b Bounds, epoch uint64, now time.Duration, unix func(time.Duration) int64, log zerolog.Logger) *Owner {
 	return &Owner{bounds: b, epoch: epoch, since: now, lastCommit: now, log: log, unix: unix, jobs: make(map[string]*job),
 		executors: make(map[submission.Incarnation]*node), waiting: make(map[stepKey]*waitingStep), timed: make(map[string]*job),
-		dirty: make(map[string]*job), outbox: make(map[submission.Incarnation]*outbox), pending: newEffects()}
+		dirty: make(map[string]*job), outbox: make(map[submission.Incarnation]*outbox), pending: newEffects(), contention: contention.New()}
 }
 
 // Epoch returns the owner's epoch.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -89,7 +89,7 @@
 	onNode := o.countByNode(w)
 	left := tasks[:0]
 	for i, t := range tasks {
-		p := placement.Choose(o.query(w, t, step, onNode, ""), places)
+		p := placement.Choose(o.query(w, t, step, onNode, "", nodes), places)
 		if p < 0 {
 			left = append(left, tasks[i:]...)
 			break
@@ -117,8 +117,9 @@
 	return s.Service
 }
 
-func (o *Owner) query(w *waitingStep, t *taskEntry, step *submission.Step, onNode map[string]int, rack string) placement.Query {
+func (o *Owner) query(w *waitingStep, t *taskEntry, step *submission.Step, onNode map[string]int, rack string, nodes []*node) placement.Query {
 	return placement.Query{Step: step, Rack: rack,
+		Harms:  func(i int) bool { return o.harms(step, nodes[i]) },
 		OnNode: func(id string) int { return onNode[id] },
 		Avoid:  func(id string) bool { return slices.Contains(t.failedOn, id) }}
 }
@@ -146,7 +147,7 @@
 		trial[i] = &c
 	}
 	for _, t := range w.tasks {
-		p := placement.Choose(o.query(w, t, step, onNode, rack), trial)
+		p := placement.Choose(o.query(w, t, step, onNode, rack, nodes), trial)
 		if p < 0 {
 			return
 		}
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -196,6 +196,7 @@
 
 // applyList compares the executor's complete list with the tables.
 func (o *Owner) applyList(n *node, running []executor.Run, now time.Duration) {
+	o.learnContention(running)
 	listed := make(map[*taskEntry]struct{}, len(running))
 	for i := range running {
 		r := &running[i]
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -191,6 +191,7 @@
 	}
 	if t.step().Serves() {
 		n.place.Serving++
+		n.place.ServingCPU += t.step().Request.CPU
 	}
 }
 
@@ -206,6 +207,7 @@
 	}
 	if t.step().Serves() {
 		n.place.Serving--
+		n.place.ServingCPU -= t.step().Request.CPU
 	}
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -17,6 +17,8 @@
 	Filling int64
 	// Serving counts the tasks with a latency target.
 	Serving int
+	// ServingCPU is the sum of their processors in thousandths; it is part of Reserved.
+	ServingCPU int64
 	// Closed executors take no new task.
 	Closed bool
 	// Suspicion lies between 0 and 1: the share of recent runs that failed or stood still.
@@ -32,6 +34,8 @@
 	Avoid func(id string) bool
 	// Rack is preferred for steps that run on one rack, empty when none is chosen yet.
 	Rack string
+	// Harms reports whether the task would make a task that serves miss its latency target.
+	Harms func(position int) bool
 	// Allowed reports whether the queue's policy admits the node; nil admits all.
 	Allowed func(id string) bool
 }
@@ -43,9 +47,13 @@
 	rackPenalty = 10.0
 	// suspicionPenalty weighs the share of failed runs against load.
 	suspicionPenalty = 20.0
+	// harmPenalty is the cost of a node on which a task that serves would miss its target.
+	harmPenalty = 8.0
 	// mixPenalty is the cost of putting tasks that fill and tasks that serve on one
-	// node, where the first disturb the second.
-	mixPenalty = 4.0
+	// node, where the first may disturb the second.
+	mixPenalty = 1.0
+	// servingUse is the share of its processors that a task that serves is assumed to use.
+	servingUse = 0.6
 	// openPenalty is the cost of opening another node to tasks that serve, which
 	// takes it away from those that fill.
 	openPenalty = 1.0
@@ -53,6 +61,11 @@
 	shiftPenalty = 0.5
 )
 
+// expectedUse is the sum of processors that the node's tasks are expected to use, in thousandths.
+func (n *Node) expectedUse() int64 {
+	return n.Reserved.CPU - n.ServingCPU + int64(servingUse*float64(n.ServingCPU)) + n.Filling
+}
+
 // Choose returns the position of the best node, or -1 when none can take the task now.
 func Choose(q Query, nodes []*Node) int {
 	best, bestCost := -1, 0.0
@@ -60,7 +73,15 @@
 		if !Fits(q, n) {
 			continue
 		}
-		if c := cost(q, n); best < 0 || c < bestCost {
+		harms := q.Harms != nil && q.Harms(i)
+		if harms && q.Step.Fills {
+			continue
+		}
+		c := cost(q, n)
+		if harms {
+			c += harmPenalty
+		}
+		if best < 0 || c < bestCost {
 			best, bestCost = i, c
 		}
 	}
@@ -83,7 +104,7 @@
 	need := s.Request
 	if s.Fills {
 		// Processors are not counted for such a task; what is free bounds its speed.
-		if n.Reserved.CPU+n.Filling+need.CPU > n.Capacity.CPU {
+		if n.expectedUse()+need.CPU > n.Capacity.CPU {
 			return false
 		}
 		need.CPU = 0
@@ -99,7 +120,7 @@
 func cost(q Query, n *Node) float64 {
 	s := q.Step
 	capacity := float64(max(1, n.Capacity.CPU))
-	load := float64(n.Reserved.CPU+n.Filling+s.Request.CPU) / capacity
+	load := float64(n.expectedUse()+s.Request.CPU) / capacity
 	c := load + separation(s, n, load)
 	if q.Avoid != nil && q.Avoid(n.ID) {
 		c += avoidPenalty
@@ -118,7 +139,7 @@
 func separation(s *submission.Step, n *Node, load float64) float64 {
 	switch {
 	case s.Fills:
-		return mixPenalty * float64(min(n.Serving, 2))
+		return mixPenalty * float64(min(n.Serving, 1))
 	case s.Serves():
 		c := 0.0
 		if n.Filling > 0 {
--- a/vmagent/unit.go
+++ b/vmagent/unit.go
@@ -50,15 +50,16 @@
 	wake   chan struct{}
 	slots  chan struct{}
 
+	// lastListed is the number of the last end in the last list; only poll uses it.
+	lastListed int64
+
 	// The fields below are guarded by the agent's mu.
 	info     executor.Info
 	beats    int
 	leaseEnd int64
 	lastSeen int64
 	// listNow tells that the next list is wanted without a wait.
-	listNow bool
-	// reported is the number of the last end that was sent to the owner.
-	reported int64
+	listNow  bool
 	starting map[runKey]context.CancelFunc
 	stopping map[runKey]struct{}
 	runs     map[runKey]runInfo
@@ -169,13 +170,12 @@
 	r := &wire.Report{Epoch: epoch, Agent: u.agent.cfg.Name, Info: u.info, Full: true, Running: snap.Running}
 	for _, e := range snap.Ended {
 		delete(u.runs, runKey{e.Task, e.Run})
-		if e.Number > u.lastSeen && e.Number > u.reported {
+		// Every list carries all ends that are not recorded, since an owner takes a
+		// run that is neither listed nor ended for lost.
+		if e.Number > u.lastSeen {
 			r.Ended = append(r.Ended, e)
 		}
 	}
-	if n := len(r.Ended); n > 0 {
-		u.reported = max(u.reported, r.Ended[n-1].Number)
-	}
 	changes := u.pacer.next(snap.Running, u.runs, u.agent.cfg.Clock.Now(), u.agent.cfg.Pacing)
 	info := u.info
 	u.agent.mu.Unlock()
@@ -186,19 +186,25 @@
 }
 
 // awaitAck waits for the owner to record the ends of a list: until then the
-// executor would answer the next list at once.
+// executor would answer the next list at once. It waits longer when no end is
+// new, as while the owner cannot reach the store.
 func (u *unit) awaitAck(snap executor.Snapshot) {
 	n := len(snap.Ended)
 	if n == 0 {
 		return
 	}
 	last := snap.Ended[n-1].Number
-	deadline := time.Now().Add(ackWait)
+	wait := ackWait
+	if last == u.lastListed {
+		wait = listWait
+	}
+	u.lastListed = last
+	deadline := time.Now().Add(wait)
 	for u.ctx.Err() == nil && time.Now().Before(deadline) {
 		u.agent.mu.Lock()
-		seen := u.lastSeen >= last
+		next := u.lastSeen >= last || u.listNow
 		u.agent.mu.Unlock()
-		if seen {
+		if next {
 			return
 		}
 		u.sleep(time.Until(deadline))
--- a/vmagent/vmagent.go
+++ b/vmagent/vmagent.go
@@ -151,7 +151,6 @@
 		a.send(&wire.Report{Epoch: a.cfg.Link.Epoch(), Agent: a.cfg.Name, Info: executor.Info{Incarnation: inc}, Gone: true})
 	}
 	for _, u := range a.executors {
-		u.reported = 0
 		u.list()
 	}
 }
--- /dev/null
+++ b/vmagent/vmagent_test.go
@@ -0,0 +1,206 @@
+package vmagent
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorystand/chicorystand/clock"
+	"github.com/chicorystand/chicorystand/executor"
+	"github.com/chicorystand/chicorystand/member"
+	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+// fakeExecutor is an executor whose answers tests control.
+type fakeExecutor struct {
+	mu     sync.Mutex
+	start  func(s executor.Start) executor.Answer
+	stop   func(task string, run uint32) executor.Answer
+	hold   func(h executor.Hold) executor.Snapshot
+	starts []executor.Start
+	stops  []string
+}
+
+func (f *fakeExecutor) Start(_ context.Context, _ executor.Info, s executor.Start) executor.Answer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.starts = append(f.starts, s)
+	return f.start(s)
+}
+
+func (f *fakeExecutor) Stop(_ context.Context, _ executor.Info, name string, run uint32, _ uint64) executor.Answer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stops = append(f.stops, name)
+	return f.stop(name, run)
+}
+
+func (f *fakeExecutor) Pace(context.Context, executor.Info, string, uint32, uint64, int) executor.Answer {
+	return executor.Answer{}
+}
+
+func (f *fakeExecutor) Hold(ctx context.Context, _ executor.Info, h executor.Hold) executor.Snapshot {
+	s := f.hold(h)
+	if h.Wait > 0 && len(s.Ended) == 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	return s
+}
+
+// testOwner is the owner's end of a connection to the agent.
+type testOwner struct {
+	peer    *wire.Peer
+	reports chan *wire.Report
+	results chan *wire.OrderResults
+}
+
+func connectOwner(t *testing.T, a *Agent, epoch uint64) *testOwner {
+	t.Helper()
+	near, far := net.Pipe()
+	o := &testOwner{reports: make(chan *wire.Report, 1000), results: make(chan *wire.OrderResults, 1000)}
+	wire.NewPeer(far, a.Handle)
+	o.peer = wire.NewPeer(near, func(_ *wire.Peer, m wire.Message, _ wire.Reply) {
+		switch m := m.(type) {
+		case *wire.Report:
+			o.reports <- m
+		case *wire.OrderResults:
+			o.results <- m
+		}
+	})
+	t.Cleanup(o.peer.Close)
+	_, err := o.peer.Call(t.Context(), &wire.Lead{Epoch: epoch, Owner: "owner"})
+	assert.NilError(t, err)
+	return o
+}
+
+func newTestAgent(t *testing.T, f *fakeExecutor) *Agent {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	c := clock.Boottime{}
+	return New(ctx, Config{Name: "agent", Client: f, Clock: c, Log: zerolog.Nop(), Link: member.NewOwnerLink(c, zerolog.Nop()),
+		Observe: func(string, executor.Answer) {}})
+}
+
+func testInfo() executor.Info {
+	return executor.Info{Incarnation: submission.Incarnation{ID: "i-1", Born: 7}, Service: "s", Address: "10.0.0.1:1",
+		Capacity: task.Resources{CPU: 1000, Memory: 1000}, Sequence: 1}
+}
+
+const testTimeout = 5 * time.Second
+
+func waitFor[T any](t *testing.T, c <-chan T, what string, ok func(T) bool) T {
+	t.Helper()
+	deadline := time.After(testTimeout)
+	for {
+		select {
+		case m := <-c:
+			if ok(m) {
+				return m
+			}
+		case <-deadline:
+			t.Fatalf("no %s in %s", what, testTimeout)
+		}
+	}
+}
+
+// awaitListWanted returns when the agent has taken in its new owner.
+func awaitListWanted(t *testing.T, a *Agent) {
+	t.Helper()
+	for deadline := time.Now().Add(testTimeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		a.mu.Lock()
+		wanted := true
+		for _, u := range a.executors {
+			wanted = wanted && u.listNow
+		}
+		a.mu.Unlock()
+		if wanted {
+			return
+		}
+	}
+	t.Fatal("the agent does not want a list for its new owner")
+}
+
+// A list that is on its way when the owner changes must not hide its ends from
+// the new owner, which would take the runs for lost and start them again.
+func TestEndsOfListDuringOwnerChangeReachNewOwner(t *testing.T) {
+	end := executor.End{Number: 1, Task: "a.0.0.0", Run: 1, Cause: executor.Done}
+	entered, release := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	f := &fakeExecutor{hold: func(h executor.Hold) executor.Snapshot {
+		if h.Epoch == 1 {
+			once.Do(func() { close(entered) })
+			<-release
+		}
+		return executor.Snapshot{Born: 7, Ended: []executor.End{end}}
+	}}
+	a := newTestAgent(t, f)
+	connectOwner(t, a, 1)
+	a.Heartbeat(testInfo())
+	<-entered
+	second := connectOwner(t, a, 2)
+	awaitListWanted(t, a)
+	close(release)
+	first := waitFor(t, second.reports, "report under the new epoch", func(r *wire.Report) bool { return r.Epoch == 2 && r.Full })
+	assert.Equal(t, len(first.Ended), 1, "the first list of the epoch lacks an end that the owner has not recorded")
+}
+
+// A start whose first attempt had no answer may still be carried out. When a later
+// attempt is refused, a stop must keep the first from starting before the owner
+// places the task elsewhere.
+func TestRefusalAfterLostAnswerIsReportedOnlyAfterStop(t *testing.T) {
+	attempts := 0
+	f := &fakeExecutor{hold: func(executor.Hold) executor.Snapshot { return executor.Snapshot{Born: 7} }}
+	f.start = func(executor.Start) executor.Answer {
+		attempts++
+		if attempts == 1 {
+			return executor.Answer{Outcome: executor.Unknown}
+		}
+		return executor.Answer{Outcome: executor.Rejected, Reason: executor.ReasonRoom}
+	}
+	stopAttempts := 0
+	f.stop = func(string, uint32) executor.Answer {
+		stopAttempts++
+		if stopAttempts == 1 {
+			return executor.Answer{Outcome: executor.Unknown}
+		}
+		return executor.Answer{}
+	}
+	a := newTestAgent(t, f)
+	o := connectOwner(t, a, 1)
+	a.Heartbeat(testInfo())
+	assert.NilError(t, o.peer.Notify(&wire.Orders{Epoch: 1, Executor: "i-1", Born: 7, LeaseEnd: 5000,
+		Starts: []wire.StartOrder{{Task: "a.0.0.0", Run: 1}}}))
+	r := waitFor(t, o.results, "result", func(*wire.OrderResults) bool { return true })
+	assert.Equal(t, r.Results[0].Reason, executor.ReasonRoom)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	assert.Equal(t, len(f.stops), 2, "the stop has to be repeated until it is answered")
+}
+
+// A heartbeat of a lifetime that has ended must not bring it back.
+func TestDelayedHeartbeatOfEarlierLifetimeIsIgnored(t *testing.T) {
+	f := &fakeExecutor{hold: func(executor.Hold) executor.Snapshot { return executor.Snapshot{Born: 8} }}
+	a := newTestAgent(t, f)
+	old := testInfo()
+	a.Heartbeat(old)
+	reborn := testInfo()
+	reborn.Born = 8
+	a.Heartbeat(reborn)
+	old.Sequence = 9
+	a.Heartbeat(old)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	assert.Equal(t, len(a.executors), 1)
+	assert.Assert(t, a.executors[reborn.Incarnation] != nil)
+}
