Decide paces at the owner from a sparse model of contention

Cause: one pace for all tasks that fill on a node starved images that disturb nobody; a least-squares model spread blame over all images and ratcheted up with the noise of reported latencies. Change: the owner learns pairs of images (blame goes where suspicion is, only above the noise) and orders a pace for each image; the agent keeps no pacing.

--- a/command/deployed/agent.go
+++ b/command/deployed/agent.go
@@ -44,7 +44,7 @@
 	m := metrics.NewDeployment(metrics.DeploymentSources{Owning: func() bool { return false },
 		ManifestVersion: func() int64 { return 0 }, OwnerSilence: p.link.Silent})
 	a := vmagent.New(work, vmagent.Config{Name: p.settings.Node, Client: platform.NewExecutors(), Clock: p.clock, Log: p.log,
-		Link: p.link, Pacing: p.settings.Bounds.Pacing, Observe: m.ObserveOrder})
+		Link: p.link, Observe: m.ObserveOrder})
 	beats, err := p.listen(ctx, p.settings.Heartbeats)
 	if err != nil {
 		return err
--- a/contention/contention.go
+++ b/contention/contention.go
@@ -1,30 +1,35 @@
 // Package contention learns how much tasks that fill an executor raise the tail
-// latency of the tasks that serve beside them. Tasks of one image behave alike,
-// and the effect differs by the pair of images. It answers the load of an
-// executor whose reservations leave processors unused that tasks could fill.
+// latency of the tasks that serve beside them, and from that decides which may
+// share an executor and at which pace. Tasks of one image behave alike, and the
+// effect differs by the pair of images. It answers the load of a deployment
+// whose tasks that serve reserve more processors than they use.
 //
-// Latencies are modelled as base * (1 + sum of pressure * processors), where the
-// base belongs to the serving image and the pressure to the pair.
+// Latencies are modelled as base * (1 + sum of pressure * processors). The base
+// moves with a task's own load; it is taken from tasks of the same group (the
+// same step of the same submission) that nothing disturbs at the time.
 package contention
 
 import "time"
 
 const (
 	// defaultPressure is the assumed rise per processor in use of an unknown pair.
-	defaultPressure = 0.25
+	defaultPressure = 0.04
 	// maxPressure bounds what one outlier can teach.
-	maxPressure = 5.0
-	// learningRate is the share of a sample's error that is corrected.
-	learningRate = 0.15
-	// baseRate is the weight of a new latency without contention.
-	baseRate = 0.05
-	// firstBaseShare is the assumed base of an unknown image, as a share of its target.
-	firstBaseShare = 0.35
-	// loadSwing is the factor by which a task's own load raises its latency above
-	// the base at the worst moments.
-	loadSwing = 1.5
-	// regularization keeps samples with little contention from moving the pressures far.
-	regularization = 1.0
+	maxPressure = 8.0
+	// learnUp and learnDown are the shares of a sample's error that are corrected.
+	learnUp, learnDown = 0.5, 0.15
+	// noise is the error, as a share of the base, that reported latencies have by
+	// themselves. Smaller errors are not learnt, as they would add up for pairs
+	// that are seen often.
+	noise = 0.2
+	// peakDecay lets the highest latency of an image fade with each undisturbed sample.
+	peakDecay = 0.998
+	// firstPeakShare is the assumed peak of an unknown image, as a share of its target.
+	firstPeakShare = 0.6
+	// minProcessors is the use below which no pressure can be told from noise.
+	minProcessors = 0.2
+	// cleanAge is how long an undisturbed latency stands for a task's own load.
+	cleanAge = 1600 * time.Millisecond
 )
 
 // Pair is a serving and a filling image.
@@ -37,60 +42,97 @@
 	Processors float64
 }
 
-// Sample is the latency of one task that serves, and what fills beside it.
-type Sample struct {
-	Image           string
+// Serving is the latency of one task that serves.
+type Serving struct {
+	// Group names tasks that share their load.
+	Group, Image    string
 	Latency, Target time.Duration
-	Fillers         []Filler
+}
+
+// clean is an undisturbed latency.
+type clean struct {
+	latency float64
+	at      time.Duration
 }
 
 // Model holds what was learnt. The zero value is not usable.
 type Model struct {
-	base     map[string]float64
+	peak     map[string]float64
 	pressure map[Pair]float64
-	// byFilling is the mean pressure of a filling image, used for pairs that were not seen.
-	byFilling map[string]float64
+	clean    map[string]clean
 }
 
 // New returns a model without knowledge.
 func New() *Model {
-	return &Model{base: make(map[string]float64), pressure: make(map[Pair]float64), byFilling: make(map[string]float64)}
+	return &Model{peak: make(map[string]float64), pressure: make(map[Pair]float64), clean: make(map[string]clean)}
 }
 
-// Observe takes in a sample.
-func (m *Model) Observe(s Sample) {
+// Observe takes in a latency and what fills beside the task.
+func (m *Model) Observe(s Serving, fillers []Filler, now time.Duration) {
 	latency := float64(s.Latency)
 	if latency <= 0 || s.Target <= 0 {
 		return
 	}
-	base := m.baseOf(s.Image, s.Target)
-	if len(s.Fillers) == 0 {
-		m.base[s.Image] = base + baseRate*(latency-base)
+	if len(fillers) == 0 {
+		m.clean[s.Group] = clean{latency, now}
+		m.peak[s.Image] = max(m.peakOf(s.Image, s.Target)*peakDecay, latency)
 		return
 	}
-	predicted, norm := 0.0, regularization
-	for _, f := range s.Fillers {
-		predicted += m.Pressure(Pair{s.Image, f.Image}) * f.Processors
-		norm += f.Processors * f.Processors
+	base := m.peakOf(s.Image, s.Target)
+	c, known := m.clean[s.Group]
+	if known = known && now-c.at <= cleanAge; known {
+		base = c.latency
 	}
-	miss := latency/base - 1 - predicted
-	for _, f := range s.Fillers {
-		p := Pair{s.Image, f.Image}
-		step := learningRate * miss * f.Processors / norm
-		m.pressure[p] = min(maxPressure, max(0, m.Pressure(p)+step))
-		mean, ok := m.byFilling[f.Image]
-		if !ok {
-			mean = defaultPressure
-		}
-		m.byFilling[f.Image] = mean + learningRate*(m.pressure[p]-mean)
+	miss := latency/base - 1 - m.Rise(s.Image, fillers)
+	switch {
+	case miss > noise:
+		m.blame(s.Image, fillers, learnUp*(miss-noise))
+	case miss < 0 && known:
+		m.excuse(s.Image, fillers, miss)
 	}
 }
 
-func (m *Model) baseOf(image string, target time.Duration) float64 {
-	if b, ok := m.base[image]; ok {
+// blame spreads an unexplained rise over the images that are there, most on those
+// that are suspected already: few pairs disturb at all, so a rise has mostly one cause.
+func (m *Model) blame(image string, fillers []Filler, rise float64) {
+	total := 0.0
+	for _, f := range fillers {
+		total += m.suspicion(image, f) * f.Processors
+	}
+	if total < minProcessors*defaultPressure {
+		return
+	}
+	for _, f := range fillers {
+		m.adjust(Pair{image, f.Image}, rise*m.suspicion(image, f)/total)
+	}
+}
+
+func (m *Model) suspicion(image string, f Filler) float64 {
+	return (m.Pressure(Pair{image, f.Image}) + defaultPressure) * f.Processors
+}
+
+// excuse lowers the pressures that predicted more than was seen.
+func (m *Model) excuse(image string, fillers []Filler, miss float64) {
+	predicted := m.Rise(image, fillers)
+	if predicted <= 0 {
+		return
+	}
+	share := learnDown * min(1, -miss/predicted)
+	for _, f := range fillers {
+		p := Pair{image, f.Image}
+		m.adjust(p, -share*m.Pressure(p))
+	}
+}
+
+func (m *Model) adjust(p Pair, by float64) {
+	m.pressure[p] = min(maxPressure, max(0, m.Pressure(p)+by))
+}
+
+func (m *Model) peakOf(image string, target time.Duration) float64 {
+	if b, ok := m.peak[image]; ok {
 		return b
 	}
-	return firstBaseShare * float64(target)
+	return firstPeakShare * float64(target)
 }
 
 // Pressure returns the rise in latency per processor in use.
@@ -98,21 +140,32 @@
 	if v, ok := m.pressure[p]; ok {
 		return v
 	}
-	if v, ok := m.byFilling[p.Filling]; ok {
-		return v
-	}
 	return defaultPressure
 }
 
+// Rise returns the expected rise in the latency of a serving image, 0 for none.
+func (m *Model) Rise(image string, fillers []Filler) float64 {
+	rise := 0.0
+	for _, f := range fillers {
+		rise += m.Pressure(Pair{image, f.Image}) * f.Processors
+	}
+	return rise
+}
+
 // Expected returns the expected latency of a task that serves, at the worst
 // moments of its own load, as a share of its target.
 func (m *Model) Expected(image string, target time.Duration, fillers []Filler) float64 {
 	if target <= 0 {
 		return 0
 	}
-	rise := 0.0
-	for _, f := range fillers {
-		rise += m.Pressure(Pair{image, f.Image}) * f.Processors
+	return m.peakOf(image, target) * (1 + m.Rise(image, fillers)) / float64(target)
+}
+
+// Base returns the latency that a task has now without what fills beside it.
+// known is false when it is inferred from the disturbed latency.
+func (m *Model) Base(s Serving, fillers []Filler, now time.Duration) (base float64, known bool) {
+	if c, ok := m.clean[s.Group]; ok && now-c.at <= cleanAge {
+		return c.latency, true
 	}
-	return loadSwing * m.baseOf(image, target) * (1 + rise) / float64(target)
+	return float64(s.Latency) / (1 + m.Rise(s.Image, fillers)), false
 }
--- /dev/null
+++ b/contention/pace.go
@@ -0,0 +1,114 @@
+package contention
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// paceTarget is the share of its target that a task's latency is led to.
+	paceTarget = 0.85
+	// overTarget is the share of the target from which a measured latency counts as too high.
+	overTarget = 0.95
+	// backOffFactor is the factor on the pace of a suspect while a latency is too high.
+	backOffFactor = 0.3
+	// suspectShare is the share of the strongest suspicion from which an image is a suspect.
+	suspectShare = 0.5
+	// ownLoad is the share of a latency that makes the task's own load its cause.
+	ownLoad = 0.85
+)
+
+// Levels are the paces in percent, from the slowest to full speed.
+var Levels = []int{0, 8, 15, 30, 50, 75, 100}
+
+// Paces returns for each filler the pace in percent at which the tasks that
+// serve keep their targets. full holds the processors at full pace, used those
+// of the last half second, and current the paces now.
+func (m *Model) Paces(serving []Serving, full, used []Filler, current map[string]int, now time.Duration) map[string]int {
+	pace := make(map[string]float64, len(full))
+	for _, f := range full {
+		pace[f.Image] = 1
+	}
+	for _, s := range serving {
+		if s.Target > 0 && s.Latency > 0 {
+			m.limit(s, full, used, pace, current, now)
+		}
+	}
+	out := make(map[string]int, len(pace))
+	for image, p := range pace {
+		now, ok := current[image]
+		if !ok {
+			now = Levels[len(Levels)-1]
+		}
+		out[image] = level(p, now)
+	}
+	return out
+}
+
+// limit lowers the paces until one task keeps its target, those first that disturb it most.
+func (m *Model) limit(s Serving, full, used []Filler, pace map[string]float64, current map[string]int, now time.Duration) {
+	base, known := m.Base(s, used, now)
+	latency, target := float64(s.Latency), float64(s.Target)
+	if known && base >= ownLoad*latency && latency >= overTarget*target {
+		return // the task is late by its own load; slower neighbours would not help
+	}
+	budget := max(0, paceTarget*target/base-1)
+	order := slices.Clone(full)
+	slices.SortFunc(order, func(a, b Filler) int {
+		pa, pb := m.Pressure(Pair{s.Image, a.Image}), m.Pressure(Pair{s.Image, b.Image})
+		switch {
+		case pa < pb:
+			return -1
+		case pa > pb:
+			return 1
+		}
+		return 0
+	})
+	for _, f := range order {
+		rise := m.Pressure(Pair{s.Image, f.Image}) * f.Processors
+		allowed := 1.0
+		if rise > 0 {
+			allowed = min(1, max(0, budget)/rise)
+		}
+		pace[f.Image] = min(pace[f.Image], allowed)
+		budget -= rise * pace[f.Image]
+	}
+	if latency > overTarget*target {
+		m.backOff(s, full, used, pace, current)
+	}
+}
+
+// backOff slows the images down that most likely cause a latency that is too
+// high in spite of the model.
+func (m *Model) backOff(s Serving, full, used []Filler, pace map[string]float64, current map[string]int) {
+	worst := 0.0
+	for _, f := range used {
+		worst = max(worst, m.suspicion(s.Image, f))
+	}
+	for _, f := range full {
+		for _, u := range used {
+			if u.Image != f.Image || m.suspicion(s.Image, u) < suspectShare*worst {
+				continue
+			}
+			now := 1.0
+			if c, ok := current[f.Image]; ok {
+				now = float64(c) / 100
+			}
+			pace[f.Image] = min(pace[f.Image], backOffFactor*now)
+		}
+	}
+}
+
+// level rounds a pace down to a level. A pace that rises does so by two levels at most.
+func level(pace float64, current int) int {
+	want, position := 0, 0
+	for i, l := range Levels {
+		if float64(l) <= pace*100+0.5 {
+			want = l
+		}
+		if l <= current {
+			position = i
+		}
+	}
+	return min(want, Levels[min(position+2, len(Levels)-1)])
+}
--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -1,40 +1,114 @@
 package dispatch
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/chicorystand/chicorystand/contention"
+	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/executor"
 	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/wire"
 )
 
-// maxExpectedLatency is the share of its target up to which a task that serves
-// may be expected to rise because of a task that is placed beside it. It leaves
-// room for the error of what was learnt.
-const maxExpectedLatency = 0.7
+const (
+	// maxExpectedLatency is the share of its target up to which a task that serves
+	// may be expected to rise because of a task that is placed beside it.
+	maxExpectedLatency = 0.9
+	// paceInterval is the time until the effect of a change of pace is reported.
+	paceInterval = 600 * time.Millisecond
+	// repeatPace is the time after which a pace is ordered again, since lists do not
+	// show it and an earlier order may have been carried out late.
+	repeatPace = 3 * time.Second
+	// fullPace is the pace of a run that has just started, in percent.
+	fullPace = 100
+)
 
-// learnContention takes in the latencies of one list.
-func (o *Owner) learnContention(running []executor.Run) {
-	usage := make(map[string]float64)
-	for i := range running {
-		if t := o.find(running[i].Task); t != nil && t.step().Fills {
-			usage[t.step().Image] += float64(running[i].Load) / 1000
-		}
-	}
-	fillers := make([]contention.Filler, 0, len(usage))
+// fillersOf turns processors by image into a list.
+func fillersOf(usage map[string]float64) []contention.Filler {
+	list := make([]contention.Filler, 0, len(usage))
 	for image, processors := range usage {
 		if processors > 0 {
-			fillers = append(fillers, contention.Filler{Image: image, Processors: processors})
+			list = append(list, contention.Filler{Image: image, Processors: processors})
 		}
 	}
+	return list
+}
+
+// serving returns the latency of a task that serves, as of a list of runs.
+func (t *taskEntry) serving(r *executor.Run) contention.Serving {
+	return contention.Serving{Group: t.job.sub.ID + "." + strconv.Itoa(t.id.Step), Image: t.step().Image,
+		Latency: time.Duration(r.Load) * time.Millisecond, Target: t.step().LatencyTarget}
+}
+
+// learnContention takes in the latencies of one list and adapts the paces on the node.
+func (o *Owner) learnContention(n *node, running []executor.Run, now time.Duration) {
+	usage := make(map[string]float64)
+	var serving []contention.Serving
 	for i := range running {
 		t := o.find(running[i].Task)
-		if t == nil || !t.step().Serves() || running[i].Percent < 100 {
+		switch {
+		case t == nil || t.node != n:
+		case t.step().Fills:
+			usage[t.step().Image] += float64(running[i].Load) / 1000
+		case t.step().Serves() && running[i].Percent >= 100:
+			serving = append(serving, t.serving(&running[i]))
+		}
+	}
+	used := fillersOf(usage)
+	if len(used) == 0 && len(n.fillers()) > 0 {
+		return // tasks that start or stand still tell nothing, and do not leave the node undisturbed for sure
+	}
+	for _, s := range serving {
+		o.contention.Observe(s, used, now)
+	}
+	o.adaptPaces(n, serving, used, now)
+}
+
+// adaptPaces orders the paces at which the tasks that serve on the node keep their targets.
+func (o *Owner) adaptPaces(n *node, serving []contention.Serving, used []contention.Filler, now time.Duration) {
+	full := fillersOf(n.fillers())
+	if len(full) == 0 || len(serving) == 0 && !n.paced() {
+		clear(n.paces)
+		return
+	}
+	if now-n.pacedAt < paceInterval {
+		return
+	}
+	wanted := o.contention.Paces(serving, full, used, n.paces, now)
+	n.paces = wanted
+	for t := range n.tasks {
+		if !t.step().Fills || t.phase != phaseRunning || t.stopping {
 			continue
 		}
-		o.contention.Observe(contention.Sample{Image: t.step().Image, Latency: time.Duration(running[i].Load) * time.Millisecond,
-			Target: t.step().LatencyTarget, Fillers: fillers})
+		want := wanted[t.step().Image]
+		if t.pace != want {
+			n.pacedAt = now
+			o.pace(t, want, now)
+		} else if t.pacedAt != 0 && now-t.pacedAt > repeatPace {
+			o.pace(t, want, now)
+		}
+	}
+}
+
+// pace orders a pace.
+func (o *Owner) pace(t *taskEntry, percent int, now time.Duration) {
+	t.pace, t.pacedAt = percent, now
+	b := o.out(t.node)
+	b.paces = append(b.paces, wire.PaceOrder{Task: t.name(), Run: t.rec.Run, Percent: percent})
+	b.touched = true
+	events.TaskPaced.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", t.node.info.ID).
+		Int("percent", percent).Str("image", t.step().Image).Send()
+}
+
+// paced reports whether a run on the node does not work at full pace.
+func (n *node) paced() bool {
+	for t := range n.tasks {
+		if t.step().Fills && t.pace != fullPace {
+			return true
+		}
 	}
+	return false
 }
 
 // fillers returns the requested processors of the tasks that fill on a node, by image.
@@ -61,17 +135,21 @@
 	if len(usage) == 0 {
 		return false
 	}
-	fillers := make([]contention.Filler, 0, len(usage))
-	for image, processors := range usage {
-		fillers = append(fillers, contention.Filler{Image: image, Processors: processors})
-	}
+	fillers := fillersOf(usage)
 	if step.Serves() && o.contention.Expected(step.Image, step.LatencyTarget, fillers) > maxExpectedLatency {
 		return true
 	}
 	for t := range n.tasks {
-		if s := t.step(); s.Serves() && o.contention.Expected(s.Image, s.LatencyTarget, fillers) > maxExpectedLatency {
+		s := t.step()
+		if !s.Serves() || (step.Fills && o.contention.Rise(s.Image, fillers) < negligibleRise) {
+			continue
+		}
+		if o.contention.Expected(s.Image, s.LatencyTarget, fillers) > maxExpectedLatency {
 			return true
 		}
 	}
 	return false
 }
+
+// negligibleRise is a rise in latency that is not worth keeping a task away.
+const negligibleRise = 0.05
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -57,7 +57,7 @@
 		case submission.TaskDone:
 			j.remaining[t.id.Occurrence][t.id.Step]--
 		case submission.TaskAssigned:
-			t.phase, t.changedAt = phaseAdopted, now
+			t.phase, t.changedAt, t.pace = phaseAdopted, now, unknownPace
 			n := o.node(t.rec.Executor)
 			t.node = n
 			n.reserve(t)
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -25,6 +25,7 @@
 	node    *node
 	starts  []wire.StartOrder
 	stops   []wire.StopOrder
+	paces   []wire.PaceOrder
 	touched bool
 }
 
@@ -61,7 +62,7 @@
 	b := o.out(t.node)
 	t.orderedAt = now
 	b.starts = append(b.starts, wire.StartOrder{Task: t.name(), Run: t.rec.Run, Specification: s.Specification,
-		Checkpoint: t.rec.Checkpoint, TargetMS: int(t.step().LatencyTarget.Milliseconds()), Fills: t.step().Fills})
+		Checkpoint: t.rec.Checkpoint})
 	b.touched = true
 	o.stats.Starts++
 }
@@ -101,11 +102,8 @@
 		m := &wire.Orders{Epoch: o.epoch, Executor: inc.ID, Born: inc.Born, LastSeen: n.durableEnd}
 		m.LeaseEnd = o.extendLease(n, now)
 		if b != nil {
-			m.Starts, m.Stops = b.starts, b.stops
-			b.starts, b.stops, b.touched = nil, nil, false
-		}
-		if n.describe {
-			m.Known, n.describe = n.knownRuns(), false
+			m.Starts, m.Stops, m.Paces = b.starts, b.stops, b.paces
+			b.starts, b.stops, b.paces, b.touched = nil, nil, nil, false
 		}
 		mails = append(mails, Mail{Agent: n.agent, Orders: m})
 	}
@@ -165,15 +163,3 @@
 	}
 	o.requeue(t, now)
 }
-
-// knownRuns describes the runs of the node that its agent may have to pace.
-func (n *node) knownRuns() []wire.KnownRun {
-	var runs []wire.KnownRun
-	for t := range n.tasks {
-		if t.phase == phaseRunning && (t.step().Fills || t.step().Serves()) {
-			runs = append(runs, wire.KnownRun{Task: t.name(), Run: t.rec.Run,
-				TargetMS: int(t.step().LatencyTarget.Milliseconds()), Fills: t.step().Fills})
-		}
-	}
-	return runs
-}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -171,7 +171,7 @@
 func (o *Owner) assign(t *taskEntry, n *node, now time.Duration) {
 	t.rec.State, t.rec.Executor = submission.TaskAssigned, n.info.Incarnation
 	t.rec.Run++
-	t.node, t.phase, t.changedAt, t.percent = n, phaseRecorded, now, 0
+	t.node, t.phase, t.changedAt, t.percent, t.pace, t.pacedAt = n, phaseRecorded, now, 0, fullPace, 0
 	n.reserve(t)
 	o.dirty[t.job.sub.ID] = t.job
 	o.pending.starts = append(o.pending.starts, t)
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -64,9 +64,8 @@
 	if !n.connected {
 		// Orders that were on their way may be lost with the earlier connection.
 		for t := range n.tasks {
-			t.orderedAt, t.stopSent = 0, 0
+			t.orderedAt, t.stopSent, t.pace = 0, 0, unknownPace
 		}
-		n.describe = true
 	}
 	draining := n.info.Draining || r.Info.Draining
 	n.info, n.agent, n.connected = r.Info, r.Agent, true
@@ -196,7 +195,6 @@
 
 // applyList compares the executor's complete list with the tables.
 func (o *Owner) applyList(n *node, running []executor.Run, now time.Duration) {
-	o.learnContention(running)
 	listed := make(map[*taskEntry]struct{}, len(running))
 	for i := range running {
 		r := &running[i]
@@ -215,13 +213,13 @@
 		n.granted = max(n.granted, n.clock+o.bounds.Lease.Milliseconds())
 		n.unknownUntil = 0
 	}
-	n.describe = n.describe || first
 	n.adopted = true
 	for t := range n.tasks {
 		if _, ok := listed[t]; !ok {
 			o.applyMissing(t, n, first, now)
 		}
 	}
+	o.learnContention(n, running, now)
 	o.changed = o.changed || first
 }
 
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -27,6 +27,9 @@
 	phaseRunning
 )
 
+// unknownPace stands for the pace of a run that another process may have changed.
+const unknownPace = -1
+
 // taskEntry is a task in the table of tasks.
 type taskEntry struct {
 	job *job
@@ -44,6 +47,9 @@
 	stopAcked time.Duration
 	// percent is the last reported progress.
 	percent int
+	// pace is the last ordered pace in percent, pacedAt when it was ordered, 0 for never.
+	pace    int
+	pacedAt time.Duration
 	// missing counts complete lists of the executor that lacked the run.
 	missing int
 	// failedOn lists the executors on which a run has failed.
@@ -161,9 +167,7 @@
 	adopted bool
 	// connected tells that the agent's connection is up.
 	connected bool
-	// describe tells that the agent has to be told of the runs it did not start.
-	describe bool
-	gone     bool
+	gone      bool
 	// lost tells that the lease has expired without contact.
 	lost bool
 	// clock is the executor's clock in milliseconds when clockAt was the time here.
@@ -180,6 +184,9 @@
 	closedUntil time.Duration
 	drainEnd    time.Duration
 	health      health
+	// paces are the paces of the images that fill, in percent; they were ordered at pacedAt.
+	paces   map[string]int
+	pacedAt time.Duration
 }
 
 // reserve books the task on the node.
--- a/vmagent/unit.go
+++ b/vmagent/unit.go
@@ -13,6 +13,8 @@
 const (
 	// listWait is how long a list waits for an end.
 	listWait = 900 * time.Millisecond
+	// mixedWait is listWait on an executor on which runs are paced.
+	mixedWait = 500 * time.Millisecond
 	// ackWait is how long the next list waits for the owner to record the ends of the last one.
 	ackWait = 150 * time.Millisecond
 	// failurePause is the pause after a list that was not answered.
@@ -33,14 +35,6 @@
 	run  uint32
 }
 
-// runInfo is what the agent has to know of a run to pace it.
-type runInfo struct {
-	target time.Duration
-	fills  bool
-	// adopted tells that another process has started the run, at a pace that is not known.
-	adopted bool
-}
-
 // unit is one lifetime of an executor.
 type unit struct {
 	agent  *Agent
@@ -58,19 +52,18 @@
 	beats    int
 	leaseEnd int64
 	lastSeen int64
+	// mixed tells that runs are paced here, so that the owner wants lists more often.
+	mixed bool
 	// listNow tells that the next list is wanted without a wait.
 	listNow  bool
 	starting map[runKey]context.CancelFunc
 	stopping map[runKey]struct{}
-	runs     map[runKey]runInfo
-	pacer    pacer
 }
 
 func newUnit(a *Agent, info executor.Info) *unit {
 	ctx, cancel := context.WithCancel(a.ctx)
 	return &unit{agent: a, inc: info.Incarnation, ctx: ctx, cancel: cancel, info: info, wake: make(chan struct{}, 1), slots: make(chan struct{}, maxOrders),
-		starting: make(map[runKey]context.CancelFunc), stopping: make(map[runKey]struct{}), runs: make(map[runKey]runInfo),
-		pacer: newPacer()}
+		starting: make(map[runKey]context.CancelFunc), stopping: make(map[runKey]struct{})}
 }
 
 // list makes a list be read as soon as possible. The caller holds the agent's mu.
@@ -157,6 +150,9 @@
 	u.agent.mu.Lock()
 	defer u.agent.mu.Unlock()
 	h := executor.Hold{Epoch: epoch, Deadline: u.leaseEnd, LastSeen: u.lastSeen, Wait: listWait}
+	if u.mixed {
+		h.Wait = mixedWait
+	}
 	if u.listNow {
 		h.Wait, u.listNow = 0, false
 	}
@@ -169,20 +165,14 @@
 	u.info.Clock = max(u.info.Clock, snap.Clock)
 	r := &wire.Report{Epoch: epoch, Agent: u.agent.cfg.Name, Info: u.info, Full: true, Running: snap.Running}
 	for _, e := range snap.Ended {
-		delete(u.runs, runKey{e.Task, e.Run})
 		// Every list carries all ends that are not recorded, since an owner takes a
 		// run that is neither listed nor ended for lost.
 		if e.Number > u.lastSeen {
 			r.Ended = append(r.Ended, e)
 		}
 	}
-	changes := u.pacer.next(snap.Running, u.runs, u.agent.cfg.Clock.Now(), u.agent.cfg.Pacing)
-	info := u.info
 	u.agent.mu.Unlock()
 	u.agent.send(r)
-	for _, c := range changes {
-		u.pace(info, epoch, c)
-	}
 }
 
 // awaitAck waits for the owner to record the ends of a list: until then the
@@ -220,9 +210,6 @@
 		u.lastSeen = m.LastSeen
 		u.wakeUp()
 	}
-	for _, d := range m.Known {
-		u.runs[runKey{d.Task, d.Run}] = runInfo{target: time.Duration(d.TargetMS) * time.Millisecond, fills: d.Fills, adopted: true}
-	}
 	for _, s := range m.Stops {
 		k := runKey{s.Task, s.Run}
 		if cancel := u.starting[k]; cancel != nil {
@@ -233,6 +220,10 @@
 			go u.stop(k, m.Epoch)
 		}
 	}
+	for _, o := range m.Paces {
+		u.mixed = true
+		go u.pace(o, m.Epoch)
+	}
 	for _, s := range m.Starts {
 		k := runKey{s.Task, s.Run}
 		if _, ok := u.starting[k]; ok {
@@ -240,7 +231,6 @@
 		}
 		ctx, cancel := context.WithCancel(u.ctx)
 		u.starting[k] = cancel
-		u.runs[k] = runInfo{target: time.Duration(s.TargetMS) * time.Millisecond, fills: s.Fills}
 		go u.start(ctx, k, s, m.Epoch)
 	}
 }
@@ -353,12 +343,16 @@
 	u.agent.send(&wire.OrderResults{Epoch: epoch, Executor: u.inc.ID, Born: u.inc.Born, Results: []wire.OrderResult{r}})
 }
 
-func (u *unit) pace(info executor.Info, epoch uint64, c paceChange) {
-	a := u.agent.cfg.Client.Pace(u.ctx, info, c.task, c.run, epoch, c.percent)
-	u.agent.cfg.Observe("pace", a)
-	events.TaskPaced.Log(u.agent.cfg.Log).Str("task", c.task).Int("percent", c.percent).Str("cause", c.cause).
-		Str("outcome", a.Outcome.String()).Send()
+// pace sends a change of pace a few times. The owner repeats its orders.
+func (u *unit) pace(o wire.PaceOrder, epoch uint64) {
 	u.agent.mu.Lock()
-	defer u.agent.mu.Unlock()
-	u.pacer.sent(c, a.Outcome == executor.OK)
+	info := u.info
+	u.agent.mu.Unlock()
+	for range unavailableTries {
+		a := u.agent.cfg.Client.Pace(u.ctx, info, o.Task, o.Run, epoch, o.Percent)
+		u.agent.cfg.Observe("pace", a)
+		if a.Outcome == executor.OK || a.Outcome == executor.Rejected || u.ctx.Err() != nil {
+			return
+		}
+	}
 }
--- a/vmagent/vmagent.go
+++ b/vmagent/vmagent.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -29,8 +28,6 @@
 	Clock  clock.Clock
 	Log    zerolog.Logger
 	Link   *member.OwnerLink
-	// Pacing is the delay until a change of pace has its effect.
-	Pacing time.Duration
 	// Observe is told of each answer to an order, for the metrics.
 	Observe func(order string, a executor.Answer)
 }
--- a/wire/dispatch.go
+++ b/wire/dispatch.go
@@ -47,10 +47,6 @@
 	Specification string
 	Checkpoint    string
 	Ticket        string
-	// TargetMS is the latency target in milliseconds of a task that serves, 0 for others.
-	TargetMS int
-	// Fills tells that the task may be paced down in favour of tasks that serve.
-	Fills bool
 }
 
 // StopOrder is a run to stop.
@@ -70,16 +66,14 @@
 	LastSeen int64
 	Starts   []StartOrder
 	Stops    []StopOrder
-	// Known describes runs that were started before, for an agent that has just connected.
-	Known []KnownRun
+	Paces    []PaceOrder
 }
 
-// KnownRun is what an agent needs to pace a run.
-type KnownRun struct {
-	Task     string
-	Run      uint32
-	TargetMS int
-	Fills    bool
+// PaceOrder lets a run work at a share of its speed.
+type PaceOrder struct {
+	Task    string
+	Run     uint32
+	Percent int
 }
 
 // OrderResult is the final answer to an order.
