Order waiting steps by what their submission can still reach

Change: three classes (in time, late, beyond use), slack within each; placement judges contention by the mean latency of an image, paces keep the peaks.

--- a/contention/contention.go
+++ b/contention/contention.go
@@ -24,6 +24,10 @@
 	noise = 0.2
 	// peakDecay lets the highest latency of an image fade with each undisturbed sample.
 	peakDecay = 0.998
+	// meanRate is the weight of an undisturbed latency in the mean of its image.
+	meanRate = 0.03
+	// firstMeanShare is the assumed mean of an unknown image, as a share of its target.
+	firstMeanShare = 0.4
 	// firstPeakShare is the assumed peak of an unknown image, as a share of its target.
 	firstPeakShare = 0.6
 	// minProcessors is the use below which no pressure can be told from noise.
@@ -57,14 +61,15 @@
 
 // Model holds what was learnt. The zero value is not usable.
 type Model struct {
-	peak     map[string]float64
-	pressure map[Pair]float64
-	clean    map[string]clean
+	// peak and mean describe the undisturbed latencies of an image in nanoseconds.
+	peak, mean map[string]float64
+	pressure   map[Pair]float64
+	clean      map[string]clean
 }
 
 // New returns a model without knowledge.
 func New() *Model {
-	return &Model{peak: make(map[string]float64), pressure: make(map[Pair]float64), clean: make(map[string]clean)}
+	return &Model{peak: make(map[string]float64), mean: make(map[string]float64), pressure: make(map[Pair]float64), clean: make(map[string]clean)}
 }
 
 // Observe takes in a latency and what fills beside the task.
@@ -76,6 +81,7 @@
 	if len(fillers) == 0 {
 		m.clean[s.Group] = clean{latency, now}
 		m.peak[s.Image] = max(m.peakOf(s.Image, s.Target)*peakDecay, latency)
+		m.mean[s.Image] = m.meanOf(s.Image, s.Target) + meanRate*(latency-m.meanOf(s.Image, s.Target))
 		return
 	}
 	base := m.peakOf(s.Image, s.Target)
@@ -135,6 +141,13 @@
 	return firstPeakShare * float64(target)
 }
 
+func (m *Model) meanOf(image string, target time.Duration) float64 {
+	if b, ok := m.mean[image]; ok {
+		return b
+	}
+	return firstMeanShare * float64(target)
+}
+
 // Pressure returns the rise in latency per processor in use.
 func (m *Model) Pressure(p Pair) float64 {
 	if v, ok := m.pressure[p]; ok {
@@ -152,13 +165,13 @@
 	return rise
 }
 
-// Expected returns the expected latency of a task that serves, at the worst
-// moments of its own load, as a share of its target.
+// Expected returns the expected mean latency of a task that serves, as a share
+// of its target. At the peaks of its own load, paces keep the target.
 func (m *Model) Expected(image string, target time.Duration, fillers []Filler) float64 {
 	if target <= 0 {
 		return 0
 	}
-	return m.peakOf(image, target) * (1 + m.Rise(image, fillers)) / float64(target)
+	return m.meanOf(image, target) * (1 + m.Rise(image, fillers)) / float64(target)
 }
 
 // Base returns the latency that a task has now without what fills beside it.
--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -14,7 +14,7 @@
 const (
 	// maxExpectedLatency is the share of its target up to which a task that serves
 	// may be expected to rise because of a task that is placed beside it.
-	maxExpectedLatency = 0.9
+	maxExpectedLatency = 0.6
 	// paceInterval is the time until the effect of a change of pace is reported.
 	paceInterval = 600 * time.Millisecond
 	// repeatPace is the time after which a pace is ordered again, since lists do not
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -52,10 +52,14 @@
 		arrived += time.Duration(due-s.Accepted) * time.Millisecond
 	}
 	allowed := time.Duration(float64(chain(s, 0)) * max(1, s.Stretch))
-	return ordering.Waiting{Priority: s.Priority, Due: arrived + allowed + s.TargetLatency,
+	objective := allowed + s.TargetLatency
+	return ordering.Waiting{Priority: s.Priority, Due: arrived + objective, LateDue: arrived + lateFactor*objective,
 		Remaining: chain(s, w.key.step), Arrived: arrived, ID: s.ID}
 }
 
+// lateFactor is the multiple of its objective up to which a submission is late but of use.
+const lateFactor = 3
+
 // chain returns the estimated time of the longest chain of steps from the given
 // step to the end; for step 0 it is the longest chain of all.
 func chain(s *submission.Submission, from int) time.Duration {
--- a/ordering/ordering.go
+++ b/ordering/ordering.go
@@ -7,8 +7,9 @@
 type Waiting struct {
 	// Priority 0 comes first.
 	Priority int
-	// Due is when the submission has to be complete, on any common clock.
-	Due time.Duration
+	// Due is when the submission has to be complete to be in time, LateDue when it
+	// has to be complete to be worth anything. Both are on any common clock.
+	Due, LateDue time.Duration
 	// Remaining is the estimated time of the longest chain of work that is left.
 	Remaining time.Duration
 	// Arrived breaks ties.
@@ -16,21 +17,40 @@
 	ID      string
 }
 
-// slack is the time that the step can wait and still be in time.
-func (w *Waiting) slack(now time.Duration) time.Duration { return w.Due - w.Remaining - now }
+// prospect is what a submission can still reach.
+type prospect uint8
+
+const (
+	inTime prospect = iota
+	late
+	worthless
+)
+
+// prospect returns what can be reached, and the slack that is left for it.
+func (w *Waiting) prospect(now time.Duration) (prospect, time.Duration) {
+	if slack := w.Due - w.Remaining - now; slack >= 0 {
+		return inTime, slack
+	}
+	if slack := w.LateDue - w.Remaining - now; slack >= 0 {
+		return late, slack
+	}
+	return worthless, 0
+}
 
 // Less reports whether a gets its executors before b. Within a priority, work
-// that can still be in time goes by its slack; work that is late already comes
-// after it, the oldest first, so that it does not make others late.
+// that can still be in time goes by its slack. Work that cannot comes after it,
+// so that it does not make others late, and work that is late beyond use comes
+// last, the oldest first.
 func Less(a, b *Waiting, now time.Duration) bool {
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
-	as, bs := a.slack(now), b.slack(now)
-	if (as < 0) != (bs < 0) {
-		return bs < 0
+	ap, as := a.prospect(now)
+	bp, bs := b.prospect(now)
+	if ap != bp {
+		return ap < bp
 	}
-	if as >= 0 && as != bs {
+	if as != bs {
 		return as < bs
 	}
 	if a.Arrived != b.Arrived {
