Take over from an owner that cannot commit; fit contention by least squares

Change: the owner's heartbeat carries the age of its last commit; entries watch the row when it is old. A candidate withholds its consent before it claims. Requests are refused at once while the store is known to be silent. Contention: non-negative least squares for each serving image over the lowest recent latency of its group; serving tasks prefer nodes of their own image.

--- a/command/deployed/entry.go
+++ b/command/deployed/entry.go
@@ -39,7 +39,7 @@
 
 const (
 	// storeSilence is how long the store may be silent before the entry asks for no new connections.
-	storeSilence = 3 * time.Second
+	storeSilence = 2200 * time.Millisecond
 	// leaveRotation is how long the platform takes to send no new connections here:
 	// two readings of the readiness, one second apart, and some margin.
 	leaveRotation = 2500 * time.Millisecond
@@ -70,9 +70,10 @@
 	e.followed = follow.New(p.store, platform.ManifestTable, e.manifest, p.clock, p.log)
 	self := p.member(member.Entry)
 	candidate := coordinator.NewCandidate(coordinator.Config{Store: p.store, Clock: p.clock, Log: p.log, Bounds: p.bounds(),
-		Member: self, Manifest: e.manifest.Current}, p.link.Silent)
+		Member: self, Manifest: e.manifest.Current, HighestEpoch: p.link.Epoch}, p.link)
 	m := metrics.NewDeployment(metrics.DeploymentSources{Owning: candidate.Owning, ManifestVersion: e.version, OwnerSilence: p.link.Silent})
-	g := gateway.New(p.store, p.clock, p.log, p.link, e.manifest.Current, m.ObserveAnswer)
+	g := gateway.New(gateway.Config{Store: p.store, Clock: p.clock, Log: p.log, Owner: p.link, Manifest: e.manifest.Current,
+		StoreAnswered: e.followed.Confirmed, Observe: m.ObserveAnswer})
 	control, err := p.listen(ctx, self.Address)
 	if err != nil {
 		return err
--- a/command/deployed/process.go
+++ b/command/deployed/process.go
@@ -42,6 +42,9 @@
 	gcPercent = 75
 	// storeLoss is how long an owner extends leases without a successful commit.
 	storeLoss = 15 * time.Second
+	// consent is how long a commit, or the consent of all entries, lets an owner
+	// extend leases: two intervals of its heartbeats and a slow answer.
+	consent = 2 * time.Second
 	// leaseTime is how far ahead an executor runs without contact, where its bound allows that.
 	leaseTime = 4500 * time.Millisecond
 )
@@ -142,7 +145,7 @@
 // bounds derives the owner's time-outs from the deployment's figures.
 func (p *process) bounds() dispatch.Bounds {
 	b := p.settings.Bounds
-	return dispatch.Bounds{Lease: min(leaseTime, b.MaxLease), StoreLoss: storeLoss, StopTimeout: b.StopTimeout,
+	return dispatch.Bounds{Lease: min(leaseTime, b.MaxLease), StoreLoss: storeLoss, Consent: consent, StopTimeout: b.StopTimeout,
 		EarlyStart: b.EarlyStart, Retention: 2 * b.StatusRetention}
 }
 
--- a/contention/contention.go
+++ b/contention/contention.go
@@ -5,35 +5,21 @@
 // whose tasks that serve reserve more processors than they use.
 //
 // Latencies are modelled as base * (1 + sum of pressure * processors). The base
-// moves with a task's own load; it is taken from tasks of the same group (the
-// same step of the same submission) that nothing disturbs at the time.
+// moves with a task's own load, which the tasks of a group (the same step of the
+// same submission) share; it is the lowest recent latency of the group.
 package contention
 
 import "time"
 
 const (
-	// defaultPressure is the assumed rise per processor in use of an unknown pair.
-	defaultPressure = 0.04
-	// maxPressure bounds what one outlier can teach.
-	maxPressure = 8.0
-	// learnUp and learnDown are the shares of a sample's error that are corrected.
-	learnUp, learnDown = 0.5, 0.15
-	// noise is the error, as a share of the base, that reported latencies have by
-	// themselves. Smaller errors are not learnt, as they would add up for pairs
-	// that are seen often.
-	noise = 0.2
-	// peakDecay lets the highest latency of an image fade with each undisturbed sample.
-	peakDecay = 0.998
-	// meanRate is the weight of an undisturbed latency in the mean of its image.
-	meanRate = 0.03
+	// meanRate is the weight of a base in the mean of its image.
+	meanRate = 0.02
 	// firstMeanShare is the assumed mean of an unknown image, as a share of its target.
 	firstMeanShare = 0.4
-	// firstPeakShare is the assumed peak of an unknown image, as a share of its target.
-	firstPeakShare = 0.6
-	// minProcessors is the use below which no pressure can be told from noise.
-	minProcessors = 0.2
-	// cleanAge is how long an undisturbed latency stands for a task's own load.
-	cleanAge = 1600 * time.Millisecond
+	// baseAge is how long a latency stands for the load of its group.
+	baseAge = 1300 * time.Millisecond
+	// forgetAfter is how long the latency of a task is kept at all.
+	forgetAfter = 10 * time.Second
 )
 
 // Pair is a serving and a filling image.
@@ -48,97 +34,87 @@
 
 // Serving is the latency of one task that serves.
 type Serving struct {
+	Task string
 	// Group names tasks that share their load.
 	Group, Image    string
 	Latency, Target time.Duration
 }
 
-// clean is an undisturbed latency.
-type clean struct {
+// measured is the latency of a task at a time.
+type measured struct {
 	latency float64
 	at      time.Duration
 }
 
 // Model holds what was learnt. The zero value is not usable.
 type Model struct {
-	// peak and mean describe the undisturbed latencies of an image in nanoseconds.
-	peak, mean map[string]float64
-	pressure   map[Pair]float64
-	clean      map[string]clean
+	// mean is the mean base of an image in nanoseconds.
+	mean       map[string]float64
+	estimators map[string]*estimator
+	// groups holds the last latency of each task.
+	groups map[string]map[string]measured
 }
 
 // New returns a model without knowledge.
 func New() *Model {
-	return &Model{peak: make(map[string]float64), mean: make(map[string]float64), pressure: make(map[Pair]float64), clean: make(map[string]clean)}
+	return &Model{mean: make(map[string]float64), estimators: make(map[string]*estimator), groups: make(map[string]map[string]measured)}
 }
 
-// Observe takes in a latency and what fills beside the task.
-func (m *Model) Observe(s Serving, fillers []Filler, now time.Duration) {
-	latency := float64(s.Latency)
-	if latency <= 0 || s.Target <= 0 {
-		return
+// Observe takes in the latencies of one executor and what fills there.
+func (m *Model) Observe(serving []Serving, fillers []Filler, now time.Duration) {
+	for _, s := range serving {
+		m.note(s, now)
 	}
-	if len(fillers) == 0 {
-		m.clean[s.Group] = clean{latency, now}
-		m.peak[s.Image] = max(m.peakOf(s.Image, s.Target)*peakDecay, latency)
-		m.mean[s.Image] = m.meanOf(s.Image, s.Target) + meanRate*(latency-m.meanOf(s.Image, s.Target))
-		return
-	}
-	base := m.peakOf(s.Image, s.Target)
-	c, known := m.clean[s.Group]
-	if known = known && now-c.at <= cleanAge; known {
-		base = c.latency
-	}
-	miss := latency/base - 1 - m.Rise(s.Image, fillers)
-	switch {
-	case miss > noise:
-		m.blame(s.Image, fillers, learnUp*(miss-noise))
-	case miss < 0 && known:
-		m.excuse(s.Image, fillers, miss)
+	for _, s := range serving {
+		if s.Latency <= 0 || s.Target <= 0 {
+			continue
+		}
+		base := m.Base(s, now)
+		mean := m.meanOf(s.Image, s.Target)
+		m.mean[s.Image] = mean + meanRate*(base-mean)
+		if len(fillers) > 0 {
+			m.estimator(s.Image).add(fillers, float64(s.Latency)/base-1)
+		}
 	}
 }
 
-// blame spreads an unexplained rise over the images that are there, most on those
-// that are suspected already: few pairs disturb at all, so a rise has mostly one cause.
-func (m *Model) blame(image string, fillers []Filler, rise float64) {
-	total := 0.0
-	for _, f := range fillers {
-		total += m.suspicion(image, f) * f.Processors
+func (m *Model) note(s Serving, now time.Duration) {
+	g := m.groups[s.Group]
+	if g == nil {
+		g = make(map[string]measured)
+		m.groups[s.Group] = g
 	}
-	if total < minProcessors*defaultPressure {
-		return
+	if s.Latency > 0 {
+		g[s.Task] = measured{float64(s.Latency), now}
 	}
-	for _, f := range fillers {
-		m.adjust(Pair{image, f.Image}, rise*m.suspicion(image, f)/total)
-	}
-}
-
-func (m *Model) suspicion(image string, f Filler) float64 {
-	return (m.Pressure(Pair{image, f.Image}) + defaultPressure) * f.Processors
 }
 
-// excuse lowers the pressures that predicted more than was seen.
-func (m *Model) excuse(image string, fillers []Filler, miss float64) {
-	predicted := m.Rise(image, fillers)
-	if predicted <= 0 {
-		return
+// Base returns the latency in nanoseconds that a task has now by its own load:
+// the lowest of its group.
+func (m *Model) Base(s Serving, now time.Duration) float64 {
+	base := float64(s.Latency)
+	g := m.groups[s.Group]
+	for task, v := range g {
+		switch {
+		case now-v.at > forgetAfter:
+			delete(g, task)
+		case now-v.at <= baseAge:
+			base = min(base, v.latency)
+		}
 	}
-	share := learnDown * min(1, -miss/predicted)
-	for _, f := range fillers {
-		p := Pair{image, f.Image}
-		m.adjust(p, -share*m.Pressure(p))
+	if len(g) == 0 {
+		delete(m.groups, s.Group)
 	}
+	return max(base, 1)
 }
 
-func (m *Model) adjust(p Pair, by float64) {
-	m.pressure[p] = min(maxPressure, max(0, m.Pressure(p)+by))
-}
-
-func (m *Model) peakOf(image string, target time.Duration) float64 {
-	if b, ok := m.peak[image]; ok {
-		return b
+func (m *Model) estimator(image string) *estimator {
+	e := m.estimators[image]
+	if e == nil {
+		e = newEstimator()
+		m.estimators[image] = e
 	}
-	return firstPeakShare * float64(target)
+	return e
 }
 
 func (m *Model) meanOf(image string, target time.Duration) float64 {
@@ -150,8 +126,8 @@
 
 // Pressure returns the rise in latency per processor in use.
 func (m *Model) Pressure(p Pair) float64 {
-	if v, ok := m.pressure[p]; ok {
-		return v
+	if e := m.estimators[p.Serving]; e != nil {
+		return e.pressure(p.Filling)
 	}
 	return defaultPressure
 }
@@ -173,12 +149,3 @@
 	}
 	return m.meanOf(image, target) * (1 + m.Rise(image, fillers)) / float64(target)
 }
-
-// Base returns the latency that a task has now without what fills beside it.
-// known is false when it is inferred from the disturbed latency.
-func (m *Model) Base(s Serving, fillers []Filler, now time.Duration) (base float64, known bool) {
-	if c, ok := m.clean[s.Group]; ok && now-c.at <= cleanAge {
-		return c.latency, true
-	}
-	return float64(s.Latency) / (1 + m.Rise(s.Image, fillers)), false
-}
--- a/contention/pace.go
+++ b/contention/pace.go
@@ -47,9 +47,9 @@
 
 // limit lowers the paces until one task keeps its target, those first that disturb it most.
 func (m *Model) limit(s Serving, full, used []Filler, pace map[string]float64, current map[string]int, now time.Duration) {
-	base, known := m.Base(s, used, now)
+	base := m.Base(s, now)
 	latency, target := float64(s.Latency), float64(s.Target)
-	if known && base >= ownLoad*latency && latency >= overTarget*target {
+	if base >= ownLoad*latency && latency >= overTarget*target {
 		return // the task is late by its own load; slower neighbours would not help
 	}
 	budget := max(0, paceTarget*target/base-1)
@@ -99,6 +99,11 @@
 	}
 }
 
+// suspicion weighs an image as the cause of a latency that is too high.
+func (m *Model) suspicion(image string, f Filler) float64 {
+	return (m.Pressure(Pair{image, f.Image}) + defaultPressure) * f.Processors
+}
+
 // level rounds a pace down to a level. A pace that rises does so by two levels at most.
 func level(pace float64, current int) int {
 	want, position := 0, 0
--- a/coordinator/head.go
+++ b/coordinator/head.go
@@ -27,6 +27,14 @@
 	Incarnation uint64 `msgpack:"i"`
 	// Sequence counts the commits of the epoch.
 	Sequence uint64 `msgpack:"s"`
+	// Entries are the entries whose consent the owner needs to extend leases
+	// while it cannot commit.
+	Entries []string `msgpack:"n,omitempty"`
+}
+
+// same reports whether two values are those of one commit.
+func (h *Head) same(o *Head) bool {
+	return h.Epoch == o.Epoch && h.Incarnation == o.Incarnation && h.Sequence == o.Sequence && h.Owner == o.Owner
 }
 
 // head is the owner row with its version.
@@ -80,9 +88,10 @@
 
 // commit returns when the writes are durable. An error means that the ownership
 // is lost or ctx has ended. sent is called with the start of each attempt.
-func (c *committer) commit(ctx context.Context, writes []store.Write, sent func()) error {
+func (c *committer) commit(ctx context.Context, writes []store.Write, entries []string, sent func()) error {
 	to := c.head.Head
 	to.Sequence++
+	to.Entries = entries
 	for {
 		sent()
 		next, err := writeHead(ctx, c.table, c.head, to, writes)
@@ -119,7 +128,7 @@
 	switch {
 	case err != nil:
 		return false, nil // the commit is tried again, and meets the same conflict
-	case now.Head == to:
+	case now.same(&to):
 		c.head = now
 		return true, nil
 	case now.Epoch != to.Epoch || now.Incarnation != to.Incarnation:
--- a/coordinator/links.go
+++ b/coordinator/links.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/chicorystand/chicorystand/clock"
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/member"
@@ -27,8 +29,10 @@
 
 // links are the owner's connections to all members.
 type links struct {
-	lead wire.Lead
-	log  zerolog.Logger
+	// lead returns the message that a connection is kept alive with.
+	lead  func() *wire.Lead
+	clock clock.Clock
+	log   zerolog.Logger
 	// received handles messages of members; lost tells of connections that ended.
 	received wire.Handler
 	lost     func(m member.Member)
@@ -37,6 +41,8 @@
 	peers map[string]*wire.Peer
 	stops map[string]context.CancelFunc
 	known map[string]member.Member
+	// acked is when the last call was sent that the member has answered.
+	acked map[string]time.Duration
 	wg    sync.WaitGroup
 }
 
@@ -94,8 +100,7 @@
 	}
 	p := wire.NewPeer(conn, l.received)
 	defer p.Close()
-	lead := l.lead
-	if err := beat(ctx, p, &lead); err != nil {
+	if err := l.beat(ctx, m.Name, p); err != nil {
 		return false
 	}
 	l.mu.Lock()
@@ -106,7 +111,7 @@
 	l.peers[m.Name] = p
 	l.mu.Unlock()
 	events.MemberConnected.Log(l.log).Str("member", m.Name).Send()
-	l.watch(ctx, p, &lead)
+	l.watch(ctx, m.Name, p)
 	l.mu.Lock()
 	if l.peers[m.Name] == p {
 		delete(l.peers, m.Name)
@@ -119,15 +124,22 @@
 	return true
 }
 
-func beat(ctx context.Context, p *wire.Peer, lead *wire.Lead) error {
+// beat sends the lead message and waits for the answer.
+func (l *links) beat(ctx context.Context, name string, p *wire.Peer) error {
 	ctx, cancel := context.WithTimeout(ctx, silentAfter)
 	defer cancel()
-	_, err := p.Call(ctx, lead)
-	return err
+	sent := l.clock.Now()
+	if _, err := p.Call(ctx, l.lead()); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.acked[name] = max(l.acked[name], sent)
+	return nil
 }
 
 // watch returns when the connection has ended or gone silent.
-func (l *links) watch(ctx context.Context, p *wire.Peer, lead *wire.Lead) {
+func (l *links) watch(ctx context.Context, name string, p *wire.Peer) {
 	ticker := time.NewTicker(beatInterval)
 	defer ticker.Stop()
 	for {
@@ -137,16 +149,41 @@
 		case <-p.Done():
 			return
 		case <-ticker.C:
-			if p.Idle() > silentAfter {
-				return
-			}
-			if _, err := p.Start(lead); err != nil {
+			if err := l.beat(ctx, name, p); err != nil {
 				return
 			}
 		}
 	}
 }
 
+// consent returns the earliest of the times at which the named members were
+// last known to follow this owner, 0 when one of them never was.
+func (l *links) consent(names []string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	earliest := time.Duration(0)
+	for i, name := range names {
+		if at := l.acked[name]; i == 0 || at < earliest {
+			earliest = at
+		}
+	}
+	return earliest
+}
+
+// names returns the known members of a role.
+func (l *links) names(role member.Role) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var names []string
+	for name, m := range l.known {
+		if m.Role == role {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // send sends a message to a member. It reports an error when there is no connection.
 func (l *links) send(name string, m wire.Message) error {
 	l.mu.Lock()
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -45,6 +47,8 @@
 	Log    zerolog.Logger
 	Bounds dispatch.Bounds
 	Member member.Member
+	// HighestEpoch returns the highest epoch that this process has heard of.
+	HighestEpoch func() uint64
 	// Manifest returns the manifest in force in this process, nil before the first.
 	Manifest func() *manifest.Manifest
 }
@@ -55,7 +59,11 @@
 	core   *dispatch.Owner
 	commit committer
 	links  *links
-	inbox  chan func(now time.Duration)
+	// entries are those of the last commit.
+	entries []string
+	// commitSent is when the last successful commit was sent, on the clock.
+	commitSent atomic.Int64
+	inbox      chan func(now time.Duration)
 	// stop ends the period, done is closed then.
 	stop context.CancelFunc
 	done <-chan struct{}
@@ -70,24 +78,35 @@
 }
 
 type commitResult struct {
-	batch *dispatch.Batch
-	sent  time.Duration
-	err   error
+	batch   *dispatch.Batch
+	entries []string
+	sent    time.Duration
+	err     error
 }
 
-func newOwner(cfg Config, h head) *owner {
+func newOwner(cfg Config, h head, earlier time.Duration) *owner {
 	o := &owner{cfg: cfg, inbox: make(chan func(time.Duration), inboxSize), committed: make(chan commitResult, 1)}
 	unix := func(now time.Duration) int64 { return time.Now().Add(now - cfg.Clock.Now()).UnixMilli() }
-	o.core = dispatch.New(cfg.Bounds, h.Epoch, cfg.Clock.Now(), unix, cfg.Log)
+	bounds := cfg.Bounds
+	bounds.EarlierOwner = earlier
+	o.commitSent.Store(int64(cfg.Clock.Now()))
+	o.core = dispatch.New(bounds, h.Epoch, cfg.Clock.Now(), unix, cfg.Log)
 	o.commit = committer{table: cfg.Store, head: h, retried: func(err error) {
 		events.CommitRetried.Log(cfg.Log).Err(err).Uint64("epoch", h.Epoch).Send()
 	}}
-	o.links = &links{lead: wire.Lead{Epoch: h.Epoch, Owner: cfg.Member.Name}, log: cfg.Log, received: o.receive,
+	o.links = &links{lead: o.lead, clock: cfg.Clock, log: cfg.Log, received: o.receive,
+		acked: make(map[string]time.Duration),
 		lost:  o.memberLost,
 		peers: make(map[string]*wire.Peer), stops: make(map[string]context.CancelFunc), known: make(map[string]member.Member)}
 	return o
 }
 
+// lead returns the message to members.
+func (o *owner) lead() *wire.Lead {
+	age := o.cfg.Clock.Now() - time.Duration(o.commitSent.Load())
+	return &wire.Lead{Epoch: o.core.Epoch(), Owner: o.cfg.Member.Name, CommitAgeMS: age.Milliseconds()}
+}
+
 // run serves until the ownership is lost or ctx ends, and returns why.
 func (o *owner) run(ctx context.Context) error {
 	ctx, o.stop = context.WithCancel(ctx)
@@ -117,7 +136,7 @@
 		}
 		if o.cfg.Clock.Now()-o.lastCommit > renewInterval {
 			// Reading may take long; the ownership is renewed meanwhile.
-			if err := o.commit.commit(ctx, nil, func() {}); err != nil {
+			if err := o.commit.commit(ctx, nil, nil, func() {}); err != nil {
 				return 0, err
 			}
 			o.lastCommit = o.cfg.Clock.Now()
@@ -255,6 +274,8 @@
 				return r.err
 			}
 			o.batch = nil
+			o.entries = r.entries
+			o.commitSent.Store(int64(r.sent))
 			o.core.Committed(r.batch, r.sent, o.cfg.Clock.Now())
 		case <-timer.C:
 		}
@@ -287,9 +308,13 @@
 // turn runs the systems, starts the next commit and sends what is due.
 func (o *owner) turn(ctx context.Context) error {
 	now := o.cfg.Clock.Now()
+	if heard := o.cfg.HighestEpoch(); heard > o.core.Epoch() {
+		return errkind.New(errkind.NotOwner, "epoch %d is known", heard)
+	}
 	if m := o.cfg.Manifest(); m != nil {
 		o.core.SetManifest(m)
 	}
+	o.core.Consent(o.links.consent(o.entries))
 	if o.batch == nil && now-o.lastCommit >= commitInterval {
 		o.core.Tick(now)
 		if o.core.Dirty() || now-o.lastCommit >= renewInterval {
@@ -324,12 +349,22 @@
 		return err
 	}
 	o.batch, o.lastCommit = batch, now
+	entries := o.links.names(member.Entry)
+	o.entries = union(o.entries, entries)
 	o.wg.Add(1)
 	go func() {
 		defer o.wg.Done()
 		var sent time.Duration
-		err := o.commit.commit(ctx, batch.Writes, func() { sent = o.cfg.Clock.Now() })
-		o.committed <- commitResult{batch, sent, err}
+		err := o.commit.commit(ctx, batch.Writes, entries, func() { sent = o.cfg.Clock.Now() })
+		o.committed <- commitResult{batch, entries, sent, err}
 	}()
 	return nil
 }
+
+// union returns the sorted names of both lists. Until a commit is confirmed, the
+// consent of the entries of both the last and the next one is needed.
+func union(a, b []string) []string {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -140,3 +140,6 @@
 
 // Renewed tells that the ownership was confirmed by a commit that was sent at the given time.
 func (o *Owner) Renewed(sent time.Duration) { o.lastCommit = max(o.lastCommit, sent) }
+
+// Consent tells when all other entries were last known to follow this owner.
+func (o *Owner) Consent(at time.Duration) { o.consentAt = at }
--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -37,7 +37,7 @@
 
 // serving returns the latency of a task that serves, as of a list of runs.
 func (t *taskEntry) serving(r *executor.Run) contention.Serving {
-	return contention.Serving{Group: t.job.sub.ID + "." + strconv.Itoa(t.id.Step), Image: t.step().Image,
+	return contention.Serving{Task: r.Task, Group: t.job.sub.ID + "." + strconv.Itoa(t.id.Step), Image: t.step().Image,
 		Latency: time.Duration(r.Load) * time.Millisecond, Target: t.step().LatencyTarget}
 }
 
@@ -56,12 +56,7 @@
 		}
 	}
 	used := fillersOf(usage)
-	if len(used) == 0 && len(n.fillers()) > 0 {
-		return // tasks that start or stand still tell nothing, and do not leave the node undisturbed for sure
-	}
-	for _, s := range serving {
-		o.contention.Observe(s, used, now)
-	}
+	o.contention.Observe(serving, used, now)
 	o.adaptPaces(n, serving, used, now)
 }
 
@@ -122,6 +117,21 @@
 	return out
 }
 
+// otherImages counts the serving images on the node that differ from the step's.
+// Fewer images on a node leave more images that can fill it without harm.
+func otherImages(step *submission.Step, n *node) int {
+	if !step.Serves() {
+		return 0
+	}
+	seen := make(map[string]struct{})
+	for t := range n.tasks {
+		if s := t.step(); s.Serves() && s.Image != step.Image {
+			seen[s.Image] = struct{}{}
+		}
+	}
+	return len(seen)
+}
+
 // harms reports whether a task of the step would raise the latency of a task
 // that serves too far, its own included.
 func (o *Owner) harms(step *submission.Step, n *node) bool {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -22,7 +22,11 @@
 type Bounds struct {
 	// Lease is how far ahead of its clock an executor may run without contact.
 	Lease time.Duration
-	// StoreLoss is how long an owner extends leases without a successful commit.
+	// Consent is how long the consent of the other entries, or a commit, lets the owner extend leases.
+	Consent time.Duration
+	// EarlierOwner is how long after this owner's start the owner before it may have extended leases.
+	EarlierOwner time.Duration
+	// StoreLoss is how long an owner extends leases without a successful commit, with the consent of all entries.
 	StoreLoss time.Duration
 	// StopTimeout is the longest time that a task takes to stop.
 	StopTimeout time.Duration
@@ -66,9 +70,12 @@
 	timed map[string]*job
 	dirty map[string]*job
 	// changed tells that a placement may succeed that did not before.
-	changed bool
+	changed  bool
+	placedAt time.Duration
 	// lastCommit is when the last successful commit was sent.
 	lastCommit time.Duration
+	// consentAt is when all other entries were last known to follow this owner.
+	consentAt  time.Duration
 	outbox     map[submission.Incarnation]*outbox
 	pending    effects
 	contention *contention.Model
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -34,7 +34,7 @@
 		return nil
 	}
 	j.released = 1
-	o.openSteps(j, 0)
+	o.openSteps(j, 0, now)
 	return nil
 }
 
@@ -69,7 +69,7 @@
 func (o *Owner) node(inc submission.Incarnation) *node {
 	n := o.executors[inc]
 	if n == nil {
-		n = &node{tasks: make(map[*taskEntry]struct{}), unknownUntil: o.since + o.bounds.StoreLoss + leaseEnd(o.bounds.Lease)}
+		n = &node{tasks: make(map[*taskEntry]struct{}), unknownUntil: o.since + o.bounds.EarlierOwner + leaseEnd(o.bounds.Lease)}
 		n.info.Incarnation = inc
 		n.place.ID = inc.ID
 		n.place.Closed = true
@@ -79,10 +79,10 @@
 }
 
 // openSteps makes the tasks wait whose dependencies are done.
-func (o *Owner) openSteps(j *job, occurrence int) {
+func (o *Owner) openSteps(j *job, occurrence int, now time.Duration) {
 	for step := range j.sub.Steps {
 		if j.remaining[occurrence][step] > 0 && o.ready(j, occurrence, step) {
-			o.openStep(stepKey{j.sub.ID, occurrence, step}, j)
+			o.openStep(stepKey{j.sub.ID, occurrence, step}, j, now)
 		}
 	}
 }
@@ -96,10 +96,10 @@
 	return true
 }
 
-func (o *Owner) openStep(k stepKey, j *job) {
+func (o *Owner) openStep(k stepKey, j *job, now time.Duration) {
 	w := o.waiting[k]
 	if w == nil {
-		w = &waitingStep{key: k, job: j}
+		w = &waitingStep{key: k, job: j, since: now}
 	}
 	w.tasks = w.tasks[:0]
 	for _, t := range j.stepTasks(k) {
@@ -125,7 +125,7 @@
 func (o *Owner) releaseOccurrences(j *job, now time.Duration) {
 	for j.released < j.sub.Repeats() && j.sub.Due(j.released) <= o.unix(now) {
 		j.released++
-		o.openSteps(j, j.released-1)
+		o.openSteps(j, j.released-1, now)
 	}
 	if j.released == j.sub.Repeats() {
 		delete(o.timed, j.sub.ID)
@@ -193,7 +193,7 @@
 	if t.step().Gang && !o.gangIdle(t.job, k) {
 		return
 	}
-	o.openStep(k, t.job)
+	o.openStep(k, t.job, now)
 }
 
 // gangIdle reports whether no member of a gang has a run.
@@ -221,7 +221,7 @@
 	for step := range j.sub.Steps {
 		for _, d := range j.sub.Steps[step].DependsOn {
 			if d == t.id.Step && o.ready(j, t.id.Occurrence, step) {
-				o.openStep(stepKey{j.sub.ID, t.id.Occurrence, step}, j)
+				o.openStep(stepKey{j.sub.ID, t.id.Occurrence, step}, j, now)
 				break
 			}
 		}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -114,12 +114,17 @@
 // that cannot confirm its ownership stops extending, so that a later owner can
 // bound the leases that it does not know.
 func (o *Owner) extendLease(n *node, now time.Duration) int64 {
-	if now-o.lastCommit < o.bounds.StoreLoss && n.clockAt != 0 && !n.lost {
+	if o.mayExtend(now) && n.clockAt != 0 && !n.lost {
 		n.granted = max(n.granted, n.clock+o.bounds.Lease.Milliseconds())
 	}
 	return n.granted
 }
 
+// mayExtend reports whether no other owner can have taken over for long.
+func (o *Owner) mayExtend(now time.Duration) bool {
+	return now-max(o.lastCommit, o.consentAt) < o.bounds.Consent && now-o.lastCommit < o.bounds.StoreLoss
+}
+
 // Results takes in the answers to orders.
 func (o *Owner) Results(r *wire.OrderResults, now time.Duration) {
 	n := o.executors[submission.Incarnation{ID: r.Executor, Born: r.Born}]
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -11,12 +11,15 @@
 	"github.com/chicorystand/chicorystand/submission"
 )
 
+// placeInterval is the longest time between two attempts to place waiting tasks.
+const placeInterval = 300 * time.Millisecond
+
 // place gives executors to the tasks that wait, in the order of package ordering.
 func (o *Owner) place(now time.Duration) {
-	if !o.changed || len(o.waiting) == 0 {
+	if len(o.waiting) == 0 || (!o.changed && now-o.placedAt < placeInterval) {
 		return
 	}
-	o.changed = false
+	o.changed, o.placedAt = false, now
 	for _, w := range o.ordered(now) {
 		o.placeStep(w, now)
 	}
@@ -57,6 +60,9 @@
 		Remaining: chain(s, w.key.step), Arrived: arrived, ID: s.ID}
 }
 
+// harmPatience is how long tasks that fill wait for an executor on which they harm no other task.
+const harmPatience = 4 * time.Second
+
 // lateFactor is the multiple of its objective up to which a submission is late but of use.
 const lateFactor = 3
 
@@ -93,7 +99,7 @@
 	onNode := o.countByNode(w)
 	left := tasks[:0]
 	for i, t := range tasks {
-		p := placement.Choose(o.query(w, t, step, onNode, "", nodes), places)
+		p := placement.Choose(o.query(w, t, step, onNode, "", nodes, now), places)
 		if p < 0 {
 			left = append(left, tasks[i:]...)
 			break
@@ -121,11 +127,12 @@
 	return s.Service
 }
 
-func (o *Owner) query(w *waitingStep, t *taskEntry, step *submission.Step, onNode map[string]int, rack string, nodes []*node) placement.Query {
-	return placement.Query{Step: step, Rack: rack,
-		Harms:  func(i int) bool { return o.harms(step, nodes[i]) },
-		OnNode: func(id string) int { return onNode[id] },
-		Avoid:  func(id string) bool { return slices.Contains(t.failedOn, id) }}
+func (o *Owner) query(w *waitingStep, t *taskEntry, step *submission.Step, onNode map[string]int, rack string, nodes []*node, now time.Duration) placement.Query {
+	return placement.Query{Step: step, Rack: rack, Tolerant: now-w.since > harmPatience,
+		OtherImages: func(i int) int { return otherImages(step, nodes[i]) },
+		Harms:       func(i int) bool { return o.harms(step, nodes[i]) },
+		OnNode:      func(id string) int { return onNode[id] },
+		Avoid:       func(id string) bool { return slices.Contains(t.failedOn, id) }}
 }
 
 // countByNode counts the running tasks of the step on each executor.
@@ -151,7 +158,7 @@
 		trial[i] = &c
 	}
 	for _, t := range w.tasks {
-		p := placement.Choose(o.query(w, t, step, onNode, rack, nodes), trial)
+		p := placement.Choose(o.query(w, t, step, onNode, rack, nodes, now), trial)
 		if p < 0 {
 			return
 		}
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -156,6 +156,8 @@
 	key   stepKey
 	job   *job
 	tasks []*taskEntry
+	// since is when the step began to wait.
+	since time.Duration
 }
 
 // node is an executor in the table of executors.
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -55,6 +55,9 @@
 	return t.clock.Now() - time.Duration(at), at != 0
 }
 
+// Confirmed returns the time of the last answer of the store, 0 before the first.
+func (t *Table) Confirmed() time.Duration { return time.Duration(t.confirmed.Load()) }
+
 // Run follows the table until ctx ends, from the given version or, when it is
 // 0, from a complete reading.
 func (t *Table) Run(ctx context.Context, version uint64) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,7 +27,7 @@
 	// writeRetry is the pause before a write is tried again.
 	writeRetry = 50 * time.Millisecond
 	// writeBudget is how long a write is tried before the requester is told to come back.
-	writeBudget = 1200 * time.Millisecond
+	writeBudget = 700 * time.Millisecond
 	// answerMargin is kept free before the requester's deadline to send the answer.
 	answerMargin = 150 * time.Millisecond
 	// countsMaxAge is the oldest queue count that is given out.
@@ -47,15 +47,29 @@
 	owner    *member.OwnerLink
 	manifest func() *manifest.Manifest
 	observe  func(method string, status int, took time.Duration, err error)
+	breaker  breaker
 
 	mu    sync.Mutex
 	final map[string]submission.State
 }
 
-// New returns a gateway. observe is told of each answer, for the metrics.
-func New(s store.Table, c clock.Clock, log zerolog.Logger, owner *member.OwnerLink, m func() *manifest.Manifest,
-	observe func(method string, status int, took time.Duration, err error)) *Gateway {
-	return &Gateway{store: s, clock: c, log: log, owner: owner, manifest: m, observe: observe, final: make(map[string]submission.State)}
+// Config is what a gateway needs.
+type Config struct {
+	Store    store.Table
+	Clock    clock.Clock
+	Log      zerolog.Logger
+	Owner    *member.OwnerLink
+	Manifest func() *manifest.Manifest
+	// StoreAnswered returns the time on the clock at which the store last answered anything, 0 before.
+	StoreAnswered func() time.Duration
+	// Observe is told of each answer, for the metrics.
+	Observe func(method string, status int, took time.Duration, err error)
+}
+
+// New returns a gateway.
+func New(c Config) *Gateway {
+	return &Gateway{store: c.Store, clock: c.Clock, log: c.Log, owner: c.Owner, manifest: c.Manifest, observe: c.Observe,
+		breaker: breaker{clock: c.Clock, answered: c.StoreAnswered}, final: make(map[string]submission.State)}
 }
 
 // Manifest returns the manifest in force, nil before the first.
@@ -80,11 +94,17 @@
 // write commits a transaction that has the same effect when it is sent again.
 // It returns errkind.StoreUnavailable only when no attempt can have taken effect.
 func (g *Gateway) write(ctx context.Context, txn store.Txn) error {
+	if g.breaker.open() {
+		return errkind.New(errkind.StoreUnavailable, "the store does not answer; nothing was sent")
+	}
 	ctx, cancel := context.WithTimeout(ctx, g.budget(ctx))
 	defer cancel()
 	uncertain := false
 	for {
+		begun := g.clock.Now()
 		_, err := g.store.Commit(ctx, txn)
+		failed := errkind.Of(err) == errkind.StoreAmbiguous || errkind.Of(err) == errkind.StoreUnavailable
+		g.breaker.observe(failed, begun)
 		switch errkind.Of(err) {
 		case errkind.StoreAmbiguous:
 			uncertain = true
--- a/member/link.go
+++ b/member/link.go
@@ -38,11 +38,15 @@
 	log   zerolog.Logger
 	heard atomic.Int64
 
-	mu       sync.Mutex
-	epoch    uint64
-	peer     *wire.Peer
-	counts   map[string]int
-	countsAt time.Duration
+	mu    sync.Mutex
+	epoch uint64
+	// claiming tells that this process tries to become the owner itself.
+	claiming bool
+	// commitAge is the age of the owner's last commit when it was heard last.
+	commitAge time.Duration
+	peer      *wire.Peer
+	counts    map[string]int
+	countsAt  time.Duration
 }
 
 // NewOwnerLink returns a link that has not heard an owner.
@@ -59,6 +63,15 @@
 	return l.clock.Now() - time.Duration(at)
 }
 
+// Stale returns how long the owner has not been heard, or has not been able to
+// commit, whichever is longer.
+func (l *OwnerLink) Stale() time.Duration {
+	l.mu.Lock()
+	age := l.commitAge
+	l.mu.Unlock()
+	return max(age, l.Silent())
+}
+
 // Epoch returns the highest epoch that was heard.
 func (l *OwnerLink) Epoch() uint64 {
 	l.mu.Lock()
@@ -88,18 +101,35 @@
 func (l *OwnerLink) Accept(p *wire.Peer, m *wire.Lead) (accepted, changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if m.Epoch < l.epoch {
+	if m.Epoch < l.epoch || (l.claiming && m.Epoch == l.epoch) {
 		return false, false
 	}
+	l.claiming = l.claiming && m.Epoch == l.epoch
 	changed = m.Epoch != l.epoch || l.peer != p
 	if m.Epoch != l.epoch {
 		events.LeaderSeen.Log(l.log).Uint64("epoch", m.Epoch).Str("owner", m.Owner).Uint64("before", l.epoch).Send()
 	}
 	l.epoch, l.peer = m.Epoch, p
+	l.commitAge = time.Duration(m.CommitAgeMS) * time.Millisecond
 	l.heard.Store(int64(l.clock.Now()))
 	return true, changed
 }
 
+// Claim withholds the consent to the owner that is known, until Unclaim or an
+// owner with a higher epoch. It is called before an attempt to take over.
+func (l *OwnerLink) Claim() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.claiming = true
+}
+
+// Unclaim gives consent again, after an attempt that has no effect now or later.
+func (l *OwnerLink) Unclaim() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.claiming = false
+}
+
 // Current reports whether the connection is that of the owner, and notes that it was heard.
 func (l *OwnerLink) Current(p *wire.Peer) bool {
 	l.mu.Lock()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -36,6 +36,10 @@
 	Rack string
 	// Harms reports whether the task would make a task that serves miss its latency target.
 	Harms func(position int) bool
+	// OtherImages counts the serving images on a node that differ from the task's.
+	OtherImages func(position int) int
+	// Tolerant places a task that fills even where it harms, to be paced there.
+	Tolerant bool
 	// Allowed reports whether the queue's policy admits the node; nil admits all.
 	Allowed func(id string) bool
 }
@@ -54,6 +58,8 @@
 	mixPenalty = 1.0
 	// servingUse is the share of its processors that a task that serves is assumed to use.
 	servingUse = 0.6
+	// imagePenalty is the cost of each other serving image on the node of a task that serves.
+	imagePenalty = 1.5
 	// openPenalty is the cost of opening another node to tasks that serve, which
 	// takes it away from those that fill.
 	openPenalty = 1.0
@@ -74,13 +80,16 @@
 			continue
 		}
 		harms := q.Harms != nil && q.Harms(i)
-		if harms && q.Step.Fills {
+		if harms && q.Step.Fills && !q.Tolerant {
 			continue
 		}
 		c := cost(q, n)
 		if harms {
 			c += harmPenalty
 		}
+		if q.OtherImages != nil {
+			c += imagePenalty * float64(q.OtherImages(i))
+		}
 		if best < 0 || c < bestCost {
 			best, bestCost = i, c
 		}
--- a/wire/dispatch.go
+++ b/wire/dispatch.go
@@ -23,6 +23,8 @@
 type Lead struct {
 	Epoch uint64
 	Owner string
+	// CommitAgeMS is how long ago the owner's last successful commit was sent, in milliseconds.
+	CommitAgeMS int64
 }
 
 // Report is what an agent knows of one executor.
