--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -7,14 +7,12 @@
 	"github.com/chicorystand/chicorystand/contention"
 	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/executor"
+	"github.com/chicorystand/chicorystand/placement"
 	"github.com/chicorystand/chicorystand/submission"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
 const (
-	// maxExpectedLatency is the share of its target up to which a task that serves
-	// may be expected to rise because of a task that is placed beside it.
-	maxExpectedLatency = 0.6
 	// paceInterval is the time until the effect of a change of pace is reported.
 	paceInterval = 600 * time.Millisecond
 	// repeatPace is the time after which a pace is ordered again, since lists do not
@@ -88,6 +86,7 @@
 
 // pace orders a pace.
 func (o *Owner) pace(t *taskEntry, percent int, now time.Duration) {
+	t.node.place.Filling += t.filling(percent) - t.filling(t.pace)
 	t.pace, t.pacedAt = percent, now
 	b := o.out(t.node)
 	b.paces = append(b.paces, wire.PaceOrder{Task: t.name(), Run: t.rec.Run, Percent: percent})
@@ -132,34 +131,94 @@
 	return len(seen)
 }
 
-// harms reports whether a task of the step would raise the latency of a task
-// that serves too far, its own included.
-func (o *Owner) harms(step *submission.Step, n *node) bool {
+// expectedLatency returns the highest latency to which a task of the step would
+// raise a task that serves on the node, itself included, as a share of its
+// target. It is 0 when the task disturbs nothing.
+func (o *Owner) expectedLatency(step *submission.Step, n *node) float64 {
 	if !step.Fills && !step.Serves() {
-		return false
+		return 0
 	}
 	usage := n.fillers()
 	if step.Fills {
 		usage[step.Image] += float64(step.Request.CPU) / 1000
 	}
 	if len(usage) == 0 {
-		return false
+		return 0
 	}
-	fillers := fillersOf(usage)
-	if step.Serves() && o.contention.Expected(step.Image, step.LatencyTarget, fillers) > maxExpectedLatency {
-		return true
+	fillers, worst := fillersOf(usage), 0.0
+	if step.Serves() {
+		worst = o.contention.Expected(step.Image, step.LatencyTarget, fillers)
 	}
 	for t := range n.tasks {
 		s := t.step()
-		if !s.Serves() || (step.Fills && o.contention.Rise(s.Image, fillers) < negligibleRise) {
+		if !s.Serves() {
+			continue
+		}
+		own := contention.Filler{Image: step.Image, Processors: float64(step.Request.CPU) / 1000}
+		if step.Fills && o.contention.Rise(s.Image, []contention.Filler{own}) < negligibleRise {
+			continue
+		}
+		worst = max(worst, o.contention.Expected(s.Image, s.LatencyTarget, fillers))
+	}
+	return worst
+}
+
+// moveSlowed stops runs that are paced down and could work at full pace
+// elsewhere, where that loses little work.
+func (o *Owner) moveSlowed(now time.Duration) {
+	if now-o.movedAt < moveInterval {
+		return
+	}
+	o.movedAt = now
+	for _, n := range o.executors {
+		if n.gone || !n.connected || !n.paced() {
 			continue
 		}
-		if o.contention.Expected(s.Image, s.LatencyTarget, fillers) > maxExpectedLatency {
+		moved := 0
+		for t := range n.tasks {
+			if moved == movesAtOnce {
+				break
+			}
+			if t.slowed(now) && o.hasBetterNode(t, n, now) {
+				events.TaskMoved.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", n.info.ID).
+					Int("pace", t.pace).Int("percent", t.percent).Send()
+				o.stop(t, now)
+				moved++
+			}
+		}
+	}
+}
+
+// slowed reports whether a run is paced down and can be stopped at little loss.
+func (t *taskEntry) slowed(now time.Duration) bool {
+	if !t.step().Fills || t.phase != phaseRunning || t.stopping || t.pace > slowPace || t.pace < 0 || now-t.changedAt < settleTime {
+		return false
+	}
+	return t.step().Checkpoints || t.percent <= cheapPercent
+}
+
+func (o *Owner) hasBetterNode(t *taskEntry, from *node, now time.Duration) bool {
+	places, nodes := o.nodes(o.service(t.job.sub), now)
+	w := &waitingStep{key: stepKey{t.job.sub.ID, t.id.Occurrence, t.id.Step}, job: t.job, since: now}
+	q := o.query(w, t, t.step(), o.countByNode(w), "", nodes, now)
+	for i, n := range nodes {
+		if n != from && placement.Fits(q, places[i]) && o.expectedLatency(t.step(), n) <= placement.MaxExpectedLatency {
 			return true
 		}
 	}
 	return false
 }
 
+const (
+	// moveInterval is the time between two looks for runs to move.
+	moveInterval = 500 * time.Millisecond
+	// movesAtOnce bounds the runs that leave one executor in each interval.
+	movesAtOnce = 2
+	// slowPace is the pace in percent up to which a run may be moved.
+	slowPace = 30
+	// cheapPercent is the progress up to which a run without checkpoints may be stopped.
+	cheapPercent = 10
+)
+
 // negligibleRise is a rise in latency that is not worth keeping a task away.
 const negligibleRise = 0.05
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -72,6 +72,7 @@
 	// changed tells that a placement may succeed that did not before.
 	changed  bool
 	placedAt time.Duration
+	movedAt  time.Duration
 	// lastCommit is when the last successful commit was sent.
 	lastCommit time.Duration
 	// consentAt is when all other entries were last known to follow this owner.
@@ -114,6 +115,7 @@
 	o.expireLeases(now)
 	o.releaseDue(now)
 	o.evacuate(now)
+	o.moveSlowed(now)
 	o.place(now)
 	o.repeatOrders(now)
 	o.forget(now)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -130,7 +130,7 @@
 func (o *Owner) query(w *waitingStep, t *taskEntry, step *submission.Step, onNode map[string]int, rack string, nodes []*node, now time.Duration) placement.Query {
 	return placement.Query{Step: step, Rack: rack, Tolerant: now-w.since > harmPatience,
 		OtherImages: func(i int) int { return otherImages(step, nodes[i]) },
-		Harms:       func(i int) bool { return o.harms(step, nodes[i]) },
+		Latency:     func(i int) float64 { return o.expectedLatency(step, nodes[i]) },
 		OnNode:      func(id string) int { return onNode[id] },
 		Avoid:       func(id string) bool { return slices.Contains(t.failedOn, id) }}
 }
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -64,7 +64,11 @@
 	if !n.connected {
 		// Orders that were on their way may be lost with the earlier connection.
 		for t := range n.tasks {
-			t.orderedAt, t.stopSent, t.pace = 0, 0, unknownPace
+			t.orderedAt, t.stopSent = 0, 0
+			if t.step().Fills {
+				n.place.Filling += t.filling(unknownPace) - t.filling(t.pace)
+				t.pace = unknownPace
+			}
 		}
 	}
 	draining := n.info.Draining || r.Info.Draining
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -69,6 +69,14 @@
 	return r
 }
 
+// filling returns the processors in thousandths that a task that fills uses at a pace.
+func (t *taskEntry) filling(pace int) int64 {
+	if pace == unknownPace {
+		pace = fullPace
+	}
+	return t.step().Request.CPU * int64(pace) / fullPace
+}
+
 // job is a submission in the table of jobs.
 type job struct {
 	sub   *submission.Submission
@@ -196,7 +204,7 @@
 	n.tasks[t] = struct{}{}
 	n.place.Reserved = n.place.Reserved.Add(t.reserved())
 	if t.step().Fills {
-		n.place.Filling += t.step().Request.CPU
+		n.place.Filling += t.filling(t.pace)
 	}
 	if t.step().Serves() {
 		n.place.Serving++
@@ -212,7 +220,7 @@
 	delete(n.tasks, t)
 	n.place.Reserved = n.place.Reserved.Sub(t.reserved())
 	if t.step().Fills {
-		n.place.Filling -= t.step().Request.CPU
+		n.place.Filling -= t.filling(t.pace)
 	}
 	if t.step().Serves() {
 		n.place.Serving--
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -34,8 +34,9 @@
 	Avoid func(id string) bool
 	// Rack is preferred for steps that run on one rack, empty when none is chosen yet.
 	Rack string
-	// Harms reports whether the task would make a task that serves miss its latency target.
-	Harms func(position int) bool
+	// Latency returns the highest latency to which the task would raise a task that
+	// serves on the node, as a share of its target.
+	Latency func(position int) float64
 	// OtherImages counts the serving images on a node that differ from the task's.
 	OtherImages func(position int) int
 	// Tolerant places a task that fills even where it harms, to be paced there.
@@ -51,8 +52,10 @@
 	rackPenalty = 10.0
 	// suspicionPenalty weighs the share of failed runs against load.
 	suspicionPenalty = 20.0
-	// harmPenalty is the cost of a node on which a task that serves would miss its target.
-	harmPenalty = 8.0
+	// latencyPenalty is the cost of an expected latency of once the target above freeLatency.
+	latencyPenalty = 8.0
+	// freeLatency is the share of the target up to which an expected latency costs nothing.
+	freeLatency = 0.45
 	// mixPenalty is the cost of putting tasks that fill and tasks that serve on one
 	// node, where the first may disturb the second.
 	mixPenalty = 1.0
@@ -72,6 +75,10 @@
 	return n.Reserved.CPU - n.ServingCPU + int64(servingUse*float64(n.ServingCPU)) + n.Filling
 }
 
+// MaxExpectedLatency is the share of its target up to which the latency of a task
+// that serves may be expected to rise because of a task that is placed beside it.
+const MaxExpectedLatency = 0.6
+
 // Choose returns the position of the best node, or -1 when none can take the task now.
 func Choose(q Query, nodes []*Node) int {
 	best, bestCost := -1, 0.0
@@ -79,14 +86,15 @@
 		if !Fits(q, n) {
 			continue
 		}
-		harms := q.Harms != nil && q.Harms(i)
-		if harms && q.Step.Fills && !q.Tolerant {
+		latency := 0.0
+		if q.Latency != nil {
+			latency = q.Latency(i)
+		}
+		if latency > MaxExpectedLatency && q.Step.Fills && !q.Tolerant {
 			continue
 		}
 		c := cost(q, n)
-		if harms {
-			c += harmPenalty
-		}
+		c += latencyPenalty * max(0, latency-freeLatency)
 		if q.OtherImages != nil {
 			c += imagePenalty * float64(q.OtherImages(i))
 		}
