--- a/contention/contention.go
+++ b/contention/contention.go
@@ -44,6 +44,8 @@
 type measured struct {
 	latency float64
 	at      time.Duration
+	// overSince is when the latency began to be too high on end, 0 while it is not.
+	overSince time.Duration
 }
 
 // Model holds what was learnt. The zero value is not usable.
@@ -85,7 +87,14 @@
 		m.groups[s.Group] = g
 	}
 	if s.Latency > 0 {
-		g[s.Task] = measured{float64(s.Latency), now}
+		v := measured{latency: float64(s.Latency), at: now}
+		if v.latency > overTarget*float64(s.Target) {
+			v.overSince = now
+			if before := g[s.Task].overSince; before != 0 {
+				v.overSince = before
+			}
+		}
+		g[s.Task] = v
 	}
 }
 
--- a/contention/pace.go
+++ b/contention/pace.go
@@ -7,11 +7,15 @@
 
 const (
 	// paceTarget is the share of its target that a task's latency is led to.
-	paceTarget = 0.85
+	paceTarget = 0.75
 	// overTarget is the share of the target from which a measured latency counts as too high.
-	overTarget = 0.95
+	overTarget = 0.9
 	// backOffFactor is the factor on the pace of a suspect while a latency is too high.
 	backOffFactor = 0.3
+	// stopAllAfter is how long a latency may be too high on end before everything
+	// that fills beside the task stands still, whatever the model says. It leaves
+	// time for two lists within the shortest time that counts as harm.
+	stopAllAfter = 1400 * time.Millisecond
 	// suspectShare is the share of the strongest suspicion from which an image is a suspect.
 	suspectShare = 0.5
 	// ownLoad is the share of a latency that makes the task's own load its cause.
@@ -73,8 +77,15 @@
 		pace[f.Image] = min(pace[f.Image], allowed)
 		budget -= rise * pace[f.Image]
 	}
-	if latency > overTarget*target {
-		m.backOff(s, full, used, pace, current)
+	since := m.groups[s.Group][s.Task].overSince
+	if since == 0 {
+		return
+	}
+	m.backOff(s, full, used, pace, current)
+	if now-since >= stopAllAfter {
+		for _, f := range full {
+			pace[f.Image] = 0
+		}
 	}
 }
 
