--- a/contention/pace.go
+++ b/contention/pace.go
@@ -49,6 +49,16 @@
 	return out
 }
 
+// Late reports whether the latency of any task is too high.
+func Late(serving []Serving) bool {
+	for _, s := range serving {
+		if float64(s.Latency) > overTarget*float64(s.Target) {
+			return true
+		}
+	}
+	return false
+}
+
 // limit lowers the paces until one task keeps its target, those first that disturb it most.
 func (m *Model) limit(s Serving, full, used []Filler, pace map[string]float64, current map[string]int, now time.Duration) {
 	base := m.Base(s, now)
--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -18,6 +18,12 @@
 	// repeatPace is the time after which a pace is ordered again, since lists do not
 	// show it and an earlier order may have been carried out late.
 	repeatPace = 3 * time.Second
+	// disturbedFor is how long an executor takes no task that fills after one that
+	// serves has missed its target there.
+	disturbedFor = 1500 * time.Millisecond
+	// leastFilling is the least pace in percent at which a run that is paced down
+	// counts, so that not too many gather on one executor.
+	leastFilling = 30
 	// fullPace is the pace of a run that has just started, in percent.
 	fullPace = 100
 )
@@ -55,6 +61,9 @@
 	}
 	used := fillersOf(usage)
 	o.contention.Observe(serving, used, now)
+	if len(used) > 0 && contention.Late(serving) {
+		n.disturbedAt = now
+	}
 	o.adaptPaces(n, serving, used, now)
 }
 
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -74,7 +74,7 @@
 	if pace == unknownPace {
 		pace = fullPace
 	}
-	return t.step().Request.CPU * int64(pace) / fullPace
+	return t.step().Request.CPU * int64(max(pace, leastFilling)) / fullPace
 }
 
 // job is a submission in the table of jobs.
@@ -197,6 +197,8 @@
 	// paces are the paces of the images that fill, in percent; they were ordered at pacedAt.
 	paces   map[string]int
 	pacedAt time.Duration
+	// disturbedAt is when a task that serves last missed its target beside tasks that fill, 0 for never.
+	disturbedAt time.Duration
 }
 
 // reserve books the task on the node.
