Keep what was learnt of contention beyond the owner

Cause: a new owner learnt all pairs of images again by violations. Change: the owner writes its pressures every 3 s with a commit; a new owner starts from them with a bounded weight.

--- a/contention/contention.go
+++ b/contention/contention.go
@@ -9,7 +9,11 @@
 // same submission) share; it is the lowest recent latency of the group.
 package contention
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// meanRate is the weight of a base in the mean of its image.
@@ -158,3 +162,52 @@
 	}
 	return m.meanOf(image, target) * (1 + m.Rise(image, fillers)) / float64(target)
 }
+
+// Knowledge is the part of a model that a later owner continues with.
+type Knowledge struct {
+	Serving string
+	// Mean is the mean base in nanoseconds.
+	Mean float64
+	// Filling, Pressure and Weight describe the pairs; Weight is in squared processors.
+	Filling  []string
+	Pressure []float64
+	Weight   []float64
+}
+
+// maxRestoredWeight bounds the weight of what an earlier owner has learnt, so
+// that new samples soon count for more.
+const maxRestoredWeight = 30.0
+
+// Export returns what was learnt, ordered by serving image.
+func (m *Model) Export() []Knowledge {
+	var out []Knowledge
+	for _, image := range slices.Sorted(maps.Keys(m.estimators)) {
+		e := m.estimators[image]
+		k := Knowledge{Serving: image, Mean: m.mean[image], Filling: slices.Clone(e.names)}
+		for i, name := range e.names {
+			k.Pressure = append(k.Pressure, e.pressure(name))
+			k.Weight = append(k.Weight, e.gram[i][i])
+		}
+		out = append(out, k)
+	}
+	return out
+}
+
+// Import takes in what an earlier owner has learnt. It is called on an empty model.
+func (m *Model) Import(list []Knowledge) {
+	for _, k := range list {
+		if len(k.Pressure) != len(k.Filling) || len(k.Weight) != len(k.Filling) {
+			continue
+		}
+		if k.Mean > 0 {
+			m.mean[k.Serving] = k.Mean
+		}
+		e := m.estimator(k.Serving)
+		for i, image := range k.Filling {
+			p := e.position(image)
+			e.gram[p][p] = min(k.Weight[i], maxRestoredWeight)
+			e.moment[p] = e.gram[p][p] * k.Pressure[i]
+			e.value[p] = k.Pressure[i]
+		}
+	}
+}
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -158,6 +158,15 @@
 	for _, r := range progress {
 		records[strings.TrimPrefix(r.Key, dispatch.ProgressTable+"/")] = r.Value
 	}
+	learnt, err := o.cfg.Store.Get(ctx, dispatch.KnowledgeKey)
+	if err != nil {
+		return 0, err
+	}
+	for _, r := range learnt {
+		if err := o.core.Learnt(r.Value); err != nil {
+			events.RowInvalid.Log(o.cfg.Log).Str("key", r.Key).Err(err).Send()
+		}
+	}
 	work, version, err := store.ReadAll(ctx, o.cfg.Store, dispatch.WorkTable)
 	if err != nil {
 		return 0, err
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -4,6 +4,10 @@
 	"slices"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/chicorystand/chicorystand/contention"
+	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/store"
 	"github.com/chicorystand/chicorystand/submission"
 )
@@ -14,6 +18,8 @@
 	WorkTable = "work"
 	// ProgressTable holds a record for each submission that has started.
 	ProgressTable = "progress"
+	// KnowledgeKey is the row of what was learnt of contention.
+	KnowledgeKey = "learnt/contention"
 	// CancelSuffix marks the row of a cancellation.
 	CancelSuffix = "/cancel"
 )
@@ -27,6 +33,9 @@
 // ProgressKey returns the key of a submission's record.
 func ProgressKey(id string) string { return ProgressTable + "/" + id }
 
+// knowledgeInterval is the time between two writes of what was learnt.
+const knowledgeInterval = 3 * time.Second
+
 // effects are consequences of decisions that wait for a commit.
 type effects struct {
 	starts []*taskEntry
@@ -79,6 +88,9 @@
 		delete(o.dirty, id)
 	}
 	o.takeStarts(b)
+	if err := o.takeKnowledge(b); err != nil {
+		return nil, err
+	}
 	if complete {
 		// An end may be forgotten only when every record that reflects it is in this batch or an earlier one.
 		for n := range o.pending.acks {
@@ -90,6 +102,30 @@
 	return b, nil
 }
 
+// takeKnowledge adds what was learnt of contention to a commit, now and then.
+func (o *Owner) takeKnowledge(b *Batch) error {
+	if o.now-o.knowledgeAt < knowledgeInterval {
+		return nil
+	}
+	o.knowledgeAt = o.now
+	value, err := msgpack.Marshal(o.contention.Export())
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err, "encode what was learnt of contention")
+	}
+	b.Writes = append(b.Writes, store.Write{Key: KnowledgeKey, Value: value})
+	return nil
+}
+
+// Learnt takes in what an earlier owner has learnt of contention.
+func (o *Owner) Learnt(value []byte) error {
+	var list []contention.Knowledge
+	if err := msgpack.Unmarshal(value, &list); err != nil {
+		return errkind.Wrap(errkind.InvalidArgument, err, "decode what was learnt of contention")
+	}
+	o.contention.Import(list)
+	return nil
+}
+
 func (o *Owner) takeStarts(b *Batch) {
 	later := o.pending.starts[:0]
 	for _, t := range o.pending.starts {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -73,6 +73,9 @@
 	changed  bool
 	placedAt time.Duration
 	movedAt  time.Duration
+	// now is the time of the last run of the systems.
+	now         time.Duration
+	knowledgeAt time.Duration
 	// lastCommit is when the last successful commit was sent.
 	lastCommit time.Duration
 	// consentAt is when all other entries were last known to follow this owner.
@@ -91,7 +94,7 @@
 // New returns an owner without work. now is the owner's clock, which includes
 // time in suspension; unix converts it to Unix milliseconds.
 func New(b Bounds, epoch uint64, now time.Duration, unix func(time.Duration) int64, log zerolog.Logger) *Owner {
-	return &Owner{bounds: b, epoch: epoch, since: now, lastCommit: now, log: log, unix: unix, jobs: make(map[string]*job),
+	return &Owner{bounds: b, epoch: epoch, since: now, now: now, knowledgeAt: now, lastCommit: now, log: log, unix: unix, jobs: make(map[string]*job),
 		executors: make(map[submission.Incarnation]*node), waiting: make(map[stepKey]*waitingStep), timed: make(map[string]*job),
 		dirty: make(map[string]*job), outbox: make(map[submission.Incarnation]*outbox), pending: newEffects(), contention: contention.New()}
 }
@@ -112,6 +115,7 @@
 
 // Tick runs the systems.
 func (o *Owner) Tick(now time.Duration) {
+	o.now = now
 	o.expireLeases(now)
 	o.releaseDue(now)
 	o.evacuate(now)
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -15,8 +15,6 @@
 	// healthHalfLife is the time in which an old share loses half of its weight, so
 	// that an executor that gets no tasks is tried again.
 	healthHalfLife = 3 * time.Second
-	// closeAt is the share from which an executor gets no tasks while others are sound.
-	closeAt = 0.55
 )
 
 // observe takes in one end.
--- a/submission/record.go
+++ b/submission/record.go
@@ -70,7 +70,8 @@
 // encodedRecord is the stored form: one array for each field, and executors by
 // their position in a list, as most tasks share a few of them.
 type encodedRecord struct {
-	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by the encoder
+	//lint:ignore U1000 read by the encoder
+	_msgpack    struct{} `msgpack:",as_array"`
 	State       State
 	Ended       int64
 	States      []byte
