Place a task that harms only for a submission of which nothing runs

Cause: steps that had waited 4 s were placed anywhere; paced-down runs piled up on the nodes where they harmed most.

--- a/contention/estimator.go
+++ b/contention/estimator.go
@@ -2,7 +2,7 @@
 
 const (
 	// defaultPressure is the assumed rise per processor in use of an unknown pair.
-	defaultPressure = 0.05
+	defaultPressure = 0.15
 	// priorWeight is the weight of that assumption, in squared processors.
 	priorWeight = 2.0
 	// decay is the factor on the weight of earlier samples with each new one.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -60,7 +60,8 @@
 		Remaining: chain(s, w.key.step), Arrived: arrived, ID: s.ID}
 }
 
-// harmPatience is how long tasks that fill wait for an executor on which they harm no other task.
+// harmPatience is how long a submission of which nothing runs waits for an executor
+// on which its tasks that fill harm no other. Then one task runs at a reduced pace.
 const harmPatience = 4 * time.Second
 
 // lateFactor is the multiple of its objective up to which a submission is late but of use.
@@ -128,7 +129,7 @@
 }
 
 func (o *Owner) query(w *waitingStep, t *taskEntry, step *submission.Step, onNode map[string]int, rack string, nodes []*node, now time.Duration) placement.Query {
-	return placement.Query{Step: step, Rack: rack, Tolerant: now-w.since > harmPatience,
+	return placement.Query{Step: step, Rack: rack, Tolerant: now-w.since > harmPatience && w.job.idle(),
 		OtherImages: func(i int) int { return otherImages(step, nodes[i]) },
 		Latency:     func(i int) float64 { return o.expectedLatency(step, nodes[i]) },
 		OnNode:      func(id string) int { return onNode[id] },
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -63,7 +63,7 @@
 	// node, where the first may disturb the second.
 	mixPenalty = 1.0
 	// servingUse is the share of its processors that a task that serves is assumed to use.
-	servingUse = 0.6
+	servingUse = 0.5
 	// imagePenalty is the cost of each other serving image on the node of a task that serves.
 	imagePenalty = 1.5
 	// openPenalty is the cost of opening another node to tasks that serve, which
@@ -80,7 +80,7 @@
 
 // MaxExpectedLatency is the share of its target up to which the latency of a task
 // that serves may be expected to rise because of a task that is placed beside it.
-const MaxExpectedLatency = 0.6
+const MaxExpectedLatency = 0.52
 
 // Choose returns the position of the best node, or -1 when none can take the task now.
 func Choose(q Query, nodes []*Node) int {
