Test ownership, takeover and the whole path against the store stand-in

The stand-in of the table service gets lists, a feed of changes and a history that can be dropped. Guards: replacement of an owner without the store, resignation, outages for all, lost and late commits, dropped history.

--- /dev/null
+++ b/coordinator/coordinator_test.go
@@ -0,0 +1,321 @@
+package coordinator
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorystand/chicorystand/clock"
+	"github.com/chicorystand/chicorystand/dispatch"
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/executor"
+	"github.com/chicorystand/chicorystand/manifest"
+	"github.com/chicorystand/chicorystand/member"
+	"github.com/chicorystand/chicorystand/standin"
+	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/vmagent"
+)
+
+const testTimeout = 20 * time.Second
+
+func newTable() *standin.Table { return standin.NewTable(10_000, 100_000) }
+
+// cutTable is an entry's path to the store, which tests cut.
+type cutTable struct {
+	*standin.Table
+	mu  sync.Mutex
+	cut bool
+}
+
+func (c *cutTable) set(cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = cut
+}
+
+func (c *cutTable) err() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cut {
+		return errkind.New(errkind.StoreUnavailable, "cut off")
+	}
+	return nil
+}
+
+func (c *cutTable) Commit(ctx context.Context, txn store.Txn) ([]uint64, error) {
+	if err := c.err(); err != nil {
+		return nil, err
+	}
+	return c.Table.Commit(ctx, txn)
+}
+
+func (c *cutTable) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
+	if err := c.err(); err != nil {
+		return nil, err
+	}
+	return c.Table.Get(ctx, keys...)
+}
+
+func (c *cutTable) List(ctx context.Context, table, after string) (store.Page, error) {
+	if err := c.err(); err != nil {
+		return store.Page{}, err
+	}
+	return c.Table.List(ctx, table, after)
+}
+
+func (c *cutTable) Changes(ctx context.Context, table string, version uint64, wait time.Duration) (store.Page, error) {
+	if err := c.err(); err != nil {
+		return store.Page{}, err
+	}
+	return c.Table.Changes(ctx, table, version, wait)
+}
+
+// testEntry is an entry process without requesters.
+type testEntry struct {
+	candidate *Candidate
+	link      *member.OwnerLink
+	store     *cutTable
+	stop      context.CancelFunc
+	done      chan struct{}
+}
+
+func startEntry(t *testing.T, table *standin.Table, name string) *testEntry {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	c := clock.Boottime{}
+	e := &testEntry{store: &cutTable{Table: table}, link: member.NewOwnerLink(c, zerolog.Nop()), stop: cancel, done: make(chan struct{})}
+	l := listen(t)
+	self := member.Member{Name: name, Address: l.Addr().String(), Role: member.Entry, Incarnation: uint64(time.Now().UnixNano())}
+	go member.Serve(l, e.link, e.link.Handle)
+	go member.KeepRegistered(ctx, e.store, self, e.link.Silent)
+	bounds := dispatch.Bounds{Lease: 2 * time.Second, Consent: 2 * time.Second, StoreLoss: 15 * time.Second,
+		StopTimeout: 100 * time.Millisecond, Retention: time.Hour}
+	e.candidate = NewCandidate(Config{Store: e.store, Clock: c, Log: zerolog.Nop(), Bounds: bounds, Member: self,
+		Manifest: func() *manifest.Manifest { return nil }, HighestEpoch: e.link.Epoch}, e.link)
+	go func() {
+		defer close(e.done)
+		e.candidate.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-e.done
+		_ = l.Close()
+	})
+	return e
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	var lc net.ListenConfig
+	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return l
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(testTimeout); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not within %s: %s", testTimeout, what)
+}
+
+// doneExecutor finishes every task at once.
+type doneExecutor struct {
+	mu    sync.Mutex
+	ends  []executor.End
+	start time.Time
+	runs  map[string]int
+}
+
+func (d *doneExecutor) clockNow() int64 { return time.Since(d.start).Milliseconds() + 1 }
+
+func (d *doneExecutor) Start(_ context.Context, _ executor.Info, s executor.Start) executor.Answer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.runs[s.Task]++
+	d.ends = append(d.ends, executor.End{Number: int64(len(d.ends) + 1), Task: s.Task, Run: s.Run, Cause: executor.Done})
+	return executor.Answer{Clock: d.clockNow()}
+}
+
+func (d *doneExecutor) Stop(context.Context, executor.Info, string, uint32, uint64) executor.Answer {
+	return executor.Answer{Clock: d.clockNow()}
+}
+
+func (d *doneExecutor) Pace(context.Context, executor.Info, string, uint32, uint64, int) executor.Answer {
+	return executor.Answer{Clock: d.clockNow()}
+}
+
+func (d *doneExecutor) Hold(_ context.Context, _ executor.Info, h executor.Hold) executor.Snapshot {
+	time.Sleep(5 * time.Millisecond)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := executor.Snapshot{Answer: executor.Answer{Clock: d.clockNow()}, Born: 1}
+	for _, e := range d.ends {
+		if e.Number > h.LastSeen {
+			s.Ended = append(s.Ended, e)
+		}
+	}
+	return s
+}
+
+func startAgent(t *testing.T, table *standin.Table, name string) *doneExecutor {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	c := clock.Boottime{}
+	link := member.NewOwnerLink(c, zerolog.Nop())
+	ex := &doneExecutor{start: time.Now(), runs: make(map[string]int)}
+	a := vmagent.New(ctx, vmagent.Config{Name: name, Client: ex, Clock: c, Log: zerolog.Nop(), Link: link, Observe: func(string, executor.Answer) {}})
+	l := listen(t)
+	go member.Serve(l, link, a.Handle)
+	go member.KeepRegistered(ctx, table, member.Member{Name: name, Address: l.Addr().String(), Role: member.Agent}, link.Silent)
+	a.Heartbeat(executor.Info{Incarnation: submission.Incarnation{ID: "i-" + name, Born: 1}, Service: "pool", Address: name,
+		Capacity: task.Resources{CPU: 4000, Memory: 4000}, Sequence: 1, Clock: 1})
+	t.Cleanup(func() {
+		cancel()
+		_ = l.Close()
+	})
+	return ex
+}
+
+// submit writes a submission as an entry does.
+func submit(t *testing.T, table *standin.Table, id string) {
+	t.Helper()
+	s := &submission.Submission{ID: id, Queue: "q", Service: "pool", Accepted: time.Now().UnixMilli(), MaxAttempts: 3,
+		Steps: []submission.Step{{Count: 3, Request: task.Resources{CPU: 500}}, {Count: 2, Request: task.Resources{CPU: 500}, DependsOn: []int{0}}}}
+	value, err := s.Encode()
+	assert.NilError(t, err)
+	_, err = table.Commit(t.Context(), store.Txn{Writes: []store.Write{{Key: dispatch.WorkKey(id), Value: value}}})
+	assert.NilError(t, err)
+}
+
+func completed(table *standin.Table, id string) bool {
+	rows, err := table.Get(context.Background(), dispatch.ProgressKey(id))
+	if err != nil || len(rows) == 0 {
+		return false
+	}
+	state, err := submission.DecodeState(rows[0].Value)
+	return err == nil && state == submission.Completed
+}
+
+func owners(entries ...*testEntry) int {
+	n := 0
+	for _, e := range entries {
+		if e.candidate.Owning() {
+			n++
+		}
+	}
+	return n
+}
+
+// The whole path: a submission in the store is run to its end by real processes' parts.
+func TestSubmissionRunsToItsEnd(t *testing.T) {
+	table := newTable()
+	startEntry(t, table, "entry-1")
+	ex := startAgent(t, table, "agent-1")
+	submit(t, table, "00000000000000a1")
+	eventually(t, "submission completed", func() bool { return completed(table, "00000000000000a1") })
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	for name, n := range ex.runs {
+		assert.Equal(t, n, 1, name)
+	}
+	assert.Equal(t, len(ex.runs), 5)
+}
+
+// An owner that is cut off from the store keeps its connections. Another entry
+// has to take over all the same, or accepted work stands still.
+func TestOwnerWithoutStoreIsReplaced(t *testing.T) {
+	table := newTable()
+	first := startEntry(t, table, "entry-1")
+	eventually(t, "first entry owns", first.candidate.Owning)
+	second := startEntry(t, table, "entry-2")
+	startAgent(t, table, "agent-1")
+	eventually(t, "second entry hears the owner", func() bool { return second.link.Silent() < time.Second })
+	first.store.set(true)
+	submit(t, table, "00000000000000a2")
+	eventually(t, "submission completed", func() bool { return completed(table, "00000000000000a2") })
+	eventually(t, "one owner", func() bool { return owners(first, second) == 1 && second.candidate.Owning() })
+}
+
+// An owner that stops gives the ownership up, so that work goes on at once.
+func TestStoppedOwnerResigns(t *testing.T) {
+	table := newTable()
+	first := startEntry(t, table, "entry-1")
+	eventually(t, "first entry owns", first.candidate.Owning)
+	second := startEntry(t, table, "entry-2")
+	first.stop()
+	<-first.done
+	h, err := readHead(t.Context(), table)
+	assert.NilError(t, err)
+	if h.Owner != "" {
+		assert.Equal(t, h.Owner, "entry-2")
+	}
+	eventually(t, "second entry owns", second.candidate.Owning)
+}
+
+// While the store answers nobody, nobody can take over, and the owner goes on.
+func TestOutageForAllChangesNoOwner(t *testing.T) {
+	table := newTable()
+	first := startEntry(t, table, "entry-1")
+	eventually(t, "first entry owns", first.candidate.Owning)
+	second := startEntry(t, table, "entry-2")
+	eventually(t, "second entry hears the owner", func() bool { return second.link.Silent() < time.Second })
+	table.SetFaults(standin.Faults{Down: true})
+	time.Sleep(3 * time.Second)
+	table.SetFaults(standin.Faults{})
+	time.Sleep(time.Second)
+	assert.Assert(t, first.candidate.Owning())
+	assert.Assert(t, !second.candidate.Owning())
+}
+
+// A commit whose answer is lost must count as done when it has taken effect, and
+// a commit that is carried out late must not take effect after another owner's.
+func TestCommitIsResolvedAfterLostAnswers(t *testing.T) {
+	table := newTable()
+	h, err := writeHead(t.Context(), table, head{}, Head{Epoch: 1, Owner: "a", Incarnation: 1}, nil)
+	assert.NilError(t, err)
+	c := committer{table: table, head: h, retried: func(error) {}}
+	table.SetFaults(standin.Faults{LoseAnswers: 1})
+	assert.NilError(t, c.commit(t.Context(), []store.Write{{Key: "progress/x", Value: []byte("1")}}, nil, func() {}))
+	rows, err := table.Get(t.Context(), "progress/x")
+	assert.NilError(t, err)
+	assert.Equal(t, rows[0].Version, uint64(1), "the commit took effect twice")
+
+	table.SetFaults(standin.Faults{DelayCommits: 1, CommitDelay: 300 * time.Millisecond})
+	assert.NilError(t, c.commit(t.Context(), []store.Write{{Key: "progress/x", Value: []byte("2")}}, nil, func() {}))
+	other, err := readHead(t.Context(), table)
+	assert.NilError(t, err)
+	_, err = writeHead(t.Context(), table, other, Head{Epoch: 2, Owner: "b", Incarnation: 2}, []store.Write{{Key: "progress/x", Value: []byte("3")}})
+	assert.NilError(t, err)
+	time.Sleep(500 * time.Millisecond)
+	rows, err = table.Get(t.Context(), "progress/x")
+	assert.NilError(t, err)
+	assert.Equal(t, string(rows[0].Value), "3", "a late commit of an earlier owner took effect")
+	err = c.commit(t.Context(), nil, nil, func() {})
+	assert.Equal(t, errkind.Of(err), errkind.NotOwner)
+}
+
+// A dropped history must not hide submissions from the owner.
+func TestCompactedHistoryHidesNothing(t *testing.T) {
+	table := newTable()
+	startEntry(t, table, "entry-1")
+	startAgent(t, table, "agent-1")
+	submit(t, table, "00000000000000a3")
+	eventually(t, "submission completed", func() bool { return completed(table, "00000000000000a3") })
+	table.SetFaults(standin.Faults{Down: true})
+	time.Sleep(300 * time.Millisecond)
+	table.SetFaults(standin.Faults{})
+	submit(t, table, "00000000000000a4")
+	table.Compact()
+	eventually(t, "submission completed", func() bool { return completed(table, "00000000000000a4") })
+}
--- a/standin/table.go
+++ b/standin/table.go
@@ -49,6 +49,13 @@
 	rows   map[string]store.Row
 	faults Faults
 	counts Counts
+	// history holds all changes since the last compaction, at version versions[i].
+	history  []store.Change
+	versions []uint64
+	version  uint64
+	// compacted is the version up to which the history was dropped.
+	compacted uint64
+	changed   chan struct{}
 }
 
 // Rates of the platform's table service, in operations per second.
@@ -62,7 +69,7 @@
 	return &Table{
 		writes: rate.NewLimiter(rate.Limit(writesPerSecond), int(writesPerSecond)),
 		reads:  rate.NewLimiter(rate.Limit(readsPerSecond), int(readsPerSecond)),
-		rows:   make(map[string]store.Row),
+		rows:   make(map[string]store.Row), changed: make(chan struct{}),
 	}
 }
 
@@ -205,13 +212,16 @@
 	t.counts.Commits++
 	t.counts.Rows += int64(len(writes))
 	versions := make([]uint64, len(writes))
+	t.version++
 	for i, w := range writes {
 		if w.Delete {
 			delete(t.rows, w.Key)
+			t.record(store.Change{Row: store.Row{Key: w.Key}, Deleted: true})
 			continue
 		}
 		r := store.Row{Key: w.Key, Value: append([]byte(nil), w.Value...), Version: t.rows[w.Key].Version + 1}
 		t.rows[w.Key] = r
+		t.record(store.Change{Row: r})
 		versions[i] = r.Version
 	}
 	return versions
