--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorystand/chicorystand/clock"
+	"github.com/chicorystand/chicorystand/dispatch"
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/manifest"
+	"github.com/chicorystand/chicorystand/member"
+	"github.com/chicorystand/chicorystand/standin"
+	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/submission"
+)
+
+const testID = "00000000000000b1"
+
+func newGateway(table *standin.Table, answered func() time.Duration) *Gateway {
+	c := clock.Boottime{}
+	return New(Config{Store: table, Clock: c, Log: zerolog.Nop(), Owner: member.NewOwnerLink(c, zerolog.Nop()),
+		Manifest: func() *manifest.Manifest { return nil }, StoreAnswered: answered,
+		Observe: func(string, int, time.Duration, error) {}})
+}
+
+func never() time.Duration { return 0 }
+
+func newTable() *standin.Table { return standin.NewTable(1000, 1000) }
+
+func testSubmission() *submission.Submission {
+	return &submission.Submission{ID: testID, Steps: []submission.Step{{Count: 1}}}
+}
+
+func rowVersion(t *testing.T, table *standin.Table, key string) uint64 {
+	t.Helper()
+	rows, err := table.Get(context.Background(), key)
+	assert.NilError(t, err)
+	if len(rows) == 0 {
+		return 0
+	}
+	return rows[0].Version
+}
+
+// A submission that arrives twice is one submission.
+func TestRepeatedSubmissionIsStoredOnce(t *testing.T) {
+	table := newTable()
+	g := newGateway(table, never)
+	for range 2 {
+		assert.NilError(t, g.Submit(t.Context(), &manifest.Route{Name: "q"}, testSubmission()))
+	}
+	assert.Equal(t, rowVersion(t, table, dispatch.WorkKey(testID)), uint64(1))
+}
+
+// After a lost answer the submission may be stored; a refusal would be untrue.
+func TestLostAnswerIsNotARefusal(t *testing.T) {
+	table := newTable()
+	g := newGateway(table, never)
+	table.SetFaults(standin.Faults{LoseAnswers: 1})
+	assert.NilError(t, g.Submit(t.Context(), &manifest.Route{Name: "q"}, testSubmission()))
+	assert.Equal(t, rowVersion(t, table, dispatch.WorkKey(testID)), uint64(1))
+
+	table.SetFaults(standin.Faults{DelayCommits: 1000, CommitDelay: time.Hour})
+	s := testSubmission()
+	s.ID = "00000000000000b2"
+	err := g.Submit(t.Context(), &manifest.Route{Name: "q"}, s)
+	assert.Assert(t, errkind.Of(err).Answer().Execution != errkind.ExecutionNotRun, "%v", err)
+}
+
+// A store that is known to be down is no reason to let a requester wait.
+func TestRequestsAreRefusedAtOnceWhileTheStoreIsDown(t *testing.T) {
+	table := newTable()
+	answered := time.Duration(0)
+	g := newGateway(table, func() time.Duration { return answered })
+	table.SetFaults(standin.Faults{Down: true})
+	err := g.Submit(t.Context(), &manifest.Route{Name: "q"}, testSubmission())
+	assert.Equal(t, errkind.Of(err), errkind.StoreUnavailable)
+	start := time.Now()
+	err = g.Submit(t.Context(), &manifest.Route{Name: "q"}, testSubmission())
+	assert.Equal(t, errkind.Of(err), errkind.StoreUnavailable)
+	assert.Assert(t, time.Since(start) < writeRetry, "the refusal took %s", time.Since(start))
+	table.SetFaults(standin.Faults{})
+	answered = clock.Boottime{}.Now()
+	assert.NilError(t, g.Submit(t.Context(), &manifest.Route{Name: "q"}, testSubmission()))
+}
+
+// A state must be known as soon as the submission is accepted, also without an owner.
+func TestStateWithoutOwnerComesFromTheStore(t *testing.T) {
+	table := newTable()
+	g := newGateway(table, never)
+	_, err := g.State(t.Context(), nil, testID)
+	assert.Equal(t, errkind.Of(err), errkind.NotFound)
+	assert.NilError(t, g.Submit(t.Context(), &manifest.Route{Name: "q"}, testSubmission()))
+	state, err := g.State(t.Context(), nil, testID)
+	assert.NilError(t, err)
+	assert.Equal(t, state, submission.Queued)
+	r := submission.Record{State: submission.Completed, Tasks: make([]submission.TaskRecord, 1)}
+	value, err := r.Encode()
+	assert.NilError(t, err)
+	_, err = table.Commit(t.Context(), store.Txn{Writes: []store.Write{{Key: dispatch.ProgressKey(testID), Value: value}}})
+	assert.NilError(t, err)
+	state, err = g.State(t.Context(), nil, testID)
+	assert.NilError(t, err)
+	assert.Equal(t, state, submission.Completed)
+}
+
+// A state that cannot be read must not be given as "does not exist".
+func TestUnreadableStateIsNotNotFound(t *testing.T) {
+	table := newTable()
+	g := newGateway(table, never)
+	table.SetFaults(standin.Faults{Down: true})
+	_, err := g.State(t.Context(), nil, testID)
+	assert.Equal(t, errkind.Of(err), errkind.StoreUnavailable)
+}
+
+// Cancelling is durable, repeatable, and refers to submissions that exist.
+func TestCancel(t *testing.T) {
+	table := newTable()
+	g := newGateway(table, never)
+	assert.Equal(t, errkind.Of(g.Cancel(t.Context(), nil, testID)), errkind.NotFound)
+	assert.NilError(t, g.Submit(t.Context(), &manifest.Route{Name: "q"}, testSubmission()))
+	for range 2 {
+		assert.NilError(t, g.Cancel(t.Context(), nil, testID))
+	}
+	assert.Equal(t, rowVersion(t, table, dispatch.CancelKey(testID)), uint64(1))
+}
--- /dev/null
+++ b/ordering/ordering_test.go
@@ -0,0 +1,37 @@
+package ordering
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Work that can still be in time goes first, then work that is late but of use;
+// the load would otherwise make everything late, one after the other.
+func TestOrder(t *testing.T) {
+	const now = 100 * time.Second
+	at := func(id string, priority int, due, lateDue, remaining, arrived time.Duration) Waiting {
+		return Waiting{ID: id, Priority: priority, Due: now + due, LateDue: now + lateDue, Remaining: remaining, Arrived: now + arrived}
+	}
+	list := []Waiting{
+		at("beyond use, younger", 1, -9*time.Second, -time.Second, time.Second, -20*time.Second),
+		at("late", 1, -time.Second, 9*time.Second, time.Second, -9*time.Second),
+		at("little slack", 1, 3*time.Second, 9*time.Second, 2*time.Second, -time.Second),
+		at("beyond use, older", 1, -9*time.Second, -time.Second, time.Second, -30*time.Second),
+		at("much slack", 1, 9*time.Second, 30*time.Second, time.Second, -2*time.Second),
+		at("urgent class", 0, -9*time.Second, -time.Second, time.Second, 0),
+	}
+	slices.SortFunc(list, func(a, b Waiting) int {
+		if Less(&a, &b, now) {
+			return -1
+		}
+		return 1
+	})
+	var ids []string
+	for _, w := range list {
+		ids = append(ids, w.ID)
+	}
+	assert.DeepEqual(t, ids, []string{"urgent class", "little slack", "much slack", "late", "beyond use, older", "beyond use, younger"})
+}
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,100 @@
+package placement
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/task"
+)
+
+func testNode(id string) *Node {
+	return &Node{ID: id, Kind: "a", Rack: "r-" + id, Capacity: task.Resources{CPU: 4000, Memory: 4000}}
+}
+
+func testStep() *submission.Step {
+	return &submission.Step{Count: 1, Request: task.Resources{CPU: 1000, Memory: 1000}}
+}
+
+// The constraints of a step and the capacity of a node are never broken.
+func TestFits(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(s *submission.Step, n *Node, q *Query)
+		fits   bool
+	}{
+		"plain":          {func(*submission.Step, *Node, *Query) {}, true},
+		"no processors":  {func(_ *submission.Step, n *Node, _ *Query) { n.Reserved.CPU = 3001 }, false},
+		"no memory":      {func(_ *submission.Step, n *Node, _ *Query) { n.Reserved.Memory = 3001 }, false},
+		"no accelerator": {func(s *submission.Step, _ *Node, _ *Query) { s.Request.Accelerators = 1 }, false},
+		"closed":         {func(_ *submission.Step, n *Node, _ *Query) { n.Closed = true }, false},
+		"other label":    {func(s *submission.Step, _ *Node, _ *Query) { s.Label = "b" }, false},
+		"label":          {func(s *submission.Step, _ *Node, _ *Query) { s.Label = "a" }, true},
+		"anti-affinity": {func(s *submission.Step, _ *Node, q *Query) {
+			s.MaxPerExecutor = 2
+			q.OnNode = func(string) int { return 2 }
+		}, false},
+		"policy": {func(_ *submission.Step, _ *Node, q *Query) { q.Allowed = func(string) bool { return false } }, false},
+		"fills what is left": {func(s *submission.Step, n *Node, _ *Query) {
+			s.Fills = true
+			n.Reserved.CPU = 4000
+			n.Serving, n.ServingCPU = 1, 4000
+		}, true},
+		"nothing left":        {func(s *submission.Step, n *Node, _ *Query) { s.Fills = true; n.Filling = 3500 }, false},
+		"fills, no memory":    {func(s *submission.Step, n *Node, _ *Query) { s.Fills = true; n.Reserved.Memory = 3500 }, false},
+		"fills where late":    {func(s *submission.Step, n *Node, _ *Query) { s.Fills = true; n.Disturbed = true }, false},
+		"plain where late":    {func(_ *submission.Step, n *Node, _ *Query) { n.Disturbed = true }, true},
+		"fillers do not hold": {func(_ *submission.Step, n *Node, _ *Query) { n.Filling = 4000 }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, n := testStep(), testNode("n")
+			q := Query{Step: s}
+			c.change(s, n, &q)
+			assert.Equal(t, Fits(q, n), c.fits)
+		})
+	}
+}
+
+// A task that failed on a node must be tried elsewhere, since a faulty node would use up its attempts.
+func TestFailedNodeIsTheLastChoice(t *testing.T) {
+	nodes := []*Node{testNode("a"), testNode("b")}
+	nodes[1].Reserved.CPU = 2500
+	q := Query{Step: testStep(), Avoid: func(id string) bool { return id == "a" }}
+	assert.Equal(t, Choose(q, nodes), 1)
+	nodes[1].Closed = true
+	assert.Equal(t, Choose(q, nodes), 0)
+}
+
+// A task that fills is not put where it would make a task that serves late,
+// unless its submission has waited too long.
+func TestHarmfulNodeIsLeftOut(t *testing.T) {
+	s := testStep()
+	s.Fills = true
+	q := Query{Step: s, Latency: func(int) float64 { return 1.2 }}
+	assert.Equal(t, Choose(q, []*Node{testNode("a")}), -1)
+	q.Tolerant = true
+	assert.Equal(t, Choose(q, []*Node{testNode("a")}), 0)
+}
+
+// Tasks that serve gather by image, so that more images can fill beside them.
+func TestServingTasksGatherByImage(t *testing.T) {
+	s := testStep()
+	s.LatencyTarget = 1
+	nodes := []*Node{testNode("a"), testNode("b")}
+	for _, n := range nodes {
+		n.Serving, n.ServingCPU, n.Reserved.CPU = 1, 1000, 1000
+	}
+	q := Query{Step: s, OtherImages: func(i int) int { return 1 - i }}
+	assert.Equal(t, Choose(q, nodes), 1)
+}
+
+// A task runs near its data when there is room.
+func TestDataRackIsPreferred(t *testing.T) {
+	s := testStep()
+	s.DataRack = "r-b"
+	nodes := []*Node{testNode("a"), testNode("b")}
+	nodes[1].Reserved.CPU = 3000
+	assert.Equal(t, Choose(Query{Step: s}, nodes), 1)
+	nodes[1].Reserved.CPU = 3500
+	assert.Equal(t, Choose(Query{Step: s}, nodes), 0)
+}
--- /dev/null
+++ b/submission/submission_test.go
@@ -0,0 +1,78 @@
+package submission
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/task"
+)
+
+// A record that does not come back as it was stored loses ends or runs tasks twice.
+func TestRecordsSurviveTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := Record{State: State(rapid.IntRange(0, int(Cancelled)).Draw(t, "state")), Ended: rapid.Int64Min(0).Draw(t, "ended")}
+		for range rapid.IntRange(0, 40).Draw(t, "tasks") {
+			task := TaskRecord{State: TaskState(rapid.IntRange(0, int(TaskFailed)).Draw(t, "task state")),
+				Run: rapid.Uint32().Draw(t, "run"), Failures: rapid.Uint16().Draw(t, "failures")}
+			if task.State == TaskAssigned {
+				task.Executor = Incarnation{ID: rapid.SampledFrom([]string{"i-1", "i-2", "i-3"}).Draw(t, "executor"),
+					Born: rapid.Int64Range(0, 3).Draw(t, "born")}
+			}
+			if task.State != TaskDone {
+				task.Checkpoint = rapid.SampledFrom([]string{"", "c1", "c2"}).Draw(t, "checkpoint")
+			}
+			r.Tasks = append(r.Tasks, task)
+		}
+		b, err := r.Encode()
+		assert.NilError(t, err)
+		back, err := DecodeRecord(b, len(r.Tasks))
+		assert.NilError(t, err)
+		assert.Equal(t, back.State, r.State)
+		assert.Equal(t, back.Ended, r.Ended)
+		for i := range r.Tasks {
+			assert.DeepEqual(t, back.Tasks[i], r.Tasks[i])
+		}
+		state, err := DecodeState(b)
+		assert.NilError(t, err)
+		assert.Equal(t, state, r.State)
+	})
+}
+
+// Bytes of another writer must end in an error, never in a record of zero values.
+func TestForeignRecordsAreRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := rapid.SliceOfN(rapid.Byte(), 0, 60).Draw(t, "bytes")
+		_, err := DecodeRecord(b, 3)
+		assert.Assert(t, err != nil)
+	})
+}
+
+// A submission that nobody can carry out as asked is refused before it is accepted.
+func TestValidation(t *testing.T) {
+	valid := func() *Submission {
+		return &Submission{ID: "0123456789abcdef", Steps: []Step{{Count: 1, Estimate: time.Second}, {Count: 2, DependsOn: []int{0}}}}
+	}
+	assert.NilError(t, valid().Validate())
+	for name, change := range map[string]func(s *Submission){
+		"short id":            func(s *Submission) { s.ID = "0123" },
+		"id not hexadecimal":  func(s *Submission) { s.ID = "0123456789abcdeg" },
+		"no steps":            func(s *Submission) { s.Steps = nil },
+		"no tasks":            func(s *Submission) { s.Steps[0].Count = 0 },
+		"depends on itself":   func(s *Submission) { s.Steps[0].DependsOn = []int{0} },
+		"depends on later":    func(s *Submission) { s.Steps[0].DependsOn = []int{1} },
+		"negative size":       func(s *Submission) { s.Steps[0].Request = task.Resources{CPU: -1} },
+		"too many tasks":      func(s *Submission) { s.Steps[0].Count, s.Occurrences = 100, 200 },
+		"long specification":  func(s *Submission) { s.Specification = string(make([]byte, MaxSpecification+1)) },
+		"negative repetition": func(s *Submission) { s.Occurrences = -1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := valid()
+			change(s)
+			assert.Equal(t, errkind.Of(s.Validate()), errkind.InvalidArgument)
+		})
+	}
+}
