Keep the operators' messages reachable beside those of the dispatch

Cause: the lookup of dispatch messages took all types from 128 and hid the operators' messages from 200, so their connections ended (TestVerbs, TestCancelThousands, TestReadmeCommands, TestDaemonsWithTLS failed). Ruled out: load; the tests fail on an idle machine too. Change: both lookups are asked; a test goes over all types.

--- a/wire/dispatch.go
+++ b/wire/dispatch.go
@@ -15,7 +15,6 @@
 	TypeStateQuery
 	TypeStateReply
 	TypeQueueCounts
-	TypeWorkHint
 )
 
 // Lead tells a member who owns the work. A member answers with Ack when the
@@ -111,9 +110,6 @@
 	Counts map[string]int
 }
 
-// WorkHint tells the owner that rows of new work were written.
-type WorkHint struct{ Version uint64 }
-
 // Type implements Message.
 func (*Lead) Type() Type { return TypeLead }
 
@@ -135,9 +131,6 @@
 // Type implements Message.
 func (*QueueCounts) Type() Type { return TypeQueueCounts }
 
-// Type implements Message.
-func (*WorkHint) Type() Type { return TypeWorkHint }
-
 func newDispatchMessage(t Type) Message {
 	switch t {
 	case TypeLead:
@@ -154,8 +147,6 @@
 		return new(StateReply)
 	case TypeQueueCounts:
 		return new(QueueCounts)
-	case TypeWorkHint:
-		return new(WorkHint)
 	}
 	return nil
 }
--- /dev/null
+++ b/wire/dispatch_test.go
@@ -0,0 +1,34 @@
+package wire
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorystand/chicorystand/executor"
+	"github.com/chicorystand/chicorystand/submission"
+)
+
+// Every message type that can be sent must be known to the receiver. A range of
+// types that hides another ends the connection of its users.
+func TestAllMessageTypesAreKnown(t *testing.T) {
+	for _, m := range []Message{&Lead{}, &Report{}, &Orders{}, &OrderResults{}, &StateQuery{}, &StateReply{}, &QueueCounts{},
+		&Explain{}, &ShardStatus{}, &EntryStatus{}, &ExplainRequest{}, &AgentStatus{}, &AgentStatusReply{}, &Lookup{}, &Drain{}} {
+		known := newMessage(m.Type())
+		assert.Assert(t, known != nil, "type %d", m.Type())
+		assert.Equal(t, known.Type(), m.Type())
+	}
+}
+
+// The executor's identity is embedded in its description and must survive the encoding.
+func TestReportSurvivesTheEncoding(t *testing.T) {
+	r := &Report{Epoch: 3, Agent: "a", Full: true, Info: executor.Info{Incarnation: submission.Incarnation{ID: "i", Born: 7}, Rack: "r", Clock: 9},
+		Running: []executor.Run{{Task: "t", Number: 2, Percent: 4, Load: 5}}, Ended: []executor.End{{Number: 1, Task: "u", Cause: executor.Failed}}}
+	buf, err := encodeFrame(flagNotify, 0, r)
+	assert.NilError(t, err)
+	f, err := readFrame(buf)
+	assert.NilError(t, err)
+	m, err := decodeBody(f)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, m, Message(r))
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -102,8 +102,8 @@
 	case TypeResizeTask:
 		return new(ResizeTask)
 	}
-	if t >= TypeLead {
-		return newDispatchMessage(t)
+	if m := newDispatchMessage(t); m != nil {
+		return m
 	}
 	return newOperatorMessage(t)
 }
