--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -429,3 +429,22 @@
 	f.turn()
 	assert.DeepEqual(t, f.starts()[1:], []string{name(0, 0) + "#2@e1"})
 }
+
+// After a loss of power executors come back under other ids. A new owner knows
+// the earlier lifetimes only from the records, and must not wait for their leases
+// when another lifetime answers at the same address.
+func TestNewOwnerFreesTasksOfLifetimesReplacedAtTheirAddress(t *testing.T) {
+	f := newFixture(t)
+	f.executor("e1", nil)
+	s := testSubmission(testStep(1))
+	f.add(s)
+	f.turn()
+	f.mails = nil
+	f.owner = f.newOwner(testEpoch + 1)
+	f.add(s)
+	reborn := testInfo("e9", f.now)
+	reborn.Address, reborn.Born = testInfo("e1", f.now).Address, 2
+	f.owner.Report(&wire.Report{Epoch: f.owner.Epoch(), Agent: "agent-e1", Info: reborn, Full: true}, f.now)
+	f.turn()
+	assert.DeepEqual(t, f.starts(), []string{name(0, 0) + "#2@e9"})
+}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -60,6 +60,9 @@
 			t.phase, t.changedAt, t.pace = phaseAdopted, now, unknownPace
 			n := o.node(t.rec.Executor)
 			t.node = n
+			if n.agent == "" {
+				n.info.Address = t.rec.Address
+			}
 			n.reserve(t)
 		}
 	}
@@ -176,7 +179,7 @@
 		t.node.release(t)
 		t.node = nil
 	}
-	t.rec.State, t.rec.Executor = submission.TaskPending, submission.Incarnation{}
+	t.rec.State, t.rec.Executor, t.rec.Address = submission.TaskPending, submission.Incarnation{}, ""
 	t.phase, t.changedAt = phaseIdle, now
 	t.stopping, t.stopAcked, t.percent, t.missing = false, 0, 0, 0
 	o.dirty[t.job.sub.ID] = t.job
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -181,7 +181,7 @@
 
 // assign reserves the executor and records the start. The order is sent once the record is durable.
 func (o *Owner) assign(t *taskEntry, n *node, now time.Duration) {
-	t.rec.State, t.rec.Executor = submission.TaskAssigned, n.info.Incarnation
+	t.rec.State, t.rec.Executor, t.rec.Address = submission.TaskAssigned, n.info.Incarnation, n.info.Address
 	t.rec.Run++
 	t.node, t.phase, t.changedAt, t.percent, t.pace, t.pacedAt = n, phaseRecorded, now, 0, fullPace, 0
 	n.reserve(t)
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -75,6 +75,9 @@
 			version = 0
 			continue
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		t.report(err)
 		select {
 		case <-ctx.Done():
--- a/submission/record.go
+++ b/submission/record.go
@@ -54,6 +54,9 @@
 	Failures uint16
 	// Executor is where the run is assigned.
 	Executor Incarnation
+	// Address is the executor's address. A later lifetime at the same address proves
+	// that this one has ended.
+	Address string
 	// Checkpoint is the last known saved progress, empty for none.
 	Checkpoint string
 }
@@ -67,6 +70,12 @@
 	Tasks []TaskRecord
 }
 
+// place is an executor and its address.
+type place struct {
+	Incarnation
+	Address string `msgpack:"a"`
+}
+
 // encodedRecord is the stored form: one array for each field, and executors by
 // their position in a list, as most tasks share a few of them.
 type encodedRecord struct {
@@ -77,7 +86,7 @@
 	States      []byte
 	Runs        []uint32
 	Failures    []uint16
-	Executors   []Incarnation
+	Executors   []place
 	Assigned    []uint16
 	Checkpoints map[int]string
 }
@@ -87,12 +96,12 @@
 	n := len(r.Tasks)
 	e := encodedRecord{State: r.State, Ended: r.Ended, States: make([]byte, n), Runs: make([]uint32, n),
 		Failures: make([]uint16, n), Assigned: make([]uint16, n)}
-	positions := make(map[Incarnation]uint16)
+	positions := make(map[place]uint16)
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		e.States[i], e.Runs[i], e.Failures[i] = byte(t.State), t.Run, t.Failures
 		if t.State == TaskAssigned {
-			e.Assigned[i] = position(positions, &e.Executors, t.Executor)
+			e.Assigned[i] = position(positions, &e.Executors, place{t.Executor, t.Address})
 		}
 		if t.Checkpoint != "" && t.State != TaskDone {
 			if e.Checkpoints == nil {
@@ -105,12 +114,12 @@
 	return b, errkind.Wrap(errkind.Internal, err, "encode progress record")
 }
 
-func position(positions map[Incarnation]uint16, list *[]Incarnation, inc Incarnation) uint16 {
-	p, ok := positions[inc]
+func position(positions map[place]uint16, list *[]place, at place) uint16 {
+	p, ok := positions[at]
 	if !ok {
 		p = uint16(len(*list))
-		positions[inc] = p
-		*list = append(*list, inc)
+		positions[at] = p
+		*list = append(*list, at)
 	}
 	return p
 }
@@ -134,7 +143,8 @@
 			if int(e.Assigned[i]) >= len(e.Executors) {
 				return Record{}, errkind.New(errkind.InvalidArgument, "task %d names an executor that is not listed", i)
 			}
-			t.Executor = e.Executors[e.Assigned[i]]
+			at := e.Executors[e.Assigned[i]]
+			t.Executor, t.Address = at.Incarnation, at.Address
 		}
 		r.Tasks[i] = t
 	}
