Let images that are known not to disturb go on beside late tasks

Cause: a late task stopped every image on its node and closed the node, also for images that disturb nobody. Change: suspicion and the stop before the last one pass over pairs whose pressure is known to be small; the refusal to add tasks is decided for each pair.

--- a/contention/contention.go
+++ b/contention/contention.go
@@ -24,6 +24,8 @@
 	baseAge = 1300 * time.Millisecond
 	// undisturbed is the processor time of what fills up to which a task counts as undisturbed.
 	undisturbed = 0.2
+	// harmlessPressure is the pressure, with its doubt, below which a pair does not disturb.
+	harmlessPressure = 0.06
 	// peakDecay lets the peak of an image fade with each sample.
 	peakDecay = 0.999
 	// forgetAfter is how long the latency of a task is kept at all.
@@ -166,6 +168,12 @@
 	return defaultPressure
 }
 
+// Harmless reports whether an image is known not to disturb a serving image.
+func (m *Model) Harmless(p Pair) bool {
+	e := m.estimators[p.Serving]
+	return e != nil && e.pressure(p.Filling)+e.doubt(p.Filling) < harmlessPressure
+}
+
 // Rise returns the expected rise in the latency of a serving image, 0 for none.
 func (m *Model) Rise(image string, fillers []Filler) float64 {
 	rise := 0.0
--- a/contention/estimator.go
+++ b/contention/estimator.go
@@ -9,6 +9,8 @@
 	decay = 0.995
 	// maxRise bounds what one outlier can teach.
 	maxRise = 4.0
+	// doubtWeight is the weight of samples, in squared processors, that halves the doubt.
+	doubtWeight = 8.0
 	// sweeps is the number of passes of the solver. It starts from the last
 	// solution, so that few are enough.
 	sweeps = 8
@@ -80,6 +82,16 @@
 	return e.value[i]
 }
 
+// doubt returns how far the pressure of a filling image may lie above its fit. It
+// shrinks with the weight of the samples that the image was in.
+func (e *estimator) doubt(image string) float64 {
+	i, ok := e.index[image]
+	if !ok {
+		return defaultPressure
+	}
+	return defaultPressure * doubtWeight / (doubtWeight + e.gram[i][i])
+}
+
 // solve runs coordinate descent from the last solution.
 func (e *estimator) solve() {
 	for range sweeps {
--- a/contention/pace.go
+++ b/contention/pace.go
@@ -12,10 +12,12 @@
 	overTarget = 0.9
 	// backOffFactor is the factor on the pace of a suspect while a latency is too high.
 	backOffFactor = 0.3
-	// stopAllAfter is how long a latency may be too high on end before everything
-	// that fills beside the task stands still, whatever the model says. It leaves
-	// time for two lists within the shortest time that counts as harm.
-	stopAllAfter = 1400 * time.Millisecond
+	// stopDoubtfulAfter is how long a latency may be too high on end before all that
+	// may disturb the task stands still, and stopAllAfter before everything does that
+	// fills beside it, whatever the model says. The latter leaves time for two lists
+	// within the 4 s that count as harm.
+	stopDoubtfulAfter = 1200 * time.Millisecond
+	stopAllAfter      = 2200 * time.Millisecond
 	// suspectShare is the share of the strongest suspicion from which an image is a suspect.
 	suspectShare = 0.5
 	// ownLoad is the share of a latency that makes the task's own load its cause.
@@ -92,8 +94,8 @@
 		return
 	}
 	m.backOff(s, full, used, pace, current)
-	if now-since >= stopAllAfter {
-		for _, f := range full {
+	for _, f := range full {
+		if now-since >= stopAllAfter || (now-since >= stopDoubtfulAfter && !m.Harmless(Pair{s.Image, f.Image})) {
 			pace[f.Image] = 0
 		}
 	}
@@ -122,7 +124,12 @@
 
 // suspicion weighs an image as the cause of a latency that is too high.
 func (m *Model) suspicion(image string, f Filler) float64 {
-	return (m.Pressure(Pair{image, f.Image}) + defaultPressure) * f.Processors
+	p := Pair{image, f.Image}
+	doubt := defaultPressure
+	if e := m.estimators[image]; e != nil {
+		doubt = e.doubt(f.Image)
+	}
+	return (m.Pressure(p) + doubt) * f.Processors
 }
 
 // level rounds a pace down to a level. A pace that rises does so by two levels at most.
--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -21,6 +21,9 @@
 	// disturbedFor is how long an executor takes no task that fills after one that
 	// serves has missed its target there.
 	disturbedFor = 1500 * time.Millisecond
+	// disturbedLatency stands for the latency, as a share of the target, on an executor
+	// where a task that serves is late already.
+	disturbedLatency = 4.0
 	// leastFilling is the least pace in percent at which a run that is paced down
 	// counts, so that not too many gather on one executor.
 	leastFilling = 30
@@ -155,6 +158,7 @@
 		return 0
 	}
 	fillers, worst := fillersOf(usage), 0.0
+	disturbed := n.disturbedAt != 0 && o.now-n.disturbedAt < disturbedFor
 	if step.Serves() {
 		worst = o.contention.Expected(step.Image, step.LatencyTarget, fillers)
 	}
@@ -167,6 +171,9 @@
 		if step.Fills && o.contention.Rise(s.Image, []contention.Filler{own}) < negligibleRise {
 			continue
 		}
+		if disturbed && step.Fills && !o.contention.Harmless(contention.Pair{Serving: s.Image, Filling: step.Image}) {
+			return disturbedLatency
+		}
 		worst = max(worst, o.contention.Expected(s.Image, s.LatencyTarget, fillers))
 	}
 	return worst
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -448,3 +448,26 @@
 	f.turn()
 	assert.DeepEqual(t, f.starts(), []string{name(0, 0) + "#2@e9"})
 }
+
+// A task that fills must not be added where a task that serves is late beside
+// others that fill; a task that fills nothing may.
+func TestNoTaskThatFillsIsAddedWhereOneThatServesIsLate(t *testing.T) {
+	f := newFixture(t)
+	f.executor("e1", nil)
+	serving := testStep(1)
+	serving.LongRunning, serving.LatencyTarget, serving.Image = true, 50*time.Millisecond, "s"
+	first := testStep(1)
+	first.Fills, first.Image = true, "f"
+	f.add(testSubmission(serving, first))
+	f.turn()
+	assert.Equal(t, len(f.starts()), 2)
+	f.now += time.Second
+	f.executor("e1", []executor.Run{{Task: name(0, 0), Number: 1, Percent: 100, Load: 200}, {Task: name(1, 0), Number: 1, Percent: 5, Load: 1000}})
+	more := testStep(1)
+	more.Fills, more.Image = true, "g"
+	s := testSubmission(more, testStep(1))
+	s.ID = "00000000000000ab"
+	f.add(s)
+	f.turn()
+	assert.DeepEqual(t, f.starts()[2:], []string{s.ID + ".0.1.0#1@e1"})
+}
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -273,7 +273,6 @@
 			continue
 		}
 		n.place.Closed = false
-		n.place.Disturbed = n.disturbedAt != 0 && now-n.disturbedAt < disturbedFor
 		n.place.Suspicion = n.health.share(now)
 		places = append(places, &n.place)
 		nodes = append(nodes, n)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -19,9 +19,6 @@
 	Serving int
 	// ServingCPU is the sum of their processors in thousandths; it is part of Reserved.
 	ServingCPU int64
-	// Disturbed tells that a task that serves has just missed its target by what
-	// fills beside it; no other task that fills is added.
-	Disturbed bool
 	// Closed executors take no new task.
 	Closed bool
 	// Suspicion lies between 0 and 1: the share of recent runs that failed or stood still.
@@ -123,9 +120,6 @@
 	}
 	need := s.Request
 	if s.Fills {
-		if n.Disturbed {
-			return false
-		}
 		// Processors are not counted for such a task; what is free bounds its speed.
 		if n.expectedUse()+need.CPU > n.Capacity.CPU {
 			return false
