Move runs that stand still; put harmless images where others cannot go

Change: a run without progress for 2 s at half pace or more is stopped, and its executor avoided; placement prices the share of images that a node's tasks cannot stand.

--- a/contention/contention.go
+++ b/contention/contention.go
@@ -26,6 +26,8 @@
 	undisturbed = 0.2
 	// harmlessPressure is the pressure, with its doubt, below which a pair does not disturb.
 	harmlessPressure = 0.06
+	// disturbingPressure is the pressure from which a pair disturbs noticeably.
+	disturbingPressure = 0.25
 	// peakDecay lets the peak of an image fade with each sample.
 	peakDecay = 0.999
 	// forgetAfter is how long the latency of a task is kept at all.
@@ -174,6 +176,28 @@
 	return e != nil && e.pressure(p.Filling)+e.doubt(p.Filling) < harmlessPressure
 }
 
+// Sensitivity returns the share, 0 to 1, of the known filling images that disturb
+// one of the serving images.
+func (m *Model) Sensitivity(serving map[string]struct{}) float64 {
+	known, disturbing := make(map[string]struct{}), make(map[string]struct{})
+	for _, e := range m.estimators {
+		for _, image := range e.names {
+			known[image] = struct{}{}
+		}
+	}
+	for image := range known {
+		for s := range serving {
+			if m.Pressure(Pair{s, image}) > disturbingPressure {
+				disturbing[image] = struct{}{}
+			}
+		}
+	}
+	if len(known) == 0 {
+		return 0
+	}
+	return float64(len(disturbing)) / float64(len(known))
+}
+
 // Rise returns the expected rise in the latency of a serving image, 0 for none.
 func (m *Model) Rise(image string, fillers []Filler) float64 {
 	rise := 0.0
--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -128,6 +128,22 @@
 	return out
 }
 
+// sensitivity returns the share of the images that fill which the node's tasks that
+// serve cannot stand. An image that disturbs none of them is best placed where
+// most others cannot go.
+func (o *Owner) sensitivity(step *submission.Step, n *node) float64 {
+	if !step.Fills || n.place.Serving == 0 {
+		return 0
+	}
+	images := make(map[string]struct{})
+	for t := range n.tasks {
+		if t.step().Serves() {
+			images[t.step().Image] = struct{}{}
+		}
+	}
+	return o.contention.Sensitivity(images)
+}
+
 // otherImages counts the serving images on the node that differ from the step's.
 // Fewer images on a node leave more images that can fill it without harm.
 func otherImages(step *submission.Step, n *node) int {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -471,3 +471,37 @@
 	f.turn()
 	assert.DeepEqual(t, f.starts()[2:], []string{s.ID + ".0.1.0#1@e1"})
 }
+
+// A run that stands still on a faulty executor must go on elsewhere.
+func TestStuckRunIsMoved(t *testing.T) {
+	f := newFixture(t)
+	f.executor("e1", nil)
+	f.add(testSubmission(testStep(1)))
+	f.turn()
+	f.executor("e2", nil)
+	stuck := []executor.Run{{Task: name(0, 0), Number: 1, Percent: 7}}
+	for range 4 {
+		f.executor("e1", stuck)
+		f.executor("e2", nil)
+		f.turn()
+		f.now += 700 * time.Millisecond
+	}
+	assert.DeepEqual(t, f.stops()[:1], []string{name(0, 0) + "#1@e1"})
+	f.executor("e1", nil, executor.End{Number: 1, Task: name(0, 0), Run: 1, Cause: executor.Stopped})
+	f.turn()
+	assert.DeepEqual(t, f.starts()[1:], []string{name(0, 0) + "#2@e2"})
+}
+
+// A run that is paced down or makes progress is not stuck.
+func TestProgressIsNotTakenForStuck(t *testing.T) {
+	f := newFixture(t)
+	f.executor("e1", nil)
+	f.add(testSubmission(testStep(1)))
+	f.turn()
+	for i := range 10 {
+		f.executor("e1", []executor.Run{{Task: name(0, 0), Number: 1, Percent: i}})
+		f.turn()
+		f.now += 700 * time.Millisecond
+	}
+	assert.Equal(t, len(f.stops()), 0)
+}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -181,7 +181,7 @@
 	}
 	t.rec.State, t.rec.Executor, t.rec.Address = submission.TaskPending, submission.Incarnation{}, ""
 	t.phase, t.changedAt = phaseIdle, now
-	t.stopping, t.stopAcked, t.percent, t.missing = false, 0, 0, 0
+	t.stopping, t.stopAcked, t.percent, t.progressAt, t.missing = false, 0, 0, 0, 0
 	o.dirty[t.job.sub.ID] = t.job
 	o.changed = true
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -130,6 +130,7 @@
 
 func (o *Owner) query(w *waitingStep, t *taskEntry, step *submission.Step, onNode map[string]int, rack string, nodes []*node, now time.Duration) placement.Query {
 	return placement.Query{Step: step, Rack: rack, Tolerant: now-w.since > harmPatience && w.job.idle(),
+		Sensitivity: func(i int) float64 { return o.sensitivity(step, nodes[i]) },
 		OtherImages: func(i int) int { return otherImages(step, nodes[i]) },
 		Latency:     func(i int) float64 { return o.expectedLatency(step, nodes[i]) },
 		OnNode:      func(id string) int { return onNode[id] },
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -96,11 +96,16 @@
 	for t := range n.tasks {
 		o.stats.Lost++
 		events.RunLost.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", n.info.ID).
-			Bool("gone", n.gone).Dur("silent", now-n.clockAt).Send()
+			Bool("gone", n.gone).Dur("silent", o.silence(n, now)).Send()
 		o.requeue(t, now)
 	}
 }
 
+// silence returns how long the node has not reported to this owner.
+func (o *Owner) silence(n *node, now time.Duration) time.Duration {
+	return now - max(n.clockAt, o.since)
+}
+
 // AgentLost tells that the connection to an agent has ended.
 func (o *Owner) AgentLost(agent string) {
 	for _, n := range o.executors {
@@ -119,7 +124,7 @@
 		n.lost, n.adopted = true, false
 		if len(n.tasks) > 0 || n.agent != "" {
 			events.LeaseExpired.Log(o.log).Str("executor", n.info.ID).Int("tasks", len(n.tasks)).
-				Dur("silent", now-n.clockAt).Int64("granted", n.granted).Int64("clock", n.clock).Send()
+				Dur("silent", o.silence(n, now)).Int64("granted", n.granted).Int64("clock", n.clock).Send()
 		}
 		o.requeueAll(n, now)
 	}
@@ -235,7 +240,7 @@
 	if r.Checkpoint != "" {
 		t.rec.Checkpoint = r.Checkpoint
 	}
-	t.percent = r.Percent
+	o.observeProgress(t, r.Percent, now)
 	if t.job.state.Final() && !t.stopping {
 		o.stop(t, now)
 	}
--- /dev/null
+++ b/dispatch/stall.go
@@ -0,0 +1,37 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/chicorystand/chicorystand/events"
+)
+
+const (
+	// stallAfter is how long the progress of a run may stand still before the run is
+	// taken for stuck. Lists come at least every second, and a percent of a task's
+	// work takes a small part of that.
+	stallAfter = 2 * time.Second
+	// stallPercentTime is the run time for which a percent may take longer than
+	// stallAfter; it bounds the detection for very long tasks.
+	stallPercentTime = 100 * stallAfter
+	// minStallPace is the pace in percent below which standing still proves nothing.
+	minStallPace = 50
+)
+
+// observeProgress takes in the progress of a run and stops it when it is stuck,
+// so that it can work on elsewhere.
+func (o *Owner) observeProgress(t *taskEntry, percent int, now time.Duration) {
+	if percent != t.percent || t.progressAt == 0 || t.pace < minStallPace {
+		t.percent, t.progressAt = percent, now
+		return
+	}
+	step := t.step()
+	if step.LongRunning || step.Gang || t.stopping || step.Estimate > stallPercentTime/4 || now-t.progressAt < stallAfter {
+		return
+	}
+	events.RunStalled.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", t.node.info.ID).
+		Int("percent", percent).Dur("still", now-t.progressAt).Send()
+	t.node.health.observe(true, now)
+	t.failedOn = append(t.failedOn, t.node.info.ID)
+	o.stop(t, now)
+}
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -45,8 +45,9 @@
 	stopping  bool
 	stopSent  time.Duration
 	stopAcked time.Duration
-	// percent is the last reported progress.
-	percent int
+	// percent is the last reported progress, progressAt when it changed, 0 for never.
+	percent    int
+	progressAt time.Duration
 	// pace is the last ordered pace in percent, pacedAt when it was ordered, 0 for never.
 	pace    int
 	pacedAt time.Duration
--- a/events/dispatch.go
+++ b/events/dispatch.go
@@ -40,6 +40,7 @@
 	ExecutorEnded    = define(653, "executor_ended", zerolog.WarnLevel, "A lifetime of the executor on this VM has ended. cause names how that is known.")
 	OrderUncertain   = define(654, "order_uncertain", zerolog.WarnLevel, "An order to the executor was not answered. It is repeated until the outcome is certain.")
 	TaskPaced        = define(655, "task_paced", zerolog.InfoLevel, "The agent has changed the pace of a task that fills, for the tail latency of one that serves.")
+	RunStalled       = define(657, "run_stalled", zerolog.WarnLevel, "A run makes no progress. It is stopped and starts again elsewhere; its executor is avoided for a while.")
 	TaskMoved        = define(656, "task_moved", zerolog.InfoLevel, "A run that is paced down is stopped, since it can work at full pace on another executor.")
 	LogLinesDropped  = define(660, "log_lines_dropped", zerolog.WarnLevel, "Lines were left out since the log could not be written fast enough.")
 )
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -37,6 +37,9 @@
 	// Latency returns the highest latency to which the task would raise a task that
 	// serves on the node, as a share of its target.
 	Latency func(position int) float64
+	// Sensitivity is the share of images that fill which do not get along with the node's
+	// tasks that serve.
+	Sensitivity func(position int) float64
 	// OtherImages counts the serving images on a node that differ from the task's.
 	OtherImages func(position int) int
 	// Tolerant places a task that fills even where it harms, to be paced there.
@@ -63,6 +66,9 @@
 	servingUse = 0.5
 	// imagePenalty is the cost of each other serving image on the node of a task that serves.
 	imagePenalty = 1.5
+	// sensitivityGain is the gain of a node that only few images can fill, for a task
+	// that can: it leaves the other nodes to the rest.
+	sensitivityGain = 2.5
 	// openPenalty is the cost of opening another node to tasks that serve, which
 	// takes it away from those that fill.
 	openPenalty = 1.0
@@ -95,6 +101,9 @@
 		}
 		c := cost(q, n)
 		c += latencyPenalty * max(0, latency-freeLatency)
+		if q.Sensitivity != nil && latency <= freeLatency {
+			c -= sensitivityGain * q.Sensitivity(i)
+		}
 		if q.OtherImages != nil {
 			c += imagePenalty * float64(q.OtherImages(i))
 		}
