Tell the owner of a run's end before the refusal of its start

The owner had the refusal before the end and started the task again.

agent -> executor start run 1 carried out, no answer executor run 1 done end 9 waits to be listed agent -> executor start run 1 refused: old agent -> owner refused task free, run 2 recorded and ordered agent -> owner list with end 9 ignored: not the current run

Change: after a refusal that may follow an execution the agent stops the run, reports lists until one does not hold it, and reports the refusal then. The test fails before the change.

--- a/vmagent/unit.go
+++ b/vmagent/unit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/chicorystand/chicorystand/events"
@@ -251,15 +252,40 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if uncertain && answer.Outcome != executor.OK {
-		// An earlier attempt may still be carried out; a stop keeps it from starting later.
-		if !u.stopUntilCertain(ctx, k, epoch) {
+	if answer.Outcome == executor.Rejected && (uncertain || answer.Reason == executor.ReasonOldRun) || uncertain && answer.Outcome == executor.Unavailable {
+		// An earlier attempt may have been carried out, or may still be. A stop keeps it
+		// from starting later, and a list tells the owner of its end.
+		if !u.stopUntilCertain(ctx, k, epoch) || !u.listUntilGone(ctx, k, epoch) {
 			return
 		}
 	}
 	u.result(epoch, wire.OrderResult{Task: k.task, Run: k.run, Outcome: answer.Outcome, Reason: answer.Reason})
 }
 
+// listUntilGone reports lists to the owner until one does not hold the run, so
+// that the owner knows its end before the refusal of its start.
+func (u *unit) listUntilGone(ctx context.Context, k runKey, epoch uint64) bool {
+	for ctx.Err() == nil {
+		h, info := u.holdRequest(epoch)
+		h.Wait = 0
+		snap := u.agent.cfg.Client.Hold(ctx, info, h)
+		u.agent.cfg.Observe("hold", snap.Answer)
+		switch {
+		case snap.Outcome == executor.OtherIncarnation:
+			return false
+		case snap.Outcome == executor.OK && snap.Born != 0 && snap.Born != u.inc.Born:
+			return false
+		case snap.Outcome == executor.OK:
+			u.report(epoch, snap)
+			if !slices.ContainsFunc(snap.Running, func(r executor.Run) bool { return r.Task == k.task && r.Number == k.run }) {
+				return true
+			}
+		}
+		u.pause(ctx, failurePause)
+	}
+	return false
+}
+
 func (u *unit) acquire(ctx context.Context) bool {
 	select {
 	case u.slots <- struct{}{}:
--- a/vmagent/vmagent_test.go
+++ b/vmagent/vmagent_test.go
@@ -204,3 +204,65 @@
 	assert.Equal(t, len(a.executors), 1)
 	assert.Assert(t, a.executors[reborn.Incarnation] != nil)
 }
+
+// A start without an answer may have been carried out, and the task may be done
+// before the next attempt is refused as old. The end has to reach the owner
+// before the refusal, or the owner starts the task again.
+func TestEndReachesOwnerBeforeTheRefusalOfItsRun(t *testing.T) {
+	var mu sync.Mutex
+	var ended []executor.End
+	muted := true
+	f := &fakeExecutor{}
+	f.hold = func(h executor.Hold) executor.Snapshot {
+		mu.Lock()
+		defer mu.Unlock()
+		if muted {
+			return executor.Snapshot{Answer: executor.Answer{Outcome: executor.Unknown}}
+		}
+		return executor.Snapshot{Born: 7, Ended: ended}
+	}
+	attempts := 0
+	f.start = func(s executor.Start) executor.Answer {
+		mu.Lock()
+		defer mu.Unlock()
+		attempts++
+		if attempts == 1 {
+			ended = append(ended, executor.End{Number: 1, Task: s.Task, Run: s.Run, Cause: executor.Done})
+			return executor.Answer{Outcome: executor.Unknown}
+		}
+		time.AfterFunc(100*time.Millisecond, func() {
+			mu.Lock()
+			defer mu.Unlock()
+			muted = false
+		})
+		return executor.Answer{Outcome: executor.Rejected, Reason: executor.ReasonOldRun}
+	}
+	f.stop = func(string, uint32) executor.Answer { return executor.Answer{} }
+	a := newTestAgent(t, f)
+	var order []string
+	done := make(chan struct{})
+	near, far := net.Pipe()
+	wire.NewPeer(far, a.Handle)
+	p := wire.NewPeer(near, func(_ *wire.Peer, m wire.Message, _ wire.Reply) {
+		switch m := m.(type) {
+		case *wire.Report:
+			if len(m.Ended) > 0 {
+				order = append(order, "end")
+			}
+		case *wire.OrderResults:
+			order = append(order, "refusal")
+			close(done)
+		}
+	})
+	t.Cleanup(p.Close)
+	_, err := p.Call(t.Context(), &wire.Lead{Epoch: 1})
+	assert.NilError(t, err)
+	a.Heartbeat(testInfo())
+	assert.NilError(t, p.Notify(&wire.Orders{Epoch: 1, Executor: "i-1", Born: 7, LeaseEnd: 5000, Starts: []wire.StartOrder{{Task: "a.0.0.0", Run: 1}}}))
+	select {
+	case <-done:
+	case <-time.After(testTimeout):
+		t.Fatal("no refusal")
+	}
+	assert.Equal(t, order[0], "end")
+}
