Ask the advice service and start with its tickets

Cause: starts of queues with a policy carried no ticket and would all be refused. Change: the owner asks one question at a time for the step that comes first, keeps tickets by step and lifetime, and places only where one is valid; a refused ticket is withdrawn.

--- /dev/null
+++ b/advice/advice.go
@@ -0,0 +1,99 @@
+// Package advice keeps the permissions of the advice service, which alone knows
+// the executors that may run a step of some queues.
+package advice
+
+import (
+	"context"
+	"time"
+
+	"github.com/chicorystand/chicorystand/submission"
+)
+
+// MaxExecutors is the largest number of executors in one question.
+const MaxExecutors = 100
+
+// Permission lets an executor run the tasks of a step.
+type Permission struct {
+	Executor, Ticket string
+}
+
+// Answer is the answer to a question.
+type Answer struct {
+	Allowed  []Permission
+	Validity time.Duration
+}
+
+// Client asks the service. Errors of kind errkind.RateLimited mean that too many
+// questions wait.
+type Client interface {
+	Advise(ctx context.Context, step string, executors []string) (Answer, error)
+}
+
+const (
+	// validityMargin is kept free of a ticket's validity for the way to the executor.
+	validityMargin = 500 * time.Millisecond
+	// askAgain is the time after which executors that were not allowed are asked for again.
+	// What is allowed does not change, but executors do.
+	askAgain = 10 * time.Second
+)
+
+// permission is a ticket with its end, or a refusal.
+type permission struct {
+	ticket  string
+	until   time.Duration
+	refused bool
+}
+
+// Table holds the permissions by step and lifetime of an executor. It is not safe
+// for concurrent use.
+type Table struct {
+	steps map[string]map[submission.Incarnation]permission
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{steps: make(map[string]map[submission.Incarnation]permission)}
+}
+
+// Ticket returns the ticket of a step on an executor, if it is valid.
+func (t *Table) Ticket(step string, at submission.Incarnation, now time.Duration) (string, bool) {
+	p, ok := t.steps[step][at]
+	if !ok || p.refused || now >= p.until {
+		return "", false
+	}
+	return p.ticket, true
+}
+
+// Unknown returns those of the executors for which a step has no valid answer.
+func (t *Table) Unknown(step string, executors []submission.Incarnation, now time.Duration) []submission.Incarnation {
+	var unknown []submission.Incarnation
+	for _, e := range executors {
+		if p, ok := t.steps[step][e]; !ok || now >= p.until {
+			unknown = append(unknown, e)
+		}
+	}
+	return unknown
+}
+
+// Answered takes in the answer to a question that was asked at the given time.
+func (t *Table) Answered(step string, asked []submission.Incarnation, a Answer, at time.Duration) {
+	s := t.steps[step]
+	if s == nil {
+		s = make(map[submission.Incarnation]permission)
+		t.steps[step] = s
+	}
+	for _, e := range asked {
+		s[e] = permission{until: at + askAgain, refused: true}
+		for _, p := range a.Allowed {
+			if p.Executor == e.ID {
+				s[e] = permission{ticket: p.Ticket, until: at + max(0, a.Validity-validityMargin)}
+			}
+		}
+	}
+}
+
+// Withdraw forgets a ticket that the executor has refused.
+func (t *Table) Withdraw(step string, at submission.Incarnation) { delete(t.steps[step], at) }
+
+// Forget drops a step that needs no more answers.
+func (t *Table) Forget(step string) { delete(t.steps, step) }
--- a/command/deployed/entry.go
+++ b/command/deployed/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/chicorystand/chicorystand/advice"
 	"github.com/chicorystand/chicorystand/command/run"
 	"github.com/chicorystand/chicorystand/coordinator"
 	"github.com/chicorystand/chicorystand/events"
@@ -69,7 +70,11 @@
 	e := &entryProcess{process: p, manifest: manifest.NewFollower(platform.ManifestKey, platform.DecodeManifest, p.log)}
 	e.followed = follow.New(p.store, platform.ManifestTable, e.manifest, p.clock, p.log)
 	self := p.member(member.Entry)
-	candidate := coordinator.NewCandidate(coordinator.Config{Store: p.store, Clock: p.clock, Log: p.log, Bounds: p.bounds(),
+	var adviser advice.Client
+	if p.settings.AdviceAddress != "" {
+		adviser = platform.NewAdvice(p.settings.AdviceAddress)
+	}
+	candidate := coordinator.NewCandidate(coordinator.Config{Advice: adviser, Store: p.store, Clock: p.clock, Log: p.log, Bounds: p.bounds(),
 		Member: self, Manifest: e.manifest.Current, HighestEpoch: p.link.Epoch}, p.link)
 	m := metrics.NewDeployment(metrics.DeploymentSources{Owning: candidate.Owning, ManifestVersion: e.version, OwnerSilence: p.link.Silent})
 	g := gateway.New(gateway.Config{Store: p.store, Clock: p.clock, Log: p.log, Owner: p.link, Manifest: e.manifest.Current,
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/chicorystand/chicorystand/advice"
 	"github.com/chicorystand/chicorystand/clock"
 	"github.com/chicorystand/chicorystand/dispatch"
 	"github.com/chicorystand/chicorystand/errkind"
@@ -47,6 +48,8 @@
 	Log    zerolog.Logger
 	Bounds dispatch.Bounds
 	Member member.Member
+	// Advice is nil where the deployment has no advice service.
+	Advice advice.Client
 	// HighestEpoch returns the highest epoch that this process has heard of.
 	HighestEpoch func() uint64
 	// Manifest returns the manifest in force in this process, nil before the first.
@@ -68,6 +71,10 @@
 	stop context.CancelFunc
 	done <-chan struct{}
 
+	// advising tells that a call for advice is in progress; none begins before adviseAfter.
+	advising    bool
+	adviseAfter time.Duration
+
 	batch      *dispatch.Batch
 	committed  chan commitResult
 	lastCommit time.Duration
@@ -332,6 +339,7 @@
 			}
 		}
 	}
+	o.askAdvice(ctx, now)
 	lease := now-o.lastLease >= leaseInterval
 	if lease {
 		o.lastLease = now
--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -231,7 +231,8 @@
 
 func (o *Owner) hasBetterNode(t *taskEntry, from *node, now time.Duration) bool {
 	places, nodes := o.nodes(o.service(t.job.sub), now)
-	w := &waitingStep{key: stepKey{t.job.sub.ID, t.id.Occurrence, t.id.Step}, job: t.job, since: now}
+	w := &waitingStep{key: t.stepKey(), job: t.job, since: now}
+	w.allowed = o.allowed(w, nodes, now)
 	q := o.query(w, t, t.step(), o.countByNode(w), "", nodes, now)
 	for i, n := range nodes {
 		if n != from && placement.Fits(q, places[i]) && o.expectedLatency(t.step(), n) <= placement.MaxExpectedLatency {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/chicorystand/chicorystand/advice"
 	"github.com/chicorystand/chicorystand/contention"
 	"github.com/chicorystand/chicorystand/manifest"
 	"github.com/chicorystand/chicorystand/submission"
@@ -83,6 +84,7 @@
 	outbox     map[submission.Incarnation]*outbox
 	pending    effects
 	contention *contention.Model
+	advice     *advice.Table
 	stats      Counters
 }
 
@@ -96,7 +98,7 @@
 func New(b Bounds, epoch uint64, now time.Duration, unix func(time.Duration) int64, log zerolog.Logger) *Owner {
 	return &Owner{bounds: b, epoch: epoch, since: now, now: now, knowledgeAt: now, lastCommit: now, log: log, unix: unix, jobs: make(map[string]*job),
 		executors: make(map[submission.Incarnation]*node), waiting: make(map[stepKey]*waitingStep), timed: make(map[string]*job),
-		dirty: make(map[string]*job), outbox: make(map[submission.Incarnation]*outbox), pending: newEffects(), contention: contention.New()}
+		dirty: make(map[string]*job), outbox: make(map[submission.Incarnation]*outbox), pending: newEffects(), contention: contention.New(), advice: advice.NewTable()}
 }
 
 // Epoch returns the owner's epoch.
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -156,6 +156,7 @@
 	for k := range j.sub.Repeats() {
 		for step := range j.sub.Steps {
 			delete(o.waiting, stepKey{j.sub.ID, k, step})
+			o.advice.Forget(stepName(stepKey{j.sub.ID, k, step}))
 		}
 	}
 	for _, t := range j.tasks {
@@ -192,7 +193,7 @@
 	if t.job.state.Final() {
 		return
 	}
-	k := stepKey{t.job.sub.ID, t.id.Occurrence, t.id.Step}
+	k := t.stepKey()
 	if t.step().Gang && !o.gangIdle(t.job, k) {
 		return
 	}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -61,8 +61,13 @@
 	s := t.job.sub
 	b := o.out(t.node)
 	t.orderedAt = now
+	ticket := ""
+	if o.needsAdvice(s) {
+		// Without a valid ticket the executor refuses the start, and the step is asked for again.
+		ticket, _ = o.advice.Ticket(stepName(t.stepKey()), t.node.info.Incarnation, now)
+	}
 	b.starts = append(b.starts, wire.StartOrder{Task: t.name(), Run: t.rec.Run, Specification: s.Specification,
-		Checkpoint: t.rec.Checkpoint})
+		Checkpoint: t.rec.Checkpoint, Ticket: ticket})
 	b.touched = true
 	o.stats.Starts++
 }
@@ -162,7 +167,11 @@
 	if r.Outcome == executor.Rejected && r.Reason == executor.ReasonEpoch {
 		return
 	}
-	n.closedUntil = now + refusalPause
+	if r.Reason == executor.ReasonTicket {
+		o.advice.Withdraw(stepName(t.stepKey()), n.info.Incarnation)
+	} else {
+		n.closedUntil = now + refusalPause
+	}
 	if r.Outcome == executor.Unavailable {
 		n.closedUntil = now + unhealthyPause
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -93,6 +93,7 @@
 		return
 	}
 	tasks := w.tasks
+	w.allowed = o.allowed(w, nodes, now)
 	if step.Gang {
 		o.placeGang(w, places, nodes, now)
 		return
@@ -129,7 +130,7 @@
 }
 
 func (o *Owner) query(w *waitingStep, t *taskEntry, step *submission.Step, onNode map[string]int, rack string, nodes []*node, now time.Duration) placement.Query {
-	return placement.Query{Step: step, Rack: rack, Tolerant: now-w.since > harmPatience && w.job.idle(),
+	return placement.Query{Step: step, Rack: rack, Allowed: w.allowed, Tolerant: now-w.since > harmPatience && w.job.idle(),
 		Sensitivity: func(i int) float64 { return o.sensitivity(step, nodes[i]) },
 		OtherImages: func(i int) int { return otherImages(step, nodes[i]) },
 		Latency:     func(i int) float64 { return o.expectedLatency(step, nodes[i]) },
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -177,7 +177,7 @@
 		return
 	}
 	// The members of a gang end together; one end stands for all.
-	for _, member := range t.job.stepTasks(stepKey{t.job.sub.ID, t.id.Occurrence, t.id.Step}) {
+	for _, member := range t.job.stepTasks(t.stepKey()) {
 		if member.rec.State != submission.TaskDone {
 			o.done(member, now)
 		}
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -59,6 +59,8 @@
 
 func (t *taskEntry) step() *submission.Step { return &t.job.sub.Steps[t.id.Step] }
 
+func (t *taskEntry) stepKey() stepKey { return stepKey{t.job.sub.ID, t.id.Occurrence, t.id.Step} }
+
 func (t *taskEntry) name() string { return t.job.sub.Name(t.id) }
 
 // reserved returns what the task takes from its executor's capacity.
@@ -165,6 +167,8 @@
 	key   stepKey
 	job   *job
 	tasks []*taskEntry
+	// allowed filters the executors by the queue's policy, nil when all are admitted.
+	allowed func(id string) bool
 	// since is when the step began to wait.
 	since time.Duration
 }
--- a/events/dispatch.go
+++ b/events/dispatch.go
@@ -19,6 +19,8 @@
 	ExecutorDraining = define(612, "executor_draining", zerolog.InfoLevel, "An executor has announced its end. It gets no new task.")
 	ExecutorGone     = define(613, "executor_gone", zerolog.WarnLevel, "A lifetime of an executor has ended. Its runs start again elsewhere.")
 	LeaseExpired     = define(614, "lease_expired", zerolog.WarnLevel, "An executor was silent until its lease ended. Its runs start again elsewhere.")
+	StepAdvised      = define(615, "step_advised", zerolog.InfoLevel, "The advice service has named the executors that may run a step.")
+	AdviceFailed     = define(616, "advice_failed", zerolog.WarnLevel, "The advice service did not answer. The step waits.")
 	OwnerTaken       = define(620, "ownership_taken", zerolog.InfoLevel, "This entry owns the work now.")
 	OwnerLost        = define(621, "ownership_lost", zerolog.WarnLevel, "This entry does not own the work any more. cause names why.")
 	OwnerLoaded      = define(622, "ownership_loaded", zerolog.InfoLevel, "The new owner has read all submissions.")
--- a/manifest/manifest.go
+++ b/manifest/manifest.go
@@ -51,14 +51,16 @@
 	Services map[string]Service
 	Limits   Limits
 	byHost   map[string][]int
+	byName   map[string]int
 }
 
-// Index prepares Find. It is called once, before the manifest is shared.
+// Index prepares Find and Route. It is called once, before the manifest is shared.
 func (m *Manifest) Index() {
-	m.byHost = make(map[string][]int)
+	m.byHost, m.byName = make(map[string][]int), make(map[string]int)
 	for i := range m.Routes {
 		host := strings.ToLower(m.Routes[i].Host)
 		m.byHost[host] = append(m.byHost[host], i)
+		m.byName[m.Routes[i].Name] = i
 	}
 }
 
@@ -79,10 +81,9 @@
 
 // Route returns the route with the name, or nil.
 func (m *Manifest) Route(name string) *Route {
-	for i := range m.Routes {
-		if m.Routes[i].Name == name {
-			return &m.Routes[i]
-		}
+	i, ok := m.byName[name]
+	if !ok {
+		return nil
 	}
-	return nil
+	return &m.Routes[i]
 }
