--- a/coordinator/candidate.go
+++ b/coordinator/candidate.go
@@ -14,7 +14,7 @@
 const (
 	// watchInterval is the time between two readings of the owner row by an entry
 	// that does not hear the owner.
-	watchInterval = 250 * time.Millisecond
+	watchInterval = 150 * time.Millisecond
 	// takeoverAfter is how long the owner row must stay unchanged before another
 	// entry takes over. The owner writes it every renewInterval.
 	takeoverAfter = 1200 * time.Millisecond
--- a/member/link.go
+++ b/member/link.go
@@ -58,17 +58,23 @@
 func (l *OwnerLink) Silent() time.Duration {
 	at := l.heard.Load()
 	if at == 0 {
-		return time.Hour
+		return neverHeard
 	}
 	return l.clock.Now() - time.Duration(at)
 }
 
+// neverHeard stands for the silence of an owner that is not connected.
+const neverHeard = time.Hour
+
 // Stale returns how long the owner has not been heard, or has not been able to
-// commit, whichever is longer.
+// commit, whichever is longer. It is long when the connection has ended.
 func (l *OwnerLink) Stale() time.Duration {
 	l.mu.Lock()
-	age := l.commitAge
+	age, connected := l.commitAge, l.peer != nil
 	l.mu.Unlock()
+	if !connected {
+		return neverHeard
+	}
 	return max(age, l.Silent())
 }
 
@@ -91,7 +97,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.counts == nil {
-		return nil, time.Hour
+		return nil, neverHeard
 	}
 	return l.counts, l.clock.Now() - l.countsAt
 }
