--- a/contention/estimator.go
+++ b/contention/estimator.go
@@ -6,7 +6,7 @@
 	// priorWeight is the weight of that assumption, in squared processors.
 	priorWeight = 2.0
 	// decay is the factor on the weight of earlier samples with each new one.
-	decay = 0.995
+	decay = 0.9985
 	// maxRise bounds what one outlier can teach.
 	maxRise = 4.0
 	// doubtWeight is the weight of samples, in squared processors, that halves the doubt.
