Start the least work first among what can be in time

Cause: under overload slack orders everything by its last moment, and estimates that are off by 90% then make it late. Change: among submissions that can be in time the least remaining work goes first; what is late still goes by slack.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -57,7 +57,7 @@
 	allowed := time.Duration(float64(chain(s, 0)) * max(1, s.Stretch))
 	objective := allowed + s.TargetLatency
 	return ordering.Waiting{Priority: s.Priority, Due: arrived + objective, LateDue: arrived + lateFactor*objective,
-		Remaining: chain(s, w.key.step), Arrived: arrived, ID: s.ID}
+		Work: w.job.remainingWork(w.key.occurrence), Remaining: chain(s, w.key.step), Arrived: arrived, ID: s.ID}
 }
 
 // harmPatience is how long a submission of which nothing runs waits for an executor
@@ -215,3 +215,13 @@
 	slices.SortFunc(places, func(a, b *placement.Node) int { return strings.Compare(a.ID, b.ID) })
 	slices.SortFunc(nodes, func(a, b *node) int { return strings.Compare(a.info.ID, b.info.ID) })
 }
+
+// remainingWork returns the estimated work of the tasks that are not done, in processor seconds.
+func (j *job) remainingWork(occurrence int) float64 {
+	work := 0.0
+	for i, n := range j.remaining[occurrence] {
+		s := &j.sub.Steps[i]
+		work += float64(n) * s.Estimate.Seconds() * float64(s.Request.CPU) / 1000
+	}
+	return work
+}
--- a/ordering/ordering.go
+++ b/ordering/ordering.go
@@ -12,6 +12,8 @@
 	Due, LateDue time.Duration
 	// Remaining is the estimated time of the longest chain of work that is left.
 	Remaining time.Duration
+	// Work is the estimated work that is left, in processor seconds.
+	Work float64
 	// Arrived breaks ties.
 	Arrived time.Duration
 	ID      string
@@ -37,10 +39,12 @@
 	return worthless, 0
 }
 
-// Less reports whether a gets its executors before b. Within a priority, work
-// that can still be in time goes by its slack. Work that cannot comes after it,
-// so that it does not make others late, and work that is late beyond use comes
-// last, the oldest first.
+// Less reports whether a gets its executors before b. Within a priority, what can
+// still be in time goes first, the least work before the rest: under overload
+// more submissions are in time than by slack, which makes all of them start at
+// the last moment. What would wait too long becomes late, and goes by its slack
+// after the others, so that it does not make them late. Work that is late beyond
+// use comes last, the oldest first.
 func Less(a, b *Waiting, now time.Duration) bool {
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
@@ -50,6 +54,9 @@
 	if ap != bp {
 		return ap < bp
 	}
+	if ap == inTime && a.Work != b.Work {
+		return a.Work < b.Work
+	}
 	if as != bs {
 		return as < bs
 	}
--- a/ordering/ordering_test.go
+++ b/ordering/ordering_test.go
@@ -8,8 +8,14 @@
 	"gotest.tools/v3/assert"
 )
 
-// Work that can still be in time goes first, then work that is late but of use;
-// the load would otherwise make everything late, one after the other.
+func withWork(w Waiting, work float64) Waiting {
+	w.Work = work
+	return w
+}
+
+// What can still be in time goes first, the least work before the rest, then what
+// is late but of use; an overload would otherwise make everything late, one after
+// the other.
 func TestOrder(t *testing.T) {
 	const now = 100 * time.Second
 	at := func(id string, priority int, due, lateDue, remaining, arrived time.Duration) Waiting {
@@ -21,8 +27,15 @@
 		at("little slack", 1, 3*time.Second, 9*time.Second, 2*time.Second, -time.Second),
 		at("beyond use, older", 1, -9*time.Second, -time.Second, time.Second, -30*time.Second),
 		at("much slack", 1, 9*time.Second, 30*time.Second, time.Second, -2*time.Second),
+		withWork(at("much work, little slack", 1, 2*time.Second, 9*time.Second, time.Second, -3*time.Second), 50),
+		withWork(at("late, little work", 1, -time.Second, 12*time.Second, time.Second, -9*time.Second), 1),
 		at("urgent class", 0, -9*time.Second, -time.Second, time.Second, 0),
 	}
+	for i := range list {
+		if list[i].Work == 0 {
+			list[i].Work = 10
+		}
+	}
 	slices.SortFunc(list, func(a, b Waiting) int {
 		if Less(&a, &b, now) {
 			return -1
@@ -33,5 +46,5 @@
 	for _, w := range list {
 		ids = append(ids, w.ID)
 	}
-	assert.DeepEqual(t, ids, []string{"urgent class", "little slack", "much slack", "late", "beyond use, older", "beyond use, younger"})
+	assert.DeepEqual(t, ids, []string{"urgent class", "little slack", "much slack", "much work, little slack", "late", "late, little work", "beyond use, older", "beyond use, younger"})
 }
