Split large files, count the owner's work in metrics, states of a candidate in a table

The files of the coordinator and of the agent held several jobs. The owner's totals were not served. The states of a candidate were spread over two fields; an attempt to write the first owner row with a lost answer was not told from none. Unused settings of the platform are gone.

--- a/command/deployed/agent.go
+++ b/command/deployed/agent.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/chicorystand/chicorystand/command/run"
+	"github.com/chicorystand/chicorystand/dispatch"
 	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/member"
 	"github.com/chicorystand/chicorystand/metrics"
@@ -42,7 +43,8 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	m := metrics.NewDeployment(metrics.DeploymentSources{Owning: func() bool { return false },
-		ManifestVersion: func() int64 { return 0 }, OwnerSilence: p.link.Silent})
+		ManifestVersion: func() int64 { return 0 }, OwnerSilence: p.link.Silent,
+		Owned: func() dispatch.Counters { return dispatch.Counters{} }})
 	a := vmagent.New(work, vmagent.Config{Name: p.settings.Node, Client: platform.NewExecutors(), Clock: p.clock, Log: p.log,
 		Link: p.link, Observe: m.ObserveOrder})
 	beats, err := p.listen(ctx, p.settings.Heartbeats)
--- a/command/deployed/process.go
+++ b/command/deployed/process.go
@@ -146,7 +146,7 @@
 func (p *process) bounds() dispatch.Bounds {
 	b := p.settings.Bounds
 	return dispatch.Bounds{Lease: min(leaseTime, b.MaxLease), StoreLoss: storeLoss, Consent: consent, StopTimeout: b.StopTimeout,
-		EarlyStart: b.EarlyStart, Retention: 2 * b.StatusRetention}
+		Retention: 2 * b.StatusRetention}
 }
 
 // member returns this process's registration. Its address is the first internal port.
--- a/coordinator/candidate.go
+++ b/coordinator/candidate.go
@@ -4,9 +4,12 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"sync/atomic"
 	"time"
 
+	"github.com/looplab/fsm"
+	"github.com/pkg/errors"
+
+	"github.com/chicorystand/chicorystand/dispatch"
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/events"
 )
@@ -35,25 +38,76 @@
 	Unclaim()
 }
 
+// States of a candidate.
+const (
+	// stateWatching: another entry owns the work, or may.
+	stateWatching = "watching"
+	// stateClaiming: an attempt to take over has an outcome that is not known yet.
+	stateClaiming = "claiming"
+	// stateOwning: this entry owns the work.
+	stateOwning = "owning"
+)
+
+// Events of a candidate.
+const (
+	// eventClaim: an attempt to take over is sent.
+	eventClaim = "claim"
+	// eventMiss: the attempt has no effect now or later.
+	eventMiss = "miss"
+	// eventTake: the attempt has taken effect.
+	eventTake = "take"
+	// eventLose: the ownership has ended.
+	eventLose = "lose"
+)
+
+var candidateEvents = fsm.Events{
+	{Name: eventClaim, Src: []string{stateWatching, stateClaiming}, Dst: stateClaiming},
+	{Name: eventMiss, Src: []string{stateClaiming}, Dst: stateWatching},
+	{Name: eventTake, Src: []string{stateWatching, stateClaiming}, Dst: stateOwning},
+	{Name: eventLose, Src: []string{stateOwning}, Dst: stateWatching},
+}
+
 // Candidate is an entry that owns the work, or takes it over when the owner is gone.
 type Candidate struct {
 	cfg   Config
 	owner OwnerView
-	// claimed is the version of the row that the last attempt to take over replaces, 0 for none.
+	state *fsm.FSM
+	// claimed is the version of the row that the last attempt to take over replaces.
 	claimed uint64
 	seen    head
 	seenAt  time.Duration
 	spread  time.Duration
-	owning  atomic.Bool
+	// counters are the totals of all periods of ownership of this process.
+	counters counters
 }
 
 // NewCandidate returns a candidate that is started by Run.
 func NewCandidate(cfg Config, owner OwnerView) *Candidate {
-	return &Candidate{cfg: cfg, owner: owner, spread: rand.N(takeoverSpread)}
+	c := &Candidate{cfg: cfg, owner: owner, spread: rand.N(takeoverSpread)}
+	c.state = fsm.NewFSM(stateWatching, candidateEvents, fsm.Callbacks{
+		"enter_" + stateClaiming: func(context.Context, *fsm.Event) { owner.Claim() },
+		"leave_" + stateClaiming: func(_ context.Context, e *fsm.Event) {
+			if e.Event == eventMiss {
+				owner.Unclaim()
+			}
+		},
+	})
+	return c
 }
 
 // Owning reports whether this entry owns the work.
-func (c *Candidate) Owning() bool { return c.owning.Load() }
+func (c *Candidate) Owning() bool { return c.state.Is(stateOwning) }
+
+// event changes the state. A change that the table does not have is a fault of this package.
+func (c *Candidate) event(name string) {
+	err := c.state.Event(context.Background(), name)
+	if err != nil && !errors.As(err, new(fsm.NoTransitionError)) {
+		panic("coordinator: " + err.Error())
+	}
+}
+
+// Counters returns the totals of this process's periods of ownership.
+func (c *Candidate) Counters() dispatch.Counters { return c.counters.load() }
 
 // Run watches the owner, and owns the work when nobody else does, until ctx ends.
 func (c *Candidate) Run(ctx context.Context) {
@@ -71,7 +125,7 @@
 // watch reads the owner row and takes over when it may. It reports whether this
 // process is the owner now.
 func (c *Candidate) watch(ctx context.Context) (head, bool) {
-	if c.owner.Stale() < staleOwner && c.claimed == 0 {
+	if c.owner.Stale() < staleOwner && c.state.Is(stateWatching) {
 		c.seenAt = 0
 		return head{}, false
 	}
@@ -84,27 +138,25 @@
 	now := c.cfg.Clock.Now()
 	if h.Incarnation == c.cfg.Member.Incarnation && h.Owner == c.cfg.Member.Name {
 		// An earlier attempt has taken effect after its answer was lost.
-		c.claimed = 0
+		c.event(eventTake)
 		return h, true
 	}
 	if h.version != c.seen.version || c.seenAt == 0 {
 		c.seen, c.seenAt = h, now
 	}
-	if c.claimed != 0 && h.version != c.claimed {
-		// The attempt can not take effect any more.
-		c.claimed = 0
-		c.owner.Unclaim()
+	if c.state.Is(stateClaiming) && h.version != c.claimed {
+		c.event(eventMiss)
 	}
 	restarted := h.Owner == c.cfg.Member.Name
 	if h.version != 0 && h.Owner != "" && !restarted && now-c.seenAt < takeoverAfter+c.spread {
 		return head{}, false
 	}
 	to := Head{Epoch: h.Epoch + 1, Owner: c.cfg.Member.Name, Incarnation: c.cfg.Member.Incarnation}
-	c.owner.Claim()
 	c.claimed = h.version
+	c.event(eventClaim)
 	taken, err := writeHead(ctx, c.cfg.Store, h, to, nil)
 	if err == nil {
-		c.claimed = 0
+		c.event(eventTake)
 	}
 	return taken, err == nil
 }
@@ -113,10 +165,11 @@
 func (c *Candidate) own(ctx context.Context, h head) {
 	events.OwnerTaken.Log(c.cfg.Log).Uint64("epoch", h.Epoch).Str("after", c.seen.Owner).
 		Dur("unchanged", c.cfg.Clock.Now()-c.seenAt).Send()
-	c.owning.Store(true)
-	defer c.owning.Store(false)
+	defer c.event(eventLose)
 	o := newOwner(c.cfg, h, c.earlierOwner())
+	o.counters = &c.counters
 	err := o.run(ctx)
+	c.counters.endPeriod()
 	events.OwnerLost.Log(c.cfg.Log).Uint64("epoch", h.Epoch).AnErr("cause", err).Send()
 	if ctx.Err() != nil && errkind.Of(err) != errkind.NotOwner {
 		c.resign(o)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -31,8 +31,6 @@
 	StoreLoss time.Duration
 	// StopTimeout is the longest time that a task takes to stop.
 	StopTimeout time.Duration
-	// EarlyStart is how much before its due time an occurrence may start.
-	EarlyStart time.Duration
 	// Retention is how long the record of an ended submission is kept.
 	Retention time.Duration
 }
@@ -93,6 +91,12 @@
 	Starts, Ends, Failures, Lost, Rejected uint64
 }
 
+// Add returns the sums.
+func (c Counters) Add(d Counters) Counters {
+	return Counters{Starts: c.Starts + d.Starts, Ends: c.Ends + d.Ends, Failures: c.Failures + d.Failures,
+		Lost: c.Lost + d.Lost, Rejected: c.Rejected + d.Rejected}
+}
+
 // New returns an owner without work. now is the owner's clock, which includes
 // time in suspension; unix converts it to Unix milliseconds.
 func New(b Bounds, epoch uint64, now time.Duration, unix func(time.Duration) int64, log zerolog.Logger) *Owner {
--- a/metrics/deployment.go
+++ b/metrics/deployment.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/chicorystand/chicorystand/dispatch"
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/executor"
 )
@@ -34,6 +35,8 @@
 	Owning          func() bool
 	ManifestVersion func() int64
 	OwnerSilence    func() time.Duration
+	// Owned returns the totals of this process's periods of ownership.
+	Owned func() dispatch.Counters
 }
 
 // NewDeployment returns registered metrics.
@@ -59,6 +62,19 @@
 		OwnerSilence: prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_owner_silence_seconds", Help: "Time since the owner of the work was heard."},
 			func() float64 { return s.OwnerSilence().Seconds() }),
 	}
+	for _, c := range []struct {
+		name, help string
+		value      func(dispatch.Counters) uint64
+	}{
+		{"chicory_owner_starts_total", "Starts ordered by this process as the owner.", func(c dispatch.Counters) uint64 { return c.Starts }},
+		{"chicory_owner_ends_total", "Ends of runs recorded.", func(c dispatch.Counters) uint64 { return c.Ends }},
+		{"chicory_owner_failed_runs_total", "Runs that ended as failed.", func(c dispatch.Counters) uint64 { return c.Failures }},
+		{"chicory_owner_lost_runs_total", "Runs that were lost with their executor or its lease.", func(c dispatch.Counters) uint64 { return c.Lost }},
+		{"chicory_owner_refused_starts_total", "Starts that were refused.", func(c dispatch.Counters) uint64 { return c.Rejected }},
+	} {
+		m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: c.name, Help: c.help},
+			func() float64 { return float64(c.value(s.Owned())) }))
+	}
 	m.Registry.MustRegister(m.Answers, m.Refusals, m.Orders, m.Duration, m.Owning, m.ManifestVersion, m.OwnerSilence)
 	return m
 }
--- /dev/null
+++ b/vmagent/orders.go
@@ -0,0 +1,192 @@
+package vmagent
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/executor"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+// orders carries out what the owner wants.
+func (u *unit) orders(m *wire.Orders) {
+	u.agent.mu.Lock()
+	defer u.agent.mu.Unlock()
+	u.leaseEnd = max(u.leaseEnd, m.LeaseEnd)
+	if m.LastSeen > u.lastSeen {
+		u.lastSeen = m.LastSeen
+		u.wakeUp()
+	}
+	for _, s := range m.Stops {
+		k := runKey{s.Task, s.Run}
+		if cancel := u.starting[k]; cancel != nil {
+			cancel()
+		}
+		if _, ok := u.stopping[k]; !ok {
+			u.stopping[k] = struct{}{}
+			go u.stop(k, m.Epoch)
+		}
+	}
+	for _, o := range m.Paces {
+		u.mixed = true
+		go u.pace(o, m.Epoch)
+	}
+	for _, s := range m.Starts {
+		k := runKey{s.Task, s.Run}
+		if _, ok := u.starting[k]; ok {
+			continue
+		}
+		ctx, cancel := context.WithCancel(u.ctx)
+		u.starting[k] = cancel
+		go u.start(ctx, k, s, m.Epoch)
+	}
+}
+
+// start sends a start until its outcome is certain, and reports the outcome.
+func (u *unit) start(ctx context.Context, k runKey, s wire.StartOrder, epoch uint64) {
+	defer func() {
+		u.agent.mu.Lock()
+		defer u.agent.mu.Unlock()
+		u.starting[k]()
+		delete(u.starting, k)
+	}()
+	if !u.acquire(ctx) {
+		return
+	}
+	defer func() { <-u.slots }()
+	answer, uncertain := u.startUntilCertain(ctx, s, epoch)
+	if ctx.Err() != nil {
+		return
+	}
+	if answer.Outcome == executor.Rejected && (uncertain || answer.Reason == executor.ReasonOldRun) || uncertain && answer.Outcome == executor.Unavailable {
+		// An earlier attempt may have been carried out, or may still be. A stop keeps it
+		// from starting later, and a list tells the owner of its end.
+		if !u.stopUntilCertain(ctx, k, epoch) || !u.listUntilGone(ctx, k, epoch) {
+			return
+		}
+	}
+	u.result(epoch, wire.OrderResult{Task: k.task, Run: k.run, Outcome: answer.Outcome, Reason: answer.Reason})
+}
+
+// listUntilGone reports lists to the owner until one does not hold the run, so
+// that the owner knows its end before the refusal of its start.
+func (u *unit) listUntilGone(ctx context.Context, k runKey, epoch uint64) bool {
+	for ctx.Err() == nil {
+		h, info := u.holdRequest(epoch)
+		h.Wait = 0
+		snap := u.agent.cfg.Client.Hold(ctx, info, h)
+		u.agent.cfg.Observe("hold", snap.Answer)
+		switch {
+		case snap.Outcome == executor.OtherIncarnation:
+			return false
+		case snap.Outcome == executor.OK && snap.Born != 0 && snap.Born != u.inc.Born:
+			return false
+		case snap.Outcome == executor.OK:
+			u.report(epoch, snap)
+			if !slices.ContainsFunc(snap.Running, func(r executor.Run) bool { return r.Task == k.task && r.Number == k.run }) {
+				return true
+			}
+		}
+		u.pause(ctx, failurePause)
+	}
+	return false
+}
+
+func (u *unit) acquire(ctx context.Context) bool {
+	select {
+	case u.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// startUntilCertain returns the last answer and whether an earlier attempt had no answer.
+func (u *unit) startUntilCertain(ctx context.Context, s wire.StartOrder, epoch uint64) (executor.Answer, bool) {
+	uncertain, unavailable := false, 0
+	for {
+		u.agent.mu.Lock()
+		order := executor.Start{Task: s.Task, Run: s.Run, Specification: s.Specification, Checkpoint: s.Checkpoint,
+			Epoch: epoch, Deadline: u.leaseEnd, Ticket: s.Ticket}
+		info := u.info
+		u.agent.mu.Unlock()
+		if info.Draining && !uncertain {
+			return executor.Answer{Outcome: executor.Unavailable}, false
+		}
+		answer := u.agent.cfg.Client.Start(ctx, info, order)
+		u.agent.cfg.Observe("start", answer)
+		switch answer.Outcome {
+		case executor.OK, executor.Rejected, executor.OtherIncarnation:
+			return answer, uncertain
+		case executor.Unavailable, executor.NoListener:
+			if unavailable++; unavailable >= unavailableTries {
+				return answer, uncertain
+			}
+		case executor.Unknown:
+			uncertain = true
+			events.OrderUncertain.Log(u.agent.cfg.Log).Str("task", s.Task).Uint32("run", s.Run).Str("order", "start").Send()
+		}
+		if ctx.Err() != nil {
+			return answer, uncertain
+		}
+		u.pause(ctx, orderRetry)
+	}
+}
+
+func (u *unit) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// stop sends a stop until it is answered, and reports it.
+func (u *unit) stop(k runKey, epoch uint64) {
+	ok := u.stopUntilCertain(u.ctx, k, epoch)
+	u.agent.mu.Lock()
+	delete(u.stopping, k)
+	u.agent.mu.Unlock()
+	if ok {
+		u.result(epoch, wire.OrderResult{Task: k.task, Run: k.run, Stop: true})
+	}
+}
+
+func (u *unit) stopUntilCertain(ctx context.Context, k runKey, epoch uint64) bool {
+	for ctx.Err() == nil {
+		u.agent.mu.Lock()
+		info := u.info
+		u.agent.mu.Unlock()
+		a := u.agent.cfg.Client.Stop(ctx, info, k.task, k.run, epoch)
+		u.agent.cfg.Observe("stop", a)
+		switch a.Outcome {
+		case executor.OK:
+			return true
+		case executor.Rejected:
+			return a.Reason == executor.ReasonOldRun
+		case executor.OtherIncarnation:
+			return false
+		}
+		u.pause(ctx, orderRetry)
+	}
+	return false
+}
+
+func (u *unit) result(epoch uint64, r wire.OrderResult) {
+	u.agent.send(&wire.OrderResults{Epoch: epoch, Executor: u.inc.ID, Born: u.inc.Born, Results: []wire.OrderResult{r}})
+}
+
+// pace sends a change of pace a few times. The owner repeats its orders.
+func (u *unit) pace(o wire.PaceOrder, epoch uint64) {
+	u.agent.mu.Lock()
+	info := u.info
+	u.agent.mu.Unlock()
+	for range unavailableTries {
+		a := u.agent.cfg.Client.Pace(u.ctx, info, o.Task, o.Run, epoch, o.Percent)
+		u.agent.cfg.Observe("pace", a)
+		if a.Outcome == executor.OK || a.Outcome == executor.Rejected || u.ctx.Err() != nil {
+			return
+		}
+	}
+}
