Serve a lifetime that began after the clock was set back; forget ended executors

Found while reading the diff: the newest start at an address outlived its lifetime, so a later one with an earlier time was taken for a delayed heartbeat for good; the owner kept ended executors for ever. The test fails before the change.

--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -246,8 +246,14 @@
 	return true
 }
 
-// forget removes ended jobs after the retention time.
+// forget removes ended jobs and executors after the retention time.
 func (o *Owner) forget(now time.Duration) {
+	for inc, n := range o.executors {
+		if n.gone && now-n.goneAt > o.bounds.Retention && len(n.tasks) == 0 {
+			delete(o.executors, inc)
+			delete(o.pending.acks, n)
+		}
+	}
 	for id, j := range o.jobs {
 		if j.state.Final() && j.shown == j.state && now-j.endedAt > o.bounds.Retention && j.idle() {
 			delete(o.jobs, id)
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -86,7 +86,7 @@
 	if n == nil || n.gone {
 		return
 	}
-	n.gone = true
+	n.gone, n.goneAt = true, now
 	events.ExecutorGone.Log(o.log).Str("executor", inc.ID).Int64("born", inc.Born).Int("tasks", len(n.tasks)).Send()
 	o.requeueAll(n, now)
 	delete(o.outbox, inc)
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -183,6 +183,7 @@
 	// connected tells that the agent's connection is up.
 	connected bool
 	gone      bool
+	goneAt    time.Duration
 	// lost tells that the lease has expired without contact.
 	lost bool
 	// clock is the executor's clock in milliseconds when clockAt was the time here.
--- a/vmagent/vmagent.go
+++ b/vmagent/vmagent.go
@@ -104,6 +104,8 @@
 	}
 	delete(a.executors, inc)
 	a.ended[inc] = struct{}{}
+	// The next lifetime may bear an earlier time when the clock was set back.
+	delete(a.newest, u.info.Address)
 	u.cancel()
 	events.ExecutorEnded.Log(a.cfg.Log).Str("executor", inc.ID).Int64("born", inc.Born).Str("cause", cause).Send()
 	a.send(&wire.Report{Epoch: a.cfg.Link.Epoch(), Agent: a.cfg.Name, Info: u.info, Gone: true})
--- a/vmagent/vmagent_test.go
+++ b/vmagent/vmagent_test.go
@@ -205,6 +205,21 @@
 	assert.Assert(t, a.executors[reborn.Incarnation] != nil)
 }
 
+// After the clock was set back the next lifetime bears an earlier time. It must
+// not be taken for a delayed heartbeat once the one before has ended.
+func TestLifetimeAfterClockWasSetBackIsServed(t *testing.T) {
+	f := &fakeExecutor{hold: func(executor.Hold) executor.Snapshot { return executor.Snapshot{Born: 5} }}
+	a := newTestAgent(t, f)
+	a.Heartbeat(testInfo())
+	a.Leave("i-1")
+	earlier := testInfo()
+	earlier.ID, earlier.Born = "i-2", 5
+	a.Heartbeat(earlier)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	assert.Assert(t, a.executors[earlier.Incarnation] != nil)
+}
+
 // A start without an answer may have been carried out, and the task may be done
 // before the next attempt is refused as old. The end has to reach the owner
 // before the refusal, or the owner starts the task again.
