Split the scheduler and the request path of the product's interface

Functions move unchanged: ingesting, placing, finding and making room in the scheduler; the call, and its attempts, in the request path.

--- /dev/null
+++ b/entry/request_run.go
@@ -0,0 +1,173 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/route"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+// run attempts the request on upstreams until it has a final outcome.
+func (e *Entry) run(ctx context.Context, c *call) (*wire.Response, error) {
+	c.service.budget.Request()
+	refusals, retries := 0, 0
+	for {
+		u, err := e.acquire(ctx, c)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := e.attemptHedged(ctx, c, u)
+		if err == nil {
+			return resp, nil
+		}
+		pause := time.Duration(0)
+		switch {
+		case !retryable(c, err) || ctx.Err() != nil:
+			return nil, err
+		case errkind.Of(err) == errkind.ConfigStale:
+			if !e.awaitGeneration(ctx, c.req.ConfigGen) {
+				return nil, err
+			}
+			if err := e.applyPlan(c); err != nil {
+				return nil, err
+			}
+		case refusedByGate(err):
+			// The upstream is full or leaving; the attempt has cost it nothing.
+			if refusals++; refusals >= maxRefusals {
+				return nil, err
+			}
+		default:
+			if retries++; retries >= maxAttempts || !c.service.budget.Take() {
+				return nil, err
+			}
+			pause = route.Backoff(retries-1, rand.New(rand.NewPCG(rand.Uint64(), 0)))
+			if time.Until(c.deadline) <= pause {
+				return nil, err
+			}
+		}
+		e.metrics.Retry(err)
+		sleep(ctx, pause)
+	}
+}
+
+// retryable reports whether another attempt is allowed: after proof that the
+// request was not run, or for an idempotent request.
+func retryable(c *call, err error) bool {
+	switch kind := errkind.Of(err); kind {
+	case errkind.NoUpstream, errkind.SlotsFull, errkind.Draining, errkind.WrongIncarnation, errkind.Tombstoned, errkind.NotReady, errkind.ConfigStale:
+		return true
+	case errkind.OutcomeUnknown, errkind.UpstreamFailed:
+		return c.req.Idempotent
+	}
+	return false
+}
+
+// awaitGeneration waits until a configuration newer than generation is in force
+// here. An agent that knows one has refused a request of this entry.
+func (e *Entry) awaitGeneration(ctx context.Context, generation uint64) bool {
+	for end := time.Now().Add(configWait); ctx.Err() == nil && time.Now().Before(end); sleep(ctx, configWait/50) {
+		if e.config().Generation > generation {
+			return true
+		}
+	}
+	return false
+}
+
+func refusedByGate(err error) bool {
+	k := errkind.Of(err)
+	return k == errkind.SlotsFull || k == errkind.Draining
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// acquire chooses an upstream with a free slot and counts a request on it. When
+// all slots are used it waits in the service's queue.
+func (e *Entry) acquire(ctx context.Context, c *call) (wire.Upstream, error) {
+	q := c.service.queue
+	woken := c.waiter != nil
+	for {
+		if woken || q.Len() == 0 {
+			u, remaining, v := e.pick(c)
+			switch v {
+			case route.Picked:
+				if remaining > 0 && q.Len() > 0 {
+					q.Wake(1)
+				}
+				return u, nil
+			case route.None:
+				return u, errkind.New(errkind.NoUpstream, "no upstream of service %q can take the request", c.service.name)
+			}
+		}
+		if c.waiter == nil {
+			// Half of the time is left to run the request after the wait.
+			c.waiter = q.Waiter(c.limit.Priority, time.Until(c.deadline)/2)
+		}
+		start := time.Now()
+		err := q.Wait(ctx, c.waiter)
+		e.requests.metrics.QueueWait.Observe(time.Since(start).Seconds())
+		if err != nil {
+			return wire.Upstream{}, err
+		}
+		if err := e.applyPlan(c); err != nil {
+			q.Wake(1)
+			return wire.Upstream{}, err
+		}
+		woken = true
+	}
+}
+
+// pick prefers upstreams on which the request has not failed and that are not
+// ejected, then ejected ones, and takes one on which it failed only when there is no other.
+func (e *Entry) pick(c *call) (wire.Upstream, int, route.Verdict) {
+	out := c.service.outliers
+	u, n, v := e.table.Pick(c.service.name, func(u *wire.Upstream) bool { return c.excluded[u.VM] || out.Ejected(route.KeyOf(u)) })
+	if v == route.None {
+		u, n, v = e.table.Pick(c.service.name, func(u *wire.Upstream) bool { return c.excluded[u.VM] })
+	}
+	if v == route.None && c.excluded != nil {
+		u, n, v = e.table.Pick(c.service.name, func(*wire.Upstream) bool { return false })
+	}
+	return u, n, v
+}
+
+// finish ends an attempt: it frees the slot, notes the upstream's health and lets
+// a waiting request proceed.
+func (e *Entry) finish(c *call, u *wire.Upstream, resp *wire.Response, err error) {
+	free := -1
+	if resp != nil {
+		free = int(resp.FreeSlots)
+	}
+	e.table.Done(u, free)
+	c.service.queue.Wake(1)
+	key := route.KeyOf(u)
+	switch errkind.Of(err) {
+	case errkind.None:
+		if resp.Status < http.StatusInternalServerError {
+			c.service.outliers.Success(key)
+			return
+		}
+	case errkind.Draining:
+		e.table.SetDraining(key, true)
+		return
+	case errkind.OutcomeUnknown, errkind.UpstreamFailed, errkind.NoUpstream, errkind.NotReady, errkind.WrongIncarnation:
+	default:
+		return
+	}
+	if c.service.outliers.Failure(key, len(e.table.Service(c.service.name))) {
+		e.requests.metrics.Ejections.Inc()
+	}
+}
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -3,22 +3,15 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/history"
 	"github.com/chicorystand/chicorystand/metrics"
-	"github.com/chicorystand/chicorystand/plan"
 	"github.com/chicorystand/chicorystand/route"
 	"github.com/chicorystand/chicorystand/wire"
 )
@@ -73,12 +66,6 @@
 	hedge    route.HedgeDelay
 }
 
-// planIndex maps customers to limits for one generation of the configuration.
-type planIndex struct {
-	generation uint64
-	limits     map[string]plan.Limit
-}
-
 func newRequests(m *metrics.Entry) *requests {
 	return &requests{metrics: metrics.NewRequests(m.Registry), services: make(map[string]*service)}
 }
@@ -100,21 +87,6 @@
 	return s, nil
 }
 
-// call is one caller's request with its state across attempts.
-type call struct {
-	service *service
-	req     wire.Request
-	limit   plan.Limit
-	began   time.Time
-	// deadline is when the caller expects an answer.
-	deadline time.Time
-	// excluded are the VMs on which an attempt failed.
-	excluded map[string]bool
-	// mayHaveRun is the failure of an attempt that does not prove that it was not run.
-	mayHaveRun error
-	waiter     *route.Waiter
-}
-
 func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request) {
 	if err := e.beginRequest(); err != nil {
 		e.refuse(w, unknownService, false, err)
@@ -204,285 +176,6 @@
 	return e.leaving
 }
 
-func (e *Entry) newCall(w http.ResponseWriter, r *http.Request) (*call, error) {
-	timeout := defaultDeadline
-	if s := r.Header.Get(HeaderDeadline); s != "" {
-		var err error
-		timeout, err = time.ParseDuration(s)
-		if err != nil || timeout <= 0 || timeout > maxDeadline {
-			return nil, errkind.New(errkind.InvalidArgument, "%s must be a duration up to %v", HeaderDeadline, maxDeadline)
-		}
-	}
-	now := time.Now()
-	body, err := readRequestBody(w, r, now.Add(timeout))
-	if err != nil {
-		return nil, err
-	}
-	s, err := e.service(r.PathValue("service"))
-	if err != nil {
-		return nil, err
-	}
-	return &call{
-		service: s, began: now, deadline: now.Add(timeout),
-		req: wire.Request{
-			Customer: r.Header.Get(HeaderCustomer), Method: r.Method, Path: requestPath(r),
-			Name: r.Header.Get(HeaderName), ContentType: r.Header.Get("Content-Type"),
-			Idempotent: idempotent(r), Body: body, Checksum: xxhash.Sum64(body),
-		},
-	}, nil
-}
-
-// idempotent reports whether the request may run more than once: what the caller
-// says, or else whether its method is safe.
-func idempotent(r *http.Request) bool {
-	if h := r.Header.Get(HeaderIdempotent); h != "" {
-		return h == "true"
-	}
-	return r.Method == http.MethodGet || r.Method == http.MethodHead || r.Method == http.MethodOptions
-}
-
-// requestPath returns the path below the service and the query exactly as the
-// caller escaped them.
-func requestPath(r *http.Request) string {
-	// "", "v1", "services", service, rest
-	parts := strings.SplitN(r.URL.EscapedPath(), "/", 5)
-	path := "/"
-	if len(parts) == 5 {
-		path += parts[4]
-	}
-	if r.URL.RawQuery != "" {
-		path += "?" + r.URL.RawQuery
-	}
-	return path
-}
-
-// readRequestBody reads the whole body before the deadline, so that a slow sender
-// holds no resources for longer.
-func readRequestBody(w http.ResponseWriter, r *http.Request, deadline time.Time) ([]byte, error) {
-	rc := http.NewResponseController(w)
-	if r.ContentLength == 0 {
-		_ = rc.SetReadDeadline(time.Time{})
-		return nil, nil
-	}
-	if r.ContentLength > maxRequestBody {
-		return nil, errkind.New(errkind.TooLarge, "the request body exceeds %d bytes", maxRequestBody)
-	}
-	_ = rc.SetReadDeadline(deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBody))
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return nil, errkind.Wrap(errkind.TooLarge, err, "request body")
-		}
-		return nil, errkind.Wrap(errkind.InvalidArgument, err, "request body")
-	}
-	// A read deadline would otherwise cancel the request while it runs.
-	_ = rc.SetReadDeadline(time.Time{})
-	return body, nil
-}
-
-// limit applies the customer's plan in force and returns the function that ends
-// the request's share of the limits.
-func (e *Entry) limit(c *call) (release func(), err error) {
-	if err := e.applyPlan(c); err != nil {
-		return nil, err
-	}
-	if c.req.ConfigGen == 0 {
-		return func() {}, nil
-	}
-	return e.requests.limiter.Acquire(c.req.Customer, c.limit)
-}
-
-// applyPlan sets the limit and generation of the configuration in force. The
-// error kind is errkind.PermissionDenied for a customer without a plan.
-func (e *Entry) applyPlan(c *call) error {
-	doc := e.config()
-	index := e.requests.plans.Load()
-	if index == nil || index.generation != doc.Generation {
-		index = newPlanIndex(doc)
-		e.requests.plans.Store(index)
-	}
-	limit, ok := index.limits[c.req.Customer]
-	if !ok && doc.Generation > 0 {
-		return errkind.New(errkind.PermissionDenied, "customer %q has no plan", c.req.Customer)
-	}
-	c.limit, c.req.ConfigGen = limit, doc.Generation
-	return nil
-}
-
-func newPlanIndex(doc plan.Document) *planIndex {
-	plans := make(map[string]plan.Limit, len(doc.Limits))
-	for _, l := range doc.Limits {
-		plans[l.Plan] = l
-	}
-	index := &planIndex{generation: doc.Generation, limits: make(map[string]plan.Limit, len(doc.Plans))}
-	for _, p := range doc.Plans {
-		index.limits[p.Customer] = plans[p.Plan]
-	}
-	return index
-}
-
-// run attempts the request on upstreams until it has a final outcome.
-func (e *Entry) run(ctx context.Context, c *call) (*wire.Response, error) {
-	c.service.budget.Request()
-	refusals, retries := 0, 0
-	for {
-		u, err := e.acquire(ctx, c)
-		if err != nil {
-			return nil, err
-		}
-		resp, err := e.attemptHedged(ctx, c, u)
-		if err == nil {
-			return resp, nil
-		}
-		pause := time.Duration(0)
-		switch {
-		case !retryable(c, err) || ctx.Err() != nil:
-			return nil, err
-		case errkind.Of(err) == errkind.ConfigStale:
-			if !e.awaitGeneration(ctx, c.req.ConfigGen) {
-				return nil, err
-			}
-			if err := e.applyPlan(c); err != nil {
-				return nil, err
-			}
-		case refusedByGate(err):
-			// The upstream is full or leaving; the attempt has cost it nothing.
-			if refusals++; refusals >= maxRefusals {
-				return nil, err
-			}
-		default:
-			if retries++; retries >= maxAttempts || !c.service.budget.Take() {
-				return nil, err
-			}
-			pause = route.Backoff(retries-1, rand.New(rand.NewPCG(rand.Uint64(), 0)))
-			if time.Until(c.deadline) <= pause {
-				return nil, err
-			}
-		}
-		e.metrics.Retry(err)
-		sleep(ctx, pause)
-	}
-}
-
-// retryable reports whether another attempt is allowed: after proof that the
-// request was not run, or for an idempotent request.
-func retryable(c *call, err error) bool {
-	switch kind := errkind.Of(err); kind {
-	case errkind.NoUpstream, errkind.SlotsFull, errkind.Draining, errkind.WrongIncarnation, errkind.Tombstoned, errkind.NotReady, errkind.ConfigStale:
-		return true
-	case errkind.OutcomeUnknown, errkind.UpstreamFailed:
-		return c.req.Idempotent
-	}
-	return false
-}
-
-// awaitGeneration waits until a configuration newer than generation is in force
-// here. An agent that knows one has refused a request of this entry.
-func (e *Entry) awaitGeneration(ctx context.Context, generation uint64) bool {
-	for end := time.Now().Add(configWait); ctx.Err() == nil && time.Now().Before(end); sleep(ctx, configWait/50) {
-		if e.config().Generation > generation {
-			return true
-		}
-	}
-	return false
-}
-
-func refusedByGate(err error) bool {
-	k := errkind.Of(err)
-	return k == errkind.SlotsFull || k == errkind.Draining
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
-// acquire chooses an upstream with a free slot and counts a request on it. When
-// all slots are used it waits in the service's queue.
-func (e *Entry) acquire(ctx context.Context, c *call) (wire.Upstream, error) {
-	q := c.service.queue
-	woken := c.waiter != nil
-	for {
-		if woken || q.Len() == 0 {
-			u, remaining, v := e.pick(c)
-			switch v {
-			case route.Picked:
-				if remaining > 0 && q.Len() > 0 {
-					q.Wake(1)
-				}
-				return u, nil
-			case route.None:
-				return u, errkind.New(errkind.NoUpstream, "no upstream of service %q can take the request", c.service.name)
-			}
-		}
-		if c.waiter == nil {
-			// Half of the time is left to run the request after the wait.
-			c.waiter = q.Waiter(c.limit.Priority, time.Until(c.deadline)/2)
-		}
-		start := time.Now()
-		err := q.Wait(ctx, c.waiter)
-		e.requests.metrics.QueueWait.Observe(time.Since(start).Seconds())
-		if err != nil {
-			return wire.Upstream{}, err
-		}
-		if err := e.applyPlan(c); err != nil {
-			q.Wake(1)
-			return wire.Upstream{}, err
-		}
-		woken = true
-	}
-}
-
-// pick prefers upstreams on which the request has not failed and that are not
-// ejected, then ejected ones, and takes one on which it failed only when there is no other.
-func (e *Entry) pick(c *call) (wire.Upstream, int, route.Verdict) {
-	out := c.service.outliers
-	u, n, v := e.table.Pick(c.service.name, func(u *wire.Upstream) bool { return c.excluded[u.VM] || out.Ejected(route.KeyOf(u)) })
-	if v == route.None {
-		u, n, v = e.table.Pick(c.service.name, func(u *wire.Upstream) bool { return c.excluded[u.VM] })
-	}
-	if v == route.None && c.excluded != nil {
-		u, n, v = e.table.Pick(c.service.name, func(*wire.Upstream) bool { return false })
-	}
-	return u, n, v
-}
-
-// finish ends an attempt: it frees the slot, notes the upstream's health and lets
-// a waiting request proceed.
-func (e *Entry) finish(c *call, u *wire.Upstream, resp *wire.Response, err error) {
-	free := -1
-	if resp != nil {
-		free = int(resp.FreeSlots)
-	}
-	e.table.Done(u, free)
-	c.service.queue.Wake(1)
-	key := route.KeyOf(u)
-	switch errkind.Of(err) {
-	case errkind.None:
-		if resp.Status < http.StatusInternalServerError {
-			c.service.outliers.Success(key)
-			return
-		}
-	case errkind.Draining:
-		e.table.SetDraining(key, true)
-		return
-	case errkind.OutcomeUnknown, errkind.UpstreamFailed, errkind.NoUpstream, errkind.NotReady, errkind.WrongIncarnation:
-	default:
-		return
-	}
-	if c.service.outliers.Failure(key, len(e.table.Service(c.service.name))) {
-		e.requests.metrics.Ejections.Inc()
-	}
-}
-
 // agentNotice handles what an agent tells every connected entry by itself.
 func (e *Entry) agentNotice(m wire.Message) {
 	drain, ok := m.(*wire.Drain)
--- /dev/null
+++ b/scheduler/preempt.go
@@ -0,0 +1,81 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/scheduler/eviction"
+	"github.com/chicorystand/chicorystand/scheduler/feasibility"
+	"github.com/chicorystand/chicorystand/scheduler/queue"
+	"github.com/chicorystand/chicorystand/scheduler/tables"
+	"github.com/chicorystand/chicorystand/task"
+)
+
+// makeRoom evicts batch tasks for an urgent or starving task that found no place.
+func (k *tick) makeRoom(tk *tables.Task, need task.Resources, reason tables.Reason) {
+	spec := &tk.Record.Spec
+	if !spec.Urgent && k.now-tk.Submitted < queue.Starving {
+		return
+	}
+	if _, ok := k.holds[spec.ID]; ok || reason.Kind() != errkind.CapacityExceeded || k.searches >= maxEvictionSearches {
+		return
+	}
+	k.searches++
+	var best *tables.VM
+	var victims []*tables.Task
+	var least time.Duration
+	for _, v := range k.roomiest(tk, need) {
+		if list, loss := eviction.Victims(k.t, v, need, k.now); len(list) > 0 && (best == nil || loss < least) {
+			best, victims, least = v, list, loss
+		}
+	}
+	if best == nil {
+		return
+	}
+	until := k.now + holdTime
+	drain := !spec.Urgent && k.drains[spec.ID] < drainsFirst
+	if drain || !k.evict(victims, errkind.CapacityExceeded, "room for task "+spec.ID) {
+		if len(k.holds) >= max(1, len(k.t.VMs)/vmsPerHold) {
+			return
+		}
+		until = k.now + drainTime
+		k.drains[spec.ID]++
+	}
+	best.HeldFor = spec.ID
+	k.holds[spec.ID] = hold{best.ID, until}
+}
+
+// roomiest returns VMs that could hold the amount when empty, those with many free
+// processors first within each group.
+func (k *tick) roomiest(tk *tables.Task, need task.Resources) []*tables.VM {
+	var out []*tables.VM
+	groups := k.t.Groups()
+	if len(groups) == 0 {
+		return nil
+	}
+	start := k.rng.IntN(len(groups))
+	for i := range groups {
+		if len(out) >= victimVMs {
+			break
+		}
+		if v := k.roomiestOf(groups[(start+i)%len(groups)], tk, need); v != nil {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+func (k *tick) roomiestOf(g *tables.Group, tk *tables.Task, need task.Resources) *tables.VM {
+	for row := tables.Bins - 1; row >= 0; row-- {
+		for cols := g.Columns(uint8(row), 0); cols != 0; {
+			var col uint8
+			col, cols = tables.Next(cols)
+			for _, v := range g.Cell(uint8(row), col) {
+				if need.Fits(v.Capacity.Sub(v.ServiceHeld)) && feasibility.Available(tk, v, k.now) == tables.Placed {
+					return v
+				}
+			}
+		}
+	}
+	return nil
+}
