Bind a waiting start to the lease under which it was ordered

The owner restarted their tasks elsewhere when the lease had ended. When the executor answered again, its lease was extended, and the agent sent the waiting starts under the new lease.

owner -> agent start run 1, lease until L1 waits for a slot L1 passes owner: lease has ended, run 2 elsewhere, done executor answers owner extends the lease to L2 agent -> executor start run 1 until L2 accepted

Change: a start carries the end of the lease of its order; only a repeated order raises it. The test fails before the change.

--- a/vmagent/orders.go
+++ b/vmagent/orders.go
@@ -21,8 +21,8 @@
 	}
 	for _, s := range m.Stops {
 		k := runKey{s.Task, s.Run}
-		if cancel := u.starting[k]; cancel != nil {
-			cancel()
+		if p := u.starting[k]; p != nil {
+			p.cancel()
 		}
 		if _, ok := u.stopping[k]; !ok {
 			u.stopping[k] = struct{}{}
@@ -35,21 +35,32 @@
 	}
 	for _, s := range m.Starts {
 		k := runKey{s.Task, s.Run}
-		if _, ok := u.starting[k]; ok {
+		if p := u.starting[k]; p != nil {
+			// The owner still wants the run, under a later lease.
+			p.leaseEnd = max(p.leaseEnd, m.LeaseEnd)
 			continue
 		}
 		ctx, cancel := context.WithCancel(u.ctx)
-		u.starting[k] = cancel
+		u.starting[k] = &pendingStart{cancel: cancel, leaseEnd: m.LeaseEnd}
 		go u.start(ctx, k, s, m.Epoch)
 	}
 }
 
+// pendingStart is a start whose outcome is not certain yet.
+type pendingStart struct {
+	cancel context.CancelFunc
+	// leaseEnd is the end of the lease under which the owner has ordered the run. After
+	// it the owner may start the task elsewhere, so a later lease of the executor must
+	// not carry the start.
+	leaseEnd int64
+}
+
 // start sends a start until its outcome is certain, and reports the outcome.
 func (u *unit) start(ctx context.Context, k runKey, s wire.StartOrder, epoch uint64) {
 	defer func() {
 		u.agent.mu.Lock()
 		defer u.agent.mu.Unlock()
-		u.starting[k]()
+		u.starting[k].cancel()
 		delete(u.starting, k)
 	}()
 	if !u.acquire(ctx) {
@@ -109,7 +120,7 @@
 	for {
 		u.agent.mu.Lock()
 		order := executor.Start{Task: s.Task, Run: s.Run, Specification: s.Specification, Checkpoint: s.Checkpoint,
-			Epoch: epoch, Deadline: u.leaseEnd, Ticket: s.Ticket}
+			Epoch: epoch, Deadline: u.starting[runKey{s.Task, s.Run}].leaseEnd, Ticket: s.Ticket}
 		info := u.info
 		u.agent.mu.Unlock()
 		if info.Draining && !uncertain {
--- a/vmagent/unit.go
+++ b/vmagent/unit.go
@@ -56,14 +56,14 @@
 	mixed bool
 	// listNow tells that the next list is wanted without a wait.
 	listNow  bool
-	starting map[runKey]context.CancelFunc
+	starting map[runKey]*pendingStart
 	stopping map[runKey]struct{}
 }
 
 func newUnit(a *Agent, info executor.Info) *unit {
 	ctx, cancel := context.WithCancel(a.ctx)
 	return &unit{agent: a, inc: info.Incarnation, ctx: ctx, cancel: cancel, info: info, wake: make(chan struct{}, 1), slots: make(chan struct{}, maxOrders),
-		starting: make(map[runKey]context.CancelFunc), stopping: make(map[runKey]struct{})}
+		starting: make(map[runKey]*pendingStart), stopping: make(map[runKey]struct{})}
 }
 
 // list makes a list be read as soon as possible. The caller holds the agent's mu.
--- a/vmagent/vmagent_test.go
+++ b/vmagent/vmagent_test.go
@@ -281,3 +281,51 @@
 	}
 	assert.Equal(t, order[0], "end")
 }
+
+// A start that waits in the agent must not outlast the lease under which it was
+// ordered: the owner starts the task elsewhere then, and may extend the lease of
+// the executor again.
+func TestWaitingStartKeepsTheLeaseOfItsOrder(t *testing.T) {
+	release := make(chan struct{})
+	f := &fakeExecutor{hold: func(executor.Hold) executor.Snapshot { return executor.Snapshot{Born: 7} }}
+	var mu sync.Mutex
+	deadlines := make(map[string]int64)
+	slow := &slowExecutor{fakeExecutor: f, release: release, seen: func(s executor.Start) {
+		mu.Lock()
+		defer mu.Unlock()
+		deadlines[s.Task] = s.Deadline
+	}}
+	a := newTestAgent(t, f)
+	a.cfg.Client = slow
+	o := connectOwner(t, a, 1)
+	a.Heartbeat(testInfo())
+	var starts []wire.StartOrder
+	for i := range maxOrders + 1 {
+		starts = append(starts, wire.StartOrder{Task: string(rune('a' + i)), Run: 1})
+	}
+	assert.NilError(t, o.peer.Notify(&wire.Orders{Epoch: 1, Executor: "i-1", Born: 7, LeaseEnd: 5000, Starts: starts}))
+	assert.NilError(t, o.peer.Notify(&wire.Orders{Epoch: 1, Executor: "i-1", Born: 7, LeaseEnd: 9000}))
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	for range starts {
+		waitFor(t, o.results, "result", func(*wire.OrderResults) bool { return true })
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	for _, s := range starts {
+		assert.Equal(t, deadlines[s.Task], int64(5000), s.Task)
+	}
+}
+
+// slowExecutor answers starts only when it is released.
+type slowExecutor struct {
+	*fakeExecutor
+	release chan struct{}
+	seen    func(executor.Start)
+}
+
+func (s *slowExecutor) Start(_ context.Context, _ executor.Info, o executor.Start) executor.Answer {
+	<-s.release
+	s.seen(o)
+	return executor.Answer{}
+}
