--- a/coordinator/links.go
+++ b/coordinator/links.go
@@ -33,6 +33,7 @@
 	lead  func() *wire.Lead
 	clock clock.Clock
 	log   zerolog.Logger
+	dial  func(ctx context.Context, address string) (net.Conn, error)
 	// received handles messages of members; lost tells of connections that ended.
 	received wire.Handler
 	lost     func(m member.Member)
@@ -93,8 +94,7 @@
 
 // session reports whether a connection was established. It returns when the connection has ended.
 func (l *links) session(ctx context.Context, m member.Member) bool {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", m.Address)
+	conn, err := l.connect(ctx, m.Address)
 	if err != nil {
 		return false
 	}
@@ -124,6 +124,18 @@
 	return true
 }
 
+func (l *links) connect(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return l.dial(ctx, address)
+}
+
+// dialTCP connects to a member over TCP.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // beat sends the lead message and waits for the answer.
 func (l *links) beat(ctx context.Context, name string, p *wire.Peer) error {
 	ctx, cancel := context.WithTimeout(ctx, silentAfter)
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,8 @@
 	Member member.Member
 	// Advice is nil where the deployment has no advice service.
 	Advice advice.Client
+	// Dial connects to a member; nil connects over TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// HighestEpoch returns the highest epoch that this process has heard of.
 	HighestEpoch func() uint64
 	// Manifest returns the manifest in force in this process, nil before the first.
@@ -98,7 +101,11 @@
 	o.commit = committer{table: cfg.Store, head: h, retried: func(err error) {
 		events.CommitRetried.Log(cfg.Log).Err(err).Uint64("epoch", h.Epoch).Send()
 	}}
-	o.links = &links{lead: o.lead, clock: cfg.Clock, log: cfg.Log, received: o.receive,
+	dial := cfg.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	o.links = &links{lead: o.lead, clock: cfg.Clock, log: cfg.Log, dial: dial, received: o.receive,
 		acked: make(map[string]time.Duration),
 		lost:  o.memberLost,
 		peers: make(map[string]*wire.Peer), stops: make(map[string]context.CancelFunc), known: make(map[string]member.Member)}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -430,6 +430,23 @@
 	assert.DeepEqual(t, f.starts()[1:], []string{name(0, 0) + "#2@e1"})
 }
 
+// The next lifetime under an id may carry out a start that was meant for the one
+// before. Its end counts: another run of the task would be a second one.
+func TestEndListedByTheNextLifetimeCounts(t *testing.T) {
+	f := newFixture(t)
+	f.executor("e1", nil)
+	f.add(testSubmission(testStep(1)))
+	f.turn()
+	reborn := testInfo("e1", f.now)
+	reborn.Born = 2
+	f.owner.Report(&wire.Report{Epoch: testEpoch, Agent: "agent-e1", Info: reborn, Full: true,
+		Ended: []executor.End{{Number: 1, Task: name(0, 0), Run: 1, Cause: executor.Done}}}, f.now)
+	f.turn()
+	assert.Equal(t, len(f.starts()), 1, "%v", f.starts())
+	state, _ := f.owner.State(testID)
+	assert.Equal(t, state, submission.Completed)
+}
+
 // After a loss of power executors come back under other ids. A new owner knows
 // the earlier lifetimes only from the records, and must not wait for their leases
 // when another lifetime answers at the same address.
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -22,7 +22,9 @@
 		o.executorGone(r.Info.Incarnation, now)
 		return
 	}
-	o.replaceOlder(r.Info, now)
+	if r.Epoch == o.epoch {
+		o.replaceOlder(r.Info, now)
+	}
 	n := o.node(r.Info.Incarnation)
 	if n.gone {
 		return
@@ -97,6 +99,7 @@
 		o.stats.Lost++
 		events.RunLost.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", n.info.ID).
 			Bool("gone", n.gone).Dur("silent", o.silence(n, now)).Send()
+		t.lostOn = n.info.Incarnation
 		o.requeue(t, now)
 	}
 }
@@ -139,6 +142,7 @@
 		n.lastEnd = e.Number
 		o.pending.acks[n] = struct{}{}
 		t := o.find(e.Task)
+		o.takeFromPredecessor(t, n, e, now)
 		if t == nil || t.rec.State != submission.TaskAssigned || t.rec.Run != e.Run || t.node != n {
 			events.EndIgnored.Log(o.log).Str("task", e.Task).Uint32("run", e.Run).Str("cause", e.Cause.String()).
 				Str("executor", n.info.ID).Send()
@@ -148,6 +152,19 @@
 	}
 }
 
+// takeFromPredecessor assigns a run that was lost with an earlier lifetime to the
+// next one under the same id, which may have carried out its start and lists its end.
+func (o *Owner) takeFromPredecessor(t *taskEntry, n *node, e executor.End, now time.Duration) {
+	if t == nil || t.rec.State != submission.TaskPending || t.rec.Run != e.Run || t.step().Gang || t.job.state.Final() ||
+		t.lostOn.ID != n.info.ID || t.lostOn.Born >= n.info.Born {
+		return
+	}
+	t.rec.State, t.rec.Executor, t.rec.Address = submission.TaskAssigned, n.info.Incarnation, n.info.Address
+	t.node, t.phase, t.changedAt = n, phaseRunning, now
+	n.reserve(t)
+	o.openStep(t.stepKey(), t.job, now)
+}
+
 func (o *Owner) applyEnd(t *taskEntry, n *node, e executor.End, now time.Duration) {
 	o.stats.Ends++
 	events.RunEnded.Log(o.log).Str("task", e.Task).Uint32("run", e.Run).Str("cause", e.Cause.String()).
--- a/history/check_test.go
+++ b/history/check_test.go
@@ -111,6 +111,18 @@
 			{Kind: TaskRunStart, Task: "u", Attempt: 2, VM: "c"}, {Kind: TaskRunEnd, Task: "u", Attempt: 2, VM: "c"}}},
 		{"runs on after its end", NothingLost, []Event{{Kind: TaskRunStart, Task: "u", Attempt: 1, VM: "c"},
 			{Kind: TaskTerminal, Task: "u", Attempt: 1, Outcome: task.Cancelled}}},
+		{"runs again after its success was confirmed", NothingLost, []Event{{Kind: TaskRunStart, Task: "u", Attempt: 1, VM: "c"},
+			{Kind: TaskRunEnd, Task: "u", Attempt: 1, VM: "c", Outcome: task.Succeeded}, {Kind: TaskEndNoted, Task: "u", Attempt: 1},
+			{Kind: TaskRunStart, Task: "u", Attempt: 2, VM: "c"}, {Kind: TaskRunEnd, Task: "u", Attempt: 2, VM: "c"}}},
+		{"starts before its dependency", StepOrder, []Event{{Kind: TaskAccepted, Task: "u", DependsOn: []string{"v"}},
+			{Kind: TaskRunStart, Task: "u", Attempt: 1, VM: "c"}, {Kind: TaskRunEnd, Task: "u", Attempt: 1, VM: "c"},
+			{Kind: TaskCompleted, Task: "u"}}},
+		{"starts after its last failure", FailureBudget, []Event{{Kind: TaskAccepted, Task: "u", MaxFailures: 1},
+			{Kind: TaskRunStart, Task: "u", Attempt: 1, VM: "c"}, {Kind: TaskRunEnd, Task: "u", Attempt: 1, VM: "c", Outcome: task.Failed},
+			{Kind: TaskEndNoted, Task: "u", Attempt: 1}, {Kind: TaskRunStart, Task: "u", Attempt: 2, VM: "c"},
+			{Kind: TaskRunEnd, Task: "u", Attempt: 2, VM: "c"}, {Kind: TaskTerminal, Task: "u", Outcome: task.Failed}}},
+		{"runs on after its cancellation", CancelHolds, []Event{{Kind: TaskRunStart, Task: "u", Attempt: 1, VM: "c"},
+			{Kind: TaskCancelled, Task: "u"}}},
 		{"request without answer", NothingLost, []Event{{Kind: RequestSent, Request: "q"}}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/history/history.go
+++ b/history/history.go
@@ -54,6 +54,12 @@
 	TaskFound
 	// RequestAdmitted: a process admitted a request under a configuration generation.
 	RequestAdmitted
+	// TaskEndNoted: the system has confirmed to the executor that the end of an
+	// attempt is durable; the executor has forgotten it. An end that is confirmed only
+	// after the lease has lapsed is not recorded.
+	TaskEndNoted
+	// TaskCancelled: the cancellation of a task was acknowledged to the client.
+	TaskCancelled
 )
 
 // Event is one recorded fact. Unused fields are zero.
@@ -79,6 +85,10 @@
 	// Process and Generation belong to configuration events.
 	Process    string
 	Generation uint64
+	// DependsOn and MaxFailures belong to TaskAccepted: the tasks that must succeed
+	// first, and the number of noted failures that ends the task, 0 for no bound.
+	DependsOn   []string
+	MaxFailures int
 }
 
 // Recorder collects events. A nil Recorder drops them. It is safe for concurrent use.
--- a/standin/link.go
+++ b/standin/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/chicorystand/chicorystand/errkind"
 	"github.com/chicorystand/chicorystand/store"
@@ -11,7 +12,7 @@
 // Link is one process's path to a table. It can be cut, and can lose the answer
 // of a chosen commit, without an effect on other processes.
 type Link struct {
-	table store.Table
+	table store.Follower
 
 	mu      sync.Mutex
 	cut     bool
@@ -20,7 +21,7 @@
 }
 
 // NewLink returns an intact link to table.
-func NewLink(table store.Table) *Link { return &Link{table: table} }
+func NewLink(table store.Follower) *Link { return &Link{table: table} }
 
 // SetCut makes every operation fail without effect while cut is true.
 func (l *Link) SetCut(cut bool) {
@@ -83,3 +84,23 @@
 	}
 	return versions, err
 }
+
+// List implements store.Follower.
+func (l *Link) List(ctx context.Context, table, after string) (store.Page, error) {
+	if err := l.check(); err != nil {
+		return store.Page{}, err
+	}
+	return l.table.List(ctx, table, after)
+}
+
+// Changes implements store.Follower. A cut ends a call that waits.
+func (l *Link) Changes(ctx context.Context, table string, version uint64, wait time.Duration) (store.Page, error) {
+	if err := l.check(); err != nil {
+		return store.Page{}, err
+	}
+	page, err := l.table.Changes(ctx, table, version, wait)
+	if cut := l.check(); cut != nil {
+		return store.Page{}, cut
+	}
+	return page, err
+}
--- a/vmagent/orders.go
+++ b/vmagent/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/chicorystand/chicorystand/events"
@@ -67,7 +66,11 @@
 		return
 	}
 	defer func() { <-u.slots }()
+	if !u.began(ctx, k) {
+		return
+	}
 	answer, uncertain := u.startUntilCertain(ctx, s, epoch)
+	u.answered(k, answer)
 	if ctx.Err() != nil {
 		return
 	}
@@ -81,24 +84,12 @@
 	u.result(epoch, wire.OrderResult{Task: k.task, Run: k.run, Outcome: answer.Outcome, Reason: answer.Reason})
 }
 
-// listUntilGone reports lists to the owner until one does not hold the run, so
-// that the owner knows its end before the refusal of its start.
+// listUntilGone reports a list that does not hold the run, so that the owner knows
+// its end before the refusal of its start. It gives up when another owner is heard.
 func (u *unit) listUntilGone(ctx context.Context, k runKey, epoch uint64) bool {
-	for ctx.Err() == nil {
-		h, info := u.holdRequest(epoch)
-		h.Wait = 0
-		snap := u.agent.cfg.Client.Hold(ctx, info, h)
-		u.agent.cfg.Observe("hold", snap.Answer)
-		switch {
-		case snap.Outcome == executor.OtherIncarnation:
-			return false
-		case snap.Outcome == executor.OK && snap.Born != 0 && snap.Born != u.inc.Born:
-			return false
-		case snap.Outcome == executor.OK:
-			u.report(epoch, snap)
-			if !slices.ContainsFunc(snap.Running, func(r executor.Run) bool { return r.Task == k.task && r.Number == k.run }) {
-				return true
-			}
+	for ctx.Err() == nil && u.agent.cfg.Link.Epoch() == epoch {
+		if u.listWithout([]runKey{k}, epoch) {
+			return true
 		}
 		u.pause(ctx, failurePause)
 	}
@@ -114,20 +105,21 @@
 	}
 }
 
-// startUntilCertain returns the last answer and whether an earlier attempt had no answer.
-func (u *unit) startUntilCertain(ctx context.Context, s wire.StartOrder, epoch uint64) (executor.Answer, bool) {
-	uncertain, unavailable := false, 0
-	for {
-		u.agent.mu.Lock()
-		order := executor.Start{Task: s.Task, Run: s.Run, Specification: s.Specification, Checkpoint: s.Checkpoint,
-			Epoch: epoch, Deadline: u.starting[runKey{s.Task, s.Run}].leaseEnd, Ticket: s.Ticket}
-		info := u.info
-		u.agent.mu.Unlock()
-		if info.Draining && !uncertain {
-			return executor.Answer{Outcome: executor.Unavailable}, false
+// startUntilCertain returns the last answer and whether an earlier attempt had no
+// answer. It gives up when another owner is heard.
+func (u *unit) startUntilCertain(ctx context.Context, s wire.StartOrder, epoch uint64) (answer executor.Answer, uncertain bool) {
+	answer.Outcome = executor.Unavailable
+	unavailable := 0
+	for attempt := 0; ctx.Err() == nil && u.agent.cfg.Link.Epoch() == epoch; attempt++ {
+		if attempt > 0 {
+			u.pause(ctx, orderRetry)
+		}
+		if attempt == 0 || u.sameLifetime(ctx, epoch) {
+			if u.draining() && !uncertain {
+				return executor.Answer{Outcome: executor.Unavailable}, false
+			}
+			answer = u.sendStart(ctx, s, epoch)
 		}
-		answer := u.agent.cfg.Client.Start(ctx, info, order)
-		u.agent.cfg.Observe("start", answer)
 		switch answer.Outcome {
 		case executor.OK, executor.Rejected, executor.OtherIncarnation:
 			return answer, uncertain
@@ -137,13 +129,43 @@
 			}
 		case executor.Unknown:
 			uncertain = true
-			events.OrderUncertain.Log(u.agent.cfg.Log).Str("task", s.Task).Uint32("run", s.Run).Str("order", "start").Send()
 		}
-		if ctx.Err() != nil {
-			return answer, uncertain
-		}
-		u.pause(ctx, orderRetry)
 	}
+	return answer, uncertain
+}
+
+func (u *unit) draining() bool {
+	u.agent.mu.Lock()
+	defer u.agent.mu.Unlock()
+	return u.info.Draining
+}
+
+// sendStart sends a start once.
+func (u *unit) sendStart(ctx context.Context, s wire.StartOrder, epoch uint64) executor.Answer {
+	u.agent.mu.Lock()
+	order := executor.Start{Task: s.Task, Run: s.Run, Specification: s.Specification, Checkpoint: s.Checkpoint,
+		Epoch: epoch, Deadline: u.starting[runKey{s.Task, s.Run}].leaseEnd, Ticket: s.Ticket}
+	info := u.info
+	u.agent.mu.Unlock()
+	// The outcome of a call in progress is wanted even when the lifetime has ended.
+	answer := u.agent.cfg.Client.Start(context.WithoutCancel(ctx), info, order)
+	u.agent.cfg.Observe("start", answer)
+	if answer.Outcome == executor.Unknown {
+		events.OrderUncertain.Log(u.agent.cfg.Log).Str("task", s.Task).Uint32("run", s.Run).Str("order", "start").Send()
+	}
+	return answer
+}
+
+// sameLifetime reports whether a list proves that this lifetime is still there. An
+// executor that did not carry out an order may have started again under its id, and
+// the order must not reach the next lifetime.
+func (u *unit) sameLifetime(ctx context.Context, epoch uint64) bool {
+	u.agent.mu.Lock()
+	info := u.info
+	u.agent.mu.Unlock()
+	snap := u.agent.cfg.Client.Hold(ctx, info, executor.Hold{Epoch: epoch})
+	u.agent.cfg.Observe("hold", snap.Answer)
+	return snap.Outcome == executor.OK && (snap.Born == 0 || snap.Born == u.inc.Born)
 }
 
 func (u *unit) pause(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/vmagent/successor.go
@@ -0,0 +1,206 @@
+package vmagent
+
+import (
+	"context"
+	"slices"
+
+	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/executor"
+	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+// An order names the executor by its id, so one that was meant for a lifetime that
+// has ended may be carried out by the next under the same id. The agent therefore
+// remembers the starts of which no later list has proved that the lifetime was
+// still there. The next lifetime under the id ends them before the owner is told of
+// the end of the one before, since the owner then starts the tasks elsewhere.
+
+// sentStart is what is known of a start that no later list has proved.
+type sentStart uint8
+
+const (
+	// startInProgress: a call is in progress.
+	startInProgress sentStart = iota
+	// startTaken: an executor has carried the start out, or may have.
+	startTaken
+	// startRefused: no executor has carried the start out.
+	startRefused
+)
+
+// began notes that a start is being sent. It reports false when the lifetime has ended.
+func (u *unit) began(ctx context.Context, k runKey) bool {
+	u.agent.mu.Lock()
+	defer u.agent.mu.Unlock()
+	if ctx.Err() != nil {
+		return false
+	}
+	u.unproven[k] = startInProgress
+	u.calls.Add(1)
+	return true
+}
+
+// answered notes the last answer to a start; no call is in progress any more.
+func (u *unit) answered(k runKey, a executor.Answer) {
+	u.agent.mu.Lock()
+	defer u.agent.mu.Unlock()
+	u.unproven[k] = startRefused
+	if a.Outcome == executor.OK || a.Outcome == executor.Unknown {
+		u.unproven[k] = startTaken
+	}
+	u.calls.Done()
+}
+
+// answeredStarts returns the starts that a list which is requested now will prove.
+// The caller holds the agent's mu.
+func (u *unit) answeredStarts() []runKey {
+	var keys []runKey
+	for k, state := range u.unproven {
+		if state != startInProgress {
+			keys = append(keys, k)
+		}
+	}
+	return keys
+}
+
+// proven notes that a list of this lifetime was requested after the answers to the starts.
+func (u *unit) proven(keys []runKey) {
+	u.agent.mu.Lock()
+	defer u.agent.mu.Unlock()
+	for _, k := range keys {
+		delete(u.unproven, k)
+	}
+}
+
+// endLocked takes note that a lifetime of an executor has ended. The caller holds mu.
+func (a *Agent) endLocked(u *unit, cause string) {
+	inc := u.info.Incarnation
+	if a.executors[inc] != u {
+		return
+	}
+	delete(a.executors, inc)
+	// The next lifetime may bear an earlier time when the clock was set back.
+	delete(a.newest, u.info.Address)
+	u.cancel()
+	events.ExecutorEnded.Log(a.cfg.Log).Str("executor", inc.ID).Int64("born", inc.Born).Str("cause", cause).
+		Int("unproven", len(u.unproven)).Send()
+	if len(u.unproven) == 0 {
+		a.reportEnd(u)
+		return
+	}
+	a.ended[inc] = false
+	a.predecessors[inc.ID] = append(a.predecessors[inc.ID], u)
+	if cause != causeReplaced && cause != causeOtherLifetime {
+		go a.reportEndAfterCalls(u)
+	}
+}
+
+// reportEndAfterCalls tells the owner of the end of a lifetime once its calls have
+// returned. When one of them was carried out meanwhile, a later lifetime under the
+// id has to report the end; without one, the lease ends the wait.
+func (a *Agent) reportEndAfterCalls(u *unit) {
+	a.mu.Lock()
+	inProgress := make(map[runKey]struct{})
+	for k, state := range u.unproven {
+		if state == startInProgress {
+			inProgress[k] = struct{}{}
+		}
+	}
+	a.mu.Unlock()
+	u.calls.Wait()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for k := range inProgress {
+		if u.unproven[k] == startTaken {
+			return
+		}
+	}
+	a.reportEnd(u)
+}
+
+// reportEnd tells the owner of the end of a lifetime, once. The caller holds mu.
+func (a *Agent) reportEnd(u *unit) {
+	if a.ended[u.inc] {
+		return
+	}
+	a.ended[u.inc] = true
+	a.send(&wire.Report{Epoch: a.cfg.Link.Epoch(), Agent: a.cfg.Name, Info: u.info, Gone: true})
+}
+
+// settle ends in this lifetime what was meant for the earlier ones under its id,
+// and reports their ends. Its list goes first: it holds the ends of runs that this
+// lifetime has taken.
+func (u *unit) settle() {
+	u.agent.mu.Lock()
+	earlier := u.agent.predecessors[u.inc.ID]
+	delete(u.agent.predecessors, u.inc.ID)
+	u.agent.mu.Unlock()
+	var runs []runKey
+	for _, before := range earlier {
+		before.calls.Wait()
+		for k := range before.unproven {
+			runs = append(runs, k)
+		}
+	}
+	if len(earlier) == 0 || !u.endRuns(runs) {
+		return
+	}
+	u.agent.mu.Lock()
+	defer u.agent.mu.Unlock()
+	for _, before := range earlier {
+		u.agent.reportEnd(before)
+	}
+}
+
+// endRuns stops runs and reports a list that holds none of them. It reports false
+// when the lifetime has ended before.
+func (u *unit) endRuns(runs []runKey) bool {
+	for u.ctx.Err() == nil {
+		if epoch := u.agent.cfg.Link.Epoch(); epoch != 0 && u.stopAll(runs, epoch) && u.listWithout(runs, epoch) {
+			return true
+		}
+		u.sleep(failurePause)
+	}
+	return false
+}
+
+func (u *unit) stopAll(runs []runKey, epoch uint64) bool {
+	for _, k := range runs {
+		if !u.stopUntilCertain(u.ctx, k, epoch) {
+			return false
+		}
+	}
+	return true
+}
+
+// listWithout reads a list and reports it to the owner unless it holds one of the runs.
+func (u *unit) listWithout(runs []runKey, epoch uint64) bool {
+	h, info, _ := u.holdRequest(epoch)
+	h.Wait = 0
+	snap := u.agent.cfg.Client.Hold(u.ctx, info, h)
+	u.agent.cfg.Observe("hold", snap.Answer)
+	if snap.Outcome != executor.OK || (snap.Born != 0 && snap.Born != u.inc.Born) ||
+		slices.ContainsFunc(snap.Running, func(r executor.Run) bool { return slices.Contains(runs, runKey{r.Task, r.Number}) }) {
+		return false
+	}
+	u.report(epoch, snap)
+	return true
+}
+
+// newOwner reports everything again.
+func (a *Agent) newOwner() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for inc, reported := range a.ended {
+		if reported {
+			a.sendGone(inc)
+		}
+	}
+	for _, u := range a.executors {
+		u.list()
+	}
+}
+
+func (a *Agent) sendGone(inc submission.Incarnation) {
+	a.send(&wire.Report{Epoch: a.cfg.Link.Epoch(), Agent: a.cfg.Name, Info: executor.Info{Incarnation: inc}, Gone: true})
+}
--- a/vmagent/unit.go
+++ b/vmagent/unit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/chicorystand/chicorystand/events"
@@ -58,12 +59,16 @@
 	listNow  bool
 	starting map[runKey]*pendingStart
 	stopping map[runKey]struct{}
+	// unproven holds the starts that may have reached the next lifetime under the id.
+	unproven map[runKey]sentStart
+	// calls counts the starts that are being sent.
+	calls sync.WaitGroup
 }
 
 func newUnit(a *Agent, info executor.Info) *unit {
 	ctx, cancel := context.WithCancel(a.ctx)
 	return &unit{agent: a, inc: info.Incarnation, ctx: ctx, cancel: cancel, info: info, wake: make(chan struct{}, 1), slots: make(chan struct{}, maxOrders),
-		starting: make(map[runKey]*pendingStart), stopping: make(map[runKey]struct{})}
+		starting: make(map[runKey]*pendingStart), stopping: make(map[runKey]struct{}), unproven: make(map[runKey]sentStart)}
 }
 
 // list makes a list be read as soon as possible. The caller holds the agent's mu.
@@ -83,13 +88,18 @@
 // poll reads the executor's list again and again until its lifetime ends.
 func (u *unit) poll() {
 	refused, failing := 0, false
+	u.settle()
 	for u.ctx.Err() == nil {
 		epoch := u.agent.cfg.Link.Epoch()
 		if epoch == 0 {
 			u.sleep(failurePause)
 			continue
 		}
-		h, info := u.holdRequest(epoch)
+		h, info, starts := u.holdRequest(epoch)
+		if failing {
+			// After silence the next lifetime under the id may answer, which counts its ends anew.
+			h.LastSeen = 0
+		}
 		snap := u.agent.cfg.Client.Hold(u.ctx, info, h)
 		u.agent.cfg.Observe("hold", snap.Answer)
 		if u.ctx.Err() != nil {
@@ -103,17 +113,18 @@
 		case executor.OK:
 			refused = 0
 			if snap.Born != 0 && snap.Born != info.Born {
-				u.end("other lifetime at the address")
+				u.end(causeOtherLifetime)
 				return
 			}
+			u.proven(starts)
 			u.report(epoch, snap)
 			u.awaitAck(snap)
 		case executor.OtherIncarnation:
-			u.end("other id at the address")
+			u.end(causeOtherID)
 			return
 		case executor.NoListener:
 			if refused++; refused >= refusals {
-				u.end("connection refused")
+				u.end(causeRefused)
 				return
 			}
 			u.sleep(failurePause / 2)
@@ -146,7 +157,8 @@
 	u.agent.endLocked(u, cause)
 }
 
-func (u *unit) holdRequest(epoch uint64) (executor.Hold, executor.Info) {
+// holdRequest returns the next request for a list, and the starts that were answered before it.
+func (u *unit) holdRequest(epoch uint64) (executor.Hold, executor.Info, []runKey) {
 	u.agent.mu.Lock()
 	defer u.agent.mu.Unlock()
 	h := executor.Hold{Epoch: epoch, Deadline: u.leaseEnd, LastSeen: u.lastSeen, Wait: listWait}
@@ -156,7 +168,7 @@
 	if u.listNow {
 		h.Wait, u.listNow = 0, false
 	}
-	return h, u.info
+	return h, u.info, u.answeredStarts()
 }
 
 // report sends the list to the owner, with the ends that it has not seen.
--- a/vmagent/vmagent.go
+++ b/vmagent/vmagent.go
@@ -41,13 +41,16 @@
 	executors map[submission.Incarnation]*unit
 	// newest is the start of the newest lifetime at each address.
 	newest map[string]int64
-	ended  map[submission.Incarnation]struct{}
+	// ended holds the lifetimes that have ended, and whether the owner may know.
+	ended map[submission.Incarnation]bool
+	// predecessors are ended lifetimes by id, whose starts the next one under the id may have taken.
+	predecessors map[string][]*unit
 }
 
 // New returns an agent that works until ctx ends.
 func New(ctx context.Context, cfg Config) *Agent {
 	return &Agent{cfg: cfg, ctx: ctx, executors: make(map[submission.Incarnation]*unit), newest: make(map[string]int64),
-		ended: make(map[submission.Incarnation]struct{})}
+		ended: make(map[submission.Incarnation]bool), predecessors: make(map[string][]*unit)}
 }
 
 // Heartbeat takes in what an executor says about itself.
@@ -61,7 +64,7 @@
 	a.newest[info.Address] = info.Born
 	for inc, u := range a.executors {
 		if inc != info.Incarnation && inc.Born < info.Born && (u.info.Address == info.Address || inc.ID == info.ID) {
-			a.endLocked(u, "replaced")
+			a.endLocked(u, causeOf(inc, info.Incarnation))
 		}
 	}
 	u := a.executors[info.Incarnation]
@@ -85,32 +88,37 @@
 	return true
 }
 
+// Causes of the end of a lifetime, for the log.
+const (
+	// causeReplaced: a later lifetime under the same id sends heartbeats.
+	causeReplaced = "replaced under its id"
+	// causeSuccessor: a later lifetime under another id sends heartbeats from the address.
+	causeSuccessor = "replaced at its address"
+	// causeOtherLifetime: a later lifetime under the same id answers at the address.
+	causeOtherLifetime = "other lifetime at the address"
+	causeOtherID       = "other id at the address"
+	causeRefused       = "connection refused"
+	causeLeft          = "left"
+)
+
+func causeOf(ended, next submission.Incarnation) string {
+	if ended.ID == next.ID {
+		return causeReplaced
+	}
+	return causeSuccessor
+}
+
 // Leave takes note of the planned end of an executor.
 func (a *Agent) Leave(id string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for inc, u := range a.executors {
 		if inc.ID == id {
-			a.endLocked(u, "left")
+			a.endLocked(u, causeLeft)
 		}
 	}
 }
 
-// endLocked takes note that a lifetime of an executor has ended. The caller holds mu.
-func (a *Agent) endLocked(u *unit, cause string) {
-	inc := u.info.Incarnation
-	if a.executors[inc] != u {
-		return
-	}
-	delete(a.executors, inc)
-	a.ended[inc] = struct{}{}
-	// The next lifetime may bear an earlier time when the clock was set back.
-	delete(a.newest, u.info.Address)
-	u.cancel()
-	events.ExecutorEnded.Log(a.cfg.Log).Str("executor", inc.ID).Int64("born", inc.Born).Str("cause", cause).Send()
-	a.send(&wire.Report{Epoch: a.cfg.Link.Epoch(), Agent: a.cfg.Name, Info: u.info, Gone: true})
-}
-
 // send reports to the owner. Without a connection the report is dropped: the
 // next owner gets a complete list.
 func (a *Agent) send(m wire.Message) {
@@ -142,27 +150,15 @@
 	}
 }
 
-// newOwner reports everything again.
-func (a *Agent) newOwner() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for inc := range a.ended {
-		a.send(&wire.Report{Epoch: a.cfg.Link.Epoch(), Agent: a.cfg.Name, Info: executor.Info{Incarnation: inc}, Gone: true})
-	}
-	for _, u := range a.executors {
-		u.list()
-	}
-}
-
 func (a *Agent) orders(m *wire.Orders) {
 	inc := submission.Incarnation{ID: m.Executor, Born: m.Born}
 	a.mu.Lock()
 	u := a.executors[inc]
-	_, over := a.ended[inc]
+	over := a.ended[inc]
 	a.mu.Unlock()
 	if u == nil {
 		if over {
-			a.send(&wire.Report{Epoch: m.Epoch, Agent: a.cfg.Name, Info: executor.Info{Incarnation: inc}, Gone: true})
+			a.sendGone(inc)
 		}
 		return
 	}
