--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -99,7 +99,7 @@
 // pace orders a pace.
 func (o *Owner) pace(t *taskEntry, percent int, now time.Duration) {
 	t.node.place.Filling += t.filling(percent) - t.filling(t.pace)
-	t.pace, t.pacedAt = percent, now
+	t.pace, t.pacedAt, t.whole = percent, now, false
 	b := o.out(t.node)
 	b.paces = append(b.paces, wire.PaceOrder{Task: t.name(), Run: t.rec.Run, Percent: percent})
 	b.touched = true
@@ -230,12 +230,17 @@
 }
 
 func (o *Owner) hasBetterNode(t *taskEntry, from *node, now time.Duration) bool {
+	return o.hasNode(t, from, now, func(n *node) bool { return o.expectedLatency(t.step(), n) <= placement.MaxExpectedLatency })
+}
+
+// hasNode reports whether another executor can take the task now and is good enough.
+func (o *Owner) hasNode(t *taskEntry, from *node, now time.Duration, good func(*node) bool) bool {
 	places, nodes := o.nodes(o.service(t.job.sub), now)
 	w := &waitingStep{key: t.stepKey(), job: t.job, since: now}
 	w.allowed = o.allowed(w, nodes, now)
 	q := o.query(w, t, t.step(), o.countByNode(w), "", nodes, now)
 	for i, n := range nodes {
-		if n != from && placement.Fits(q, places[i]) && o.expectedLatency(t.step(), n) <= placement.MaxExpectedLatency {
+		if n != from && placement.Fits(q, places[i]) && good(n) {
 			return true
 		}
 	}
@@ -244,9 +249,9 @@
 
 const (
 	// moveInterval is the time between two looks for runs to move.
-	moveInterval = 500 * time.Millisecond
+	moveInterval = 300 * time.Millisecond
 	// movesAtOnce bounds the runs that leave one executor in each interval.
-	movesAtOnce = 2
+	movesAtOnce = 4
 	// slowPace is the pace in percent up to which a run may be moved.
 	slowPace = 30
 	// cheapPercent is the progress up to which a run without checkpoints may be stopped.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"github.com/chicorystand/chicorystand/advice"
 	"github.com/chicorystand/chicorystand/contention"
 	"github.com/chicorystand/chicorystand/manifest"
+	"github.com/chicorystand/chicorystand/speed"
 	"github.com/chicorystand/chicorystand/submission"
 )
 
@@ -72,6 +73,10 @@
 	changed  bool
 	placedAt time.Duration
 	movedAt  time.Duration
+	// rescuedAt is when runs on slow executors were last looked at.
+	rescuedAt time.Duration
+	// estimates is what is known of the estimates of each queue's submissions.
+	estimates map[string]*speed.Estimates
 	// now is the time of the last run of the systems.
 	now         time.Duration
 	knowledgeAt time.Duration
@@ -102,7 +107,7 @@
 func New(b Bounds, epoch uint64, now time.Duration, unix func(time.Duration) int64, log zerolog.Logger) *Owner {
 	return &Owner{bounds: b, epoch: epoch, since: now, now: now, knowledgeAt: now, lastCommit: now, log: log, unix: unix, jobs: make(map[string]*job),
 		executors: make(map[submission.Incarnation]*node), waiting: make(map[stepKey]*waitingStep), timed: make(map[string]*job),
-		dirty: make(map[string]*job), outbox: make(map[submission.Incarnation]*outbox), pending: newEffects(), contention: contention.New(), advice: advice.NewTable()}
+		dirty: make(map[string]*job), outbox: make(map[submission.Incarnation]*outbox), pending: newEffects(), estimates: make(map[string]*speed.Estimates), contention: contention.New(), advice: advice.NewTable()}
 }
 
 // Epoch returns the owner's epoch.
@@ -126,6 +131,7 @@
 	o.releaseDue(now)
 	o.evacuate(now)
 	o.moveSlowed(now)
+	o.moveFromSlow(now)
 	o.place(now)
 	o.repeatOrders(now)
 	o.forget(now)
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -182,7 +182,7 @@
 	}
 	t.rec.State, t.rec.Executor, t.rec.Address = submission.TaskPending, submission.Incarnation{}, ""
 	t.phase, t.changedAt = phaseIdle, now
-	t.stopping, t.stopAcked, t.percent, t.progressAt, t.missing = false, 0, 0, 0, 0
+	t.stopping, t.stopAcked, t.percent, t.progressAt, t.missing, t.basedAt, t.whole = false, 0, 0, 0, 0, 0, false
 	o.dirty[t.job.sub.ID] = t.job
 	o.changed = true
 }
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -159,6 +159,7 @@
 		events.RunStarted.Log(o.log).Str("task", r.Task).Uint32("run", r.Run).Str("executor", n.info.ID).
 			Dur("answered", now-t.orderedAt).Send()
 		o.confirm(t, now)
+		o.beginSpeed(t, now)
 		return
 	}
 	o.stats.Rejected++
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -175,6 +175,7 @@
 	switch e.Cause {
 	case executor.Done:
 		n.health.observe(false, now)
+		o.observeEnd(t, now)
 		o.endDone(t, now)
 	case executor.Failed:
 		n.health.observe(true, now)
@@ -295,7 +296,7 @@
 			continue
 		}
 		n.place.Closed = false
-		n.place.Suspicion = n.health.share(now)
+		n.place.Suspicion = n.suspicion(now)
 		places = append(places, &n.place)
 		nodes = append(nodes, n)
 	}
--- /dev/null
+++ b/dispatch/speed_test.go
@@ -0,0 +1,84 @@
+package dispatch
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorystand/chicorystand/executor"
+)
+
+// progressOf drives six runs, two on each of three executors, for a while. On "e1"
+// they work at the given share of the usual speed.
+func (f *fixture) progressOf(share float64, d time.Duration) {
+	runs := make(map[string][]string)
+	for _, s := range f.starts() {
+		run, at, _ := strings.Cut(s, "@")
+		runs[at] = append(runs[at], strings.TrimSuffix(run, "#1"))
+	}
+	begin := f.now
+	for f.now < begin+d {
+		f.now += 300 * time.Millisecond
+		for _, id := range []string{"e1", "e2", "e3"} {
+			percent := float64(f.now-begin) / float64(4*time.Second) * 100
+			if id == "e1" {
+				percent *= share
+			}
+			var running []executor.Run
+			for _, name := range runs[id] {
+				running = append(running, executor.Run{Task: name, Number: 1, Percent: int(percent)})
+			}
+			f.executor(id, running)
+		}
+		f.turn()
+	}
+}
+
+func slowFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := newFixture(t)
+	for _, id := range []string{"e1", "e2", "e3"} {
+		f.executor(id, nil)
+	}
+	step := testStep(6)
+	step.Estimate, step.MaxPerExecutor = 4*time.Second, 3
+	f.add(testSubmission(step))
+	f.turn()
+	assert.Equal(t, len(f.starts()), 6)
+	return f
+}
+
+// A step is done when its last task is: runs on an executor that has turned slow
+// would make the submission late, though the others have room.
+func TestRunsLeaveSlowExecutor(t *testing.T) {
+	f := slowFixture(t)
+	f.progressOf(0.2, 1500*time.Millisecond)
+	assert.Assert(t, len(f.stops()) > 0)
+	for _, s := range f.stops() {
+		assert.Assert(t, strings.HasSuffix(s, "@e1"), s)
+	}
+}
+
+// Executors that differ little must not pass runs to each other: each move throws
+// work away.
+func TestRunsStayOnExecutorThatIsALittleSlower(t *testing.T) {
+	f := slowFixture(t)
+	f.progressOf(0.7, 3*time.Second)
+	assert.Equal(t, len(f.stops()), 0, "%v", f.stops())
+}
+
+// A run that is nearly done is done earlier where it is.
+func TestRunThatIsNearlyDoneStays(t *testing.T) {
+	f := slowFixture(t)
+	f.progressOf(1, 3600*time.Millisecond)
+	name := ""
+	for _, s := range f.starts() {
+		if run, ok := strings.CutSuffix(s, "#1@e1"); ok {
+			name = run
+			break
+		}
+	}
+	assert.Assert(t, !f.owner.fasterElsewhere(f.owner.find(name), 3))
+}
--- a/dispatch/stall.go
+++ b/dispatch/stall.go
@@ -21,6 +21,7 @@
 // observeProgress takes in the progress of a run and stops it when it is stuck,
 // so that it can work on elsewhere.
 func (o *Owner) observeProgress(t *taskEntry, percent int, now time.Duration) {
+	o.observeSpeed(t, percent, now)
 	if percent != t.percent || t.progressAt == 0 || t.pace < minStallPace {
 		t.percent, t.progressAt = percent, now
 		return
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -7,6 +7,7 @@
 
 	"github.com/chicorystand/chicorystand/executor"
 	"github.com/chicorystand/chicorystand/placement"
+	"github.com/chicorystand/chicorystand/speed"
 	"github.com/chicorystand/chicorystand/submission"
 	"github.com/chicorystand/chicorystand/task"
 )
@@ -51,6 +52,13 @@
 	// pace is the last ordered pace in percent, pacedAt when it was ordered, 0 for never.
 	pace    int
 	pacedAt time.Duration
+	// basePercent and basedAt begin the time over which the speed is measured, 0 for none.
+	basePercent int
+	basedAt     time.Duration
+	// whole tells that the run began without a checkpoint and has worked at full pace.
+	whole bool
+	// moves counts the runs that were moved off a slow executor.
+	moves int
 	// missing counts complete lists of the executor that lacked the run.
 	missing int
 	// failedOn lists the executors on which a run has failed.
@@ -98,10 +106,12 @@
 	// released is the number of occurrences whose due time has come.
 	released int
 	started  bool
+	// speeds are the run times that are known, by step.
+	speeds map[stepKey]*speed.Step
 }
 
 func newJob(s *submission.Submission, now time.Duration) *job {
-	j := &job{sub: s, arrived: now}
+	j := &job{sub: s, arrived: now, speeds: make(map[stepKey]*speed.Step)}
 	for k := range s.Repeats() {
 		counts := make([]int, len(s.Steps))
 		for step := range s.Steps {
@@ -202,6 +212,7 @@
 	closedUntil time.Duration
 	drainEnd    time.Duration
 	health      health
+	speed       speed.Executor
 	// paces are the paces of the images that fill, in percent; they were ordered at pacedAt.
 	paces   map[string]int
 	pacedAt time.Duration
