--- a/command/chicoryctl/ctl_test.go
+++ b/command/chicoryctl/ctl_test.go
@@ -213,6 +213,17 @@
 	}
 }
 
+// Guards against a misspelt verb that prints help and counts as a success in a script.
+func TestUnknownVerbIsAUsageError(t *testing.T) {
+	for _, noun := range []string{"plan", "limit", "upstream", "task", "explain"} {
+		out, code := ctl(t, "", "", noun, "frobnicate")
+		assert.Equal(t, code, errkind.InvalidArgument.Answer().ExitCode, "%s: %s", noun, out)
+		assert.Assert(t, strings.Contains(out, `"frobnicate"`), "%s: %s", noun, out)
+		_, code = ctl(t, "", "", noun)
+		assert.Equal(t, code, 0, noun)
+	}
+}
+
 // Guards against a verb without an example in its help.
 func TestEveryVerbHasAnExample(t *testing.T) {
 	var visit func(c *cobra.Command)
--- a/command/chicoryctl/explain.go
+++ b/command/chicoryctl/explain.go
@@ -3,9 +3,7 @@
 import "github.com/spf13/cobra"
 
 func newExplain(o *options) *cobra.Command {
-	cmd := &cobra.Command{Use: "explain", Short: "Say why a task or a request waits, was refused, moved or evicted"}
-	cmd.AddCommand(newExplainTask(o), newExplainRequest(o))
-	return cmd
+	return newNoun("explain", "Say why a task or a request waits, was refused, moved or evicted", newExplainTask(o), newExplainRequest(o))
 }
 
 // sentences explain why a VM does not take a task, by the reasons of scheduler/tables.
--- a/command/chicoryctl/list.go
+++ b/command/chicoryctl/list.go
@@ -56,9 +56,7 @@
 }
 
 func newList(o *options, k listKind) *cobra.Command {
-	cmd := &cobra.Command{Use: k.noun, Short: k.short}
-	cmd.AddCommand(newListGet(o, k), newListApply(o, k), newListDiff(o, k), newListHistory(o, k))
-	return cmd
+	return newNoun(k.noun, k.short, newListGet(o, k), newListApply(o, k), newListDiff(o, k), newListHistory(o, k))
 }
 
 func (c *client) config(ctx context.Context) (plan.Document, error) {
--- a/command/chicoryctl/root.go
+++ b/command/chicoryctl/root.go
@@ -4,6 +4,8 @@
 
 import (
 	"github.com/spf13/cobra"
+
+	"github.com/chicorystand/chicorystand/errkind"
 )
 
 // New returns the root command.
@@ -22,3 +24,18 @@
 	root.AddCommand(newList(o, planList), newList(o, limitList), newUpstream(o), newTask(o), newExplain(o), newStatus(o), newEvents(o))
 	return root
 }
+
+// newNoun returns a command that only holds verbs. Without a verb it prints its
+// help; an unknown verb is a usage error.
+func newNoun(name, short string, verbs ...*cobra.Command) *cobra.Command {
+	cmd := &cobra.Command{Use: name, Short: short, Example: verbs[0].Example,
+		Args: func(cmd *cobra.Command, args []string) error {
+			if len(args) > 0 {
+				return errkind.New(errkind.InvalidArgument, "%s has no verb %q", cmd.CommandPath(), args[0])
+			}
+			return nil
+		},
+		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() }}
+	cmd.AddCommand(verbs...)
+	return cmd
+}
--- a/command/chicoryctl/task.go
+++ b/command/chicoryctl/task.go
@@ -15,9 +15,7 @@
 )
 
 func newTask(o *options) *cobra.Command {
-	cmd := &cobra.Command{Use: "task", Short: "Batch and latency-critical tasks"}
-	cmd.AddCommand(newTaskSubmit(o), newTaskList(o), newTaskDescribe(o), newTaskCancel(o), newTaskWait(o))
-	return cmd
+	return newNoun("task", "Batch and latency-critical tasks", newTaskSubmit(o), newTaskList(o), newTaskDescribe(o), newTaskCancel(o), newTaskWait(o))
 }
 
 // selector selects tasks by customer, job class and state.
--- a/command/chicoryctl/upstream.go
+++ b/command/chicoryctl/upstream.go
@@ -13,9 +13,8 @@
 )
 
 func newUpstream(o *options) *cobra.Command {
-	cmd := &cobra.Command{Use: "upstream", Short: "The upstreams of services"}
-	cmd.AddCommand(newUpstreamList(o), newUpstreamDescribe(o), newUpstreamStart(o), newUpstreamStop(o), newUpstreamDrain(o))
-	return cmd
+	return newNoun("upstream", "The upstreams of services",
+		newUpstreamList(o), newUpstreamDescribe(o), newUpstreamStart(o), newUpstreamStop(o), newUpstreamDrain(o))
 }
 
 func (c *client) upstreams(ctx context.Context) ([]wire.Upstream, error) {
