--- a/history/check.go
+++ b/history/check.go
@@ -407,6 +407,9 @@
 		if c.opt.Finished && t.final != "" && len(t.running) > 0 {
 			c.report(NothingLost, 0, "task %s is %s and still runs", id, t.final)
 		}
+		if t.final == task.Succeeded && !t.succeeded {
+			c.report(NothingLost, 0, "task %s is %s, and no attempt has succeeded", id, t.final)
+		}
 		if c.opt.Finished && t.cancelled && len(t.running) > 0 {
 			c.report(CancelHolds, 0, "task %s is cancelled and still runs", id)
 		}
