--- a/command/chicorybench/root.go
+++ b/command/chicorybench/root.go
@@ -25,6 +25,7 @@
 	newRecover,
 	newReport,
 	newRoute,
+	newSoak,
 	newStore,
 }
 
--- /dev/null
+++ b/command/chicorybench/soak.go
@@ -0,0 +1,88 @@
+package chicorybench
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/soak"
+)
+
+// newSoak returns the command that runs the fault soak. Unlike a benchmark it has
+// no figures and no bounds: a run passes or has failures.
+func newSoak() *cobra.Command {
+	cfg := soak.Config{}
+	var count int
+	cmd := &cobra.Command{
+		Use:     "soak",
+		Short:   "Run the real programs under random faults and check what requesters and executors see",
+		Example: "  chicory-bench soak --bin target --seed 1 --count 50",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			failed := 0
+			for range count {
+				ok, err := soakOnce(cmd, cfg)
+				if err != nil {
+					return err
+				}
+				if !ok {
+					failed++
+				}
+				cfg.Seed++
+			}
+			if failed > 0 {
+				return errkind.New(errkind.Internal, "%d of %d seeds have failed", failed, count)
+			}
+			return nil
+		},
+	}
+	const defaultFaults = 20 * time.Second
+	f := cmd.Flags()
+	f.StringVar(&cfg.Binaries, "bin", "target", "directory of chicory-entry and chicory-agent")
+	f.StringVar(&cfg.Dir, "dir", "", "directory for settings and logs, one below it for each seed (default: a temporary one)")
+	f.Uint64Var(&cfg.Seed, "seed", 1, "first seed")
+	f.IntVar(&count, "count", 1, "number of seeds")
+	f.DurationVar(&cfg.Faults, "time", defaultFaults, "time in which submissions arrive and faults begin")
+	f.IntVar(&cfg.Entries, "entries", 3, "number of entries")
+	f.IntVar(&cfg.Executors, "executors", 4, "number of executors, each with an agent")
+	f.IntVar(&cfg.Submissions, "submissions", 24, "largest number of submissions")
+	return cmd
+}
+
+// soakOnce runs one seed and reports whether it has passed. The logs of a seed that
+// has failed are kept.
+func soakOnce(cmd *cobra.Command, cfg soak.Config) (bool, error) {
+	var err error
+	if cfg.Dir == "" {
+		if cfg.Dir, err = os.MkdirTemp("", "chicory-soak-"); err != nil {
+			return false, errkind.Wrap(errkind.Internal, err, "soak")
+		}
+	}
+	cfg.Dir = filepath.Join(cfg.Dir, "seed-"+strconv.FormatUint(cfg.Seed, 10))
+	if err := os.MkdirAll(cfg.Dir, 0o700); err != nil {
+		return false, errkind.Wrap(errkind.Internal, err, "soak")
+	}
+	report, err := soak.Run(cmd.Context(), cfg)
+	if err != nil {
+		return false, errkind.Wrap(errkind.Internal, err, "soak with seed %d", cfg.Seed)
+	}
+	out := cmd.OutOrStdout()
+	_, _ = fmt.Fprintf(out, "seed %d: %d submissions, %d runs, %d faults, shown %v, %d failures\n",
+		cfg.Seed, report.Submissions, report.Runs, len(report.Faults), report.Shown, len(report.Failures))
+	if len(report.Failures) == 0 {
+		return true, nil
+	}
+	for _, f := range report.Failures {
+		_, _ = fmt.Fprintf(out, "  failure: %s\n", f)
+	}
+	for _, f := range report.Faults {
+		_, _ = fmt.Fprintf(out, "  fault: %s\n", f)
+	}
+	_, _ = fmt.Fprintf(out, "  logs: %s\n", cfg.Dir)
+	return false, nil
+}
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,10 +38,16 @@
 }
 
 func startEntry(t *testing.T, table *standin.Table, name string) *testEntry {
+	t.Helper()
+	return startEntryWith(t, table, name, table)
+}
+
+// startEntryWith starts an entry with its own path to the store.
+func startEntryWith(t *testing.T, table *standin.Table, name string, path store.Follower) *testEntry {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	c := clock.Boottime{}
-	e := &testEntry{store: standin.NewLink(table), link: member.NewOwnerLink(c, zerolog.Nop()), stop: cancel, done: make(chan struct{})}
+	e := &testEntry{store: standin.NewLink(path), link: member.NewOwnerLink(c, zerolog.Nop()), stop: cancel, done: make(chan struct{})}
 	l := listen(t)
 	self := member.Member{Name: name, Address: l.Addr().String(), Role: member.Entry, Incarnation: uint64(time.Now().UnixNano())}
 	go member.Serve(l, e.link, e.link.Handle)
@@ -213,6 +220,83 @@
 	eventually(t, "second entry owns", second.candidate.Owning)
 }
 
+// An owner that stops has nearly always a commit in progress. It has to know the
+// outcome before it gives the ownership up, or its last write is refused and work
+// stands still until the others take over.
+func TestOwnerResignsWithACommitInProgress(t *testing.T) {
+	table := newTable()
+	slow := &slowTable{Follower: table, commitDelay: 200 * time.Millisecond}
+	first := startEntryWith(t, table, "entry-1", slow)
+	eventually(t, "first entry owns", first.candidate.Owning)
+	eventually(t, "no commit is in progress", func() bool { return slow.commits.Load() == 0 })
+	eventually(t, "a commit is in progress", func() bool { return slow.commits.Load() > 0 })
+	first.stop()
+	<-first.done
+	h, err := readHead(t.Context(), table)
+	assert.NilError(t, err)
+	assert.Equal(t, h.Owner, "")
+}
+
+// Reading the tables may take longer than another entry waits for a sign of the owner.
+func TestOwnerThatReadsForLongIsNotReplaced(t *testing.T) {
+	table := newTable()
+	slow := &slowTable{Follower: table, readDelay: 2 * takeoverAfter}
+	first := startEntryWith(t, table, "entry-1", slow)
+	second := startEntry(t, table, "entry-2")
+	eventually(t, "an entry owns", func() bool { return first.candidate.Owning() || second.candidate.Owning() })
+	if second.candidate.Owning() {
+		second.stop()
+		<-second.done
+		eventually(t, "first entry owns", first.candidate.Owning)
+		second = startEntry(t, table, "entry-3")
+	}
+	taken, err := readHead(t.Context(), table)
+	assert.NilError(t, err)
+	for end := time.Now().Add(2*takeoverAfter + takeoverSpread); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		assert.Assert(t, !second.candidate.Owning())
+	}
+	now, err := readHead(t.Context(), table)
+	assert.NilError(t, err)
+	assert.Equal(t, now.Epoch, taken.Epoch)
+}
+
+// slowTable reads the work table and commits slowly, as over a thin link.
+type slowTable struct {
+	store.Follower
+	readDelay, commitDelay time.Duration
+	// commits counts the commits in progress.
+	commits atomic.Int32
+}
+
+func (s *slowTable) wait(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return errkind.Wrap(errkind.StoreAmbiguous, ctx.Err(), "slow")
+	case <-time.After(d):
+		return nil
+	}
+}
+
+func (s *slowTable) List(ctx context.Context, table, after string) (store.Page, error) {
+	if table == dispatch.WorkTable {
+		if err := s.wait(ctx, s.readDelay); err != nil {
+			return store.Page{}, err
+		}
+	}
+	return s.Follower.List(ctx, table, after)
+}
+
+// Commit takes effect at once; its answer is slow.
+func (s *slowTable) Commit(ctx context.Context, txn store.Txn) ([]uint64, error) {
+	s.commits.Add(1)
+	defer s.commits.Add(-1)
+	versions, err := s.Follower.Commit(ctx, txn)
+	if wait := s.wait(ctx, s.commitDelay); wait != nil {
+		return nil, wait
+	}
+	return versions, err
+}
+
 // While the store answers nobody, nobody can take over, and the owner goes on.
 func TestOutageForAllChangesNoOwner(t *testing.T) {
 	table := newTable()
--- a/coordinator/load.go
+++ b/coordinator/load.go
@@ -17,60 +17,82 @@
 // loadRetry is the pause after a failed reading of the tables.
 const loadRetry = 100 * time.Millisecond
 
+// tables is what a new owner reads from the store.
+type tables struct {
+	work, progress, learnt []store.Row
+	// version is that from which the changes of the work table are followed.
+	version uint64
+}
+
 // load reads all submissions and their records. It returns the version from
 // which the changes of the work table are followed.
 func (o *owner) load(ctx context.Context) (uint64, error) {
-	for {
-		version, err := o.loadOnce(ctx)
-		if err == nil {
-			return version, nil
-		}
-		if o.cfg.Clock.Now()-o.lastCommit > renewInterval {
-			// Reading may take long; the ownership is renewed meanwhile.
-			if err := o.commit.commit(ctx, nil, nil, func() {}); err != nil {
-				return 0, err
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	read := make(chan tables, 1)
+	go func() {
+		for ctx.Err() == nil {
+			if t, err := o.read(ctx); err == nil {
+				read <- t
+				return
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(loadRetry):
 			}
-			o.lastCommit = o.cfg.Clock.Now()
 		}
+	}()
+	renew := time.NewTicker(renewInterval)
+	defer renew.Stop()
+	for {
 		select {
 		case <-ctx.Done():
 			return 0, errkind.Wrap(errkind.NotOwner, ctx.Err(), "load")
-		case <-time.After(loadRetry):
+		case t := <-read:
+			o.take(t)
+			return t.version, nil
+		case <-renew.C:
+			// Reading may take longer than the others wait for a sign of the owner.
+			if err := o.commit.commit(ctx, nil, nil, func() {}); err != nil {
+				return 0, err
+			}
+			o.lastCommit = o.cfg.Clock.Now()
 		}
 	}
 }
 
-func (o *owner) loadOnce(ctx context.Context) (uint64, error) {
-	progress, _, err := store.ReadAll(ctx, o.cfg.Store, dispatch.ProgressTable)
-	if err != nil {
-		return 0, err
+func (o *owner) read(ctx context.Context) (tables, error) {
+	var t tables
+	var err error
+	if t.progress, _, err = store.ReadAll(ctx, o.cfg.Store, dispatch.ProgressTable); err != nil {
+		return t, err
 	}
-	records := make(map[string][]byte, len(progress))
-	for _, r := range progress {
-		records[strings.TrimPrefix(r.Key, dispatch.ProgressTable+"/")] = r.Value
+	if t.learnt, err = o.cfg.Store.Get(ctx, dispatch.KnowledgeKey); err != nil {
+		return t, err
 	}
-	learnt, err := o.cfg.Store.Get(ctx, dispatch.KnowledgeKey)
-	if err != nil {
-		return 0, err
+	t.work, t.version, err = store.ReadAll(ctx, o.cfg.Store, dispatch.WorkTable)
+	return t, err
+}
+
+// take fills the tables of the owner.
+func (o *owner) take(t tables) {
+	records := make(map[string][]byte, len(t.progress))
+	for _, r := range t.progress {
+		records[strings.TrimPrefix(r.Key, dispatch.ProgressTable+"/")] = r.Value
 	}
-	for _, r := range learnt {
+	for _, r := range t.learnt {
 		if err := o.core.Learnt(r.Value); err != nil {
 			events.RowInvalid.Log(o.cfg.Log).Str("key", r.Key).Err(err).Send()
 		}
 	}
-	work, version, err := store.ReadAll(ctx, o.cfg.Store, dispatch.WorkTable)
-	if err != nil {
-		return 0, err
-	}
 	if m := o.cfg.Manifest(); m != nil {
 		o.core.SetManifest(m)
 	}
 	now := o.cfg.Clock.Now()
-	for _, r := range work {
+	for _, r := range t.work {
 		o.workRow(r, records, now)
 	}
-	events.OwnerLoaded.Log(o.cfg.Log).Uint64("epoch", o.core.Epoch()).Int("work", len(work)).Int("records", len(progress)).Send()
-	return version, nil
+	events.OwnerLoaded.Log(o.cfg.Log).Uint64("epoch", o.core.Epoch()).Int("work", len(t.work)).Int("records", len(t.progress)).Send()
 }
 
 // workRow takes in a row of the work table.
--- a/coordinator/loop.go
+++ b/coordinator/loop.go
@@ -17,6 +17,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			o.awaitCommit()
 			return ctx.Err()
 		case f := <-o.inbox:
 			now := o.cfg.Clock.Now()
@@ -39,6 +40,18 @@
 	}
 }
 
+// awaitCommit waits for the commit in progress, for a while.
+func (o *owner) awaitCommit() {
+	if o.batch == nil {
+		return
+	}
+	select {
+	case <-o.committed:
+	case <-time.After(resignTimeout):
+		o.cancelCommit()
+	}
+}
+
 func (o *owner) drainInbox(now time.Duration) {
 	for range inboxSize {
 		select {
@@ -106,9 +119,13 @@
 	o.batch, o.lastCommit = batch, now
 	entries := o.links.names(member.Entry)
 	o.entries = union(o.entries, entries)
+	// An owner that stops waits for the outcome, which it needs to resign.
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	o.cancelCommit = cancel
 	o.wg.Add(1)
 	go func() {
 		defer o.wg.Done()
+		defer cancel()
 		var sent time.Duration
 		err := o.commit.commit(ctx, batch.Writes, entries, func() { sent = o.cfg.Clock.Now() })
 		o.committed <- commitResult{batch, entries, sent, err}
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -74,14 +74,16 @@
 	advising    bool
 	adviseAfter time.Duration
 
-	counters   *counters
-	batch      *dispatch.Batch
-	committed  chan commitResult
-	lastCommit time.Duration
-	lastLease  time.Duration
-	lastCounts time.Duration
-	lastStatus time.Duration
-	wg         sync.WaitGroup
+	counters *counters
+	// batch is the commit in progress, nil when there is none.
+	batch        *dispatch.Batch
+	cancelCommit context.CancelFunc
+	committed    chan commitResult
+	lastCommit   time.Duration
+	lastLease    time.Duration
+	lastCounts   time.Duration
+	lastStatus   time.Duration
+	wg           sync.WaitGroup
 }
 
 type commitResult struct {
@@ -92,7 +94,7 @@
 }
 
 func newOwner(cfg Config, h head, earlier time.Duration) *owner {
-	o := &owner{cfg: cfg, inbox: make(chan func(time.Duration), inboxSize), committed: make(chan commitResult, 1)}
+	o := &owner{cfg: cfg, inbox: make(chan func(time.Duration), inboxSize), committed: make(chan commitResult, 1), cancelCommit: func() {}}
 	unix := func(now time.Duration) int64 { return time.Now().Add(now - cfg.Clock.Now()).UnixMilli() }
 	bounds := cfg.Bounds
 	bounds.EarlierOwner = earlier
@@ -124,6 +126,7 @@
 	o.done = ctx.Done()
 	defer o.wg.Wait()
 	defer o.links.wg.Wait()
+	defer func() { o.cancelCommit() }()
 	defer o.stop()
 	version, err := o.load(ctx)
 	if err != nil {
--- /dev/null
+++ b/soak/cluster.go
@@ -0,0 +1,297 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicorystand/chicorystand/clock"
+	"github.com/chicorystand/chicorystand/history"
+	"github.com/chicorystand/chicorystand/manifest"
+	"github.com/chicorystand/chicorystand/member"
+	"github.com/chicorystand/chicorystand/platform/stub"
+	"github.com/chicorystand/chicorystand/standin"
+	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/workload"
+)
+
+// Figures of the deployment.
+const (
+	heartbeatInterval = 1500 * time.Millisecond
+	heartbeatTimeout  = time.Second
+	maxLease          = 6 * time.Second
+	stopTimeout       = 200 * time.Millisecond
+	gracePeriod       = 6 * time.Second
+	retention         = 120 * time.Second
+	requestDeadline   = 3 * time.Second
+	checkpointEvery   = time.Second
+	// slowClock is the rate of the clock of every second executor.
+	slowClock = 0.98
+)
+
+// Ports of a process, at its own address.
+const (
+	requestPort   = 8161
+	readinessPort = 8167
+	beatPort      = 8166
+	firstPort     = 7720
+	lastPort      = 7735
+	executorPort  = 8080
+	storePort     = 8169
+)
+
+// Parts of the loopback network 127.N.PART.HOST. Processes listen at one part and
+// are reached at another, where the proxies listen.
+const (
+	partProcess     = 1
+	partReached     = 2
+	partStore       = 3
+	partStoreOf     = 4
+	partExecutor    = 5
+	partExecutorVia = 6
+)
+
+// network is the second byte of all addresses of one run.
+type network byte
+
+// host returns the IP address of a process or of its proxies.
+func (n network) host(part, host int) string { return fmt.Sprintf("127.%d.%d.%d", n, part, host) }
+
+func (n network) at(part, host, port int) string {
+	return fmt.Sprintf("%s:%d", n.host(part, host), port)
+}
+
+// node is a process with the links that lead to and from it.
+type node struct {
+	*process
+	// requests, beats, members, store and executor are nil where the process has no such link.
+	requests, beats, members, store, executor *proxy
+}
+
+func (n *node) links() []*proxy {
+	var all []*proxy
+	for _, p := range []*proxy{n.requests, n.beats, n.members, n.store, n.executor} {
+		if p != nil {
+			all = append(all, p)
+		}
+	}
+	return all
+}
+
+// cluster is a deployment of real processes with the stand-ins around it.
+type cluster struct {
+	cfg       Config
+	net       network
+	table     *standin.Table
+	recorder  *history.Recorder
+	start     time.Time
+	entries   []*node
+	agents    []*node
+	executors []*standin.Executor
+	route     manifest.Route
+	closers   []func()
+
+	mu       sync.Mutex
+	failures []string
+}
+
+// fail notes a failure that is no violation of an invariant of package history.
+func (c *cluster) fail(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failures = append(c.failures, fmt.Sprintf("%v ", time.Since(c.start).Round(time.Millisecond))+fmt.Sprintf(format, args...))
+}
+
+// newCluster starts the stand-ins and all processes.
+func newCluster(ctx context.Context, cfg Config, works map[string]standin.Work, r *rand.Rand) (*cluster, error) {
+	start := time.Now()
+	c := &cluster{cfg: cfg, start: start, table: standin.NewTable(800, 2000),
+		recorder: history.NewRecorder(func() time.Duration { return time.Since(start) }),
+		route:    manifest.Route{Name: "q", Host: "soak.example", Prefix: "/q/", Service: "pool", MaxAttempts: workload.MaxAttempts, Stretch: 2}}
+	err := c.startAll(ctx, works, r)
+	if err != nil {
+		c.stop()
+	}
+	return c, err
+}
+
+func (c *cluster) startAll(ctx context.Context, works map[string]standin.Work, r *rand.Rand) error {
+	if err := c.serveStore(ctx, r); err != nil {
+		return err
+	}
+	for i := range c.cfg.Entries {
+		if err := c.addEntry(i + 1); err != nil {
+			return err
+		}
+	}
+	for i := range c.cfg.Executors {
+		if err := c.addExecutor(ctx, c.cfg.Entries+i+1, works); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serveStore finds a free network and serves the store there.
+func (c *cluster) serveStore(ctx context.Context, r *rand.Rand) error {
+	const tries, lowest, highest = 20, 16, 250
+	for range tries {
+		c.net = network(lowest + r.IntN(highest-lowest))
+		if err := c.serve(c.net.at(partStore, 1, storePort), &stub.Store{Table: c.table, Rewrite: c.rewrite}); err == nil {
+			break
+		} else if ctx.Err() != nil {
+			return err
+		}
+	}
+	if len(c.closers) == 0 {
+		return errors.New("no loopback network is free for the store")
+	}
+	key, value, err := stub.EncodeManifest(&manifest.Manifest{Version: 1, Routes: []manifest.Route{c.route},
+		Services: map[string]manifest.Service{c.route.Service: {Name: c.route.Service, EnforcesCapacity: true}}})
+	if err != nil {
+		return err
+	}
+	_, err = c.table.Commit(ctx, store.Txn{Writes: []store.Write{{Key: key, Value: value}}})
+	return err
+}
+
+// rewrite makes the members' addresses lead to their proxies. Both have the same length.
+func (c *cluster) rewrite(key string, value []byte) []byte {
+	if !strings.HasPrefix(key, member.Table+"/") {
+		return value
+	}
+	return bytes.ReplaceAll(value, []byte(c.net.prefix(partProcess)), []byte(c.net.prefix(partReached)))
+}
+
+func (n network) prefix(part int) string { return fmt.Sprintf("127.%d.%d.", n, part) }
+
+func (c *cluster) serve(address string, h http.Handler) error {
+	var lc net.ListenConfig
+	l, err := lc.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen for a stand-in")
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: requestDeadline}
+	go func() { _ = s.Serve(l) }()
+	c.closers = append(c.closers, func() { _ = s.Close() })
+	return nil
+}
+
+func (c *cluster) proxy(address, target string) (*proxy, error) {
+	p, err := newProxy(address, target)
+	if err == nil {
+		c.closers = append(c.closers, p.close)
+	}
+	return p, err
+}
+
+// addNode prepares the links that entries and agents have in common.
+func (c *cluster) addNode(host int, kind string) (*node, stub.Settings, error) {
+	s := stub.Settings{Node: fmt.Sprintf("%s-%d", kind, host), IP: c.net.host(partProcess, host), Zone: fmt.Sprintf("z%d", host%2),
+		Store: c.net.at(partStoreOf, host, storePort), FirstPort: firstPort, LastPort: lastPort, HeartbeatInterval: heartbeatInterval,
+		MaxLease: maxLease, StopTimeout: stopTimeout, Grace: gracePeriod, Retention: retention}
+	n := new(node)
+	var err error
+	if n.store, err = c.proxy(s.Store, c.net.at(partStore, 1, storePort)); err != nil {
+		return nil, s, err
+	}
+	n.members, err = c.proxy(c.net.at(partReached, host, firstPort), c.net.at(partProcess, host, firstPort))
+	return n, s, err
+}
+
+func (c *cluster) addEntry(host int) error {
+	n, s, err := c.addNode(host, "entry")
+	if err != nil {
+		return err
+	}
+	s.Requests, s.Readiness = c.net.at(partProcess, host, requestPort), c.net.at(partProcess, host, readinessPort)
+	if n.requests, err = c.proxy(c.net.at(partReached, host, requestPort), s.Requests); err != nil {
+		return err
+	}
+	c.entries = append(c.entries, n)
+	return c.run(n, "chicory-entry", s)
+}
+
+func (c *cluster) addExecutor(ctx context.Context, host int, works map[string]standin.Work) error {
+	n, s, err := c.addNode(host, "agent")
+	if err != nil {
+		return err
+	}
+	s.Heartbeats = c.net.at(partProcess, host, beatPort)
+	if n.beats, err = c.proxy(c.net.at(partReached, host, beatPort), s.Heartbeats); err != nil {
+		return err
+	}
+	address, rate := c.net.at(partExecutorVia, host, executorPort), 1.0
+	if host%2 == 0 {
+		rate = slowClock
+	}
+	e := standin.NewExecutor(standin.ExecutorConfig{VM: s.Node, Service: c.route.Service, Address: address, Zone: s.Zone, Rack: s.Zone, Kind: "a",
+		Capacity: task.Resources{CPU: 4000, Memory: 8000}, Clock: clock.NewRuntime(), Rate: rate, MaxLease: maxLease, StopTimeout: stopTimeout,
+		CheckpointInterval: checkpointEvery, Recorder: c.recorder, Work: func(name string, _ uint32) standin.Work { return works[name] }})
+	if err := c.serve(c.net.at(partExecutor, host, executorPort), &stub.Executor{Client: e}); err != nil {
+		return err
+	}
+	if n.executor, err = c.proxy(address, c.net.at(partExecutor, host, executorPort)); err != nil {
+		return err
+	}
+	e.Boot(false)
+	go e.Run(ctx)
+	go heartbeats(ctx, e, n.beats.listener.Addr().String())
+	c.agents, c.executors = append(c.agents, n), append(c.executors, e)
+	return c.run(n, "chicory-agent", s)
+}
+
+func (c *cluster) run(n *node, program string, s stub.Settings) error {
+	var err error
+	n.process, err = newProcess(c.cfg.Dir, filepath.Join(c.cfg.Binaries, program), s, func(name string, err error) {
+		c.fail("%s has ended by itself: %v", name, err)
+	})
+	if err != nil {
+		return err
+	}
+	return n.start()
+}
+
+// heartbeats sends what the executor says about itself to its agent until ctx ends.
+func heartbeats(ctx context.Context, e *standin.Executor, address string) {
+	client := &http.Client{Timeout: heartbeatTimeout}
+	for ctx.Err() == nil {
+		if info, ok := e.Info(); ok {
+			// An executor whose heartbeat is not answered sends the next one.
+			_ = stub.Heartbeat(ctx, client, address, info)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(heartbeatInterval):
+		}
+	}
+}
+
+// stop ends all processes and stand-ins.
+func (c *cluster) stop() {
+	var all sync.WaitGroup
+	for _, n := range append(append([]*node(nil), c.entries...), c.agents...) {
+		if n.process != nil && n.cmd != nil {
+			all.Go(func() {
+				n.signal(sigCont)
+				if err := n.process.stop(sigTerm, gracePeriod); err != nil {
+					c.fail("%v", err)
+				}
+			})
+		}
+	}
+	all.Wait()
+	for _, f := range c.closers {
+		f()
+	}
+}
