--- a/command/deployed/entry.go
+++ b/command/deployed/entry.go
@@ -75,7 +75,7 @@
 		adviser = platform.NewAdvice(p.settings.AdviceAddress)
 	}
 	candidate := coordinator.NewCandidate(coordinator.Config{Advice: adviser, Store: p.store, Clock: p.clock, Log: p.log, Bounds: p.bounds(),
-		Member: self, Manifest: e.manifest.Current, HighestEpoch: p.link.Epoch}, p.link)
+		Member: self, Handicap: p.handicap(), Manifest: e.manifest.Current, HighestEpoch: p.link.Epoch}, p.link)
 	m := metrics.NewDeployment(metrics.DeploymentSources{Owning: candidate.Owning, ManifestVersion: e.version, OwnerSilence: p.link.Silent,
 		Owned: candidate.Counters})
 	g := gateway.New(gateway.Config{Store: p.store, Clock: p.clock, Log: p.log, Owner: p.link, Manifest: e.manifest.Current,
--- a/command/deployed/process.go
+++ b/command/deployed/process.go
@@ -149,6 +149,16 @@
 		Retention: 2 * b.StatusRetention}
 }
 
+// handicap returns how much later than others this entry takes the ownership over.
+// A new owner reads all live work, which takes a thin link seconds.
+func (p *process) handicap() time.Duration {
+	const thinLinkMbps, thinLinkHandicap = 50, 300 * time.Millisecond
+	if p.settings.LinkMbps > 0 && p.settings.LinkMbps < thinLinkMbps {
+		return thinLinkHandicap
+	}
+	return 0
+}
+
 // member returns this process's registration. Its address is the first internal port.
 func (p *process) member(role member.Role) member.Member {
 	return member.Member{Name: p.settings.Node, Address: fmt.Sprintf("%s:%d", p.settings.IP, p.settings.FirstPort), Role: role,
--- a/coordinator/candidate.go
+++ b/coordinator/candidate.go
@@ -147,8 +147,7 @@
 	if c.state.Is(stateClaiming) && h.version != c.claimed {
 		c.event(eventMiss)
 	}
-	restarted := h.Owner == c.cfg.Member.Name
-	if h.version != 0 && h.Owner != "" && !restarted && now-c.seenAt < takeoverAfter+c.spread {
+	if now-c.seenAt < c.takeoverWait(&h) {
 		return head{}, false
 	}
 	to := Head{Epoch: h.Epoch + 1, Owner: c.cfg.Member.Name, Incarnation: c.cfg.Member.Incarnation}
@@ -161,6 +160,18 @@
 	return taken, err == nil
 }
 
+// takeoverWait returns how long the row has to be unchanged before this entry takes over.
+func (c *Candidate) takeoverWait(h *head) time.Duration {
+	switch {
+	case h.version == 0 || h.Owner == c.cfg.Member.Name:
+		// Nobody has owned the work yet, or an earlier life of this process has.
+		return 0
+	case h.Owner == "":
+		return c.cfg.Handicap
+	}
+	return takeoverAfter + c.spread + c.cfg.Handicap
+}
+
 // own serves as the owner until the ownership is lost.
 func (c *Candidate) own(ctx context.Context, h head) {
 	events.OwnerTaken.Log(c.cfg.Log).Uint64("epoch", h.Epoch).Str("after", c.seen.Owner).
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -237,6 +237,19 @@
 	assert.Equal(t, h.Owner, "")
 }
 
+// Among entries that may take over, one with a thin link comes after the others,
+// but does not leave the work without an owner.
+func TestThinEntryTakesOverLater(t *testing.T) {
+	thin := &Candidate{cfg: Config{Handicap: 300 * time.Millisecond, Member: member.Member{Name: "thin"}}}
+	wide := &Candidate{cfg: Config{Member: member.Member{Name: "wide"}}, spread: takeoverSpread}
+	resigned, expired := &head{version: 3}, &head{Head: Head{Owner: "other"}, version: 3}
+	assert.Equal(t, wide.takeoverWait(resigned), time.Duration(0))
+	assert.Equal(t, thin.takeoverWait(resigned), 300*time.Millisecond)
+	assert.Assert(t, thin.takeoverWait(expired) >= wide.takeoverWait(expired))
+	own := &head{Head: Head{Owner: "thin"}, version: 3}
+	assert.Equal(t, thin.takeoverWait(own), time.Duration(0))
+}
+
 // Reading the tables may take longer than another entry waits for a sign of the owner.
 func TestOwnerThatReadsForLongIsNotReplaced(t *testing.T) {
 	table := newTable()
--- a/faultmatrix/cluster_test.go
+++ b/faultmatrix/cluster_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -136,6 +137,13 @@
 	c.log = append(c.log, fmt.Sprintf("%9.3f ", time.Since(c.start).Seconds())+fmt.Sprintf(format, args...))
 }
 
+// lines returns the log so far. A goroutine that outlasts its process may still add to it.
+func (c *cluster) lines() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.log)
+}
+
 // stop ends every process at once and closes all connections.
 func (c *cluster) stop() {
 	c.cancel()
--- a/faultmatrix/matrix_test.go
+++ b/faultmatrix/matrix_test.go
@@ -144,7 +144,7 @@
 	for _, f := range fired {
 		all = all && f
 	}
-	return result{fired: all, violations: violations, log: c.log, events: events}
+	return result{fired: all, violations: violations, log: c.lines(), events: events}
 }
 
 func merge(a, b verdict) verdict {
