--- a/command/chicorybench/root.go
+++ b/command/chicorybench/root.go
@@ -27,6 +27,7 @@
 	newRoute,
 	newSoak,
 	newStore,
+	newWorth,
 }
 
 // New returns the root command.
