--- a/command/deployed/agent.go
+++ b/command/deployed/agent.go
@@ -7,7 +7,6 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/command/run"
 	"github.com/chicorystand/chicorystand/dispatch"
 	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/member"
@@ -18,19 +17,7 @@
 
 // NewAgent returns the verb that runs the agent on the platform.
 func NewAgent() *cobra.Command {
-	return &cobra.Command{
-		Use:   "platform",
-		Short: "Run beside an executor on the users' platform until SIGTERM",
-		Args:  cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
-			p, err := newProcess()
-			if err != nil {
-				return run.Reported(err)
-			}
-			defer p.closeLog()
-			return run.Reported(p.runAgent())
-		},
-	}
+	return newVerb("Run beside an executor on the users' platform until SIGTERM", (*process).runAgent)
 }
 
 // agentStop is how long orders in progress may end after SIGTERM. The executor
--- a/command/deployed/entry.go
+++ b/command/deployed/entry.go
@@ -10,7 +10,6 @@
 	"github.com/spf13/cobra"
 
 	"github.com/chicorystand/chicorystand/advice"
-	"github.com/chicorystand/chicorystand/command/run"
 	"github.com/chicorystand/chicorystand/coordinator"
 	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/follow"
@@ -23,19 +22,7 @@
 
 // NewEntry returns the verb that runs the entry on the platform.
 func NewEntry() *cobra.Command {
-	return &cobra.Command{
-		Use:   "platform",
-		Short: "Serve requesters on the users' platform and own the work, until SIGTERM",
-		Args:  cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
-			p, err := newProcess()
-			if err != nil {
-				return run.Reported(err)
-			}
-			defer p.closeLog()
-			return run.Reported(p.runEntry())
-		},
-	}
+	return newVerb("Serve requesters on the users' platform and own the work, until SIGTERM", (*process).runEntry)
 }
 
 const (
--- a/command/deployed/process.go
+++ b/command/deployed/process.go
@@ -21,8 +21,10 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
+	"github.com/spf13/cobra"
 
 	"github.com/chicorystand/chicorystand/clock"
+	"github.com/chicorystand/chicorystand/command/run"
 	"github.com/chicorystand/chicorystand/dispatch"
 	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/member"
@@ -77,6 +79,19 @@
 	return p, nil
 }
 
+// newVerb returns the verb "platform" of a program, which serves until SIGTERM.
+func newVerb(short string, serve func(*process) error) *cobra.Command {
+	return &cobra.Command{Use: "platform", Short: short, Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			p, err := newProcess()
+			if err != nil {
+				return run.Reported(err)
+			}
+			defer p.closeLog()
+			return run.Reported(serve(p))
+		}}
+}
+
 // newLogger returns a logger whose lines never block the process. Lines are
 // dropped when they cannot be written fast enough, and their number is logged.
 func newLogger(w io.Writer) (zerolog.Logger, func()) {
--- a/vmagent/orders.go
+++ b/vmagent/orders.go
@@ -115,7 +115,7 @@
 			u.pause(ctx, orderRetry)
 		}
 		if attempt == 0 || u.sameLifetime(ctx, epoch) {
-			if u.draining() && !uncertain {
+			if u.current().Draining && !uncertain {
 				return executor.Answer{Outcome: executor.Unavailable}, false
 			}
 			answer = u.sendStart(ctx, s, epoch)
@@ -134,12 +134,6 @@
 	return answer, uncertain
 }
 
-func (u *unit) draining() bool {
-	u.agent.mu.Lock()
-	defer u.agent.mu.Unlock()
-	return u.info.Draining
-}
-
 // sendStart sends a start once.
 func (u *unit) sendStart(ctx context.Context, s wire.StartOrder, epoch uint64) executor.Answer {
 	u.agent.mu.Lock()
@@ -160,14 +154,13 @@
 // executor that did not carry out an order may have started again under its id, and
 // the order must not reach the next lifetime.
 func (u *unit) sameLifetime(ctx context.Context, epoch uint64) bool {
-	u.agent.mu.Lock()
-	info := u.info
-	u.agent.mu.Unlock()
+	info := u.current()
 	snap := u.agent.cfg.Client.Hold(ctx, info, executor.Hold{Epoch: epoch})
 	u.agent.cfg.Observe("hold", snap.Answer)
 	return snap.Outcome == executor.OK && (snap.Born == 0 || snap.Born == u.inc.Born)
 }
 
+// pause waits for d or the end of ctx.
 func (u *unit) pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -188,9 +181,7 @@
 
 func (u *unit) stopUntilCertain(ctx context.Context, k runKey, epoch uint64) bool {
 	for ctx.Err() == nil {
-		u.agent.mu.Lock()
-		info := u.info
-		u.agent.mu.Unlock()
+		info := u.current()
 		a := u.agent.cfg.Client.Stop(ctx, info, k.task, k.run, epoch)
 		u.agent.cfg.Observe("stop", a)
 		switch a.Outcome {
@@ -212,9 +203,7 @@
 
 // pace sends a change of pace a few times. The owner repeats its orders.
 func (u *unit) pace(o wire.PaceOrder, epoch uint64) {
-	u.agent.mu.Lock()
-	info := u.info
-	u.agent.mu.Unlock()
+	info := u.current()
 	for range unavailableTries {
 		a := u.agent.cfg.Client.Pace(u.ctx, info, o.Task, o.Run, epoch, o.Percent)
 		u.agent.cfg.Observe("pace", a)
--- a/vmagent/successor.go
+++ b/vmagent/successor.go
@@ -84,6 +84,7 @@
 	u.cancel()
 	events.ExecutorEnded.Log(a.cfg.Log).Str("executor", inc.ID).Int64("born", inc.Born).Str("cause", cause).
 		Int("unproven", len(u.unproven)).Send()
+	a.forgetOldest()
 	if len(u.unproven) == 0 {
 		a.reportEnd(u)
 		return
@@ -95,6 +96,24 @@
 	}
 }
 
+// maxEnded bounds the ended lifetimes that an agent remembers. Late heartbeats and
+// owners that have not heard of an end concern the newest ones.
+const maxEnded = 200
+
+// forgetOldest makes room for one more ended lifetime. The caller holds mu.
+func (a *Agent) forgetOldest() {
+	if len(a.ended) < maxEnded {
+		return
+	}
+	var oldest submission.Incarnation
+	for inc := range a.ended {
+		if oldest.ID == "" || inc.Born < oldest.Born {
+			oldest = inc
+		}
+	}
+	delete(a.ended, oldest)
+}
+
 // reportEndAfterCalls tells the owner of the end of a lifetime once its calls have
 // returned. When one of them was carried out meanwhile, a later lifetime under the
 // id has to report the end; without one, the lease ends the wait.
@@ -159,7 +178,7 @@
 		if epoch := u.agent.cfg.Link.Epoch(); epoch != 0 && u.stopAll(runs, epoch) && u.listWithout(runs, epoch) {
 			return true
 		}
-		u.sleep(failurePause)
+		u.sleepOrWake(failurePause)
 	}
 	return false
 }
--- a/vmagent/unit.go
+++ b/vmagent/unit.go
@@ -92,7 +92,7 @@
 	for u.ctx.Err() == nil {
 		epoch := u.agent.cfg.Link.Epoch()
 		if epoch == 0 {
-			u.sleep(failurePause)
+			u.sleepOrWake(failurePause)
 			continue
 		}
 		h, info, starts := u.holdRequest(epoch)
@@ -127,10 +127,10 @@
 				u.end(causeRefused)
 				return
 			}
-			u.sleep(failurePause / 2)
+			u.sleepOrWake(failurePause / 2)
 		default:
 			refused = 0
-			u.sleep(failurePause)
+			u.sleepOrWake(failurePause)
 		}
 	}
 }
@@ -143,7 +143,15 @@
 	events.ExecutorAnswers.Log(u.agent.cfg.Log).Str("executor", u.inc.ID).Send()
 }
 
-func (u *unit) sleep(d time.Duration) {
+// current returns what the executor said of itself last.
+func (u *unit) current() executor.Info {
+	u.agent.mu.Lock()
+	defer u.agent.mu.Unlock()
+	return u.info
+}
+
+// sleepOrWake waits for d, the next wakeUp or the end of the lifetime.
+func (u *unit) sleepOrWake(d time.Duration) {
 	select {
 	case <-u.ctx.Done():
 	case <-u.wake:
@@ -209,6 +217,6 @@
 		if next {
 			return
 		}
-		u.sleep(time.Until(deadline))
+		u.sleepOrWake(time.Until(deadline))
 	}
 }
