--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -83,7 +83,7 @@
 	wanted := o.contention.Paces(serving, full, used, n.paces, now)
 	n.paces = wanted
 	for t := range n.tasks {
-		if !t.step().Fills || t.phase != phaseRunning || t.stopping {
+		if !t.step().Fills || t.step().LongRunning || t.phase != phaseRunning || t.stopping {
 			continue
 		}
 		want := wanted[t.step().Image]
--- a/vmagent/vmagent_test.go
+++ b/vmagent/vmagent_test.go
@@ -305,6 +305,24 @@
 	assert.Equal(t, startsAfterRebirth, 0, "the next lifetime got a start of the one before")
 }
 
+// Once the agent has acknowledged that an executor leaves, no start may reach it,
+// also when the owner has ordered it before it knew.
+func TestDrainingExecutorGetsNoStart(t *testing.T) {
+	f := &fakeExecutor{hold: func(executor.Hold) executor.Snapshot { return executor.Snapshot{Born: 7} }}
+	f.start = func(executor.Start) executor.Answer { return executor.Answer{} }
+	a := newTestAgent(t, f)
+	o := connectOwner(t, a, 1)
+	leaving := testInfo()
+	leaving.Draining = true
+	a.Heartbeat(leaving)
+	assert.NilError(t, o.peer.Notify(&wire.Orders{Epoch: 1, Executor: "i-1", Born: 7, LeaseEnd: 5000, Starts: []wire.StartOrder{{Task: "a.0.0.0", Run: 1}}}))
+	r := waitFor(t, o.results, "result", func(*wire.OrderResults) bool { return true })
+	assert.Equal(t, r.Results[0].Outcome, executor.Unavailable)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	assert.Equal(t, len(f.starts), 0)
+}
+
 // After the clock was set back the next lifetime bears an earlier time. It must
 // not be taken for a delayed heartbeat once the one before has ended.
 func TestLifetimeAfterClockWasSetBackIsServed(t *testing.T) {
