--- a/vmagent/orders.go
+++ b/vmagent/orders.go
@@ -70,7 +70,7 @@
 		return
 	}
 	answer, uncertain := u.startUntilCertain(ctx, s, epoch)
-	u.answered(k, answer)
+	u.answered(k, answer, uncertain)
 	if ctx.Err() != nil {
 		return
 	}
--- a/vmagent/successor.go
+++ b/vmagent/successor.go
@@ -40,12 +40,13 @@
 	return true
 }
 
-// answered notes the last answer to a start; no call is in progress any more.
-func (u *unit) answered(k runKey, a executor.Answer) {
+// answered notes the last answer to a start, and whether an earlier attempt had
+// none; no call is in progress any more.
+func (u *unit) answered(k runKey, a executor.Answer, uncertain bool) {
 	u.agent.mu.Lock()
 	defer u.agent.mu.Unlock()
 	u.unproven[k] = startRefused
-	if a.Outcome == executor.OK || a.Outcome == executor.Unknown {
+	if uncertain || a.Outcome == executor.OK || a.Outcome == executor.Unknown {
 		u.unproven[k] = startTaken
 	}
 	u.calls.Done()
@@ -112,6 +113,7 @@
 		}
 	}
 	delete(a.ended, oldest)
+	delete(a.predecessors, oldest.ID)
 }
 
 // reportEndAfterCalls tells the owner of the end of a lifetime once its calls have
@@ -157,9 +159,11 @@
 	var runs []runKey
 	for _, before := range earlier {
 		before.calls.Wait()
+		u.agent.mu.Lock()
 		for k := range before.unproven {
 			runs = append(runs, k)
 		}
+		u.agent.mu.Unlock()
 	}
 	if len(earlier) == 0 || !u.endRuns(runs) {
 		return
