--- a/contention/contention_test.go
+++ b/contention/contention_test.go
@@ -84,6 +84,22 @@
 	assert.Equal(t, m.Paces(busy, fillers, fillers, map[string]int{"f": 100}, now)["f"], 100)
 }
 
+// A task that would keep its target without the tasks that fill beside it is harmed
+// by them, however much of its latency is by its own load.
+func TestTaskThatWouldKeepItsTargetAloneIsProtected(t *testing.T) {
+	m := New()
+	fillers := []Filler{{"f", 2}}
+	quiet := []Serving{{Task: "quiet", Group: "g", Image: "s", Latency: target * 95 / 100, Target: target}}
+	busy := []Serving{{Task: "busy", Group: "g", Image: "s", Latency: target * 105 / 100, Target: target}}
+	paces := map[string]int{"f": 100}
+	for now := time.Second; now < 5*time.Second; now += 500 * time.Millisecond {
+		m.Observe(quiet, nil, now)
+		m.Observe(busy, fillers, now)
+		paces = m.Paces(busy, fillers, fillers, paces, now)
+	}
+	assert.Equal(t, paces["f"], 0)
+}
+
 // The pace of an image that disturbs is lowered until the target is kept, and an
 // image that does not disturb goes on at full pace.
 func TestOnlyImagesThatDisturbAreSlowed(t *testing.T) {
--- a/contention/pace.go
+++ b/contention/pace.go
@@ -65,7 +65,7 @@
 func (m *Model) limit(s Serving, full, used []Filler, pace map[string]float64, current map[string]int, now time.Duration) {
 	base, known := m.Base(s, now)
 	latency, target := float64(s.Latency), float64(s.Target)
-	if known && base >= ownLoad*latency && latency >= overTarget*target {
+	if known && base >= ownLoad*latency && base >= target {
 		return // the task is late by its own load; slower neighbours would not help
 	}
 	budget := max(0, paceTarget*target/base-1)
