--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -127,8 +127,9 @@
 func (o *owner) run(ctx context.Context) error {
 	ctx, o.stop = context.WithCancel(ctx)
 	o.done = ctx.Done()
-	defer o.wg.Wait()
+	// The followers, which add links, end before the links are waited for.
 	defer o.links.wg.Wait()
+	defer o.wg.Wait()
 	defer func() { o.cancelCommit() }()
 	defer o.stop()
 	version, err := o.load(ctx)
