--- a/standin/executor.go
+++ b/standin/executor.go
@@ -114,10 +114,11 @@
 	return &Executor{cfg: cfg, changed: make(chan struct{})}
 }
 
-// Boot begins a lifetime. The id of the earlier lifetime is kept when sameID is true.
+// Boot begins a lifetime and ends the one before. Its id is kept when sameID is true.
 func (e *Executor) Boot(sameID bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.crash()
 	e.lives++
 	if e.life.ID == "" || !sameID {
 		e.life.ID = fmt.Sprintf("i-%s-%d", e.cfg.VM, e.lives)
@@ -132,6 +133,10 @@
 func (e *Executor) Crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.crash()
+}
+
+func (e *Executor) crash() {
 	for name, r := range e.runs {
 		e.record(history.TaskRunEnd, name, r, "")
 	}
--- /dev/null
+++ b/standin/executor_test.go
@@ -0,0 +1,32 @@
+package standin
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorystand/chicorystand/clock"
+	"github.com/chicorystand/chicorystand/executor"
+	"github.com/chicorystand/chicorystand/history"
+	"github.com/chicorystand/chicorystand/task"
+)
+
+// Guards against runs that a second boot drops without a recorded end; the checker
+// then takes their successors for second runs. Soak seed 2023: an executor crashed
+// and came back while another fault was about to replace it.
+func TestBootOfARunningExecutorEndsItsRuns(t *testing.T) {
+	start := time.Now()
+	recorder := history.NewRecorder(func() time.Duration { return time.Since(start) })
+	e := NewExecutor(ExecutorConfig{VM: "vm", Capacity: task.Resources{CPU: 1000}, Clock: clock.NewRuntime(), MaxLease: time.Minute,
+		Recorder: recorder, Work: func(string, uint32) Work { return Work{Request: task.Resources{CPU: 800}, Lasts: true} }})
+	e.Boot(false)
+	for run := uint32(1); run <= 2; run++ {
+		info, ok := e.Info()
+		assert.Assert(t, ok)
+		a := e.Start(t.Context(), info, executor.Start{Task: "a.0.0.0", Run: run, Epoch: 1, Deadline: info.Clock + 10_000})
+		assert.Equal(t, a.Outcome, executor.OK)
+		e.Boot(false)
+	}
+	assert.Equal(t, len(history.Check(recorder.Events(), history.Options{})), 0)
+}
