--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -83,7 +83,7 @@
 	wanted := o.contention.Paces(serving, full, used, n.paces, now)
 	n.paces = wanted
 	for t := range n.tasks {
-		if !t.step().Fills || t.step().LongRunning || t.phase != phaseRunning || t.stopping {
+		if !t.step().Fills || t.phase != phaseRunning || t.stopping {
 			continue
 		}
 		want := wanted[t.step().Image]
@@ -223,7 +223,7 @@
 
 // slowed reports whether a run is paced down and can be stopped at little loss.
 func (t *taskEntry) slowed(now time.Duration) bool {
-	if !t.step().Fills || t.phase != phaseRunning || t.stopping || t.pace > slowPace || t.pace < 0 || now-t.changedAt < settleTime {
+	if !t.step().Fills || t.step().LongRunning || t.phase != phaseRunning || t.stopping || t.pace > slowPace || t.pace < 0 || now-t.changedAt < settleTime {
 		return false
 	}
 	return t.step().Checkpoints || t.percent <= cheapPercent
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -489,6 +489,33 @@
 	assert.DeepEqual(t, f.starts()[2:], []string{s.ID + ".0.1.0#1@e1"})
 }
 
+// A stop of a long-running task that is at work counts against its disruption
+// budget; it is paced where it harms, as any task that fills, but not moved.
+func TestLongRunningTaskThatFillsIsPacedAndNotMoved(t *testing.T) {
+	f := newFixture(t)
+	f.executor("e1", nil)
+	serving := testStep(1)
+	serving.LongRunning, serving.LatencyTarget, serving.Image = true, 50*time.Millisecond, "s"
+	filling := testStep(1)
+	filling.LongRunning, filling.Fills, filling.Checkpoints, filling.Image = true, true, true, "f"
+	f.add(testSubmission(serving, filling))
+	f.turn()
+	assert.Equal(t, len(f.starts()), 2)
+	f.executor("e2", nil)
+	for range 12 {
+		f.now += 700 * time.Millisecond
+		f.executor("e1", []executor.Run{{Task: name(0, 0), Number: 1, Percent: 100, Load: 200}, {Task: name(1, 0), Number: 1, Percent: 100, Load: 1000}})
+		f.executor("e2", nil)
+		f.turn()
+	}
+	paces := 0
+	for _, m := range f.mails {
+		paces += len(m.Orders.Paces)
+	}
+	assert.Assert(t, paces > 0, "a task that serves is late, and what fills beside it works on at full pace")
+	assert.Equal(t, len(f.stops()), 0, "%v", f.stops())
+}
+
 // A run that stands still on a faulty executor must go on elsewhere.
 func TestStuckRunIsMoved(t *testing.T) {
 	f := newFixture(t)
