--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -7,7 +7,6 @@
 	"github.com/chicorystand/chicorystand/contention"
 	"github.com/chicorystand/chicorystand/events"
 	"github.com/chicorystand/chicorystand/executor"
-	"github.com/chicorystand/chicorystand/placement"
 	"github.com/chicorystand/chicorystand/submission"
 	"github.com/chicorystand/chicorystand/wire"
 )
@@ -195,32 +194,6 @@
 	return worst
 }
 
-// moveSlowed stops runs that are paced down and could work at full pace
-// elsewhere, where that loses little work.
-func (o *Owner) moveSlowed(now time.Duration) {
-	if now-o.movedAt < moveInterval {
-		return
-	}
-	o.movedAt = now
-	for _, n := range o.executors {
-		if n.gone || !n.connected || !n.paced() {
-			continue
-		}
-		moved := 0
-		for t := range n.tasks {
-			if moved == movesAtOnce {
-				break
-			}
-			if t.slowed(now) && o.hasBetterNode(t, n, now) {
-				events.TaskMoved.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", n.info.ID).
-					Int("pace", t.pace).Int("percent", t.percent).Send()
-				o.stop(t, now)
-				moved++
-			}
-		}
-	}
-}
-
 // slowed reports whether a run is paced down and can be stopped at little loss.
 func (t *taskEntry) slowed(now time.Duration) bool {
 	if !t.step().Fills || t.step().LongRunning || t.phase != phaseRunning || t.stopping || t.pace > slowPace || t.pace < 0 || now-t.changedAt < settleTime {
@@ -229,29 +202,7 @@
 	return t.step().Checkpoints || t.percent <= cheapPercent
 }
 
-func (o *Owner) hasBetterNode(t *taskEntry, from *node, now time.Duration) bool {
-	return o.hasNode(t, from, now, func(n *node) bool { return o.expectedLatency(t.step(), n) <= placement.MaxExpectedLatency })
-}
-
-// hasNode reports whether another executor can take the task now and is good enough.
-func (o *Owner) hasNode(t *taskEntry, from *node, now time.Duration, good func(*node) bool) bool {
-	places, nodes := o.nodes(o.service(t.job.sub), now)
-	w := &waitingStep{key: t.stepKey(), job: t.job, since: now}
-	w.allowed = o.allowed(w, nodes, now)
-	q := o.query(w, t, t.step(), o.countByNode(w), "", nodes, now)
-	for i, n := range nodes {
-		if n != from && placement.Fits(q, places[i]) && good(n) {
-			return true
-		}
-	}
-	return false
-}
-
 const (
-	// moveInterval is the time between two looks for runs to move.
-	moveInterval = 300 * time.Millisecond
-	// movesAtOnce bounds the runs that leave one executor in each interval.
-	movesAtOnce = 4
 	// slowPace is the pace in percent up to which a run may be moved.
 	slowPace = 30
 	// cheapPercent is the progress up to which a run without checkpoints may be stopped.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -73,8 +73,6 @@
 	changed  bool
 	placedAt time.Duration
 	movedAt  time.Duration
-	// rescuedAt is when runs on slow executors were last looked at.
-	rescuedAt time.Duration
 	// estimates is what is known of the estimates of each queue's submissions.
 	estimates map[string]*speed.Estimates
 	// now is the time of the last run of the systems.
@@ -130,8 +128,7 @@
 	o.expireLeases(now)
 	o.releaseDue(now)
 	o.evacuate(now)
-	o.moveSlowed(now)
-	o.moveFromSlow(now)
+	o.moveRuns(now)
 	o.place(now)
 	o.repeatOrders(now)
 	o.forget(now)
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/placement"
 	"github.com/chicorystand/chicorystand/speed"
 )
 
@@ -96,30 +94,6 @@
 	return s
 }
 
-// moveFromSlow stops runs on slow executors that would be done earlier elsewhere.
-func (o *Owner) moveFromSlow(now time.Duration) {
-	if now-o.rescuedAt < moveInterval {
-		return
-	}
-	o.rescuedAt = now
-	for _, n := range o.executors {
-		factor := n.speed.Factor(now)
-		if n.gone || !n.connected || n.info.Draining || factor < slowFactor {
-			continue
-		}
-		moved := 0
-		for t := range n.tasks {
-			if moved < movesAtOnce && o.fasterElsewhere(t, factor) && o.hasFasterNode(t, n, now) {
-				events.RunSlow.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", n.info.ID).
-					Float64("factor", factor).Int("percent", t.percent).Send()
-				t.moves++
-				o.stop(t, now)
-				moved++
-			}
-		}
-	}
-}
-
 // fasterElsewhere reports whether a run on an executor that takes factor times as
 // long would be done earlier after a move.
 func (o *Owner) fasterElsewhere(t *taskEntry, factor float64) bool {
@@ -139,12 +113,6 @@
 	return float64(left)*factor > float64(again)*moveGain+float64(moveCost)
 }
 
-func (o *Owner) hasFasterNode(t *taskEntry, from *node, now time.Duration) bool {
-	return o.hasNode(t, from, now, func(n *node) bool {
-		return n.speed.Factor(now) < suspectFactor && o.expectedLatency(t.step(), n) <= placement.MaxExpectedLatency
-	})
-}
-
 // suspicion returns the share, 0 to 1, by which an executor is taken for faulty or slow.
 func (n *node) suspicion(now time.Duration) float64 {
 	s := n.health.share(now)
--- a/histories/cluster_test.go
+++ b/histories/cluster_test.go
@@ -46,6 +46,7 @@
 	link  *standin.Link
 	stop  context.CancelFunc
 	ended chan struct{}
+	log   zerolog.Logger
 	// requests is the gateway of an entry.
 	requests *gateway.Gateway
 	// agent is the agent beside an executor.
@@ -103,7 +104,8 @@
 // newProcess returns a process whose work ends with its context.
 func (c *cluster) newProcess(name string) (*process, context.Context) {
 	ctx, stop := context.WithCancel(c.ctx)
-	return &process{name: name, link: standin.NewLink(c.table), stop: stop, ended: make(chan struct{})}, ctx
+	return &process{name: name, link: standin.NewLink(c.table), stop: stop, ended: make(chan struct{}),
+		log: c.log.With().Str("process", name).Logger()}, ctx
 }
 
 func (c *cluster) member(name string, role member.Role) member.Member {
@@ -117,11 +119,11 @@
 	p, ctx := c.newProcess(entryName(i))
 	c.entries[i] = p
 	self := c.member(p.name, member.Entry)
-	owner := member.NewOwnerLink(c.clock, c.log)
+	owner := member.NewOwnerLink(c.clock, p.log)
 	current := func() *manifest.Manifest { return c.manifest }
-	p.requests = gateway.New(gateway.Config{Store: p.link, Clock: c.clock, Log: c.log.With().Str("process", p.name).Logger(), Owner: owner, Manifest: current,
+	p.requests = gateway.New(gateway.Config{Store: p.link, Clock: c.clock, Log: p.log, Owner: owner, Manifest: current,
 		StoreAnswered: c.clock.Now, Observe: func(string, int, time.Duration, error) {}})
-	candidate := coordinator.NewCandidate(coordinator.Config{Store: p.link, Clock: c.clock, Log: c.log.With().Str("process", p.name).Logger(), Member: self,
+	candidate := coordinator.NewCandidate(coordinator.Config{Store: p.link, Clock: c.clock, Log: p.log, Member: self,
 		Dial: c.net.Dialer(p.name), HighestEpoch: owner.Epoch, Manifest: current,
 		Bounds: dispatch.Bounds{Lease: testLease, Consent: 2 * time.Second, StoreLoss: 15 * time.Second, StopTimeout: testStop, Retention: time.Hour}}, owner)
 	l := c.net.Listen(p.name, self.Address)
@@ -149,8 +151,8 @@
 	p, ctx := c.newProcess(agentName(i))
 	c.agents[i] = p
 	self := c.member(p.name, member.Agent)
-	owner := member.NewOwnerLink(c.clock, c.log)
-	p.agent = vmagent.New(ctx, vmagent.Config{Name: p.name, Client: c.executors[i], Clock: c.clock, Log: c.log.With().Str("process", p.name).Logger(), Link: owner,
+	owner := member.NewOwnerLink(c.clock, p.log)
+	p.agent = vmagent.New(ctx, vmagent.Config{Name: p.name, Client: c.executors[i], Clock: c.clock, Log: p.log, Link: owner,
 		Observe: func(string, executor.Answer) {}})
 	l := c.net.Listen(p.name, self.Address)
 	go member.Serve(l, owner, p.agent.Handle)
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -277,10 +278,13 @@
 	}
 }
 
+// nodes returns all processes.
+func (c *cluster) nodes() []*node { return slices.Concat(c.entries, c.agents) }
+
 // stop ends all processes and stand-ins.
 func (c *cluster) stop() {
 	var all sync.WaitGroup
-	for _, n := range append(append([]*node(nil), c.entries...), c.agents...) {
+	for _, n := range c.nodes() {
 		if n.process != nil && n.cmd != nil {
 			all.Go(func() {
 				n.signal(sigCont)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -88,11 +88,8 @@
 
 // node returns the process that a fault strikes.
 func (c *cluster) node(f *fault) *node {
-	i := f.target % (len(c.entries) + len(c.agents))
-	if i < len(c.entries) {
-		return c.entries[i]
-	}
-	return c.agents[i-len(c.entries)]
+	all := c.nodes()
+	return all[f.target%len(all)]
 }
 
 func (c *cluster) restart(f *fault, s syscall.Signal) { c.restartNode(c.node(f), s, f.lasts/4) }
@@ -108,7 +105,7 @@
 }
 
 func (c *cluster) killAll(f *fault) {
-	for _, n := range append(append([]*node(nil), c.entries...), c.agents...) {
+	for _, n := range c.nodes() {
 		go c.restartNode(n, syscall.SIGKILL, f.lasts/4)
 	}
 	time.Sleep(f.lasts / 4)
