--- a/errkind/example_test.go
+++ b/base/errkind/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 func ExampleOf() {
--- a/events/example_test.go
+++ b/base/events/example_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/base/events"
 )
 
 func ExampleEvent_Log() {
--- a/metrics/deployment.go
+++ b/base/metrics/deployment.go
@@ -6,9 +6,9 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/chicorystand/chicorystand/dispatch"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/executor"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/dispatch"
+	"github.com/chicorystand/chicorystand/vm/executor"
 )
 
 // Deployment holds the metrics of the processes of a deployment on the platform.
--- a/metrics/metrics.go
+++ b/base/metrics/metrics.go
@@ -7,7 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 // Entry holds the metrics of an entry.
--- a/metrics/requests.go
+++ b/base/metrics/requests.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 // Requests holds the metrics of an entry's request path. Refusals and retries by
--- a/metrics/store.go
+++ b/base/metrics/store.go
@@ -7,8 +7,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/state/store"
 )
 
 // Store holds the metrics of the calls to the table service.
--- a/metrics/store_test.go
+++ b/base/metrics/store_test.go
@@ -7,9 +7,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/confsync"
-	"github.com/chicorystand/chicorystand/metrics"
-	"github.com/chicorystand/chicorystand/standin"
+	"github.com/chicorystand/chicorystand/base/metrics"
+	"github.com/chicorystand/chicorystand/control/confsync"
+	"github.com/chicorystand/chicorystand/verify/standin"
 )
 
 // Guards against ages that stay at "never" because the keys of the rows changed,
--- a/settings/fuzz_test.go
+++ b/base/settings/fuzz_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/spf13/pflag"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/settings"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/settings"
 )
 
 // Guards against settings that crash the loader, and against an error that is not
--- a/settings/load.go
+++ b/base/settings/load.go
@@ -15,8 +15,8 @@
 	"github.com/knadh/koanf/v2"
 	"github.com/spf13/pflag"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/strictyaml"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/strictyaml"
 )
 
 // maxFile bounds a settings file in bytes.
--- a/settings/settings_test.go
+++ b/base/settings/settings_test.go
@@ -10,8 +10,8 @@
 	"github.com/spf13/pflag"
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/settings"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/settings"
 )
 
 func write(t *testing.T, text string) string {
--- a/strictyaml/strictyaml.go
+++ b/base/strictyaml/strictyaml.go
@@ -9,7 +9,7 @@
 	"github.com/goccy/go-yaml"
 	"github.com/pkg/errors"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 // Decode decodes the document in data into the struct that into points to. An empty
--- a/command/chicorybench/capacity.go
+++ b/command/chicorybench/capacity.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/bench/capacity"
+	"github.com/chicorystand/chicorystand/verify/bench/capacity"
 )
 
 func newCapacity() *cobra.Command {
--- a/command/chicorybench/config.go
+++ b/command/chicorybench/config.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/bench/config"
+	"github.com/chicorystand/chicorystand/verify/bench/config"
 )
 
 func newConfig() *cobra.Command {
--- a/command/chicorybench/control.go
+++ b/command/chicorybench/control.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/bench/control"
+	"github.com/chicorystand/chicorystand/verify/bench/control"
 )
 
 func newControl() *cobra.Command {
--- a/command/chicorybench/decide.go
+++ b/command/chicorybench/decide.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/bench/decide"
+	"github.com/chicorystand/chicorystand/verify/bench/decide"
 )
 
 func newDecide() *cobra.Command {
--- a/command/chicorybench/policy.go
+++ b/command/chicorybench/policy.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/bench/policy"
+	"github.com/chicorystand/chicorystand/verify/bench/policy"
 )
 
 func newPolicy() *cobra.Command {
--- a/command/chicorybench/recover.go
+++ b/command/chicorybench/recover.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/bench/recovery"
+	"github.com/chicorystand/chicorystand/verify/bench/recovery"
 )
 
 func newRecover() *cobra.Command {
--- a/command/chicorybench/report.go
+++ b/command/chicorybench/report.go
@@ -7,8 +7,8 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/bench"
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/verify/bench"
 )
 
 // maxResult bounds a file of results in bytes.
--- a/command/chicorybench/root.go
+++ b/command/chicorybench/root.go
@@ -8,8 +8,8 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/bench"
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/verify/bench"
 )
 
 // runFunc runs a benchmark with a seed.
--- a/command/chicorybench/route.go
+++ b/command/chicorybench/route.go
@@ -8,9 +8,9 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/bench"
-	"github.com/chicorystand/chicorystand/bench/route"
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/verify/bench"
+	"github.com/chicorystand/chicorystand/verify/bench/route"
 )
 
 func newRoute() *cobra.Command {
--- a/command/chicorybench/soak.go
+++ b/command/chicorybench/soak.go
@@ -9,8 +9,8 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/soak"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/verify/soak"
 )
 
 // newSoak returns the command that runs the fault soak. Unlike a benchmark it has
--- a/command/chicorybench/store.go
+++ b/command/chicorybench/store.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/bench/store"
+	"github.com/chicorystand/chicorystand/verify/bench/store"
 )
 
 func newStore() *cobra.Command {
--- a/command/chicorybench/worth.go
+++ b/command/chicorybench/worth.go
@@ -9,7 +9,7 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 	"github.com/chicorystand/chicorystand/platform/journal"
 )
 
--- a/command/chicoryctl/client.go
+++ b/command/chicoryctl/client.go
@@ -12,8 +12,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/chicorystand/chicorystand/entry"
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/ingress/entry"
 )
 
 // Repeats after a lost answer. Every operation is idempotent.
--- a/command/chicoryctl/ctl_test.go
+++ b/command/chicoryctl/ctl_test.go
@@ -16,13 +16,13 @@
 	"github.com/spf13/cobra"
 	"gotest.tools/v3/assert"
 
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
 	"github.com/chicorystand/chicorystand/command/chicoryctl"
 	"github.com/chicorystand/chicorystand/command/run"
-	"github.com/chicorystand/chicorystand/devenv"
-	"github.com/chicorystand/chicorystand/entry"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/standin"
+	"github.com/chicorystand/chicorystand/ingress/entry"
+	"github.com/chicorystand/chicorystand/verify/devenv"
+	"github.com/chicorystand/chicorystand/verify/standin"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/command/chicoryctl/events.go
+++ b/command/chicoryctl/events.go
@@ -6,8 +6,8 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
 )
 
 func newEvents(o *options) *cobra.Command {
--- a/command/chicoryctl/list.go
+++ b/command/chicoryctl/list.go
@@ -6,7 +6,7 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/plan"
+	"github.com/chicorystand/chicorystand/control/plan"
 )
 
 // listKind is one of the two lists of the configuration.
--- a/command/chicoryctl/list_apply.go
+++ b/command/chicoryctl/list_apply.go
@@ -9,9 +9,9 @@
 	"github.com/goccy/go-yaml/parser"
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/plan"
-	"github.com/chicorystand/chicorystand/strictyaml"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/strictyaml"
+	"github.com/chicorystand/chicorystand/control/plan"
 )
 
 // listChange is the content of a file that changes one list.
--- a/command/chicoryctl/list_diff.go
+++ b/command/chicoryctl/list_diff.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/plan"
+	"github.com/chicorystand/chicorystand/control/plan"
 )
 
 // diffView is the output form of diff.
--- a/command/chicoryctl/list_history.go
+++ b/command/chicoryctl/list_history.go
@@ -7,7 +7,7 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/entry"
+	"github.com/chicorystand/chicorystand/ingress/entry"
 )
 
 func newListHistory(o *options, k listKind) *cobra.Command {
--- a/command/chicoryctl/options.go
+++ b/command/chicoryctl/options.go
@@ -9,9 +9,9 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/identity"
-	"github.com/chicorystand/chicorystand/strictyaml"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/strictyaml"
+	"github.com/chicorystand/chicorystand/state/identity"
 )
 
 const (
--- a/command/chicoryctl/output.go
+++ b/command/chicoryctl/output.go
@@ -11,7 +11,7 @@
 	"github.com/mattn/go-isatty"
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 // Output forms. The forms are plain text without colours on every device.
--- a/command/chicoryctl/root.go
+++ b/command/chicoryctl/root.go
@@ -5,7 +5,7 @@
 import (
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 // New returns the root command.
--- a/command/chicoryctl/status.go
+++ b/command/chicoryctl/status.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/entry"
+	"github.com/chicorystand/chicorystand/ingress/entry"
 )
 
 func newStatus(o *options) *cobra.Command {
--- a/command/chicoryctl/task_cancel.go
+++ b/command/chicoryctl/task_cancel.go
@@ -5,8 +5,8 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/entry"
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/ingress/entry"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/command/chicoryctl/task_wait.go
+++ b/command/chicoryctl/task_wait.go
@@ -6,9 +6,9 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/entry"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/ingress/entry"
 )
 
 func newTaskWait(o *options) *cobra.Command {
--- a/command/chicoryctl/upstream_drain.go
+++ b/command/chicoryctl/upstream_drain.go
@@ -9,8 +9,8 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/gate"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/ingress/gate"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/command/chicorydev/certificates.go
+++ b/command/chicorydev/certificates.go
@@ -7,8 +7,8 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/identity"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/state/identity"
 )
 
 // trialValidity is the validity of trial certificates.
--- a/command/chicorydev/demo.go
+++ b/command/chicorydev/demo.go
@@ -7,9 +7,9 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/demo"
-	"github.com/chicorystand/chicorystand/devenv"
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/verify/demo"
+	"github.com/chicorystand/chicorystand/verify/devenv"
 )
 
 func newDemo() *cobra.Command {
--- a/command/chicorydev/docs.go
+++ b/command/chicorydev/docs.go
@@ -8,10 +8,10 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/metrics"
-	"github.com/chicorystand/chicorystand/settings"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/base/metrics"
+	"github.com/chicorystand/chicorystand/base/settings"
 )
 
 // documents maps generated files to their generators.
--- a/command/chicorydev/docs_test.go
+++ b/command/chicorydev/docs_test.go
@@ -14,12 +14,12 @@
 	"github.com/spf13/cobra"
 	"gotest.tools/v3/assert"
 
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/base/metrics"
 	"github.com/chicorystand/chicorystand/command/chicoryagent"
 	"github.com/chicorystand/chicorystand/command/chicoryentry"
-	"github.com/chicorystand/chicorystand/devenv"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/metrics"
+	"github.com/chicorystand/chicorystand/verify/devenv"
 )
 
 const root = "../.."
--- a/command/chicorydev/process_test.go
+++ b/command/chicorydev/process_test.go
@@ -18,7 +18,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 // build compiles every command and returns the directory.
--- a/command/chicorydev/serve.go
+++ b/command/chicorydev/serve.go
@@ -10,9 +10,9 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/devenv"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/verify/devenv"
 )
 
 // stopTimeout bounds the graceful stop.
--- a/command/chicoryentry/root.go
+++ b/command/chicoryentry/root.go
@@ -10,14 +10,14 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/clock"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/base/settings"
 	"github.com/chicorystand/chicorystand/command/daemon"
 	"github.com/chicorystand/chicorystand/command/deployed"
-	"github.com/chicorystand/chicorystand/entry"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/identity"
-	"github.com/chicorystand/chicorystand/settings"
-	"github.com/chicorystand/chicorystand/store/httpstore"
+	"github.com/chicorystand/chicorystand/ingress/entry"
+	"github.com/chicorystand/chicorystand/state/identity"
+	"github.com/chicorystand/chicorystand/state/store/httpstore"
 )
 
 // New returns the root command.
--- a/command/daemon/daemon.go
+++ b/command/daemon/daemon.go
@@ -18,12 +18,12 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/base/metrics"
+	"github.com/chicorystand/chicorystand/base/settings"
 	"github.com/chicorystand/chicorystand/command/run"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/identity"
-	"github.com/chicorystand/chicorystand/metrics"
-	"github.com/chicorystand/chicorystand/settings"
+	"github.com/chicorystand/chicorystand/state/identity"
 )
 
 // Process is what a running daemon needs from its environment.
--- a/command/daemon/run.go
+++ b/command/daemon/run.go
@@ -3,9 +3,9 @@
 import (
 	"github.com/spf13/cobra"
 
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/base/settings"
 	"github.com/chicorystand/chicorystand/command/run"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/settings"
 )
 
 func newRun(spec Spec) *cobra.Command {
--- a/command/daemon/tls.go
+++ b/command/daemon/tls.go
@@ -3,7 +3,7 @@
 import (
 	"crypto/tls"
 
-	"github.com/chicorystand/chicorystand/identity"
+	"github.com/chicorystand/chicorystand/state/identity"
 )
 
 func (p *Process) serverConfig(roles []identity.Role) *tls.Config {
--- a/command/daemon/validate.go
+++ b/command/daemon/validate.go
@@ -5,8 +5,8 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/chicorystand/chicorystand/base/settings"
 	"github.com/chicorystand/chicorystand/command/run"
-	"github.com/chicorystand/chicorystand/settings"
 )
 
 func newValidate(spec Spec) *cobra.Command {
--- a/command/deployed/agent.go
+++ b/command/deployed/agent.go
@@ -7,12 +7,12 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/dispatch"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/member"
-	"github.com/chicorystand/chicorystand/metrics"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/base/metrics"
+	"github.com/chicorystand/chicorystand/control/dispatch"
 	"github.com/chicorystand/chicorystand/platform"
-	"github.com/chicorystand/chicorystand/vmagent"
+	"github.com/chicorystand/chicorystand/state/member"
+	"github.com/chicorystand/chicorystand/vm/vmagent"
 )
 
 // NewAgent returns the verb that runs the agent on the platform.
--- a/command/deployed/entry.go
+++ b/command/deployed/entry.go
@@ -9,15 +9,15 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/advice"
-	"github.com/chicorystand/chicorystand/coordinator"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/follow"
-	"github.com/chicorystand/chicorystand/gateway"
-	"github.com/chicorystand/chicorystand/manifest"
-	"github.com/chicorystand/chicorystand/member"
-	"github.com/chicorystand/chicorystand/metrics"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/base/metrics"
+	"github.com/chicorystand/chicorystand/control/advice"
+	"github.com/chicorystand/chicorystand/control/coordinator"
+	"github.com/chicorystand/chicorystand/control/manifest"
+	"github.com/chicorystand/chicorystand/ingress/gateway"
 	"github.com/chicorystand/chicorystand/platform"
+	"github.com/chicorystand/chicorystand/state/follow"
+	"github.com/chicorystand/chicorystand/state/member"
 )
 
 // NewEntry returns the verb that runs the entry on the platform.
--- a/command/deployed/process.go
+++ b/command/deployed/process.go
@@ -23,12 +23,12 @@
 	"github.com/rs/zerolog/diode"
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/clock"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/base/events"
 	"github.com/chicorystand/chicorystand/command/run"
-	"github.com/chicorystand/chicorystand/dispatch"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/member"
+	"github.com/chicorystand/chicorystand/control/dispatch"
 	"github.com/chicorystand/chicorystand/platform"
+	"github.com/chicorystand/chicorystand/state/member"
 )
 
 const (
--- a/command/run/run.go
+++ b/command/run/run.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 // reported is an error that a command has already shown.
--- a/advice/advice.go
+++ b/control/advice/advice.go
@@ -6,7 +6,7 @@
 	"context"
 	"time"
 
-	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/control/submission"
 )
 
 // MaxExecutors is the largest number of executors in one question.
--- a/confsync/confsync.go
+++ b/control/confsync/confsync.go
@@ -11,9 +11,9 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/plan"
-	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/plan"
+	"github.com/chicorystand/chicorystand/state/store"
 )
 
 // Keys in the table service.
--- a/confsync/confsync_test.go
+++ b/control/confsync/confsync_test.go
@@ -13,13 +13,13 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/confsync"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/lease"
-	"github.com/chicorystand/chicorystand/plan"
-	"github.com/chicorystand/chicorystand/standin"
-	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/confsync"
+	"github.com/chicorystand/chicorystand/control/lease"
+	"github.com/chicorystand/chicorystand/control/plan"
+	"github.com/chicorystand/chicorystand/state/store"
+	"github.com/chicorystand/chicorystand/verify/standin"
 )
 
 // node is an entry reduced to its configuration protocol.
--- a/confsync/proposer.go
+++ b/control/confsync/proposer.go
@@ -8,11 +8,11 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/lease"
-	"github.com/chicorystand/chicorystand/plan"
-	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/lease"
+	"github.com/chicorystand/chicorystand/control/plan"
+	"github.com/chicorystand/chicorystand/state/store"
 )
 
 // Proposer writes changes and accepts them when every registered entry is
--- a/coordinator/advisor.go
+++ b/control/coordinator/advisor.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/chicorystand/chicorystand/dispatch"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/control/dispatch"
 )
 
 // adviceRetry is the pause after a call for advice that failed.
--- a/coordinator/candidate.go
+++ b/control/coordinator/candidate.go
@@ -9,9 +9,9 @@
 	"github.com/looplab/fsm"
 	"github.com/pkg/errors"
 
-	"github.com/chicorystand/chicorystand/dispatch"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/control/dispatch"
 )
 
 const (
--- a/coordinator/counters.go
+++ b/control/coordinator/counters.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"github.com/chicorystand/chicorystand/dispatch"
+	"github.com/chicorystand/chicorystand/control/dispatch"
 )
 
 // counters add up the totals of several periods of ownership.
--- a/coordinator/head.go
+++ b/control/coordinator/head.go
@@ -9,8 +9,8 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/state/store"
 )
 
 // headKey is the row that names the owner. Every commit of the owner is
--- a/coordinator/load.go
+++ b/control/coordinator/load.go
@@ -5,13 +5,13 @@
 	"strings"
 	"time"
 
-	"github.com/chicorystand/chicorystand/dispatch"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/follow"
-	"github.com/chicorystand/chicorystand/member"
-	"github.com/chicorystand/chicorystand/store"
-	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/control/dispatch"
+	"github.com/chicorystand/chicorystand/control/submission"
+	"github.com/chicorystand/chicorystand/state/follow"
+	"github.com/chicorystand/chicorystand/state/member"
+	"github.com/chicorystand/chicorystand/state/store"
 )
 
 // loadRetry is the pause after a failed reading of the tables.
--- a/coordinator/loop.go
+++ b/control/coordinator/loop.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/member"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/state/member"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/coordinator/owner.go
+++ b/control/coordinator/owner.go
@@ -9,14 +9,14 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/chicorystand/chicorystand/advice"
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/dispatch"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/manifest"
-	"github.com/chicorystand/chicorystand/member"
-	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/control/advice"
+	"github.com/chicorystand/chicorystand/control/dispatch"
+	"github.com/chicorystand/chicorystand/control/manifest"
+	"github.com/chicorystand/chicorystand/state/member"
+	"github.com/chicorystand/chicorystand/state/store"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/dispatch/advice.go
+++ b/control/dispatch/advice.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
-	"github.com/chicorystand/chicorystand/advice"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/control/advice"
+	"github.com/chicorystand/chicorystand/control/submission"
 )
 
 // Question is a call for advice that is due.
--- a/dispatch/advice_test.go
+++ b/control/dispatch/advice_test.go
@@ -6,9 +6,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/advice"
-	"github.com/chicorystand/chicorystand/executor"
-	"github.com/chicorystand/chicorystand/manifest"
+	"github.com/chicorystand/chicorystand/control/advice"
+	"github.com/chicorystand/chicorystand/control/manifest"
+	"github.com/chicorystand/chicorystand/vm/executor"
 )
 
 func advisedManifest() *manifest.Manifest {
--- a/dispatch/commit.go
+++ b/control/dispatch/commit.go
@@ -6,10 +6,10 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/chicorystand/chicorystand/contention"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/store"
-	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/contention"
+	"github.com/chicorystand/chicorystand/control/submission"
+	"github.com/chicorystand/chicorystand/state/store"
 )
 
 // Tables of the store. Entries write work; the owner writes progress.
--- a/dispatch/contention.go
+++ b/control/dispatch/contention.go
@@ -4,10 +4,10 @@
 	"strconv"
 	"time"
 
-	"github.com/chicorystand/chicorystand/contention"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/executor"
-	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/control/contention"
+	"github.com/chicorystand/chicorystand/control/submission"
+	"github.com/chicorystand/chicorystand/vm/executor"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -13,11 +13,11 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/chicorystand/chicorystand/advice"
-	"github.com/chicorystand/chicorystand/contention"
-	"github.com/chicorystand/chicorystand/manifest"
-	"github.com/chicorystand/chicorystand/speed"
-	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/control/advice"
+	"github.com/chicorystand/chicorystand/control/contention"
+	"github.com/chicorystand/chicorystand/control/manifest"
+	"github.com/chicorystand/chicorystand/control/speed"
+	"github.com/chicorystand/chicorystand/control/submission"
 )
 
 // Bounds are the figures of a deployment that the owner's time-outs follow.
--- a/dispatch/dispatch_test.go
+++ b/control/dispatch/dispatch_test.go
@@ -8,9 +8,9 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/executor"
-	"github.com/chicorystand/chicorystand/submission"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/submission"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/vm/executor"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/dispatch/jobs.go
+++ b/control/dispatch/jobs.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/control/submission"
 )
 
 // Add takes in a submission that is durable, with its record when there is one.
--- a/dispatch/move.go
+++ b/control/dispatch/move.go
@@ -4,8 +4,8 @@
 	"math"
 	"time"
 
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/placement"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/control/placement"
 )
 
 const (
--- a/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -5,10 +5,10 @@
 	"strings"
 	"time"
 
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/ordering"
-	"github.com/chicorystand/chicorystand/placement"
-	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/control/ordering"
+	"github.com/chicorystand/chicorystand/control/placement"
+	"github.com/chicorystand/chicorystand/control/submission"
 )
 
 // placeInterval is the longest time between two attempts to place waiting tasks.
--- a/dispatch/reports.go
+++ b/control/dispatch/reports.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/executor"
-	"github.com/chicorystand/chicorystand/placement"
-	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/control/placement"
+	"github.com/chicorystand/chicorystand/control/submission"
+	"github.com/chicorystand/chicorystand/vm/executor"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/dispatch/speed.go
+++ b/control/dispatch/speed.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/chicorystand/chicorystand/speed"
+	"github.com/chicorystand/chicorystand/control/speed"
 )
 
 const (
--- a/dispatch/speed_test.go
+++ b/control/dispatch/speed_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/executor"
+	"github.com/chicorystand/chicorystand/vm/executor"
 )
 
 // progressOf drives six runs, two on each of three executors, for a while. On "e1"
--- a/dispatch/status.go
+++ b/control/dispatch/status.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/base/events"
 )
 
 // Status is a summary of the tables.
--- a/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -5,11 +5,11 @@
 	"strings"
 	"time"
 
-	"github.com/chicorystand/chicorystand/executor"
-	"github.com/chicorystand/chicorystand/placement"
-	"github.com/chicorystand/chicorystand/speed"
-	"github.com/chicorystand/chicorystand/submission"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/placement"
+	"github.com/chicorystand/chicorystand/control/speed"
+	"github.com/chicorystand/chicorystand/control/submission"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/vm/executor"
 )
 
 // phase is what the owner knows of a run beyond its record.
--- a/ledger/ledger.go
+++ b/control/ledger/ledger.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // Entry is one admitted attempt.
--- a/ledger/ledger_test.go
+++ b/control/ledger/ledger_test.go
@@ -5,8 +5,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // Guards against a late or repeated start of an attempt that has ended, and
--- a/manifest/follower.go
+++ b/control/manifest/follower.go
@@ -5,8 +5,8 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/state/store"
 )
 
 // Follower holds the newest manifest that was read. Within the life of a
--- a/manifest/follower_test.go
+++ b/control/manifest/follower_test.go
@@ -8,7 +8,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/state/store"
 )
 
 // A process that goes back to an older version, because rows come late or again
--- a/placement/placement.go
+++ b/control/placement/placement.go
@@ -3,8 +3,8 @@
 package placement
 
 import (
-	"github.com/chicorystand/chicorystand/submission"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/submission"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // Node is an executor as the placement sees it.
--- a/placement/placement_test.go
+++ b/control/placement/placement_test.go
@@ -5,8 +5,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/submission"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/submission"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 func testNode(id string) *Node {
--- a/plan/example_test.go
+++ b/control/plan/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/chicorystand/chicorystand/plan"
+	"github.com/chicorystand/chicorystand/control/plan"
 )
 
 func ExampleDiff() {
--- a/plan/fuzz_test.go
+++ b/control/plan/fuzz_test.go
@@ -3,8 +3,8 @@
 import (
 	"testing"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/plan"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/plan"
 )
 
 // Guards against a document that crashes the parser, and against one that is accepted
--- a/plan/plan.go
+++ b/control/plan/plan.go
@@ -7,8 +7,8 @@
 	"math"
 	"strings"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/strictyaml"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/strictyaml"
 )
 
 // Bounds of the document.
--- a/scheduler/differential_test.go
+++ b/control/scheduler/differential_test.go
@@ -8,11 +8,11 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/chicorystand/chicorystand/scheduler"
-	"github.com/chicorystand/chicorystand/scheduler/naive"
-	"github.com/chicorystand/chicorystand/scheduler/sizing"
-	"github.com/chicorystand/chicorystand/scheduler/tables"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/scheduler"
+	"github.com/chicorystand/chicorystand/control/scheduler/naive"
+	"github.com/chicorystand/chicorystand/control/scheduler/sizing"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 func init() { _ = flag.Set("rapid.seed", "20261204") }
--- a/scheduler/eviction/eviction.go
+++ b/control/scheduler/eviction/eviction.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
-	"github.com/chicorystand/chicorystand/scheduler/sizing"
-	"github.com/chicorystand/chicorystand/scheduler/tables"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/scheduler/sizing"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // Terms of the loss.
--- a/scheduler/fairshare/fairshare.go
+++ b/control/scheduler/fairshare/fairshare.go
@@ -2,8 +2,8 @@
 package fairshare
 
 import (
-	"github.com/chicorystand/chicorystand/scheduler/tables"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // Share returns the customer's dominant share of the capacity divided by the weight of its
--- a/scheduler/feasibility/feasibility.go
+++ b/control/scheduler/feasibility/feasibility.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/scheduler/tables"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // Request is a task with the reservation that it needs.
--- a/scheduler/finder.go
+++ b/control/scheduler/finder.go
@@ -1,10 +1,10 @@
 package scheduler
 
 import (
-	"github.com/chicorystand/chicorystand/scheduler/feasibility"
-	"github.com/chicorystand/chicorystand/scheduler/scoring"
-	"github.com/chicorystand/chicorystand/scheduler/tables"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/scheduler/feasibility"
+	"github.com/chicorystand/chicorystand/control/scheduler/scoring"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // finder is one search.
--- a/scheduler/ingest.go
+++ b/control/scheduler/ingest.go
@@ -1,13 +1,13 @@
 package scheduler
 
 import (
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/scheduler/eviction"
-	"github.com/chicorystand/chicorystand/scheduler/interference"
-	"github.com/chicorystand/chicorystand/scheduler/quarantine"
-	"github.com/chicorystand/chicorystand/scheduler/sizing"
-	"github.com/chicorystand/chicorystand/scheduler/tables"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/scheduler/eviction"
+	"github.com/chicorystand/chicorystand/control/scheduler/interference"
+	"github.com/chicorystand/chicorystand/control/scheduler/quarantine"
+	"github.com/chicorystand/chicorystand/control/scheduler/sizing"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // ingest runs the learning systems over the reports since the last tick.
--- a/scheduler/interference/interference.go
+++ b/control/scheduler/interference/interference.go
@@ -2,7 +2,7 @@
 package interference
 
 import (
-	"github.com/chicorystand/chicorystand/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
 )
 
 // Rules of learning.
--- a/scheduler/naive/naive.go
+++ b/control/scheduler/naive/naive.go
@@ -6,12 +6,12 @@
 	"sort"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/scheduler"
-	"github.com/chicorystand/chicorystand/scheduler/feasibility"
-	"github.com/chicorystand/chicorystand/scheduler/scoring"
-	"github.com/chicorystand/chicorystand/scheduler/tables"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/scheduler"
+	"github.com/chicorystand/chicorystand/control/scheduler/feasibility"
+	"github.com/chicorystand/chicorystand/control/scheduler/scoring"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // Score returns the stated score of a VM for the request, computed from the VM alone.
--- a/scheduler/place.go
+++ b/control/scheduler/place.go
@@ -1,14 +1,14 @@
 package scheduler
 
 import (
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/scheduler/feasibility"
-	"github.com/chicorystand/chicorystand/scheduler/quarantine"
-	"github.com/chicorystand/chicorystand/scheduler/queue"
-	"github.com/chicorystand/chicorystand/scheduler/scoring"
-	"github.com/chicorystand/chicorystand/scheduler/sizing"
-	"github.com/chicorystand/chicorystand/scheduler/tables"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/scheduler/feasibility"
+	"github.com/chicorystand/chicorystand/control/scheduler/quarantine"
+	"github.com/chicorystand/chicorystand/control/scheduler/queue"
+	"github.com/chicorystand/chicorystand/control/scheduler/scoring"
+	"github.com/chicorystand/chicorystand/control/scheduler/sizing"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // place serves the queue until it is empty or too many searches failed.
--- a/scheduler/preempt.go
+++ b/control/scheduler/preempt.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/scheduler/eviction"
-	"github.com/chicorystand/chicorystand/scheduler/feasibility"
-	"github.com/chicorystand/chicorystand/scheduler/queue"
-	"github.com/chicorystand/chicorystand/scheduler/tables"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/scheduler/eviction"
+	"github.com/chicorystand/chicorystand/control/scheduler/feasibility"
+	"github.com/chicorystand/chicorystand/control/scheduler/queue"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // makeRoom evicts batch tasks for an urgent or starving task that found no place.
--- a/scheduler/quarantine/quarantine.go
+++ b/control/scheduler/quarantine/quarantine.go
@@ -4,7 +4,7 @@
 import (
 	"time"
 
-	"github.com/chicorystand/chicorystand/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
 )
 
 // Rules.
--- a/scheduler/queue/queue.go
+++ b/control/scheduler/queue/queue.go
@@ -5,9 +5,9 @@
 import (
 	"time"
 
-	"github.com/chicorystand/chicorystand/scheduler/fairshare"
-	"github.com/chicorystand/chicorystand/scheduler/sizing"
-	"github.com/chicorystand/chicorystand/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/scheduler/fairshare"
+	"github.com/chicorystand/chicorystand/control/scheduler/sizing"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
 )
 
 // Levels, in the order of service.
--- a/scheduler/scheduler.go
+++ b/control/scheduler/scheduler.go
@@ -7,12 +7,12 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/scheduler/eviction"
-	"github.com/chicorystand/chicorystand/scheduler/quarantine"
-	"github.com/chicorystand/chicorystand/scheduler/queue"
-	"github.com/chicorystand/chicorystand/scheduler/tables"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/scheduler/eviction"
+	"github.com/chicorystand/chicorystand/control/scheduler/quarantine"
+	"github.com/chicorystand/chicorystand/control/scheduler/queue"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // EffectKind selects what an effect does.
--- a/scheduler/scheduler_test.go
+++ b/control/scheduler/scheduler_test.go
@@ -7,11 +7,11 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/plan"
-	"github.com/chicorystand/chicorystand/scheduler"
-	"github.com/chicorystand/chicorystand/scheduler/tables"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/plan"
+	"github.com/chicorystand/chicorystand/control/scheduler"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // world drives a scheduler in virtual time.
--- a/scheduler/scoring/scoring.go
+++ b/control/scheduler/scoring/scoring.go
@@ -4,8 +4,8 @@
 package scoring
 
 import (
-	"github.com/chicorystand/chicorystand/scheduler/tables"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // Weights of the terms, in units of the score. The harm of one more relative slowdown
--- a/scheduler/sizing/sizing.go
+++ b/control/scheduler/sizing/sizing.go
@@ -6,8 +6,8 @@
 	"math"
 	"time"
 
-	"github.com/chicorystand/chicorystand/scheduler/tables"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // Rules of learning.
--- a/scheduler/tables/index.go
+++ b/control/scheduler/tables/index.go
@@ -7,7 +7,7 @@
 	"sort"
 	"time"
 
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // Bins is the number of classes of free processors and of free memory. A power of
--- a/scheduler/tables/learnt.go
+++ b/control/scheduler/tables/learnt.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // Pair identifies the effect of a job class on a service under a load.
--- a/scheduler/tables/reason.go
+++ b/control/scheduler/tables/reason.go
@@ -1,6 +1,6 @@
 package tables
 
-import "github.com/chicorystand/chicorystand/errkind"
+import "github.com/chicorystand/chicorystand/base/errkind"
 
 // Reason is why a task was not placed.
 type Reason uint8
--- a/scheduler/tables/tables.go
+++ b/control/scheduler/tables/tables.go
@@ -6,9 +6,9 @@
 	"sort"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/plan"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/plan"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // VM is a machine that runs tasks beside an optional upstream.
--- a/shard/commit.go
+++ b/control/shard/commit.go
@@ -7,9 +7,9 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/scheduler/tables"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 func encodeRecord(rec task.Record) ([]byte, error) { return msgpack.Marshal(rec) }
--- a/shard/committer.go
+++ b/control/shard/committer.go
@@ -7,11 +7,11 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/store"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/state/store"
 )
 
 // TaskIDPrefix is the key prefix of the rows that make task ids unique over all
--- a/shard/explain_test.go
+++ b/control/shard/explain_test.go
@@ -5,10 +5,10 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/scheduler/tables"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/task"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/shard/grants.go
+++ b/control/shard/grants.go
@@ -4,7 +4,7 @@
 	"container/heap"
 	"time"
 
-	"github.com/chicorystand/chicorystand/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
 )
 
 // grantQueue orders VMs by the time at which their grant may have lapsed. Every
--- a/shard/holds.go
+++ b/control/shard/holds.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/chicorystand/chicorystand/confsync"
-	"github.com/chicorystand/chicorystand/lease"
+	"github.com/chicorystand/chicorystand/control/confsync"
+	"github.com/chicorystand/chicorystand/control/lease"
 )
 
 // probeTimeout bounds the read that decides whether the store can be reached.
--- a/shard/learnt.go
+++ b/control/shard/learnt.go
@@ -4,9 +4,9 @@
 	"context"
 	"sort"
 
-	"github.com/chicorystand/chicorystand/scheduler"
-	"github.com/chicorystand/chicorystand/scheduler/tables"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/scheduler"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/task"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/shard/lifecycle_test.go
+++ b/control/shard/lifecycle_test.go
@@ -14,14 +14,14 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/lease"
-	"github.com/chicorystand/chicorystand/ledger"
-	"github.com/chicorystand/chicorystand/scheduler"
-	"github.com/chicorystand/chicorystand/standin"
-	"github.com/chicorystand/chicorystand/store"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/lease"
+	"github.com/chicorystand/chicorystand/control/ledger"
+	"github.com/chicorystand/chicorystand/control/scheduler"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/state/store"
+	"github.com/chicorystand/chicorystand/verify/standin"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/shard/manager_test.go
+++ b/control/shard/manager_test.go
@@ -14,13 +14,13 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/confsync"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/shard"
-	"github.com/chicorystand/chicorystand/standin"
-	"github.com/chicorystand/chicorystand/store"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/confsync"
+	"github.com/chicorystand/chicorystand/control/shard"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/state/store"
+	"github.com/chicorystand/chicorystand/verify/standin"
 )
 
 const testShard = "z-0"
--- a/shard/owner.go
+++ b/control/shard/owner.go
@@ -10,16 +10,16 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/lease"
-	"github.com/chicorystand/chicorystand/plan"
-	"github.com/chicorystand/chicorystand/scheduler"
-	"github.com/chicorystand/chicorystand/scheduler/tables"
-	"github.com/chicorystand/chicorystand/store"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/control/lease"
+	"github.com/chicorystand/chicorystand/control/plan"
+	"github.com/chicorystand/chicorystand/control/scheduler"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/state/store"
+	"github.com/chicorystand/chicorystand/verify/history"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/shard/renew.go
+++ b/control/shard/renew.go
@@ -7,10 +7,10 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/chicorystand/chicorystand/confsync"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/lease"
-	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/confsync"
+	"github.com/chicorystand/chicorystand/control/lease"
+	"github.com/chicorystand/chicorystand/state/store"
 )
 
 // RenewNow renews the registration and the leases at once, for example to record a prepared generation.
--- a/shard/retention.go
+++ b/control/shard/retention.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/store"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/state/store"
 )
 
 // Retention of finished tasks.
--- a/shard/status.go
+++ b/control/shard/status.go
@@ -3,12 +3,12 @@
 import (
 	"sort"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/scheduler/feasibility"
-	"github.com/chicorystand/chicorystand/scheduler/sizing"
-	"github.com/chicorystand/chicorystand/scheduler/tables"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/control/scheduler/feasibility"
+	"github.com/chicorystand/chicorystand/control/scheduler/sizing"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/task"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/shard/stops.go
+++ b/control/shard/stops.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/shard/submit_test.go
+++ b/control/shard/submit_test.go
@@ -8,9 +8,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/standin"
-	"github.com/chicorystand/chicorystand/store"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/state/store"
+	"github.com/chicorystand/chicorystand/verify/standin"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/shard/takeover.go
+++ b/control/shard/takeover.go
@@ -10,11 +10,11 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/chicorystand/chicorystand/confsync"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/lease"
-	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/control/confsync"
+	"github.com/chicorystand/chicorystand/control/lease"
+	"github.com/chicorystand/chicorystand/state/store"
 )
 
 // Delays before a free shard is acquired, so that the entry that suits it best comes first.
--- a/submission/record.go
+++ b/control/submission/record.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 // State is the state of a submission as its requester sees it.
--- a/submission/submission.go
+++ b/control/submission/submission.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // Bounds of a submission.
--- a/submission/submission_test.go
+++ b/control/submission/submission_test.go
@@ -7,8 +7,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // A record that does not come back as it was stored loses ends or runs tasks twice.
--- a/task/encoding.go
+++ b/control/task/encoding.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 var classNames = [...]string{Batch: "batch", LatencyCritical: "latency_critical"}
--- a/task/example_test.go
+++ b/control/task/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 func ExampleNext() {
--- a/task/lifecycle.go
+++ b/control/task/lifecycle.go
@@ -5,7 +5,7 @@
 
 	"github.com/looplab/fsm"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 // States of a task. Terminal states are never left.
--- a/task/task.go
+++ b/control/task/task.go
@@ -5,7 +5,7 @@
 import (
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 // Class separates latency-critical tasks from batch tasks.
--- a/entry/api_auth.go
+++ b/ingress/entry/api_auth.go
@@ -5,9 +5,9 @@
 	"net/http"
 	"slices"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/identity"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/state/identity"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/entry/api_config.go
+++ b/ingress/entry/api_config.go
@@ -10,10 +10,10 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/plan"
-	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/control/plan"
+	"github.com/chicorystand/chicorystand/state/store"
 )
 
 const (
--- a/entry/api_events.go
+++ b/ingress/entry/api_events.go
@@ -6,8 +6,8 @@
 	"strconv"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
 )
 
 // eventWait bounds how long a call waits for the next log line.
--- a/entry/api_tasks.go
+++ b/ingress/entry/api_tasks.go
@@ -11,9 +11,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/identity"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/state/identity"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/entry/api_test.go
+++ b/ingress/entry/api_test.go
@@ -8,9 +8,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/entry"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/identity"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/ingress/entry"
+	"github.com/chicorystand/chicorystand/state/identity"
 )
 
 // Guards against bad input that gets no answer, an answer without a kind of the
--- a/entry/api_upstreams.go
+++ b/ingress/entry/api_upstreams.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"sort"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/entry/bench_test.go
+++ b/ingress/entry/bench_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"github.com/chicorystand/chicorystand/entry"
+	"github.com/chicorystand/chicorystand/ingress/entry"
 )
 
 // cpuTime returns the processor time that the process has used. On a machine with
--- a/entry/config.go
+++ b/ingress/entry/config.go
@@ -6,12 +6,12 @@
 	"sort"
 	"time"
 
-	"github.com/chicorystand/chicorystand/confsync"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/plan"
-	"github.com/chicorystand/chicorystand/shard"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/control/confsync"
+	"github.com/chicorystand/chicorystand/control/plan"
+	"github.com/chicorystand/chicorystand/control/shard"
+	"github.com/chicorystand/chicorystand/verify/history"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/entry/entry.go
+++ b/ingress/entry/entry.go
@@ -11,17 +11,17 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/confsync"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/lease"
-	"github.com/chicorystand/chicorystand/metrics"
-	"github.com/chicorystand/chicorystand/route"
-	"github.com/chicorystand/chicorystand/scheduler"
-	"github.com/chicorystand/chicorystand/shard"
-	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/base/metrics"
+	"github.com/chicorystand/chicorystand/control/confsync"
+	"github.com/chicorystand/chicorystand/control/lease"
+	"github.com/chicorystand/chicorystand/control/scheduler"
+	"github.com/chicorystand/chicorystand/control/shard"
+	"github.com/chicorystand/chicorystand/ingress/route"
+	"github.com/chicorystand/chicorystand/state/store"
+	"github.com/chicorystand/chicorystand/verify/history"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/entry/http.go
+++ b/ingress/entry/http.go
@@ -11,8 +11,8 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/identity"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/state/identity"
 )
 
 // Bounds of the HTTP API.
--- a/entry/operator.go
+++ b/ingress/entry/operator.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/chicorystand/chicorystand/shard"
+	"github.com/chicorystand/chicorystand/control/shard"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/entry/outcomes.go
+++ b/ingress/entry/outcomes.go
@@ -9,8 +9,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/entry/peers.go
+++ b/ingress/entry/peers.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/chicorystand/chicorystand/confsync"
-	"github.com/chicorystand/chicorystand/lease"
-	"github.com/chicorystand/chicorystand/shard"
+	"github.com/chicorystand/chicorystand/control/confsync"
+	"github.com/chicorystand/chicorystand/control/lease"
+	"github.com/chicorystand/chicorystand/control/shard"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/entry/pool.go
+++ b/ingress/entry/pool.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/entry/request_call.go
+++ b/ingress/entry/request_call.go
@@ -9,9 +9,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/plan"
-	"github.com/chicorystand/chicorystand/route"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/plan"
+	"github.com/chicorystand/chicorystand/ingress/route"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/entry/request_run.go
+++ b/ingress/entry/request_run.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/route"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/ingress/route"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/entry/requests.go
+++ b/ingress/entry/requests.go
@@ -9,10 +9,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/metrics"
-	"github.com/chicorystand/chicorystand/route"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/metrics"
+	"github.com/chicorystand/chicorystand/ingress/route"
+	"github.com/chicorystand/chicorystand/verify/history"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/entry/requests_test.go
+++ b/ingress/entry/requests_test.go
@@ -16,14 +16,14 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/agent"
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/entry"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/plan"
-	"github.com/chicorystand/chicorystand/standin"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/plan"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/ingress/entry"
+	"github.com/chicorystand/chicorystand/verify/history"
+	"github.com/chicorystand/chicorystand/verify/standin"
+	"github.com/chicorystand/chicorystand/vm/agent"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/entry/security_test.go
+++ b/ingress/entry/security_test.go
@@ -15,11 +15,11 @@
 	dto "github.com/prometheus/client_model/go"
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/entry"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/identity"
-	"github.com/chicorystand/chicorystand/standin"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/ingress/entry"
+	"github.com/chicorystand/chicorystand/state/identity"
+	"github.com/chicorystand/chicorystand/verify/standin"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/entry/status_page.go
+++ b/ingress/entry/status_page.go
@@ -4,7 +4,7 @@
 	"html/template"
 	"net/http"
 
-	"github.com/chicorystand/chicorystand/plan"
+	"github.com/chicorystand/chicorystand/control/plan"
 )
 
 // barWidth is the width of a chart in pixels.
--- a/gate/gate_test.go
+++ b/ingress/gate/gate_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/gateway/breaker.go
+++ b/ingress/gateway/breaker.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/chicorystand/chicorystand/clock"
+	"github.com/chicorystand/chicorystand/base/clock"
 )
 
 // breakAfter is how long writes must have failed without a success before
--- a/gateway/gateway_test.go
+++ b/ingress/gateway/gateway_test.go
@@ -8,14 +8,14 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/dispatch"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/manifest"
-	"github.com/chicorystand/chicorystand/member"
-	"github.com/chicorystand/chicorystand/standin"
-	"github.com/chicorystand/chicorystand/store"
-	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/dispatch"
+	"github.com/chicorystand/chicorystand/control/manifest"
+	"github.com/chicorystand/chicorystand/control/submission"
+	"github.com/chicorystand/chicorystand/state/member"
+	"github.com/chicorystand/chicorystand/state/store"
+	"github.com/chicorystand/chicorystand/verify/standin"
 )
 
 const testID = "00000000000000b1"
--- a/route/limiter.go
+++ b/ingress/route/limiter.go
@@ -7,8 +7,8 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/plan"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/plan"
 )
 
 // burstTime is the share of a second's requests that may arrive at once.
--- a/route/table_test.go
+++ b/ingress/route/table_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/chicorystand/chicorystand/route"
+	"github.com/chicorystand/chicorystand/ingress/route"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/identity/example_test.go
+++ b/state/identity/example_test.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"github.com/chicorystand/chicorystand/identity"
+	"github.com/chicorystand/chicorystand/state/identity"
 )
 
 func ExampleFromCertificate() {
--- a/identity/identity.go
+++ b/state/identity/identity.go
@@ -11,7 +11,7 @@
 	"slices"
 	"sync"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 // Role states what the holder of a certificate may do.
--- a/identity/identity_test.go
+++ b/state/identity/identity_test.go
@@ -10,7 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/identity"
+	"github.com/chicorystand/chicorystand/state/identity"
 )
 
 func issue(t *testing.T, f identity.Files, ca *identity.Authority, name string) {
--- a/identity/issue.go
+++ b/state/identity/issue.go
@@ -10,7 +10,7 @@
 	"math/big"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 // Authority signs certificates for trials and tests. Production deployments use
--- a/identity/listener.go
+++ b/state/identity/listener.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 // handshakeTimeout bounds a TLS handshake.
--- a/member/member.go
+++ b/state/member/member.go
@@ -8,8 +8,8 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/state/store"
 )
 
 // Table lists the processes that the owner connects to.
--- a/store/httpstore/client.go
+++ b/state/store/httpstore/client.go
@@ -15,8 +15,8 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/state/store"
 )
 
 // Paths and headers of the service.
--- a/store/httpstore/client_test.go
+++ b/state/store/httpstore/client_test.go
@@ -8,10 +8,10 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/standin"
-	"github.com/chicorystand/chicorystand/store"
-	"github.com/chicorystand/chicorystand/store/httpstore"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/state/store"
+	"github.com/chicorystand/chicorystand/state/store/httpstore"
+	"github.com/chicorystand/chicorystand/verify/standin"
 )
 
 // Guards against an answer that does not come from the table service, for
--- a/store/writer.go
+++ b/state/store/writer.go
@@ -6,7 +6,7 @@
 	"encoding/binary"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 // resolveInterval is the pause between attempts to resolve a commit whose answer was lost.
--- a/store/writer_test.go
+++ b/state/store/writer_test.go
@@ -13,9 +13,9 @@
 	"github.com/anishathalye/porcupine"
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/standin"
-	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/state/store"
+	"github.com/chicorystand/chicorystand/verify/standin"
 )
 
 func put(key string, version uint64, value string) store.Txn {
--- a/bench/capacity/capacity.go
+++ b/verify/bench/capacity/capacity.go
@@ -9,9 +9,9 @@
 
 	"golang.org/x/sys/unix"
 
-	"github.com/chicorystand/chicorystand/bench"
-	"github.com/chicorystand/chicorystand/bench/inmem"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/verify/bench"
+	"github.com/chicorystand/chicorystand/verify/bench/inmem"
 )
 
 // Sizes of the measured system. Tasks and customers are those of the long-term size for each agent.
--- a/bench/config/config.go
+++ b/verify/bench/config/config.go
@@ -8,10 +8,10 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/chicorystand/chicorystand/bench"
-	"github.com/chicorystand/chicorystand/bench/inmem"
-	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/verify/bench"
+	"github.com/chicorystand/chicorystand/verify/bench/inmem"
+	"github.com/chicorystand/chicorystand/verify/history"
 )
 
 // Size of the measured system and the requirement.
--- a/bench/control/control.go
+++ b/verify/bench/control/control.go
@@ -7,9 +7,9 @@
 	"sort"
 	"time"
 
-	"github.com/chicorystand/chicorystand/bench"
-	"github.com/chicorystand/chicorystand/bench/inmem"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/verify/bench"
+	"github.com/chicorystand/chicorystand/verify/bench/inmem"
 )
 
 // Size of the measured system and the requirement.
--- a/bench/decide/decide.go
+++ b/verify/bench/decide/decide.go
@@ -11,11 +11,11 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"golang.org/x/sys/unix"
 
-	"github.com/chicorystand/chicorystand/bench"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/scheduler"
-	"github.com/chicorystand/chicorystand/scheduler/naive"
-	"github.com/chicorystand/chicorystand/scheduler/tables"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/scheduler"
+	"github.com/chicorystand/chicorystand/control/scheduler/naive"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
+	"github.com/chicorystand/chicorystand/verify/bench"
 )
 
 // Size is the load of one run.
--- a/bench/decide/decide_test.go
+++ b/verify/bench/decide/decide_test.go
@@ -6,8 +6,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/bench/decide"
-	"github.com/chicorystand/chicorystand/scheduler"
+	"github.com/chicorystand/chicorystand/control/scheduler"
+	"github.com/chicorystand/chicorystand/verify/bench/decide"
 )
 
 // Guards against a load that the scheduler does not keep up with, which would make the
--- a/bench/decide/load.go
+++ b/verify/bench/decide/load.go
@@ -8,10 +8,10 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/chicorystand/chicorystand/plan"
-	"github.com/chicorystand/chicorystand/scheduler"
-	"github.com/chicorystand/chicorystand/scheduler/tables"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/plan"
+	"github.com/chicorystand/chicorystand/control/scheduler"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // Shape of the load.
--- a/bench/inmem/net.go
+++ b/verify/bench/inmem/net.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 // Sizes of the estimate for TCP and IP headers.
--- a/bench/policy/model.go
+++ b/verify/bench/policy/model.go
@@ -8,11 +8,11 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/chicorystand/chicorystand/devenv"
-	"github.com/chicorystand/chicorystand/guard"
-	"github.com/chicorystand/chicorystand/scheduler"
-	"github.com/chicorystand/chicorystand/scheduler/tables"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/scheduler"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/verify/devenv"
+	"github.com/chicorystand/chicorystand/vm/guard"
 )
 
 // Timing of the model.
--- a/bench/policy/policy.go
+++ b/verify/bench/policy/policy.go
@@ -13,11 +13,11 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/chicorystand/chicorystand/bench"
-	"github.com/chicorystand/chicorystand/devenv"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/scheduler"
-	"github.com/chicorystand/chicorystand/scheduler/naive"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/scheduler"
+	"github.com/chicorystand/chicorystand/control/scheduler/naive"
+	"github.com/chicorystand/chicorystand/verify/bench"
+	"github.com/chicorystand/chicorystand/verify/devenv"
 )
 
 // Bounds.
--- a/bench/policy/policy_test.go
+++ b/verify/bench/policy/policy_test.go
@@ -6,8 +6,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/devenv"
-	"github.com/chicorystand/chicorystand/scheduler/naive"
+	"github.com/chicorystand/chicorystand/control/scheduler/naive"
+	"github.com/chicorystand/chicorystand/verify/devenv"
 )
 
 // Guards against a model that loses or invents work, commits a VM beyond its capacity, or
--- a/bench/policy/vm.go
+++ b/verify/bench/policy/vm.go
@@ -4,9 +4,9 @@
 	"math"
 	"time"
 
-	"github.com/chicorystand/chicorystand/guard"
-	"github.com/chicorystand/chicorystand/scheduler/tables"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/vm/guard"
 )
 
 // currentLoad is the used share of slots without slowdown: a swing with a phase for each
--- a/bench/recovery/recovery.go
+++ b/verify/bench/recovery/recovery.go
@@ -10,13 +10,13 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/chicorystand/chicorystand/bench"
-	"github.com/chicorystand/chicorystand/bench/inmem"
-	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/lease"
-	"github.com/chicorystand/chicorystand/shard"
-	"github.com/chicorystand/chicorystand/standin"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/lease"
+	"github.com/chicorystand/chicorystand/control/shard"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/verify/bench"
+	"github.com/chicorystand/chicorystand/verify/bench/inmem"
+	"github.com/chicorystand/chicorystand/verify/history"
+	"github.com/chicorystand/chicorystand/verify/standin"
 )
 
 // Size of the measured system and the requirement.
--- a/bench/report_test.go
+++ b/verify/bench/report_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/bench"
+	"github.com/chicorystand/chicorystand/verify/bench"
 )
 
 // Guards against a report that drops results, needs outside resources, or trusts names in its input.
--- a/bench/route/env.go
+++ b/verify/bench/route/env.go
@@ -14,13 +14,13 @@
 	"github.com/goccy/go-yaml"
 	"github.com/rs/zerolog"
 
-	"github.com/chicorystand/chicorystand/agent"
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/entry"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/plan"
-	"github.com/chicorystand/chicorystand/standin"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/plan"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/ingress/entry"
+	"github.com/chicorystand/chicorystand/verify/standin"
+	"github.com/chicorystand/chicorystand/vm/agent"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/bench/route/route.go
+++ b/verify/bench/route/route.go
@@ -15,8 +15,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/chicorystand/chicorystand/bench"
-	"github.com/chicorystand/chicorystand/entry"
+	"github.com/chicorystand/chicorystand/ingress/entry"
+	"github.com/chicorystand/chicorystand/verify/bench"
 )
 
 // Phases of the benchmark; together under 40 s.
--- a/demo/demo.go
+++ b/verify/demo/demo.go
@@ -19,11 +19,11 @@
 	"github.com/goccy/go-yaml"
 	"github.com/rs/zerolog"
 
-	"github.com/chicorystand/chicorystand/devenv"
-	"github.com/chicorystand/chicorystand/entry"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/ingress/entry"
+	"github.com/chicorystand/chicorystand/verify/devenv"
+	"github.com/chicorystand/chicorystand/verify/history"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/demo/demo_test.go
+++ b/verify/demo/demo_test.go
@@ -6,8 +6,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/demo"
-	"github.com/chicorystand/chicorystand/devenv"
+	"github.com/chicorystand/chicorystand/verify/demo"
+	"github.com/chicorystand/chicorystand/verify/devenv"
 )
 
 // Guards against a break anywhere on the path from a caller through entry and
--- a/demo/report.go
+++ b/verify/demo/report.go
@@ -8,7 +8,7 @@
 
 	dto "github.com/prometheus/client_model/go"
 
-	"github.com/chicorystand/chicorystand/history"
+	"github.com/chicorystand/chicorystand/verify/history"
 )
 
 // Report is the result of a demo.
--- a/devenv/deployment.go
+++ b/verify/devenv/deployment.go
@@ -5,11 +5,11 @@
 import (
 	"time"
 
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/strictyaml"
+	"github.com/chicorystand/chicorystand/control/plan"
+	"github.com/chicorystand/chicorystand/control/task"
 	"github.com/chicorystand/chicorystand/deploy"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/plan"
-	"github.com/chicorystand/chicorystand/strictyaml"
-	"github.com/chicorystand/chicorystand/task"
 )
 
 // Deployment describes an example deployment.
--- a/devenv/env.go
+++ b/verify/devenv/env.go
@@ -10,14 +10,14 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/chicorystand/chicorystand/agent"
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/entry"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/standin"
-	"github.com/chicorystand/chicorystand/store/httpstore"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/ingress/entry"
+	"github.com/chicorystand/chicorystand/state/store/httpstore"
+	"github.com/chicorystand/chicorystand/verify/history"
+	"github.com/chicorystand/chicorystand/verify/standin"
+	"github.com/chicorystand/chicorystand/vm/agent"
 )
 
 // Config configures an environment.
--- a/faultmatrix/cluster_test.go
+++ b/verify/faultmatrix/cluster_test.go
@@ -15,15 +15,15 @@
 	"github.com/rs/zerolog"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/chicorystand/chicorystand/agent"
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/entry"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/standin"
-	"github.com/chicorystand/chicorystand/store"
-	"github.com/chicorystand/chicorystand/task"
-	"github.com/chicorystand/chicorystand/worker"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/ingress/entry"
+	"github.com/chicorystand/chicorystand/state/store"
+	"github.com/chicorystand/chicorystand/verify/history"
+	"github.com/chicorystand/chicorystand/verify/standin"
+	"github.com/chicorystand/chicorystand/vm/agent"
+	"github.com/chicorystand/chicorystand/vm/worker"
 )
 
 // Names and sizes of the simulated deployment.
--- a/faultmatrix/doc.go
+++ b/verify/faultmatrix/doc.go
@@ -3,6 +3,6 @@
 // in-memory links that can be silent, held, cut, delayed and duplicated. The
 // recorded history of each run is checked against the invariants.
 //
-// The package has tests only. `go test ./faultmatrix -update` writes the result to
+// The package has tests only. `go test ./verify/faultmatrix -update` writes the result to
 // docs/fault-matrix.md; without the flag the tests verify that the page is current.
 package faultmatrix
--- a/faultmatrix/faults_test.go
+++ b/verify/faultmatrix/faults_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/goccy/go-yaml"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/standin"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/verify/history"
+	"github.com/chicorystand/chicorystand/verify/standin"
 )
 
 // Lengths of faults, chosen against the leases: a shard lease is 15 s, a grant 30 s.
--- a/faultmatrix/matrix_test.go
+++ b/verify/faultmatrix/matrix_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/verify/history"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/faultmatrix/scenario_test.go
+++ b/verify/faultmatrix/scenario_test.go
@@ -14,11 +14,11 @@
 
 	"github.com/goccy/go-yaml"
 
-	"github.com/chicorystand/chicorystand/entry"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/plan"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/plan"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/ingress/entry"
+	"github.com/chicorystand/chicorystand/verify/history"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/faultmatrix/steps_test.go
+++ b/verify/faultmatrix/steps_test.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/chicorystand/chicorystand/shard"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/shard"
+	"github.com/chicorystand/chicorystand/control/task"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/histories/cluster_test.go
+++ b/verify/histories/cluster_test.go
@@ -9,19 +9,19 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/chicorystand/chicorystand/bench/inmem"
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/coordinator"
-	"github.com/chicorystand/chicorystand/dispatch"
-	"github.com/chicorystand/chicorystand/executor"
-	"github.com/chicorystand/chicorystand/gateway"
-	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/manifest"
-	"github.com/chicorystand/chicorystand/member"
-	"github.com/chicorystand/chicorystand/standin"
-	"github.com/chicorystand/chicorystand/task"
-	"github.com/chicorystand/chicorystand/vmagent"
-	"github.com/chicorystand/chicorystand/workload"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/control/coordinator"
+	"github.com/chicorystand/chicorystand/control/dispatch"
+	"github.com/chicorystand/chicorystand/control/manifest"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/ingress/gateway"
+	"github.com/chicorystand/chicorystand/state/member"
+	"github.com/chicorystand/chicorystand/verify/bench/inmem"
+	"github.com/chicorystand/chicorystand/verify/history"
+	"github.com/chicorystand/chicorystand/verify/standin"
+	"github.com/chicorystand/chicorystand/verify/workload"
+	"github.com/chicorystand/chicorystand/vm/executor"
+	"github.com/chicorystand/chicorystand/vm/vmagent"
 )
 
 const (
--- a/histories/histories_test.go
+++ b/verify/histories/histories_test.go
@@ -12,12 +12,12 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/chicorystand/chicorystand/dispatch"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/standin"
-	"github.com/chicorystand/chicorystand/submission"
-	"github.com/chicorystand/chicorystand/workload"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/dispatch"
+	"github.com/chicorystand/chicorystand/control/submission"
+	"github.com/chicorystand/chicorystand/verify/history"
+	"github.com/chicorystand/chicorystand/verify/standin"
+	"github.com/chicorystand/chicorystand/verify/workload"
 )
 
 var (
--- a/histories/plan_test.go
+++ b/verify/histories/plan_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/chicorystand/chicorystand/workload"
+	"github.com/chicorystand/chicorystand/verify/workload"
 )
 
 // trafficTime is the time in which submissions arrive and faults begin.
--- a/history/check.go
+++ b/verify/history/check.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // Invariant identifies a rule that must always hold.
--- a/history/check_test.go
+++ b/verify/history/check_test.go
@@ -6,7 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 const second = time.Second
--- a/history/history.go
+++ b/verify/history/history.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // Kind is the type of a recorded event.
--- a/soak/cluster.go
+++ b/verify/soak/cluster.go
@@ -15,15 +15,15 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/manifest"
-	"github.com/chicorystand/chicorystand/member"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/control/manifest"
+	"github.com/chicorystand/chicorystand/control/task"
 	"github.com/chicorystand/chicorystand/platform/stub"
-	"github.com/chicorystand/chicorystand/standin"
-	"github.com/chicorystand/chicorystand/store"
-	"github.com/chicorystand/chicorystand/task"
-	"github.com/chicorystand/chicorystand/workload"
+	"github.com/chicorystand/chicorystand/state/member"
+	"github.com/chicorystand/chicorystand/state/store"
+	"github.com/chicorystand/chicorystand/verify/history"
+	"github.com/chicorystand/chicorystand/verify/standin"
+	"github.com/chicorystand/chicorystand/verify/workload"
 )
 
 // Figures of the deployment.
--- a/soak/faults.go
+++ b/verify/soak/faults.go
@@ -6,7 +6,7 @@
 	"syscall"
 	"time"
 
-	"github.com/chicorystand/chicorystand/standin"
+	"github.com/chicorystand/chicorystand/verify/standin"
 )
 
 const (
--- a/soak/soak.go
+++ b/verify/soak/soak.go
@@ -11,10 +11,10 @@
 	"sync"
 	"time"
 
-	"github.com/chicorystand/chicorystand/history"
+	"github.com/chicorystand/chicorystand/control/submission"
 	"github.com/chicorystand/chicorystand/platform/stub"
-	"github.com/chicorystand/chicorystand/submission"
-	"github.com/chicorystand/chicorystand/workload"
+	"github.com/chicorystand/chicorystand/verify/history"
+	"github.com/chicorystand/chicorystand/verify/workload"
 )
 
 const (
--- a/soak/soak_test.go
+++ b/verify/soak/soak_test.go
@@ -18,7 +18,7 @@
 func TestShortSoak(t *testing.T) {
 	bin := t.TempDir()
 	// The race detector of the test does not reach the programs; they are built with it.
-	build := exec.CommandContext(t.Context(), "go", "build", "-race", "-buildvcs=false", "-o", bin, "../cmd/chicory-entry", "../cmd/chicory-agent")
+	build := exec.CommandContext(t.Context(), "go", "build", "-race", "-buildvcs=false", "-o", bin, "../../cmd/chicory-entry", "../../cmd/chicory-agent")
 	out, err := build.CombinedOutput()
 	assert.NilError(t, err, string(out))
 	for _, seed := range []uint64{1, 2} {
--- a/standin/executor.go
+++ b/verify/standin/executor.go
@@ -7,11 +7,11 @@
 	"sync"
 	"time"
 
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/executor"
-	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/submission"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/control/submission"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/verify/history"
+	"github.com/chicorystand/chicorystand/vm/executor"
 )
 
 // Work is what a task really does on an executor stand-in.
--- a/standin/executor_test.go
+++ b/verify/standin/executor_test.go
@@ -6,10 +6,10 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/executor"
-	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/verify/history"
+	"github.com/chicorystand/chicorystand/vm/executor"
 )
 
 // Guards against runs that a second boot drops without a recorded end; the checker
--- a/standin/follow.go
+++ b/verify/standin/follow.go
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/state/store"
 )
 
 // pageRows is the largest number of rows of one page.
--- a/standin/http.go
+++ b/verify/standin/http.go
@@ -6,9 +6,9 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/store"
-	"github.com/chicorystand/chicorystand/store/httpstore"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/state/store"
+	"github.com/chicorystand/chicorystand/state/store/httpstore"
 )
 
 // Handler serves a table and an object store over HTTP for httpstore clients.
--- a/standin/link.go
+++ b/verify/standin/link.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/state/store"
 )
 
 // Link is one process's path to a table. It can be cut, and can lose the answer
--- a/standin/objects.go
+++ b/verify/standin/objects.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 // Objects is an in-memory object store.
--- a/standin/table.go
+++ b/verify/standin/table.go
@@ -13,8 +13,8 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/store"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/state/store"
 )
 
 // Faults selects the failures of a store stand-in.
--- a/standin/upstream.go
+++ b/verify/standin/upstream.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/chicorystand/chicorystand/history"
+	"github.com/chicorystand/chicorystand/verify/history"
 )
 
 // HeaderRequest carries the caller's request name, which the upstream stand-in
--- a/standin/worker.go
+++ b/verify/standin/worker.go
@@ -6,12 +6,12 @@
 	"sync"
 	"time"
 
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/store"
-	"github.com/chicorystand/chicorystand/task"
-	"github.com/chicorystand/chicorystand/worker"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/state/store"
+	"github.com/chicorystand/chicorystand/verify/history"
+	"github.com/chicorystand/chicorystand/vm/worker"
 )
 
 // Behavior tells how tasks of a job class really behave, as opposed to what was declared.
--- a/workload/workload.go
+++ b/verify/workload/workload.go
@@ -7,10 +7,10 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/standin"
-	"github.com/chicorystand/chicorystand/submission"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/submission"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/verify/history"
+	"github.com/chicorystand/chicorystand/verify/standin"
 )
 
 // MaxAttempts is the number of failures that ends a task, as the manifest of the tests has it.
--- a/agent/agent.go
+++ b/vm/agent/agent.go
@@ -12,16 +12,16 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/gate"
-	"github.com/chicorystand/chicorystand/guard"
-	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/lease"
-	"github.com/chicorystand/chicorystand/ledger"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/lease"
+	"github.com/chicorystand/chicorystand/control/ledger"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/ingress/gate"
+	"github.com/chicorystand/chicorystand/verify/history"
+	"github.com/chicorystand/chicorystand/vm/guard"
+	"github.com/chicorystand/chicorystand/vm/worker"
 	"github.com/chicorystand/chicorystand/wire"
-	"github.com/chicorystand/chicorystand/worker"
 )
 
 // Config configures an agent.
--- a/agent/control.go
+++ b/vm/agent/control.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/control/task"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/agent/data.go
+++ b/vm/agent/data.go
@@ -13,8 +13,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/gate"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/ingress/gate"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/agent/guard.go
+++ b/vm/agent/guard.go
@@ -6,10 +6,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/guard"
-	"github.com/chicorystand/chicorystand/task"
-	"github.com/chicorystand/chicorystand/worker"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/vm/guard"
+	"github.com/chicorystand/chicorystand/vm/worker"
 )
 
 // latencies collects how long the upstream took for the forwarded requests.
--- a/agent/outbox_test.go
+++ b/vm/agent/outbox_test.go
@@ -8,10 +8,10 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/vm/worker"
 	"github.com/chicorystand/chicorystand/wire"
-	"github.com/chicorystand/chicorystand/worker"
 )
 
 // Guards against events of one attempt that overtake each other, are given up
--- a/agent/tasks.go
+++ b/vm/agent/tasks.go
@@ -4,12 +4,12 @@
 	"context"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/history"
-	"github.com/chicorystand/chicorystand/ledger"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/ledger"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/verify/history"
+	"github.com/chicorystand/chicorystand/vm/worker"
 	"github.com/chicorystand/chicorystand/wire"
-	"github.com/chicorystand/chicorystand/worker"
 )
 
 // Timing of task events.
--- a/agent/usage.go
+++ b/vm/agent/usage.go
@@ -4,9 +4,9 @@
 	"sync"
 	"time"
 
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/vm/worker"
 	"github.com/chicorystand/chicorystand/wire"
-	"github.com/chicorystand/chicorystand/worker"
 )
 
 // Limits on usage reports, which keep a daemon's control traffic below 2 KB/s
--- a/executor/executor.go
+++ b/vm/executor/executor.go
@@ -6,8 +6,8 @@
 	"context"
 	"time"
 
-	"github.com/chicorystand/chicorystand/submission"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/control/submission"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // Info is what an executor says about itself.
--- a/guard/guard_test.go
+++ b/vm/guard/guard_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/guard"
+	"github.com/chicorystand/chicorystand/vm/guard"
 )
 
 const target = 100 * time.Millisecond
--- a/vmagent/orders.go
+++ b/vm/vmagent/orders.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/executor"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/vm/executor"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/vmagent/unit.go
+++ b/vm/vmagent/unit.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/executor"
-	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/control/submission"
+	"github.com/chicorystand/chicorystand/vm/executor"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/vmagent/vmagent.go
+++ b/vm/vmagent/vmagent.go
@@ -12,12 +12,12 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/events"
-	"github.com/chicorystand/chicorystand/executor"
-	"github.com/chicorystand/chicorystand/member"
-	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/control/submission"
+	"github.com/chicorystand/chicorystand/state/member"
+	"github.com/chicorystand/chicorystand/vm/executor"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/vmagent/vmagent_test.go
+++ b/vm/vmagent/vmagent_test.go
@@ -10,11 +10,11 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/clock"
-	"github.com/chicorystand/chicorystand/executor"
-	"github.com/chicorystand/chicorystand/member"
-	"github.com/chicorystand/chicorystand/submission"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/control/submission"
+	"github.com/chicorystand/chicorystand/control/task"
+	"github.com/chicorystand/chicorystand/state/member"
+	"github.com/chicorystand/chicorystand/vm/executor"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
--- a/worker/worker.go
+++ b/vm/worker/worker.go
@@ -4,8 +4,8 @@
 import (
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // Start describes one attempt for the worker.
--- a/wire/dispatch.go
+++ b/wire/dispatch.go
@@ -1,7 +1,7 @@
 package wire
 
 import (
-	"github.com/chicorystand/chicorystand/executor"
+	"github.com/chicorystand/chicorystand/vm/executor"
 )
 
 // Messages between the owner of a deployment's work and its members: the agents
--- a/wire/dispatch_test.go
+++ b/wire/dispatch_test.go
@@ -5,8 +5,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/executor"
-	"github.com/chicorystand/chicorystand/submission"
+	"github.com/chicorystand/chicorystand/control/submission"
+	"github.com/chicorystand/chicorystand/vm/executor"
 )
 
 // Every message type that can be sent must be known to the receiver. A range of
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -15,7 +15,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 // MaxBody is the largest accepted frame body in bytes. It leaves room for a
--- a/wire/frame_test.go
+++ b/wire/frame_test.go
@@ -8,7 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 func encoded(t testing.TB, flag byte, corr uint32, msg Message) []byte {
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -1,9 +1,9 @@
 package wire
 
 import (
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/plan"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/plan"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // Type identifies a message on the wire. Values must not be reordered.
--- a/wire/operator.go
+++ b/wire/operator.go
@@ -1,8 +1,8 @@
 package wire
 
 import (
-	"github.com/chicorystand/chicorystand/errkind"
-	"github.com/chicorystand/chicorystand/task"
+	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/task"
 )
 
 // Types of the messages behind the operators' API. They have a range of their own.
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 // Bounds of a connection. A peer that exceeds one is closed, so that it cannot
--- a/wire/peer_test.go
+++ b/wire/peer_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 // pipe returns two ends of a synchronous connection; the far end is closed at the end of the test.
--- a/wire/scan.go
+++ b/wire/scan.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/binary"
 
-	"github.com/chicorystand/chicorystand/errkind"
+	"github.com/chicorystand/chicorystand/base/errkind"
 )
 
 // maxDepth bounds the nesting of a message body.
