contention: pressures by share of an executor, and a constant for noise

The assumed pressure was per processor, so that it was four times as strict on executors of 64 processors as on those of 16. Besides, the base of a group is the lowest of several latencies; the noise between them was taken for the effect of images that use little, so that harmless pairs came out as disturbing. Ruled out: memory (binds on 0 to 2 executors) and booked processors (20 of 74).

Change: pressures are per share of the executor's processors; the fit has a constant that takes up noise; samples lose weight with time instead of with each sample, whose number grows with the deployment.

The tests use shares instead of processors, with the same bounds.

--- a/control/contention/contention.go
+++ b/control/contention/contention.go
@@ -4,7 +4,8 @@
 // effect differs by the pair of images. It answers the load of a deployment
 // whose tasks that serve reserve more processors than they use.
 //
-// Latencies are modelled as base * (1 + sum of pressure * processors). The base
+// Latencies are modelled as base * (1 + sum of pressure * share), where share is the part
+// of the executor's processors that the tasks of an image use. The base
 // moves with a task's own load, which the tasks of a group (the same step of the
 // same submission) share; it is the lowest recent latency of the group.
 package contention
@@ -22,12 +23,12 @@
 	firstMeanShare = 0.4
 	// baseAge is how long a latency stands for the load of its group.
 	baseAge = 1300 * time.Millisecond
-	// undisturbed is the processor time of what fills up to which a task counts as undisturbed.
-	undisturbed = 0.2
+	// undisturbed is the share of the executor that may be filled beside a task that counts as undisturbed.
+	undisturbed = 0.01
 	// harmlessPressure is the pressure, with its doubt, below which a pair does not disturb.
-	harmlessPressure = 0.06
+	harmlessPressure = 1.2
 	// disturbingPressure is the pressure from which a pair disturbs noticeably.
-	disturbingPressure = 0.25
+	disturbingPressure = 4.0
 	// peakDecay lets the peak of an image fade with each sample.
 	peakDecay = 0.999
 	// forgetAfter is how long the latency of a task is kept at all.
@@ -40,8 +41,8 @@
 // Filler is the processor time that the tasks of one image use on an executor.
 type Filler struct {
 	Image string
-	// Processors is in whole processors.
-	Processors float64
+	// Share is the part of the executor's processors, 0 to 1.
+	Share float64
 }
 
 // Serving is the latency of one task that serves.
@@ -56,7 +57,7 @@
 type measured struct {
 	latency float64
 	at      time.Duration
-	// used is the processor time of what filled beside the task.
+	// used is the share of the executor that was filled beside the task.
 	used float64
 	// overSince is when the latency began to be too high on end, 0 while it is not.
 	overSince time.Duration
@@ -82,7 +83,7 @@
 func (m *Model) Observe(serving []Serving, fillers []Filler, now time.Duration) {
 	used := 0.0
 	for _, f := range fillers {
-		used += f.Processors
+		used += f.Share
 	}
 	for _, s := range serving {
 		m.note(s, used, now)
@@ -97,9 +98,7 @@
 			m.mean[s.Image] = mean + meanRate*(base-mean)
 			m.peak[s.Image] = max(base, m.peak[s.Image]*peakDecay)
 		}
-		if len(fillers) > 0 {
-			m.estimator(s.Image).add(fillers, float64(s.Latency)/base-1)
-		}
+		m.estimator(s.Image).add(fillers, float64(s.Latency)/base-1, now)
 	}
 }
 
@@ -162,7 +161,8 @@
 	return firstMeanShare * float64(target)
 }
 
-// Pressure returns the rise in latency per processor in use.
+// Pressure returns the rise in latency by an image that uses a whole executor, as a
+// multiple of the base; it is proportional to the share in use.
 func (m *Model) Pressure(p Pair) float64 {
 	if e := m.estimators[p.Serving]; e != nil {
 		return e.pressure(p.Filling)
@@ -181,7 +181,7 @@
 func (m *Model) Sensitivity(serving map[string]struct{}) float64 {
 	known, disturbing := make(map[string]struct{}), make(map[string]struct{})
 	for _, e := range m.estimators {
-		for _, image := range e.names {
+		for _, image := range e.names[1:] {
 			known[image] = struct{}{}
 		}
 	}
@@ -202,7 +202,7 @@
 func (m *Model) Rise(image string, fillers []Filler) float64 {
 	rise := 0.0
 	for _, f := range fillers {
-		rise += m.Pressure(Pair{image, f.Image}) * f.Processors
+		rise += m.Pressure(Pair{image, f.Image}) * f.Share
 	}
 	return rise
 }
@@ -221,25 +221,26 @@
 	Serving string
 	// Mean is the mean base in nanoseconds.
 	Mean float64
-	// Filling, Pressure and Weight describe the pairs; Weight is in squared processors.
-	Filling  []string
-	Pressure []float64
-	Weight   []float64
+	// Filling, Rise and Weight describe the pairs: Rise is the pressure, and Weight the
+	// weight of its samples in squared shares.
+	Filling []string
+	Rise    []float64
+	Weight  []float64
 }
 
 // maxRestoredWeight bounds the weight of what an earlier owner has learnt, so
 // that new samples soon count for more.
-const maxRestoredWeight = 30.0
+const maxRestoredWeight = 0.06
 
 // Export returns what was learnt, ordered by serving image.
 func (m *Model) Export() []Knowledge {
 	var out []Knowledge
 	for _, image := range slices.Sorted(maps.Keys(m.estimators)) {
 		e := m.estimators[image]
-		k := Knowledge{Serving: image, Mean: m.mean[image], Filling: slices.Clone(e.names)}
-		for i, name := range e.names {
-			k.Pressure = append(k.Pressure, e.pressure(name))
-			k.Weight = append(k.Weight, e.gram[i][i])
+		k := Knowledge{Serving: image, Mean: m.mean[image], Filling: slices.Clone(e.names[1:])}
+		for i, name := range k.Filling {
+			k.Rise = append(k.Rise, e.pressure(name))
+			k.Weight = append(k.Weight, e.gram[i+1][i+1])
 		}
 		out = append(out, k)
 	}
@@ -249,7 +250,7 @@
 // Import takes in what an earlier owner has learnt. It is called on an empty model.
 func (m *Model) Import(list []Knowledge) {
 	for _, k := range list {
-		if len(k.Pressure) != len(k.Filling) || len(k.Weight) != len(k.Filling) {
+		if len(k.Rise) != len(k.Filling) || len(k.Weight) != len(k.Filling) {
 			continue
 		}
 		if k.Mean > 0 {
@@ -259,8 +260,8 @@
 		for i, image := range k.Filling {
 			p := e.position(image)
 			e.gram[p][p] = min(k.Weight[i], maxRestoredWeight)
-			e.moment[p] = e.gram[p][p] * k.Pressure[i]
-			e.value[p] = k.Pressure[i]
+			e.moment[p] = e.gram[p][p] * k.Rise[i]
+			e.value[p] = k.Rise[i]
 		}
 	}
 }
--- a/control/contention/contention_test.go
+++ b/control/contention/contention_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -10,6 +11,9 @@
 
 const target = 100 * time.Millisecond
 
+// processor is the share of one processor of an executor that has 16.
+const processor = 1.0 / 16
+
 // world gives latencies by the model that the package assumes.
 type world struct {
 	pressure map[Pair]float64
@@ -29,7 +33,7 @@
 func (w *world) latency(image string, fillers []Filler) time.Duration {
 	rise := 0.0
 	for _, f := range fillers {
-		rise += w.pressure[Pair{image, f.Image}] * f.Processors
+		rise += w.pressure[Pair{image, f.Image}] * f.Share
 	}
 	return time.Duration(w.base() * (1 + rise))
 }
@@ -44,23 +48,23 @@
 // Pairs that disturb have to be told from those that do not, also where several
 // images fill a node at once; otherwise harmless images stand still.
 func TestPressuresAreToldApart(t *testing.T) {
-	w := newWorld(map[Pair]float64{{"s", "heavy"}: 0.8})
-	mixes := [][]Filler{{{"heavy", 2}, {"light", 3}}, {{"light", 4}, {"third", 2}}, {{"heavy", 1}, {"third", 3}}}
+	w := newWorld(map[Pair]float64{{"s", "heavy"}: 0.8 / processor})
+	mixes := [][]Filler{{{"heavy", 2 * processor}, {"light", 3 * processor}}, {{"light", 4 * processor}, {"third", 2 * processor}}, {{"heavy", 1 * processor}, {"third", 3 * processor}}}
 	for i := range 60 {
 		w.now += 300 * time.Millisecond
 		w.node("quiet", "s", nil)
 		w.node("busy", "s", mixes[i%len(mixes)])
 	}
-	assert.Assert(t, math.Abs(w.model.Pressure(Pair{"s", "heavy"})-0.8) < 0.1, "heavy %v", w.model.Pressure(Pair{"s", "heavy"}))
-	assert.Assert(t, w.model.Pressure(Pair{"s", "light"}) < 0.05, "light %v", w.model.Pressure(Pair{"s", "light"}))
-	assert.Assert(t, w.model.Pressure(Pair{"s", "third"}) < 0.05, "third %v", w.model.Pressure(Pair{"s", "third"}))
+	assert.Assert(t, math.Abs(w.model.Pressure(Pair{"s", "heavy"})*processor-0.8) < 0.1, "heavy %v", w.model.Pressure(Pair{"s", "heavy"}))
+	assert.Assert(t, w.model.Pressure(Pair{"s", "light"})*processor < 0.05, "light %v", w.model.Pressure(Pair{"s", "light"}))
+	assert.Assert(t, w.model.Pressure(Pair{"s", "third"})*processor < 0.05, "third %v", w.model.Pressure(Pair{"s", "third"}))
 }
 
 // Tasks of a group that are all on one node are disturbed alike. Their lowest
 // latency is then no proof that their own load makes them late.
 func TestGroupThatIsDisturbedAlikeIsProtected(t *testing.T) {
 	m := New()
-	fillers := []Filler{{"f", 6}}
+	fillers := []Filler{{"f", 6 * processor}}
 	serving := []Serving{{Task: "a", Group: "g", Image: "s", Latency: 3 * target, Target: target},
 		{Task: "b", Group: "g", Image: "s", Latency: 3 * target, Target: target}}
 	current := map[string]int{"f": 100}
@@ -79,7 +83,7 @@
 	now := time.Second
 	m.Observe([]Serving{{Task: "quiet", Group: "g", Image: "s", Latency: 2 * target, Target: target}}, nil, now)
 	busy := []Serving{{Task: "busy", Group: "g", Image: "s", Latency: 2 * target, Target: target}}
-	fillers := []Filler{{"f", 2}}
+	fillers := []Filler{{"f", 2 * processor}}
 	m.Observe(busy, fillers, now)
 	assert.Equal(t, m.Paces(busy, fillers, fillers, map[string]int{"f": 100}, now)["f"], 100)
 }
@@ -88,7 +92,7 @@
 // by them, however much of its latency is by its own load.
 func TestTaskThatWouldKeepItsTargetAloneIsProtected(t *testing.T) {
 	m := New()
-	fillers := []Filler{{"f", 2}}
+	fillers := []Filler{{"f", 2 * processor}}
 	quiet := []Serving{{Task: "quiet", Group: "g", Image: "s", Latency: target * 95 / 100, Target: target}}
 	busy := []Serving{{Task: "busy", Group: "g", Image: "s", Latency: target * 105 / 100, Target: target}}
 	paces := map[string]int{"f": 100}
@@ -103,14 +107,14 @@
 // The pace of an image that disturbs is lowered until the target is kept, and an
 // image that does not disturb goes on at full pace.
 func TestOnlyImagesThatDisturbAreSlowed(t *testing.T) {
-	w := newWorld(map[Pair]float64{{"s", "heavy"}: 2})
-	full := []Filler{{"heavy", 2}, {"light", 2}}
+	w := newWorld(map[Pair]float64{{"s", "heavy"}: 2 / processor})
+	full := []Filler{{"heavy", 2 * processor}, {"light", 2 * processor}}
 	paces := map[string]int{"heavy": 100, "light": 100}
 	late, worstHeavy, light := 0, 0, 0
 	for range 60 {
 		w.now += 600 * time.Millisecond
 		w.node("quiet", "s", nil)
-		used := []Filler{{"heavy", 2 * float64(paces["heavy"]) / 100}, {"light", 2 * float64(paces["light"]) / 100}}
+		used := []Filler{{"heavy", 2 * processor * float64(paces["heavy"]) / 100}, {"light", 2 * processor * float64(paces["light"]) / 100}}
 		busy := w.node("busy", "s", used)
 		if busy.Latency > target {
 			late++
@@ -126,14 +130,34 @@
 
 // What an owner has learnt must reach the next one; it would learn by harm otherwise.
 func TestKnowledgeOutlivesTheModel(t *testing.T) {
-	w := newWorld(map[Pair]float64{{"s", "heavy"}: 0.8})
+	w := newWorld(map[Pair]float64{{"s", "heavy"}: 0.8 / processor})
 	for range 40 {
 		w.now += 300 * time.Millisecond
 		w.node("quiet", "s", nil)
-		w.node("busy", "s", []Filler{{"heavy", 2}})
+		w.node("busy", "s", []Filler{{"heavy", 2 * processor}})
 	}
 	next := New()
 	next.Import(w.model.Export())
 	pair := Pair{"s", "heavy"}
-	assert.Assert(t, math.Abs(next.Pressure(pair)-w.model.Pressure(pair)) < 0.1)
+	assert.Assert(t, math.Abs(next.Pressure(pair)-w.model.Pressure(pair))*processor < 0.1)
+}
+
+// The base of a group is the lowest of several latencies. The noise between them must
+// not be taken for the effect of an image that uses little.
+func TestNoiseIsNotTakenForPressure(t *testing.T) {
+	m := New()
+	now := time.Second
+	noise := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		now += 300 * time.Millisecond
+		for _, task := range []string{"quiet-1", "quiet-2", "busy"} {
+			latency := time.Duration(30e6 * (1 + 0.3*noise.Float64()))
+			var fillers []Filler
+			if task == "busy" {
+				fillers = []Filler{{"light", 1 * processor}}
+			}
+			m.Observe([]Serving{{Task: task, Group: "g", Image: "s", Latency: latency, Target: target}}, fillers, now)
+		}
+	}
+	assert.Assert(t, m.Harmless(Pair{"s", "light"}), "pressure %v", m.Pressure(Pair{"s", "light"}))
 }
--- a/control/contention/estimator.go
+++ b/control/contention/estimator.go
@@ -1,23 +1,37 @@
 package contention
 
+import (
+	"math"
+	"time"
+)
+
 const (
-	// defaultPressure is the assumed rise per processor in use of an unknown pair.
-	defaultPressure = 0.15
-	// priorWeight is the weight of that assumption, in squared processors.
-	priorWeight = 2.0
-	// decay is the factor on the weight of earlier samples with each new one.
-	decay = 0.9985
+	// defaultPressure is the assumed rise of an unknown pair, for an image that uses a
+	// whole executor. It lets one task of a usual size be tried beside a serving task.
+	defaultPressure = 3.0
+	// priorWeight is the weight of that assumption, in squared shares.
+	priorWeight = 0.004
+	// memory is the time in which the weight of a sample falls to 1/e.
+	memory = 60 * time.Second
+	// decayInterval is the time between two decays of the sums.
+	decayInterval = 500 * time.Millisecond
 	// maxRise bounds what one outlier can teach.
 	maxRise = 4.0
-	// doubtWeight is the weight of samples, in squared processors, that halves the doubt.
-	doubtWeight = 8.0
+	// doubtWeight is the weight of samples, in squared shares, that halves the doubt.
+	doubtWeight = 0.015
 	// sweeps is the number of passes of the solver. It starts from the last
 	// solution, so that few are enough.
-	sweeps = 8
+	sweeps = 3
+	// constant is the name of the regressor that is 1 in every sample. It takes up the
+	// part of the rise that no filling task causes: the base of a group is the lowest of
+	// several latencies, so that the others seem raised even where nothing fills.
+	constant = ""
+	// constantWeight is the weight, in samples, of the assumption that there is no such part.
+	constantWeight = 4.0
 )
 
 // estimator fits the pressures on one serving image: the non-negative least
-// squares solution over samples of processors by filling image and the rise.
+// squares solution over samples of the shares in use by filling image and the rise.
 type estimator struct {
 	index map[string]int
 	names []string
@@ -26,9 +40,16 @@
 	moment []float64
 	value  []float64
 	stale  bool
+	// decayedAt is when the sums were last decayed.
+	decayedAt time.Duration
 }
 
-func newEstimator() *estimator { return &estimator{index: make(map[string]int)} }
+func newEstimator() *estimator {
+	e := &estimator{index: make(map[string]int)}
+	e.position(constant)
+	e.value[0] = 0
+	return e
+}
 
 func (e *estimator) position(image string) int {
 	i, ok := e.index[image]
@@ -48,27 +69,43 @@
 }
 
 // add takes in one sample.
-func (e *estimator) add(fillers []Filler, rise float64) {
+func (e *estimator) add(fillers []Filler, rise float64, now time.Duration) {
 	rise = min(maxRise, max(0, rise))
 	positions := make([]int, len(fillers))
 	for i, f := range fillers {
 		positions[i] = e.position(f.Image)
 	}
-	for r := range e.gram {
-		e.moment[r] *= decay
-		for c := range e.gram[r] {
-			e.gram[r][c] *= decay
-		}
-	}
+	e.decay(now)
+	e.moment[0] += rise
+	e.gram[0][0]++
 	for i, f := range fillers {
-		e.moment[positions[i]] += f.Processors * rise
+		p := positions[i]
+		e.moment[p] += f.Share * rise
+		e.gram[0][p] += f.Share
+		e.gram[p][0] += f.Share
 		for k, g := range fillers {
-			e.gram[positions[i]][positions[k]] += f.Processors * g.Processors
+			e.gram[p][positions[k]] += f.Share * g.Share
 		}
 	}
 	e.stale = true
 }
 
+// decay lets the weight of earlier samples fall with their age.
+func (e *estimator) decay(now time.Duration) {
+	age := now - e.decayedAt
+	if age < decayInterval {
+		return
+	}
+	e.decayedAt = now
+	factor := math.Exp(-float64(age) / float64(memory))
+	for r := range e.gram {
+		e.moment[r] *= factor
+		for c := range e.gram[r] {
+			e.gram[r][c] *= factor
+		}
+	}
+}
+
 // pressure returns the fitted pressure of a filling image.
 func (e *estimator) pressure(image string) float64 {
 	i, ok := e.index[image]
@@ -96,13 +133,17 @@
 func (e *estimator) solve() {
 	for range sweeps {
 		for i := range e.value {
-			rest := e.moment[i] + priorWeight*defaultPressure
+			weight, prior := priorWeight, defaultPressure
+			if i == 0 {
+				weight, prior = constantWeight, 0
+			}
+			rest := e.moment[i] + weight*prior
 			for k, v := range e.value {
 				if k != i {
 					rest -= e.gram[i][k] * v
 				}
 			}
-			e.value[i] = max(0, rest/(e.gram[i][i]+priorWeight))
+			e.value[i] = max(0, rest/(e.gram[i][i]+weight))
 		}
 	}
 }
--- a/control/contention/pace.go
+++ b/control/contention/pace.go
@@ -28,7 +28,7 @@
 var Levels = []int{0, 8, 15, 30, 50, 75, 100}
 
 // Paces returns for each filler the pace in percent at which the tasks that
-// serve keep their targets. full holds the processors at full pace, used those
+// serve keep their targets. full holds the shares at full pace, used those
 // of the last half second, and current the paces now.
 func (m *Model) Paces(serving []Serving, full, used []Filler, current map[string]int, now time.Duration) map[string]int {
 	pace := make(map[string]float64, len(full))
@@ -81,7 +81,7 @@
 		return 0
 	})
 	for _, f := range order {
-		rise := m.Pressure(Pair{s.Image, f.Image}) * f.Processors
+		rise := m.Pressure(Pair{s.Image, f.Image}) * f.Share
 		allowed := 1.0
 		if rise > 0 {
 			allowed = min(1, max(0, budget)/rise)
@@ -129,7 +129,7 @@
 	if e := m.estimators[image]; e != nil {
 		doubt = e.doubt(f.Image)
 	}
-	return (m.Pressure(p) + doubt) * f.Processors
+	return (m.Pressure(p) + doubt) * f.Share
 }
 
 // level rounds a pace down to a level. A pace that rises does so by two levels at most.
--- a/control/dispatch/contention.go
+++ b/control/dispatch/contention.go
@@ -30,17 +30,20 @@
 	fullPace = 100
 )
 
-// fillersOf turns processors by image into a list.
+// fillersOf turns shares of an executor by image into a list.
 func fillersOf(usage map[string]float64) []contention.Filler {
 	list := make([]contention.Filler, 0, len(usage))
-	for image, processors := range usage {
-		if processors > 0 {
-			list = append(list, contention.Filler{Image: image, Processors: processors})
+	for image, share := range usage {
+		if share > 0 {
+			list = append(list, contention.Filler{Image: image, Share: share})
 		}
 	}
 	return list
 }
 
+// share returns processors in thousandths as a part of the node's.
+func (n *node) share(cpu int64) float64 { return float64(cpu) / float64(max(1, n.place.Capacity.CPU)) }
+
 // serving returns the latency of a task that serves, as of a list of runs.
 func (t *taskEntry) serving(r *executor.Run) contention.Serving {
 	return contention.Serving{Task: r.Task, Group: t.job.sub.ID + "." + strconv.Itoa(t.id.Step), Image: t.step().Image,
@@ -56,7 +59,7 @@
 		switch {
 		case t == nil || t.node != n:
 		case t.step().Fills:
-			usage[t.step().Image] += float64(running[i].Load) / 1000
+			usage[t.step().Image] += n.share(int64(running[i].Load))
 		case t.step().Serves() && running[i].Percent >= 100:
 			serving = append(serving, t.serving(&running[i]))
 		}
@@ -116,12 +119,12 @@
 	return false
 }
 
-// fillers returns the requested processors of the tasks that fill on a node, by image.
+// fillers returns the share of a node that the tasks that fill request, by image.
 func (n *node) fillers() map[string]float64 {
 	out := make(map[string]float64)
 	for t := range n.tasks {
 		if t.step().Fills {
-			out[t.step().Image] += float64(t.step().Request.CPU) / 1000
+			out[t.step().Image] += n.share(t.step().Request.CPU)
 		}
 	}
 	return out
@@ -167,7 +170,7 @@
 	}
 	usage := n.fillers()
 	if step.Fills {
-		usage[step.Image] += float64(step.Request.CPU) / 1000
+		usage[step.Image] += n.share(step.Request.CPU)
 	}
 	if len(usage) == 0 {
 		return 0
@@ -182,7 +185,7 @@
 		if !s.Serves() {
 			continue
 		}
-		own := contention.Filler{Image: step.Image, Processors: float64(step.Request.CPU) / 1000}
+		own := contention.Filler{Image: step.Image, Share: n.share(step.Request.CPU)}
 		if step.Fills && o.contention.Rise(s.Image, []contention.Filler{own}) < negligibleRise {
 			continue
 		}
