dispatch: rank executors once a step; neighbourhoods by compatibility

The penalty grew with each other image, so that a foreign task went to a clean executor rather than to one that is mixed already.

Change: placement.Rank holds the costs of a step; a choice updates one executor. The images on an executor, the rises by what fills it and the compatibility of sets of serving images are kept instead of built. A serving task costs the share of filling work that it keeps away. Lifetimes are found by id and address. Runs to move look for a place once a step. An executor with a task that stays too slow for a second takes no task that fills, also no harmless or long-waiting one.

Two tests used tasks of a quarter of an executor as a first task that fills beside an unknown pair; the assumed pressure is now the same on all sizes and forbids that, so they use tasks of a tenth. Their assertions are unchanged.

--- a/control/contention/contention.go
+++ b/control/contention/contention.go
@@ -12,6 +12,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -29,6 +30,8 @@
 	harmlessPressure = 1.2
 	// disturbingPressure is the pressure from which a pair disturbs noticeably.
 	disturbingPressure = 4.0
+	// firstCompatible is the assumed share of pairs that get along.
+	firstCompatible = 0.5
 	// peakDecay lets the peak of an image fade with each sample.
 	peakDecay = 0.999
 	// forgetAfter is how long the latency of a task is kept at all.
@@ -176,26 +179,48 @@
 	return e != nil && e.pressure(p.Filling)+e.doubt(p.Filling) < harmlessPressure
 }
 
-// Sensitivity returns the share, 0 to 1, of the known filling images that disturb
-// one of the serving images.
-func (m *Model) Sensitivity(serving map[string]struct{}) float64 {
-	known, disturbing := make(map[string]struct{}), make(map[string]struct{})
-	for _, e := range m.estimators {
-		for _, image := range e.names[1:] {
-			known[image] = struct{}{}
-		}
+// Compatibility returns the share, 0 to 1, of the known filling images that disturb
+// none of the serving images. A pair that is not known counts with firstCompatible.
+func (m *Model) Compatibility(serving []string) float64 {
+	known := m.fillingImages()
+	if len(known) == 0 {
+		return math.Pow(firstCompatible, float64(len(serving)))
 	}
-	for image := range known {
-		for s := range serving {
-			if m.Pressure(Pair{s, image}) > disturbingPressure {
-				disturbing[image] = struct{}{}
-			}
+	sum := 0.0
+	for _, image := range known {
+		fit := 1.0
+		for _, s := range serving {
+			fit *= m.fit(Pair{s, image})
 		}
+		sum += fit
 	}
-	if len(known) == 0 {
-		return 0
+	return sum / float64(len(known))
+}
+
+// fit returns how well a pair gets along: 1 where it does, 0 where it disturbs.
+func (m *Model) fit(p Pair) float64 {
+	e := m.estimators[p.Serving]
+	if e == nil {
+		return firstCompatible
+	}
+	i, ok := e.index[p.Filling]
+	if !ok {
+		return firstCompatible
+	}
+	measured := min(1, max(0, (disturbingPressure-e.pressure(p.Filling))/(disturbingPressure-harmlessPressure)))
+	certain := e.gram[i][i] / (e.gram[i][i] + doubtWeight)
+	return certain*measured + (1-certain)*firstCompatible
+}
+
+// fillingImages returns the filling images that any serving image was seen with.
+func (m *Model) fillingImages() []string {
+	seen := make(map[string]struct{})
+	for _, e := range m.estimators {
+		for _, image := range e.names[1:] {
+			seen[image] = struct{}{}
+		}
 	}
-	return float64(len(disturbing)) / float64(len(known))
+	return slices.Sorted(maps.Keys(seen))
 }
 
 // Rise returns the expected rise in the latency of a serving image, 0 for none.
@@ -208,12 +233,13 @@
 }
 
 // Expected returns the expected mean latency of a task that serves, as a share
-// of its target. At the peaks of its own load, paces keep the target.
-func (m *Model) Expected(image string, target time.Duration, fillers []Filler) float64 {
+// of its target, where what fills beside it causes a rise. At the peaks of its own
+// load, paces keep the target.
+func (m *Model) Expected(image string, target time.Duration, rise float64) float64 {
 	if target <= 0 {
 		return 0
 	}
-	return m.meanOf(image, target) * (1 + m.Rise(image, fillers)) / float64(target)
+	return m.meanOf(image, target) * (1 + rise) / float64(target)
 }
 
 // Knowledge is the part of a model that a later owner continues with.
--- a/control/dispatch/advice.go
+++ b/control/dispatch/advice.go
@@ -51,11 +51,11 @@
 		if !o.needsAdvice(w.job.sub) {
 			continue
 		}
-		places, nodes := o.nodes(o.service(w.job.sub), now)
+		p := o.pool(o.service(w.job.sub), now)
 		step := &w.job.sub.Steps[w.key.step]
 		var candidates []submission.Incarnation
-		for i, n := range nodes {
-			if step.Request.Fits(places[i].Capacity) {
+		for i, n := range p.nodes {
+			if step.Request.Fits(p.places[i].Capacity) {
 				candidates = append(candidates, n.info.Incarnation)
 			}
 		}
--- a/control/dispatch/contention.go
+++ b/control/dispatch/contention.go
@@ -6,7 +6,6 @@
 
 	"github.com/chicorystand/chicorystand/base/events"
 	"github.com/chicorystand/chicorystand/control/contention"
-	"github.com/chicorystand/chicorystand/control/submission"
 	"github.com/chicorystand/chicorystand/vm/executor"
 	"github.com/chicorystand/chicorystand/wire"
 )
@@ -66,15 +65,35 @@
 	}
 	used := fillersOf(usage)
 	o.contention.Observe(serving, used, now)
-	if len(used) > 0 && contention.Late(serving) {
+	n.noteLateness(contention.Late(serving), len(used) > 0, now)
+	o.adaptPaces(n, serving, used, now)
+}
+
+// noteLateness takes in whether a task that serves on the node is too slow, and
+// whether anything fills the node.
+func (n *node) noteLateness(late, filled bool, now time.Duration) {
+	switch {
+	case !late:
+		n.lateSince = 0
+	case n.lateSince == 0:
+		n.lateSince = now
+	}
+	if late && filled {
 		n.disturbedAt = now
 	}
-	o.adaptPaces(n, serving, used, now)
+}
+
+// lateFor returns for how long on end a task that serves on the node has been too slow.
+func (n *node) lateFor(now time.Duration) time.Duration {
+	if n.lateSince == 0 {
+		return 0
+	}
+	return now - n.lateSince
 }
 
 // adaptPaces orders the paces at which the tasks that serve on the node keep their targets.
 func (o *Owner) adaptPaces(n *node, serving []contention.Serving, used []contention.Filler, now time.Duration) {
-	full := fillersOf(n.fillers())
+	full := n.fillers()
 	if len(full) == 0 || len(serving) == 0 && !n.paced() {
 		clear(n.paces)
 		return
@@ -119,84 +138,6 @@
 	return false
 }
 
-// fillers returns the share of a node that the tasks that fill request, by image.
-func (n *node) fillers() map[string]float64 {
-	out := make(map[string]float64)
-	for t := range n.tasks {
-		if t.step().Fills {
-			out[t.step().Image] += n.share(t.step().Request.CPU)
-		}
-	}
-	return out
-}
-
-// sensitivity returns the share of the images that fill which the node's tasks that
-// serve cannot stand. An image that disturbs none of them is best placed where
-// most others cannot go.
-func (o *Owner) sensitivity(step *submission.Step, n *node) float64 {
-	if !step.Fills || n.place.Serving == 0 {
-		return 0
-	}
-	images := make(map[string]struct{})
-	for t := range n.tasks {
-		if t.step().Serves() {
-			images[t.step().Image] = struct{}{}
-		}
-	}
-	return o.contention.Sensitivity(images)
-}
-
-// otherImages counts the serving images on the node that differ from the step's.
-// Fewer images on a node leave more images that can fill it without harm.
-func otherImages(step *submission.Step, n *node) int {
-	if !step.Serves() {
-		return 0
-	}
-	seen := make(map[string]struct{})
-	for t := range n.tasks {
-		if s := t.step(); s.Serves() && s.Image != step.Image {
-			seen[s.Image] = struct{}{}
-		}
-	}
-	return len(seen)
-}
-
-// expectedLatency returns the highest latency to which a task of the step would
-// raise a task that serves on the node, itself included, as a share of its
-// target. It is 0 when the task disturbs nothing.
-func (o *Owner) expectedLatency(step *submission.Step, n *node) float64 {
-	if !step.Fills && !step.Serves() {
-		return 0
-	}
-	usage := n.fillers()
-	if step.Fills {
-		usage[step.Image] += n.share(step.Request.CPU)
-	}
-	if len(usage) == 0 {
-		return 0
-	}
-	fillers, worst := fillersOf(usage), 0.0
-	disturbed := n.disturbedAt != 0 && o.now-n.disturbedAt < disturbedFor
-	if step.Serves() {
-		worst = o.contention.Expected(step.Image, step.LatencyTarget, fillers)
-	}
-	for t := range n.tasks {
-		s := t.step()
-		if !s.Serves() {
-			continue
-		}
-		own := contention.Filler{Image: step.Image, Share: n.share(step.Request.CPU)}
-		if step.Fills && o.contention.Rise(s.Image, []contention.Filler{own}) < negligibleRise {
-			continue
-		}
-		if disturbed && step.Fills && !o.contention.Harmless(contention.Pair{Serving: s.Image, Filling: step.Image}) {
-			return disturbedLatency
-		}
-		worst = max(worst, o.contention.Expected(s.Image, s.LatencyTarget, fillers))
-	}
-	return worst
-}
-
 // slowed reports whether a run is paced down and can be stopped at little loss.
 func (t *taskEntry) slowed(now time.Duration) bool {
 	if !t.step().Fills || t.step().LongRunning || t.phase != phaseRunning || t.stopping || t.pace > slowPace || t.pace < 0 || now-t.changedAt < settleTime {
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -64,6 +64,8 @@
 	manifest  *manifest.Manifest
 	jobs      map[string]*job
 	executors map[submission.Incarnation]*node
+	// lifetimes lists the executors by their id and by their address.
+	lifetimes map[string][]*node
 	// waiting holds the steps with tasks that may start.
 	waiting map[stepKey]*waitingStep
 	// timed holds jobs with occurrences that are not due yet.
@@ -73,6 +75,8 @@
 	changed  bool
 	placedAt time.Duration
 	movedAt  time.Duration
+	// movePlaces are the executors that can take tasks of a step, found once in each look for runs to move.
+	movePlaces map[stepKey]*pool
 	// estimates is what is known of the estimates of each queue's submissions.
 	estimates map[string]*speed.Estimates
 	// now is the time of the last run of the systems.
@@ -85,8 +89,14 @@
 	outbox     map[submission.Incarnation]*outbox
 	pending    effects
 	contention *contention.Model
-	advice     *advice.Table
-	stats      Counters
+	// compatibility is the share of filling work that gets along with a set of serving
+	// images, by the key of the set; it was derived at compatibleAt.
+	compatibility map[string]float64
+	compatibleAt  time.Duration
+	// pools are the executors that can take tasks in this run of the systems, by service.
+	pools  map[string]*pool
+	advice *advice.Table
+	stats  Counters
 }
 
 // Counters are totals since the owner started.
@@ -104,8 +114,9 @@
 // time in suspension; unix converts it to Unix milliseconds.
 func New(b Bounds, epoch uint64, now time.Duration, unix func(time.Duration) int64, log zerolog.Logger) *Owner {
 	return &Owner{bounds: b, epoch: epoch, since: now, now: now, knowledgeAt: now, lastCommit: now, log: log, unix: unix, jobs: make(map[string]*job),
-		executors: make(map[submission.Incarnation]*node), waiting: make(map[stepKey]*waitingStep), timed: make(map[string]*job),
-		dirty: make(map[string]*job), outbox: make(map[submission.Incarnation]*outbox), pending: newEffects(), estimates: make(map[string]*speed.Estimates), contention: contention.New(), advice: advice.NewTable()}
+		executors: make(map[submission.Incarnation]*node), lifetimes: make(map[string][]*node), waiting: make(map[stepKey]*waitingStep), timed: make(map[string]*job),
+		dirty: make(map[string]*job), outbox: make(map[submission.Incarnation]*outbox), pending: newEffects(), estimates: make(map[string]*speed.Estimates), contention: contention.New(),
+		compatibility: make(map[string]float64), pools: make(map[string]*pool), movePlaces: make(map[stepKey]*pool), advice: advice.NewTable()}
 }
 
 // Epoch returns the owner's epoch.
@@ -125,6 +136,7 @@
 // Tick runs the systems.
 func (o *Owner) Tick(now time.Duration) {
 	o.now = now
+	clear(o.pools)
 	o.expireLeases(now)
 	o.releaseDue(now)
 	o.evacuate(now)
--- a/control/dispatch/dispatch_test.go
+++ b/control/dispatch/dispatch_test.go
@@ -474,7 +474,7 @@
 	serving := testStep(1)
 	serving.LongRunning, serving.LatencyTarget, serving.Image = true, 50*time.Millisecond, "s"
 	first := testStep(1)
-	first.Fills, first.Image = true, "f"
+	first.Fills, first.Image, first.Request.CPU = true, "f", 400
 	f.add(testSubmission(serving, first))
 	f.turn()
 	assert.Equal(t, len(f.starts()), 2)
@@ -497,7 +497,7 @@
 	serving := testStep(1)
 	serving.LongRunning, serving.LatencyTarget, serving.Image = true, 50*time.Millisecond, "s"
 	filling := testStep(1)
-	filling.LongRunning, filling.Fills, filling.Checkpoints, filling.Image = true, true, true, "f"
+	filling.LongRunning, filling.Fills, filling.Checkpoints, filling.Image, filling.Request.CPU = true, true, true, "f", 400
 	f.add(testSubmission(serving, filling))
 	f.turn()
 	assert.Equal(t, len(f.starts()), 2)
--- a/control/dispatch/jobs.go
+++ b/control/dispatch/jobs.go
@@ -62,6 +62,7 @@
 			t.node = n
 			if n.agent == "" {
 				n.info.Address = t.rec.Address
+				o.index(n.info.Address, n)
 			}
 			n.reserve(t)
 		}
@@ -77,6 +78,7 @@
 		n.place.ID = inc.ID
 		n.place.Closed = true
 		o.executors[inc] = n
+		o.index(inc.ID, n)
 	}
 	return n
 }
@@ -251,6 +253,7 @@
 	for inc, n := range o.executors {
 		if n.gone && now-n.goneAt > o.bounds.Retention && len(n.tasks) == 0 {
 			delete(o.executors, inc)
+			o.unindex(n)
 			delete(o.pending.acks, n)
 		}
 	}
--- a/control/dispatch/move.go
+++ b/control/dispatch/move.go
@@ -23,6 +23,7 @@
 		return
 	}
 	o.movedAt = now
+	clear(o.movePlaces)
 	for _, n := range o.executors {
 		if n.gone || !n.connected {
 			continue
@@ -62,15 +63,29 @@
 // hasBetterNode reports whether another executor can take the task now without
 // harm, on which runs take less than maxFactor times as long as usual.
 func (o *Owner) hasBetterNode(t *taskEntry, maxFactor float64, now time.Duration) bool {
-	places, nodes := o.nodes(o.service(t.job.sub), now)
-	w := &waitingStep{key: t.stepKey(), job: t.job, since: now}
-	w.allowed = o.allowed(w, nodes, now)
-	q := o.query(w, t, t.step(), o.countByNode(w), "", nodes, now)
-	for i, n := range nodes {
-		if n != t.node && n.speed.Factor(now) < maxFactor && placement.Fits(q, places[i]) &&
-			o.expectedLatency(t.step(), n) <= placement.MaxExpectedLatency {
+	places := o.movePlaces[t.stepKey()]
+	if places == nil {
+		places = o.freePlaces(t, now)
+		o.movePlaces[t.stepKey()] = places
+	}
+	for _, n := range places.nodes {
+		if n != t.node && n.speed.Factor(now) < maxFactor {
 			return true
 		}
 	}
 	return false
 }
+
+// freePlaces returns the executors that can take a task of the same step without harm.
+func (o *Owner) freePlaces(t *taskEntry, now time.Duration) *pool {
+	all := o.pool(o.service(t.job.sub), now)
+	w := &waitingStep{key: t.stepKey(), job: t.job, since: now}
+	q := o.query(w, all, "", now)
+	free := new(pool)
+	for i, n := range all.nodes {
+		if placement.Fits(q, all.places[i]) && q.Latency(i) <= placement.MaxExpectedLatency {
+			free.nodes = append(free.nodes, n)
+		}
+	}
+	return free
+}
--- a/control/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/chicorystand/chicorystand/base/events"
@@ -86,28 +85,33 @@
 }
 
 func (o *Owner) placeStep(w *waitingStep, now time.Duration) {
-	s := w.job.sub
-	step := &s.Steps[w.key.step]
-	places, nodes := o.nodes(o.service(s), now)
-	if len(places) == 0 {
+	p := o.pool(o.service(w.job.sub), now)
+	if len(p.nodes) == 0 {
 		return
 	}
-	tasks := w.tasks
-	w.allowed = o.allowed(w, nodes, now)
-	if step.Gang {
-		o.placeGang(w, places, nodes, now)
+	if w.job.sub.Steps[w.key.step].Gang {
+		o.placeGang(w, p, now)
 		return
 	}
-	onNode := o.countByNode(w)
+	q := o.query(w, p, "", now)
+	ranking := placement.Rank(q, p.places)
+	tasks := w.tasks
 	left := tasks[:0]
 	for i, t := range tasks {
-		p := placement.Choose(o.query(w, t, step, onNode, "", nodes, now), places)
-		if p < 0 {
+		best := ranking.Best(t.avoids())
+		if best < 0 {
 			left = append(left, tasks[i:]...)
 			break
 		}
-		onNode[places[p].ID]++
-		o.assign(t, nodes[p], now)
+		w.onNode[p.places[best].ID]++
+		o.assign(t, p.nodes[best], now)
+		if q.Tolerant {
+			// One task is enough to keep the submission going.
+			q.Tolerant = false
+			ranking = placement.Rank(q, p.places)
+			continue
+		}
+		ranking.Update(best)
 	}
 	o.setWaiting(w, left)
 }
@@ -129,13 +133,32 @@
 	return s.Service
 }
 
-func (o *Owner) query(w *waitingStep, t *taskEntry, step *submission.Step, onNode map[string]int, rack string, nodes []*node, now time.Duration) placement.Query {
+// query describes the tasks of a waiting step to the placement.
+func (o *Owner) query(w *waitingStep, p *pool, rack string, now time.Duration) placement.Query {
+	step := &w.job.sub.Steps[w.key.step]
+	w.allowed = o.allowed(w, p.nodes, now)
+	w.onNode = nil
+	if step.MaxPerExecutor > 0 {
+		w.onNode = o.countByNode(w)
+	}
+	if w.onNode == nil {
+		w.onNode = make(map[string]int)
+	}
+	v := o.view(step)
 	return placement.Query{Step: step, Rack: rack, Allowed: w.allowed, Tolerant: now-w.since > harmPatience && w.job.idle(),
-		Sensitivity: func(i int) float64 { return o.sensitivity(step, nodes[i]) },
-		OtherImages: func(i int) int { return otherImages(step, nodes[i]) },
-		Latency:     func(i int) float64 { return o.expectedLatency(step, nodes[i]) },
-		OnNode:      func(id string) int { return onNode[id] },
-		Avoid:       func(id string) bool { return slices.Contains(t.failedOn, id) }}
+		Latency:    func(i int) float64 { return v.latency(p.nodes[i]) },
+		Compatible: func(i int) float64 { return o.compatible(p.nodes[i].key, p.nodes[i].images) },
+		Loss:       func(i int) float64 { return v.loss(p.nodes[i]) },
+		Late:       func(i int) time.Duration { return p.nodes[i].lateFor(now) },
+		OnNode:     func(id string) int { return w.onNode[id] }}
+}
+
+// avoids returns the test of executors on which a run of the task has failed, nil when there are none.
+func (t *taskEntry) avoids() func(id string) bool {
+	if len(t.failedOn) == 0 {
+		return nil
+	}
+	return func(id string) bool { return slices.Contains(t.failedOn, id) }
 }
 
 // countByNode counts the running tasks of the step on each executor.
@@ -150,33 +173,39 @@
 }
 
 // placeGang places all members or none. They share a run number.
-func (o *Owner) placeGang(w *waitingStep, places []*placement.Node, nodes []*node, now time.Duration) {
+func (o *Owner) placeGang(w *waitingStep, p *pool, now time.Duration) {
 	step := &w.job.sub.Steps[w.key.step]
-	onNode, rack := o.countByNode(w), ""
-	var chosen []int
-	var run uint32
-	trial := make([]*placement.Node, len(places))
-	for i, p := range places {
-		c := *p
+	trial := make([]*placement.Node, len(p.places))
+	for i, place := range p.places {
+		c := *place
 		trial[i] = &c
 	}
+	q := o.query(w, p, "", now)
+	ranking := placement.Rank(q, trial)
+	chosen := make([]int, 0, len(w.tasks))
+	run := uint32(0)
 	for _, t := range w.tasks {
-		p := placement.Choose(o.query(w, t, step, onNode, rack, nodes, now), trial)
-		if p < 0 {
+		best := ranking.Best(t.avoids())
+		if best < 0 {
 			return
 		}
-		trial[p].Reserved = trial[p].Reserved.Add(t.reserved())
+		trial[best].Reserved = trial[best].Reserved.Add(t.reserved())
 		if step.Fills {
-			trial[p].Filling += step.Request.CPU
+			trial[best].Filling += step.Request.CPU
 		}
-		onNode[trial[p].ID]++
-		rack = trial[p].Rack
-		chosen = append(chosen, p)
+		w.onNode[trial[best].ID]++
+		chosen = append(chosen, best)
 		run = max(run, t.rec.Run)
+		if len(chosen) == 1 {
+			q.Rack = trial[best].Rack
+			ranking = placement.Rank(q, trial)
+			continue
+		}
+		ranking.Update(best)
 	}
 	for i, t := range w.tasks {
 		t.rec.Run = run
-		o.assign(t, nodes[chosen[i]], now)
+		o.assign(t, p.nodes[chosen[i]], now)
 	}
 	o.setWaiting(w, nil)
 }
@@ -211,11 +240,6 @@
 // evacuationLead is how long before the end of its drain time an executor's tasks are stopped.
 const evacuationLead = 700 * time.Millisecond
 
-func sortNodes(places []*placement.Node, nodes []*node) {
-	slices.SortFunc(places, func(a, b *placement.Node) int { return strings.Compare(a.ID, b.ID) })
-	slices.SortFunc(nodes, func(a, b *node) int { return strings.Compare(a.info.ID, b.info.ID) })
-}
-
 // remainingWork returns the estimated work of the tasks that are not done, in processor seconds.
 func (j *job) remainingWork(occurrence int) float64 {
 	work := 0.0
--- a/control/dispatch/reports.go
+++ b/control/dispatch/reports.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/chicorystand/chicorystand/base/events"
@@ -48,12 +50,26 @@
 // replaceOlder ends older lifetimes at the same id or address: the executor's
 // process has been replaced, so nothing of them runs.
 func (o *Owner) replaceOlder(info executor.Info, now time.Duration) {
-	for inc, n := range o.executors {
-		if n.gone || inc == info.Incarnation {
-			continue
+	for _, n := range slices.Concat(o.lifetimes[info.ID], o.lifetimes[info.Address]) {
+		if !n.gone && n.info.Born < info.Born && (n.info.ID == info.ID || n.info.Address == info.Address) {
+			o.executorGone(n.info.Incarnation, now)
 		}
-		if (inc.ID == info.ID || n.info.Address == info.Address) && inc.Born < info.Born {
-			o.executorGone(inc, now)
+	}
+}
+
+// index lists a node under its id or address.
+func (o *Owner) index(name string, n *node) {
+	if name != "" && !slices.Contains(o.lifetimes[name], n) {
+		o.lifetimes[name] = append(o.lifetimes[name], n)
+	}
+}
+
+// unindex removes a node from the lists of lifetimes.
+func (o *Owner) unindex(n *node) {
+	for _, name := range []string{n.info.ID, n.info.Address} {
+		left := slices.DeleteFunc(o.lifetimes[name], func(other *node) bool { return other == n })
+		if o.lifetimes[name] = left; len(left) == 0 {
+			delete(o.lifetimes, name)
 		}
 	}
 }
@@ -74,7 +90,12 @@
 		}
 	}
 	draining := n.info.Draining || r.Info.Draining
+	if n.info.Address != r.Info.Address {
+		o.unindex(n)
+	}
 	n.info, n.agent, n.connected = r.Info, r.Agent, true
+	o.index(n.info.ID, n)
+	o.index(n.info.Address, n)
 	n.info.Draining = draining
 	n.place.Kind, n.place.Rack, n.place.Capacity = r.Info.Kind, r.Info.Rack, r.Info.Capacity
 	if r.Info.Clock > n.clock || n.clockAt == 0 {
@@ -287,19 +308,31 @@
 	}
 }
 
-// nodes returns the placement tables of the executors that can take tasks of a service.
-func (o *Owner) nodes(service string, now time.Duration) ([]*placement.Node, []*node) {
-	var places []*placement.Node
-	var nodes []*node
+// pool holds the executors that can take tasks of a service, in the order of their ids.
+type pool struct {
+	places []*placement.Node
+	nodes  []*node
+}
+
+// pool returns the executors that can take tasks of a service. It is built once in
+// each run of the systems.
+func (o *Owner) pool(service string, now time.Duration) *pool {
+	if p := o.pools[service]; p != nil {
+		return p
+	}
+	p := new(pool)
 	for _, n := range o.executors {
 		if n.gone || n.lost || !n.adopted || !n.connected || n.info.Draining || n.info.Service != service || now < n.closedUntil {
 			continue
 		}
 		n.place.Closed = false
 		n.place.Suspicion = n.suspicion(now)
-		places = append(places, &n.place)
-		nodes = append(nodes, n)
+		p.nodes = append(p.nodes, n)
+	}
+	slices.SortFunc(p.nodes, func(a, b *node) int { return strings.Compare(a.info.ID, b.info.ID) })
+	for _, n := range p.nodes {
+		p.places = append(p.places, &n.place)
 	}
-	sortNodes(places, nodes)
-	return places, nodes
+	o.pools[service] = p
+	return p
 }
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -181,6 +181,8 @@
 	tasks []*taskEntry
 	// allowed filters the executors by the queue's policy, nil when all are admitted.
 	allowed func(id string) bool
+	// onNode counts the tasks of the step on each executor; it is kept for steps that bound it.
+	onNode map[string]int
 	// since is when the step began to wait.
 	since time.Duration
 }
@@ -218,11 +220,15 @@
 	pacedAt time.Duration
 	// disturbedAt is when a task that serves last missed its target beside tasks that fill, 0 for never.
 	disturbedAt time.Duration
+	// lateSince is since when a task that serves has been too slow in all lists, 0 while none is.
+	lateSince time.Duration
+	neighbours
 }
 
 // reserve books the task on the node.
 func (n *node) reserve(t *taskEntry) {
 	n.tasks[t] = struct{}{}
+	n.neighbours.add(t.step())
 	n.place.Reserved = n.place.Reserved.Add(t.reserved())
 	if t.step().Fills {
 		n.place.Filling += t.filling(t.pace)
@@ -239,6 +245,7 @@
 		return
 	}
 	delete(n.tasks, t)
+	n.neighbours.remove(t.step())
 	n.place.Reserved = n.place.Reserved.Sub(t.reserved())
 	if t.step().Fills {
 		n.place.Filling -= t.filling(t.pace)
--- a/control/placement/placement.go
+++ b/control/placement/placement.go
@@ -3,6 +3,9 @@
 package placement
 
 import (
+	"math"
+	"time"
+
 	"github.com/chicorystand/chicorystand/control/submission"
 	"github.com/chicorystand/chicorystand/control/task"
 )
@@ -37,11 +40,13 @@
 	// Latency returns the highest latency to which the task would raise a task that
 	// serves on the node, as a share of its target.
 	Latency func(position int) float64
-	// Sensitivity is the share of images that fill which do not get along with the node's
-	// tasks that serve.
-	Sensitivity func(position int) float64
-	// OtherImages counts the serving images on a node that differ from the task's.
-	OtherImages func(position int) int
+	// Compatible returns the share, 0 to 1, of filling work that gets along with the
+	// node's serving tasks.
+	Compatible func(position int) float64
+	// Loss returns by how much a task that serves would lower that share.
+	Loss func(position int) float64
+	// Late reports for how long on end a task that serves on the node has been too slow.
+	Late func(position int) time.Duration
 	// Tolerant places a task that fills even where it harms, to be paced there.
 	Tolerant bool
 	// Allowed reports whether the queue's policy admits the node; nil admits all.
@@ -64,11 +69,15 @@
 	mixPenalty = 1.0
 	// servingUse is the share of its processors that a task that serves is assumed to use.
 	servingUse = 0.5
-	// imagePenalty is the cost of each other serving image on the node of a task that serves.
-	imagePenalty = 1.5
-	// sensitivityGain is the gain of a node that only few images can fill, for a task
-	// that can: it leaves the other nodes to the rest.
-	sensitivityGain = 2.5
+	// neighbourPenalty weighs the filling work that a serving task keeps away from a
+	// node. The first foreign image on a node costs more than the next, so that mixed
+	// neighbourhoods gather on few nodes.
+	neighbourPenalty = 6.0
+	// scarcityGain is the gain of a node that only few images can fill, for a task that
+	// can: it leaves the other nodes to the rest.
+	scarcityGain = 2.5
+	// plainPenalty keeps other tasks away from nodes that much can fill.
+	plainPenalty = 0.5
 	// openPenalty is the cost of opening another node to tasks that serve, which
 	// takes it away from those that fill.
 	openPenalty = 1.0
@@ -85,33 +94,91 @@
 // that serves may be expected to rise because of a task that is placed beside it.
 const MaxExpectedLatency = 0.58
 
+// MaxLateness is how long a serving task may be too slow on end before its node
+// takes no more tasks that fill: each new one would disturb it until it is paced.
+const MaxLateness = time.Second
+
 // Choose returns the position of the best node, or -1 when none can take the task now.
 func Choose(q Query, nodes []*Node) int {
-	best, bestCost := -1, 0.0
-	for i, n := range nodes {
-		if !Fits(q, n) {
-			continue
-		}
-		latency := 0.0
-		if q.Latency != nil {
-			latency = q.Latency(i)
-		}
-		if latency > MaxExpectedLatency && q.Step.Fills && !q.Tolerant {
+	r := Rank(q, nodes)
+	return r.Best(q.Avoid)
+}
+
+// Ranking holds the cost of each node for the tasks of one step.
+type Ranking struct {
+	query Query
+	nodes []*Node
+	// costs are infinite for nodes that cannot take a task.
+	costs []float64
+}
+
+// Rank returns the costs of the nodes.
+func Rank(q Query, nodes []*Node) *Ranking {
+	r := &Ranking{query: q, nodes: nodes, costs: make([]float64, len(nodes))}
+	for i := range nodes {
+		r.Update(i)
+	}
+	return r
+}
+
+// Update takes in that the node at a position has changed.
+func (r *Ranking) Update(i int) {
+	r.costs[i] = math.Inf(1)
+	if Fits(r.query, r.nodes[i]) {
+		r.costs[i] = r.query.cost(i, r.nodes[i])
+	}
+}
+
+// Best returns the position of the best node, or -1 when none can take a task now.
+// avoid reports nodes that are the last choice; nil names none.
+func (r *Ranking) Best(avoid func(id string) bool) int {
+	best, bestCost := -1, math.Inf(1)
+	for i, c := range r.costs {
+		if c >= bestCost {
 			continue
 		}
-		c := cost(q, n)
-		c += latencyPenalty * max(0, latency-freeLatency)
-		if q.Sensitivity != nil && latency <= freeLatency {
-			c -= sensitivityGain * q.Sensitivity(i)
+		if avoid != nil && avoid(r.nodes[i].ID) {
+			if c += avoidPenalty; c >= bestCost {
+				continue
+			}
 		}
-		if q.OtherImages != nil {
-			c += imagePenalty * float64(q.OtherImages(i))
+		best, bestCost = i, c
+	}
+	return best
+}
+
+// cost returns the cost of a node that has room, infinite where the task would do harm.
+func (q *Query) cost(i int, n *Node) float64 {
+	if q.Step.Fills && q.Late != nil && q.Late(i) >= MaxLateness {
+		return math.Inf(1)
+	}
+	latency := 0.0
+	if q.Latency != nil {
+		latency = q.Latency(i)
+	}
+	if latency > MaxExpectedLatency && q.Step.Fills && !q.Tolerant {
+		return math.Inf(1)
+	}
+	return cost(*q, n) + latencyPenalty*max(0, latency-freeLatency) + q.neighbourCost(i, latency)
+}
+
+// neighbourCost leaves nodes that much filling work can use to that work.
+func (q *Query) neighbourCost(i int, latency float64) float64 {
+	switch s := q.Step; {
+	case s.Fills:
+		if q.Compatible == nil || latency > freeLatency {
+			return 0
 		}
-		if best < 0 || c < bestCost {
-			best, bestCost = i, c
+		return -scarcityGain * (1 - q.Compatible(i))
+	case s.Serves():
+		if q.Loss == nil {
+			return 0
 		}
+		return neighbourPenalty * q.Loss(i)
+	case q.Compatible == nil:
+		return 0
 	}
-	return best
+	return plainPenalty * q.Compatible(i)
 }
 
 // Fits reports whether the node can take the task now without going over its
@@ -148,9 +215,6 @@
 	capacity := float64(max(1, n.Capacity.CPU))
 	load := float64(n.expectedUse()+s.Request.CPU) / capacity
 	c := load + separation(s, n, load)
-	if q.Avoid != nil && q.Avoid(n.ID) {
-		c += avoidPenalty
-	}
 	if s.DataRack != "" && s.DataRack != n.Rack {
 		c += rackPenalty
 	}
--- a/control/placement/placement_test.go
+++ b/control/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -74,18 +75,47 @@
 	assert.Equal(t, Choose(q, []*Node{testNode("a")}), 0)
 }
 
-// Tasks that serve gather by image, so that more images can fill beside them.
-func TestServingTasksGatherByImage(t *testing.T) {
+// Tasks that serve gather where they keep the least filling work away.
+func TestServingTasksGather(t *testing.T) {
 	s := testStep()
 	s.LatencyTarget = 1
 	nodes := []*Node{testNode("a"), testNode("b")}
 	for _, n := range nodes {
 		n.Serving, n.ServingCPU, n.Reserved.CPU = 1, 1000, 1000
 	}
-	q := Query{Step: s, OtherImages: func(i int) int { return 1 - i }}
+	q := Query{Step: s, Loss: func(i int) float64 { return 0.3 * float64(1-i) }}
 	assert.Equal(t, Choose(q, nodes), 1)
 }
 
+// Where a serving task stays too slow, every new task that fills disturbs it until it
+// is paced, also one that is thought harmless or has waited too long.
+func TestNothingFillsWhereOneIsLateOnEnd(t *testing.T) {
+	s := testStep()
+	s.Fills = true
+	late := MaxLateness
+	q := Query{Step: s, Tolerant: true, Late: func(int) time.Duration { return late }}
+	assert.Equal(t, Choose(q, []*Node{testNode("a")}), -1)
+	late = 0
+	assert.Equal(t, Choose(q, []*Node{testNode("a")}), 0)
+}
+
+// A ranking must follow what its own choices have changed, or a node would be overbooked.
+func TestRankingFollowsChanges(t *testing.T) {
+	nodes := []*Node{testNode("a"), testNode("b")}
+	r := Rank(Query{Step: testStep()}, nodes)
+	taken := map[int]int{}
+	for {
+		i := r.Best(nil)
+		if i < 0 {
+			break
+		}
+		taken[i]++
+		nodes[i].Reserved = nodes[i].Reserved.Add(testStep().Request)
+		r.Update(i)
+	}
+	assert.DeepEqual(t, taken, map[int]int{0: 4, 1: 4})
+}
+
 // A task runs near its data when there is room.
 func TestDataRackIsPreferred(t *testing.T) {
 	s := testStep()
