contention: a serving task is a queue

Cause: latencies were modelled as base * (1 + pressure * share).

Placement uses the latency that the tasks on an executor have now by their own load, in place of the image's mean.

The tests' world follows the new model; bounds are the same shares of the pressures.

--- a/control/contention/contention.go
+++ b/control/contention/contention.go
@@ -4,10 +4,11 @@
 // effect differs by the pair of images. It answers the load of a deployment
 // whose tasks that serve reserve more processors than they use.
 //
-// Latencies are modelled as base * (1 + sum of pressure * share), where share is the part
-// of the executor's processors that the tasks of an image use. The base
-// moves with a task's own load, which the tasks of a group (the same step of the
-// same submission) share; it is the lowest recent latency of the group.
+// A serving task is modelled as a queue: latency = idle / (1 - utilization). Its own
+// load gives a utilization, which moves and which the tasks of a group (the same step
+// of the same submission) share; the base is the latency that belongs to it, the lowest
+// recent one of the group. What fills beside the task adds pressure * share for each
+// image, where share is the part of the executor's processors that the image uses.
 package contention
 
 import (
@@ -24,12 +25,22 @@
 	firstMeanShare = 0.4
 	// baseAge is how long a latency stands for the load of its group.
 	baseAge = 1300 * time.Millisecond
+	// firstIdleShare is the highest assumed latency of an idle task, as a share of its target.
+	firstIdleShare = 0.2
+	// idleShare is the latency of an idle task as a share of the lowest that was measured,
+	// when tasks are never quite idle.
+	idleShare = 0.8
+	// lowestFade is the time in which the lowest latency of an image rises by a factor of
+	// e, so that an outlier does not stand for long.
+	lowestFade = 2 * time.Minute
+	// maxExpected bounds an expected latency, as a share of the target.
+	maxExpected = 10.0
 	// undisturbed is the share of the executor that may be filled beside a task that counts as undisturbed.
 	undisturbed = 0.01
 	// harmlessPressure is the pressure, with its doubt, below which a pair does not disturb.
-	harmlessPressure = 1.2
+	harmlessPressure = 0.4
 	// disturbingPressure is the pressure from which a pair disturbs noticeably.
-	disturbingPressure = 4.0
+	disturbingPressure = 1.0
 	// firstCompatible is the assumed share of pairs that get along.
 	firstCompatible = 0.5
 	// peakDecay lets the peak of an image fade with each sample.
@@ -54,6 +65,10 @@
 	// Group names tasks that share their load.
 	Group, Image    string
 	Latency, Target time.Duration
+	// Base is the latency in nanoseconds that the task has by its own load, and Known
+	// tells that a task of the group works undisturbed. Observe sets both.
+	Base  float64
+	Known bool
 }
 
 // measured is the latency of a task at a time.
@@ -66,12 +81,20 @@
 	overSince time.Duration
 }
 
+// lowest is the lowest latency in nanoseconds, as of a time.
+type lowest struct {
+	latency float64
+	at      time.Duration
+}
+
 // Model holds what was learnt. The zero value is not usable.
 type Model struct {
 	// mean is the mean base of an image in nanoseconds.
 	mean map[string]float64
 	// peak is the highest known base of an image, which fades.
-	peak       map[string]float64
+	peak map[string]float64
+	// lowest is the lowest undisturbed latency of an image.
+	lowest     map[string]lowest
 	estimators map[string]*estimator
 	// groups holds the last latency of each task.
 	groups map[string]map[string]measured
@@ -79,10 +102,11 @@
 
 // New returns a model without knowledge.
 func New() *Model {
-	return &Model{mean: make(map[string]float64), peak: make(map[string]float64), estimators: make(map[string]*estimator), groups: make(map[string]map[string]measured)}
+	return &Model{mean: make(map[string]float64), peak: make(map[string]float64), lowest: make(map[string]lowest), estimators: make(map[string]*estimator), groups: make(map[string]map[string]measured)}
 }
 
-// Observe takes in the latencies of one executor and what fills there.
+// Observe takes in the latencies of one executor and what fills there, and sets the
+// base of each.
 func (m *Model) Observe(serving []Serving, fillers []Filler, now time.Duration) {
 	used := 0.0
 	for _, f := range fillers {
@@ -91,18 +115,39 @@
 	for _, s := range serving {
 		m.note(s, used, now)
 	}
-	for _, s := range serving {
+	for i := range serving {
+		s := &serving[i]
 		if s.Latency <= 0 || s.Target <= 0 {
 			continue
 		}
-		base, known := m.Base(s, now)
-		if known {
-			mean := m.meanOf(s.Image, s.Target)
-			m.mean[s.Image] = mean + meanRate*(base-mean)
-			m.peak[s.Image] = max(base, m.peak[s.Image]*peakDecay)
+		s.Base, s.Known = m.base(s, now)
+		if s.Known {
+			m.learnBase(s, now)
 		}
-		m.estimator(s.Image).add(fillers, float64(s.Latency)/base-1, now)
+		idle := m.idle(s.Image, s.Target)
+		m.estimator(s.Image).add(fillers, idle/s.Base-idle/float64(s.Latency), now)
+	}
+}
+
+// learnBase takes in the latency of an undisturbed task.
+func (m *Model) learnBase(s *Serving, now time.Duration) {
+	mean := m.meanOf(s.Image, s.Target)
+	m.mean[s.Image] = mean + meanRate*(s.Base-mean)
+	m.peak[s.Image] = max(s.Base, m.peak[s.Image]*peakDecay)
+	l, ok := m.lowest[s.Image]
+	if !ok {
+		l = lowest{s.Base, now}
 	}
+	m.lowest[s.Image] = lowest{min(s.Base, l.latency*math.Exp(float64(now-l.at)/float64(lowestFade))), now}
+}
+
+// idle returns the latency in nanoseconds that a task of an image would have without load.
+func (m *Model) idle(image string, target time.Duration) float64 {
+	first := firstIdleShare * float64(target)
+	if l, ok := m.lowest[image]; ok {
+		return min(first, idleShare*l.latency)
+	}
+	return first
 }
 
 func (m *Model) note(s Serving, used float64, now time.Duration) {
@@ -123,11 +168,11 @@
 	}
 }
 
-// Base returns the latency in nanoseconds that a task has now by its own load:
+// base returns the latency in nanoseconds that a task has now by its own load:
 // the lowest of its group. It is known when a task of the group works undisturbed;
 // otherwise all of them may be disturbed alike, and the base is at most the
 // highest that the image has had undisturbed.
-func (m *Model) Base(s Serving, now time.Duration) (base float64, known bool) {
+func (m *Model) base(s *Serving, now time.Duration) (base float64, known bool) {
 	base = float64(s.Latency)
 	g := m.groups[s.Group]
 	for task, v := range g {
@@ -164,8 +209,8 @@
 	return firstMeanShare * float64(target)
 }
 
-// Pressure returns the rise in latency by an image that uses a whole executor, as a
-// multiple of the base; it is proportional to the share in use.
+// Pressure returns the utilization that an image adds when it uses a whole executor; it
+// is proportional to the share in use.
 func (m *Model) Pressure(p Pair) float64 {
 	if e := m.estimators[p.Serving]; e != nil {
 		return e.pressure(p.Filling)
@@ -223,23 +268,28 @@
 	return slices.Sorted(maps.Keys(seen))
 }
 
-// Rise returns the expected rise in the latency of a serving image, 0 for none.
-func (m *Model) Rise(image string, fillers []Filler) float64 {
-	rise := 0.0
+// Added returns the utilization that fillers add for a serving image.
+func (m *Model) Added(image string, fillers []Filler) float64 {
+	added := 0.0
 	for _, f := range fillers {
-		rise += m.Pressure(Pair{image, f.Image}) * f.Share
+		added += m.Pressure(Pair{image, f.Image}) * f.Share
 	}
-	return rise
+	return added
 }
 
-// Expected returns the expected mean latency of a task that serves, as a share
-// of its target, where what fills beside it causes a rise. At the peaks of its own
-// load, paces keep the target.
-func (m *Model) Expected(image string, target time.Duration, rise float64) float64 {
+// Expected returns the expected latency of a task that serves, as a share of its
+// target, when fillers add to its utilization. base is its latency by its own load in
+// nanoseconds, 0 for the mean of its image.
+func (m *Model) Expected(image string, target time.Duration, base, added float64) float64 {
 	if target <= 0 {
 		return 0
 	}
-	return m.meanOf(image, target) * (1 + rise) / float64(target)
+	if base <= 0 {
+		base = m.meanOf(image, target)
+	}
+	idle := m.idle(image, target)
+	spare := idle/max(base, idle) - added
+	return min(maxExpected, idle/float64(target)/max(spare, idle/float64(target)/maxExpected))
 }
 
 // Knowledge is the part of a model that a later owner continues with.
@@ -247,10 +297,12 @@
 	Serving string
 	// Mean is the mean base in nanoseconds.
 	Mean float64
-	// Filling, Rise and Weight describe the pairs: Rise is the pressure, and Weight the
+	// Lowest is the lowest undisturbed latency in nanoseconds.
+	Lowest float64
+	// Filling, Added and Weight describe the pairs: Added is the pressure, and Weight the
 	// weight of its samples in squared shares.
 	Filling []string
-	Rise    []float64
+	Added   []float64
 	Weight  []float64
 }
 
@@ -263,9 +315,9 @@
 	var out []Knowledge
 	for _, image := range slices.Sorted(maps.Keys(m.estimators)) {
 		e := m.estimators[image]
-		k := Knowledge{Serving: image, Mean: m.mean[image], Filling: slices.Clone(e.names[1:])}
+		k := Knowledge{Serving: image, Mean: m.mean[image], Lowest: m.lowest[image].latency, Filling: slices.Clone(e.names[1:])}
 		for i, name := range k.Filling {
-			k.Rise = append(k.Rise, e.pressure(name))
+			k.Added = append(k.Added, e.pressure(name))
 			k.Weight = append(k.Weight, e.gram[i+1][i+1])
 		}
 		out = append(out, k)
@@ -274,20 +326,23 @@
 }
 
 // Import takes in what an earlier owner has learnt. It is called on an empty model.
-func (m *Model) Import(list []Knowledge) {
+func (m *Model) Import(list []Knowledge, now time.Duration) {
 	for _, k := range list {
-		if len(k.Rise) != len(k.Filling) || len(k.Weight) != len(k.Filling) {
+		if len(k.Added) != len(k.Filling) || len(k.Weight) != len(k.Filling) {
 			continue
 		}
 		if k.Mean > 0 {
 			m.mean[k.Serving] = k.Mean
 		}
+		if k.Lowest > 0 {
+			m.lowest[k.Serving] = lowest{k.Lowest, now}
+		}
 		e := m.estimator(k.Serving)
 		for i, image := range k.Filling {
 			p := e.position(image)
 			e.gram[p][p] = min(k.Weight[i], maxRestoredWeight)
-			e.moment[p] = e.gram[p][p] * k.Rise[i]
-			e.value[p] = k.Rise[i]
+			e.moment[p] = e.gram[p][p] * k.Added[i]
+			e.value[p] = k.Added[i]
 		}
 	}
 }
--- a/control/contention/estimator.go
+++ b/control/contention/estimator.go
@@ -6,32 +6,30 @@
 )
 
 const (
-	// defaultPressure is the assumed rise of an unknown pair, for an image that uses a
-	// whole executor. It lets one task of a usual size be tried beside a serving task.
-	defaultPressure = 3.0
+	// defaultPressure is the assumed pressure of an unknown pair. It lets one task of a
+	// usual size be tried beside a serving task.
+	defaultPressure = 1.0
 	// priorWeight is the weight of that assumption, in squared shares.
 	priorWeight = 0.004
 	// memory is the time in which the weight of a sample falls to 1/e.
 	memory = 60 * time.Second
 	// decayInterval is the time between two decays of the sums.
 	decayInterval = 500 * time.Millisecond
-	// maxRise bounds what one outlier can teach.
-	maxRise = 4.0
 	// doubtWeight is the weight of samples, in squared shares, that halves the doubt.
 	doubtWeight = 0.015
 	// sweeps is the number of passes of the solver. It starts from the last
 	// solution, so that few are enough.
 	sweeps = 3
 	// constant is the name of the regressor that is 1 in every sample. It takes up the
-	// part of the rise that no filling task causes: the base of a group is the lowest of
-	// several latencies, so that the others seem raised even where nothing fills.
+	// part of the utilization that no filling task adds: the base of a group is the lowest
+	// of several latencies, so that the others seem raised even where nothing fills.
 	constant = ""
 	// constantWeight is the weight, in samples, of the assumption that there is no such part.
 	constantWeight = 4.0
 )
 
 // estimator fits the pressures on one serving image: the non-negative least
-// squares solution over samples of the shares in use by filling image and the rise.
+// squares solution over samples of the shares in use by filling image and the added utilization.
 type estimator struct {
 	index map[string]int
 	names []string
@@ -69,18 +67,18 @@
 }
 
 // add takes in one sample.
-func (e *estimator) add(fillers []Filler, rise float64, now time.Duration) {
-	rise = min(maxRise, max(0, rise))
+func (e *estimator) add(fillers []Filler, added float64, now time.Duration) {
+	added = max(0, added)
 	positions := make([]int, len(fillers))
 	for i, f := range fillers {
 		positions[i] = e.position(f.Image)
 	}
 	e.decay(now)
-	e.moment[0] += rise
+	e.moment[0] += added
 	e.gram[0][0]++
 	for i, f := range fillers {
 		p := positions[i]
-		e.moment[p] += f.Share * rise
+		e.moment[p] += f.Share * added
 		e.gram[0][p] += f.Share
 		e.gram[p][0] += f.Share
 		for k, g := range fillers {
--- a/control/contention/pace.go
+++ b/control/contention/pace.go
@@ -36,7 +36,7 @@
 		pace[f.Image] = 1
 	}
 	for _, s := range serving {
-		if s.Target > 0 && s.Latency > 0 {
+		if s.Base > 0 {
 			m.limit(s, full, used, pace, current, now)
 		}
 	}
@@ -63,12 +63,12 @@
 
 // limit lowers the paces until one task keeps its target, those first that disturb it most.
 func (m *Model) limit(s Serving, full, used []Filler, pace map[string]float64, current map[string]int, now time.Duration) {
-	base, known := m.Base(s, now)
-	latency, target := float64(s.Latency), float64(s.Target)
-	if known && base >= ownLoad*latency && base >= target {
+	base, latency, target := s.Base, float64(s.Latency), float64(s.Target)
+	if s.Known && base >= ownLoad*latency && base >= target {
 		return // the task is late by its own load; slower neighbours would not help
 	}
-	budget := max(0, paceTarget*target/base-1)
+	idle := m.idle(s.Image, s.Target)
+	budget := max(0, idle/base-idle/(paceTarget*target))
 	order := slices.Clone(full)
 	slices.SortFunc(order, func(a, b Filler) int {
 		pa, pb := m.Pressure(Pair{s.Image, a.Image}), m.Pressure(Pair{s.Image, b.Image})
@@ -81,13 +81,13 @@
 		return 0
 	})
 	for _, f := range order {
-		rise := m.Pressure(Pair{s.Image, f.Image}) * f.Share
+		added := m.Pressure(Pair{s.Image, f.Image}) * f.Share
 		allowed := 1.0
-		if rise > 0 {
-			allowed = min(1, max(0, budget)/rise)
+		if added > 0 {
+			allowed = min(1, max(0, budget)/added)
 		}
 		pace[f.Image] = min(pace[f.Image], allowed)
-		budget -= rise * pace[f.Image]
+		budget -= added * pace[f.Image]
 	}
 	since := m.groups[s.Group][s.Task].overSince
 	if since == 0 {
--- a/control/dispatch/commit.go
+++ b/control/dispatch/commit.go
@@ -122,7 +122,7 @@
 	if err := msgpack.Unmarshal(value, &list); err != nil {
 		return errkind.Wrap(errkind.InvalidArgument, err, "decode what was learnt of contention")
 	}
-	o.contention.Import(list)
+	o.contention.Import(list, o.now)
 	return nil
 }
 
--- a/control/dispatch/contention.go
+++ b/control/dispatch/contention.go
@@ -65,6 +65,7 @@
 	}
 	used := fillersOf(usage)
 	o.contention.Observe(serving, used, now)
+	n.noteBases(serving)
 	n.noteLateness(contention.Late(serving), len(used) > 0, now)
 	o.adaptPaces(n, serving, used, now)
 }
@@ -153,5 +154,5 @@
 	cheapPercent = 10
 )
 
-// negligibleRise is a rise in latency that is not worth keeping a task away.
-const negligibleRise = 0.05
+// negligibleAdded is an added utilization that is not worth keeping a task away.
+const negligibleAdded = 0.025
--- a/control/dispatch/neighbours.go
+++ b/control/dispatch/neighbours.go
@@ -18,8 +18,10 @@
 	count int
 	// target is the lowest latency target of its tasks.
 	target time.Duration
-	// rise is the expected rise of its latency by what fills the node.
-	rise float64
+	// base is the highest latency in nanoseconds that its tasks have by their own load, 0 while unknown.
+	base float64
+	// added is the utilization that what fills the node adds.
+	added float64
 }
 
 // fillingImage is an image whose tasks fill a node.
@@ -35,12 +37,12 @@
 	filling []fillingImage
 	// key names the set of serving images.
 	key string
-	// risesAt is when the rises were derived, 0 when they are out of date.
-	risesAt time.Duration
+	// addedAt is when the added utilizations were derived, 0 when they are out of date.
+	addedAt time.Duration
 }
 
 func (b *neighbours) add(s *submission.Step) {
-	b.risesAt = 0
+	b.addedAt = 0
 	switch {
 	case s.Serves():
 		i, ok := slices.BinarySearchFunc(b.serving, s.Image, compareServing)
@@ -60,7 +62,7 @@
 }
 
 func (b *neighbours) remove(s *submission.Step) {
-	b.risesAt = 0
+	b.addedAt = 0
 	switch {
 	case s.Serves():
 		if i, ok := slices.BinarySearchFunc(b.serving, s.Image, compareServing); ok {
@@ -93,6 +95,18 @@
 	return out
 }
 
+// noteBases takes in the latencies that the serving tasks have by their own load.
+func (b *neighbours) noteBases(serving []contention.Serving) {
+	for i := range b.serving {
+		b.serving[i].base = 0
+	}
+	for _, s := range serving {
+		if i, ok := slices.BinarySearchFunc(b.serving, s.Image, compareServing); ok {
+			b.serving[i].base = max(b.serving[i].base, s.Base)
+		}
+	}
+}
+
 // fillers returns the share of a node that the tasks that fill request, by image.
 func (n *node) fillers() []contention.Filler {
 	out := make([]contention.Filler, len(n.filling))
@@ -102,15 +116,15 @@
 	return out
 }
 
-// updateRises derives the rises on a node when they are out of date.
-func (o *Owner) updateRises(n *node) {
-	if n.risesAt != 0 && o.now-n.risesAt < refreshInterval {
+// updateAdded derives the added utilizations on a node when they are out of date.
+func (o *Owner) updateAdded(n *node) {
+	if n.addedAt != 0 && o.now-n.addedAt < refreshInterval {
 		return
 	}
-	n.risesAt = o.now
+	n.addedAt = o.now
 	fillers := n.fillers()
 	for i := range n.serving {
-		n.serving[i].rise = o.contention.Rise(n.serving[i].image, fillers)
+		n.serving[i].added = o.contention.Added(n.serving[i].image, fillers)
 	}
 }
 
@@ -150,24 +164,24 @@
 	o := v.owner
 	switch {
 	case v.step.Serves():
-		return o.contention.Expected(v.step.Image, v.step.LatencyTarget, o.contention.Rise(v.step.Image, n.fillers()))
+		return o.contention.Expected(v.step.Image, v.step.LatencyTarget, 0, o.contention.Added(v.step.Image, n.fillers()))
 	case !v.step.Fills:
 		return 0
 	}
-	o.updateRises(n)
+	o.updateAdded(n)
 	share, worst := n.share(v.step.Request.CPU), 0.0
 	disturbed := n.disturbedAt != 0 && o.now-n.disturbedAt < disturbedFor
 	for i := range n.serving {
 		s := &n.serving[i]
 		p := v.pair(s.image)
 		own := p.pressure * share
-		if own < negligibleRise {
+		if own < negligibleAdded {
 			continue
 		}
 		if disturbed && !p.harmless {
 			return disturbedLatency
 		}
-		worst = max(worst, o.contention.Expected(s.image, s.target, s.rise+own))
+		worst = max(worst, o.contention.Expected(s.image, s.target, s.base, s.added+own))
 	}
 	return worst
 }
