dispatch: a run that is restored is not a slow one

A run that goes on from a checkpoint is restored for a time without progress. That was taken for a tenth of the usual speed, the executor for slow, and its other runs were moved as well, each of them to be restored elsewhere. Ruled out: processors that are short (executors with free ones were left too), uneven tasks (the factor was 2.4 to 6.5 within half a second of a start).

Change: the speed of such a run is measured from its first progress on.

--- a/control/dispatch/reports.go
+++ b/control/dispatch/reports.go
@@ -288,6 +288,7 @@
 // confirm records that the executor runs the task.
 func (o *Owner) confirm(t *taskEntry, now time.Duration) {
 	t.phase, t.changedAt, t.job.started = phaseRunning, now, true
+	t.restoring = t.rec.Checkpoint != ""
 }
 
 // applyMissing handles a run that the executor does not list.
--- a/control/dispatch/speed.go
+++ b/control/dispatch/speed.go
@@ -35,7 +35,13 @@
 	if t.step().LongRunning || t.stopping {
 		return
 	}
-	if t.pace != fullPace || t.basedAt == 0 || percent < t.basePercent {
+	// A run that goes on from a checkpoint is restored first, for a time that is not
+	// known; its speed is measured from its first progress on.
+	if t.restoring && t.basedAt != 0 && percent > t.basePercent {
+		t.restoring = false
+		t.basedAt = 0
+	}
+	if t.restoring || t.pace != fullPace || t.basedAt == 0 || percent < t.basePercent {
 		t.basedAt, t.basePercent = now, percent
 		return
 	}
--- a/control/dispatch/speed_test.go
+++ b/control/dispatch/speed_test.go
@@ -82,3 +82,38 @@
 	}
 	assert.Assert(t, !f.owner.fasterElsewhere(f.owner.find(name), 3))
 }
+
+// A run that goes on from a checkpoint stands still while it is restored. Taken for a
+// slow executor, that would move it, and with it all other runs there, again and again.
+func TestRestoringFromACheckpointIsNotTakenForSlow(t *testing.T) {
+	f := newFixture(t)
+	for _, id := range []string{"e1", "e2", "e3"} {
+		f.executor(id, nil)
+	}
+	step := testStep(6)
+	step.Estimate, step.MaxPerExecutor, step.Checkpoints = 4*time.Second, 3, true
+	f.add(testSubmission(step))
+	f.turn()
+	f.progressOf(1, 1200*time.Millisecond)
+	moved := f.owner.find(name(0, 0))
+	other := moved.node.info.ID
+	f.executor(other, nil, executor.End{Number: 1, Task: moved.name(), Run: 1, Cause: executor.Stopped, Checkpoint: "c"})
+	f.turn()
+	assert.Assert(t, moved.rec.Checkpoint == "c" && moved.node != nil)
+	n := moved.node
+	for i := range 4 {
+		f.now += 300 * time.Millisecond
+		var running []executor.Run
+		for task := range n.tasks {
+			percent := 30
+			if task != moved {
+				percent = 38 + 8*i
+			}
+			running = append(running, executor.Run{Task: task.name(), Number: task.rec.Run, Percent: percent})
+		}
+		f.executor(n.info.ID, running)
+		f.turn()
+	}
+	assert.Assert(t, n.speed.Factor(f.now) < suspectFactor, "factor %v", n.speed.Factor(f.now))
+	assert.Equal(t, len(f.stops()), 0, "%v", f.stops())
+}
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -55,6 +55,8 @@
 	// basePercent and basedAt begin the time over which the speed is measured, 0 for none.
 	basePercent int
 	basedAt     time.Duration
+	// restoring tells that the run goes on from a checkpoint and has made no progress yet.
+	restoring bool
 	// whole tells that the run began without a checkpoint and has worked at full pace.
 	whole bool
 	// moves counts the runs that were moved off a slow executor.
