dispatch: preemption by the priority of queues; one choice of victims

Cause: the platform's queues have priorities, of which 0 may preempt others; the owner let urgent tasks wait until less urgent ones ended. The choice of what to evict stood only in the scheduler of the product's own interface.

Change: control/eviction chooses, as a pure function, for both. The owner stops runs of less urgent queues for a task that waited 0.4 s for room, the least loss first (checkpoints count), never long-running tasks or gangs, never where the task could not start there, no task more than three times, and no second time while the room is on its way.

--- a/base/events/dispatch.go
+++ b/base/events/dispatch.go
@@ -45,5 +45,6 @@
 	RunStalled       = define(657, "run_stalled", zerolog.WarnLevel, "A run makes no progress. It is stopped and starts again elsewhere; its executor is avoided for a while.")
 	TaskMoved        = define(656, "task_moved", zerolog.InfoLevel, "A run that is paced down is stopped, since it can work at full pace on another executor.")
 	RunSlow          = define(658, "run_slow", zerolog.InfoLevel, "A run on an executor that takes factor times as long as others is stopped, since it is done earlier elsewhere.")
+	RunPreempted     = define(659, "run_preempted", zerolog.InfoLevel, "A run is stopped so that a task of a more urgent queue, named by for, can start in its place.")
 	LogLinesDropped  = define(660, "log_lines_dropped", zerolog.WarnLevel, "Lines were left out since the log could not be written fast enough.")
 )
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -75,6 +75,8 @@
 	changed  bool
 	placedAt time.Duration
 	movedAt  time.Duration
+	// preemptedAt is when the last look for runs to preempt was.
+	preemptedAt time.Duration
 	// movePlaces are the executors that can take tasks of a step, found once in each look for runs to move.
 	movePlaces map[stepKey]*pool
 	// estimates is what is known of the estimates of each queue's submissions.
@@ -142,6 +144,7 @@
 	o.evacuate(now)
 	o.moveRuns(now)
 	o.place(now)
+	o.preempt(now)
 	o.repeatOrders(now)
 	o.forget(now)
 }
--- /dev/null
+++ b/control/dispatch/preempt_test.go
@@ -0,0 +1,112 @@
+package dispatch
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorystand/chicorystand/control/submission"
+	"github.com/chicorystand/chicorystand/vm/executor"
+)
+
+const (
+	batchID  = "00000000000000ba"
+	urgentID = "00000000000000cc"
+)
+
+// preemptFixture runs four tasks of a less urgent queue on a full executor; change
+// adapts their step.
+func preemptFixture(t *testing.T, change func(*submission.Step)) *fixture {
+	t.Helper()
+	f := newFixture(t)
+	f.executor("e1", nil)
+	step := testStep(4)
+	step.Request.CPU, step.Request.Memory, step.Estimate = 1000, 100, 10*time.Second
+	change(&step)
+	batch := testSubmission(step)
+	batch.ID, batch.Priority = batchID, 2
+	f.add(batch)
+	f.turn()
+	assert.Equal(t, len(f.starts()), 4)
+	f.progress(0)
+	return f
+}
+
+// progress lists the batch tasks, each further than the one before.
+func (f *fixture) progress(done int) {
+	var running []executor.Run
+	for i := range 4 {
+		running = append(running, executor.Run{Task: batchID + ".0.0." + string(rune('0'+i)), Number: 1, Percent: done + 20*i})
+	}
+	f.executor("e1", running)
+}
+
+func (f *fixture) addUrgent(priority int) {
+	step := testStep(1)
+	step.Request.CPU, step.Request.Memory = 1000, 100
+	s := testSubmission(step)
+	s.ID, s.Priority = urgentID, priority
+	f.add(s)
+	for i := range 4 {
+		f.turn()
+		f.now += 300 * time.Millisecond
+		f.progress(i + 1)
+	}
+	f.turn()
+}
+
+// A full pool of batch work must not keep urgent work out until it ends; no more is
+// stopped than is needed, and what loses the least.
+func TestUrgentTaskTakesThePlaceOfTheLeastLoss(t *testing.T) {
+	f := preemptFixture(t, func(*submission.Step) {})
+	f.addUrgent(0)
+	stops := f.stops()
+	assert.Assert(t, len(stops) > 0)
+	for _, s := range stops {
+		assert.Assert(t, strings.HasPrefix(s, batchID+".0.0.0#1@"), s)
+	}
+	f.executor("e1", []executor.Run{{Task: batchID + ".0.0.1", Number: 1, Percent: 50}, {Task: batchID + ".0.0.2", Number: 1, Percent: 60},
+		{Task: batchID + ".0.0.3", Number: 1, Percent: 70}}, executor.End{Number: 1, Task: batchID + ".0.0.0", Run: 1, Cause: executor.Stopped})
+	f.turn()
+	starts := f.starts()
+	assert.Equal(t, starts[len(starts)-1], urgentID+".0.0.0#1@e1", "%v", starts)
+}
+
+// Work of the same urgency, long-running work and gangs keep their place.
+func TestNothingIsStoppedForTheSameUrgencyOrWithoutRight(t *testing.T) {
+	for name, c := range map[string]struct {
+		priority int
+		change   func(*submission.Step)
+	}{
+		"same priority": {2, func(*submission.Step) {}},
+		"long-running":  {0, func(s *submission.Step) { s.LongRunning = true }},
+		"gang":          {0, func(s *submission.Step) { s.Gang = true }},
+		"holds nothing that lacks": {0, func(s *submission.Step) {
+			s.Fills, s.Request.Memory = true, 10
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := preemptFixture(t, c.change)
+			f.addUrgent(c.priority)
+			assert.Equal(t, len(f.stops()), 0, "%v", f.stops())
+		})
+	}
+}
+
+// A task that can run on no executor must not cost others their work.
+func TestNothingIsStoppedForATaskThatCannotStart(t *testing.T) {
+	f := preemptFixture(t, func(*submission.Step) {})
+	step := testStep(1)
+	step.Request.CPU, step.Label = 1000, "another kind"
+	s := testSubmission(step)
+	s.ID = urgentID
+	f.add(s)
+	for i := range 6 {
+		f.turn()
+		f.now += 300 * time.Millisecond
+		f.progress(i)
+	}
+	assert.Equal(t, len(f.stops()), 0, "%v", f.stops())
+}
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -61,6 +61,8 @@
 	whole bool
 	// moves counts the runs that were moved off a slow executor.
 	moves int
+	// preemptions counts the runs that gave up their place to a more urgent queue.
+	preemptions int
 	// missing counts complete lists of the executor that lacked the run.
 	missing int
 	// failedOn lists the executors on which a run has failed.
--- a/control/scheduler/eviction/eviction.go
+++ b/control/scheduler/eviction/eviction.go
@@ -1,11 +1,11 @@
-// Package eviction chooses which tasks to move when room or relief is needed.
+// Package eviction names the tasks of the product's own interface that may move when
+// room or relief is needed, and what that loses. The choice is package control/eviction.
 package eviction
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
+	"github.com/chicorystand/chicorystand/control/eviction"
 	"github.com/chicorystand/chicorystand/control/scheduler/sizing"
 	"github.com/chicorystand/chicorystand/control/scheduler/tables"
 	"github.com/chicorystand/chicorystand/control/task"
@@ -49,55 +49,20 @@
 // Victims returns the tasks to move from the VM so that need fits, and their loss. It
 // returns none when the VM cannot make room or already has it.
 func Victims(t *tables.Tables, v *tables.VM, need task.Resources, now time.Duration) ([]*tables.Task, time.Duration) {
-	type candidate struct {
-		tk   *tables.Task
-		loss time.Duration
-	}
-	var list []candidate
+	var tasks []*tables.Task
+	var candidates []eviction.Candidate
 	for id := range v.Tasks {
 		if tk := t.Tasks[id]; Movable(tk) {
-			list = append(list, candidate{tk, Loss(t, tk, now)})
+			tasks = append(tasks, tk)
+			candidates = append(candidates, eviction.Candidate{ID: tk.Record.Spec.ID, Reserved: tk.Reserved, Loss: Loss(t, tk, now)})
 		}
 	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.tk.Record.Spec.ID, b.tk.Record.Spec.ID))
-	})
-	free := v.Free()
+	chosen, loss, _ := eviction.Choose(candidates, need, v.Free())
 	var out []*tables.Task
-	var loss time.Duration
-	for _, c := range list {
-		if need.Fits(free) {
-			break
-		}
-		if !helps(c.tk.Reserved, need.Sub(free)) {
-			continue
-		}
-		free = free.Add(c.tk.Reserved)
-		loss += c.loss
-		out = append(out, c.tk)
-	}
-	if !need.Fits(free) {
-		return nil, 0
+	for _, i := range chosen {
+		out = append(out, tasks[i])
 	}
-	return prune(out, need, free, loss, func(tk *tables.Task) time.Duration { return Loss(t, tk, now) })
-}
-
-// prune drops victims that later ones made unnecessary, the most costly first.
-func prune(list []*tables.Task, need, free task.Resources, loss time.Duration, cost func(*tables.Task) time.Duration) ([]*tables.Task, time.Duration) {
-	for i := len(list) - 1; i >= 0; i-- {
-		if without := free.Sub(list[i].Reserved); need.Fits(without) {
-			free = without
-			loss -= cost(list[i])
-			list = slices.Delete(list, i, i+1)
-		}
-	}
-	return list, loss
-}
-
-// helps reports whether an amount reduces a lack.
-func helps(amount, lack task.Resources) bool {
-	return amount.CPU > 0 && lack.CPU > 0 || amount.Memory > 0 && lack.Memory > 0 ||
-		amount.Accelerators > 0 && lack.Accelerators > 0
+	return out, loss
 }
 
 // Relief returns the movable task whose move takes the most pressure off the VM's service
