--- a/vm/vmagent/vmagent_test.go
+++ b/vm/vmagent/vmagent_test.go
@@ -449,3 +449,45 @@
 	s.seen(o)
 	return executor.Answer{}
 }
+
+// Ends come many times a second on a busy executor. A complete list with each of them
+// would take most of the owner's processor time; a new owner still gets one at once,
+// and no owner goes without for long.
+func TestReportsOfEndsCarryNoListBetweenCompleteOnes(t *testing.T) {
+	var mu sync.Mutex
+	number := int64(0)
+	f := &fakeExecutor{hold: func(h executor.Hold) executor.Snapshot {
+		mu.Lock()
+		defer mu.Unlock()
+		number = max(number, h.LastSeen+1)
+		return executor.Snapshot{Born: 7, Running: []executor.Run{{Task: "a.0.0.1", Number: 1}},
+			Ended: []executor.End{{Number: number, Task: "a.0.0.0", Run: uint32(number), Cause: executor.Failed}}}
+	}}
+	a := newTestAgent(t, f)
+	o := connectOwner(t, a, 1)
+	a.Heartbeat(testInfo())
+	full, partial := 0, 0
+	deadline := time.After(3 * fullInterval)
+	for done := false; !done; {
+		select {
+		case r := <-o.reports:
+			assert.Assert(t, full > 0 || r.Full, "the first report to an owner is not complete")
+			if r.Full {
+				full++
+				assert.Equal(t, len(r.Running), 1)
+			} else {
+				partial++
+				assert.Equal(t, len(r.Running), 0)
+			}
+			assert.Equal(t, len(r.Ended), 1)
+			assert.NilError(t, o.peer.Notify(&wire.Orders{Epoch: 1, Executor: r.Info.ID, Born: r.Info.Born, LastSeen: r.Ended[0].Number}))
+		case <-deadline:
+			done = true
+		}
+	}
+	assert.Assert(t, full >= 2 && full <= 4, "%d complete reports", full)
+	assert.Assert(t, partial > 0)
+	second := connectOwner(t, a, 2)
+	first := waitFor(t, second.reports, "report to the next owner", func(r *wire.Report) bool { return r.Epoch == 2 })
+	assert.Assert(t, first.Full)
+}
