--- a/vm/vmagent/successor.go
+++ b/vm/vmagent/successor.go
@@ -206,7 +206,7 @@
 		slices.ContainsFunc(snap.Running, func(r executor.Run) bool { return slices.Contains(runs, runKey{r.Task, r.Number}) }) {
 		return false
 	}
-	u.report(epoch, snap, true)
+	u.report(epoch, snap)
 	return true
 }
 
--- a/vm/vmagent/unit.go
+++ b/vm/vmagent/unit.go
@@ -18,9 +18,6 @@
 	mixedWait = 500 * time.Millisecond
 	// ackWait is how long the next list waits for the owner to record the ends of the last one.
 	ackWait = 150 * time.Millisecond
-	// fullInterval is the least time between two complete reports to one owner. Reports
-	// between them carry only the ends, which is most of what the owner waits for.
-	fullInterval = 350 * time.Millisecond
 	// failurePause is the pause after a list that was not answered.
 	failurePause = 100 * time.Millisecond
 	// refusals is the number of refused connections on end that prove that an executor has ended.
@@ -58,10 +55,6 @@
 	lastSeen int64
 	// mixed tells that runs are paced here, so that the owner wants lists more often.
 	mixed bool
-	// fullAt is when the last complete report was sent, on the agent's clock, fullEpoch
-	// the epoch of the owner that it went to.
-	fullAt    time.Duration
-	fullEpoch uint64
 	// listNow tells that the next list is wanted without a wait.
 	listNow  bool
 	starting map[runKey]*pendingStart
@@ -124,7 +117,7 @@
 				return
 			}
 			u.proven(starts)
-			u.report(epoch, snap, h.Wait == 0)
+			u.report(epoch, snap)
 			u.awaitAck(snap)
 		case executor.OtherIncarnation:
 			u.end(causeOtherID)
@@ -186,17 +179,11 @@
 	return h, u.info, u.answeredStarts()
 }
 
-// report sends the ends that the owner has not seen, and the list when the last
-// complete report is a while ago or full asks for it.
-func (u *unit) report(epoch uint64, snap executor.Snapshot, full bool) {
+// report sends the list to the owner, with the ends that it has not seen.
+func (u *unit) report(epoch uint64, snap executor.Snapshot) {
 	u.agent.mu.Lock()
 	u.info.Clock = max(u.info.Clock, snap.Clock)
-	r := &wire.Report{Epoch: epoch, Agent: u.agent.cfg.Name, Info: u.info}
-	now := u.agent.cfg.Clock.Now()
-	if full || epoch != u.fullEpoch || now-u.fullAt >= fullInterval {
-		r.Full, r.Running = true, snap.Running
-		u.fullAt, u.fullEpoch = now, epoch
-	}
+	r := &wire.Report{Epoch: epoch, Agent: u.agent.cfg.Name, Info: u.info, Full: true, Running: snap.Running}
 	for _, e := range snap.Ended {
 		// Every list carries all ends that are not recorded, since an owner takes a
 		// run that is neither listed nor ended for lost.
