shard: calls that are given up share no variables with the owner's loop

Cause: entry wrote the outcome of Do into the variable that the owner's loop writes when it carries the call out later: a data race, and a refusal could be taken for another.

--- a/control/shard/owner.go
+++ b/control/shard/owner.go
@@ -238,6 +238,18 @@
 	}
 }
 
+// Ask runs f on the owner's loop and returns what it returns. When the call ends
+// before f has, f may still be at work; what it returns then is not read.
+func Ask[T any](ctx context.Context, o *Owner, f func() (T, error)) (T, error) {
+	var result T
+	var refused error
+	if err := o.Do(ctx, func() { result, refused = f() }); err != nil {
+		var none T
+		return none, err
+	}
+	return result, refused
+}
+
 func (o *Owner) post(ctx context.Context, f func()) {
 	select {
 	case o.inbox <- f:
--- a/ingress/entry/control.go
+++ b/ingress/entry/control.go
@@ -93,11 +93,7 @@
 	id := shard.Of(m.Zone, m.VM, e.cfg.ShardsPerZone)
 	e.onShard(id, reply, func(o *shard.Owner) {
 		p.Value.Store(session{m.VM, o})
-		var r *wire.AnnounceReply
-		var err error
-		if doErr := o.Do(e.ctx, func() { r, err = o.Announce(e.ctx, m, p) }); doErr != nil {
-			err = doErr
-		}
+		r, err := shard.Ask(e.ctx, o, func() (*wire.AnnounceReply, error) { return o.Announce(e.ctx, m, p) })
 		if err != nil {
 			reply(wire.ErrorReply(err))
 			return
@@ -123,11 +119,7 @@
 		reply(wire.ErrorReply(errkind.New(errkind.NotReady, "announce first")))
 		return
 	}
-	var g *wire.Grant
-	var err error
-	if doErr := s.owner.Do(e.ctx, func() { g, err = s.owner.Heartbeat(s.vm, m) }); doErr != nil {
-		err = doErr
-	}
+	g, err := shard.Ask(e.ctx, s.owner, func() (*wire.Grant, error) { return s.owner.Heartbeat(s.vm, m) })
 	if err != nil {
 		reply(wire.ErrorReply(err))
 		p.Close()
--- a/ingress/entry/operator.go
+++ b/ingress/entry/operator.go
@@ -26,11 +26,7 @@
 }
 
 func (e *Entry) explainLocal(o *shard.Owner, m *wire.Explain) wire.Message {
-	var r *wire.ExplainReply
-	var err error
-	if doErr := o.Do(e.ctx, func() { r, err = o.Explain(m.Customer, m.ID) }); doErr != nil {
-		err = doErr
-	}
+	r, err := shard.Ask(e.ctx, o, func() (*wire.ExplainReply, error) { return o.Explain(m.Customer, m.ID) })
 	if err != nil {
 		return wire.ErrorReply(err)
 	}
