dispatch: long-running tasks go before those that end

The order among waiting tasks takes what can still be in time first, and a lasting task that lost its run was late beyond use three objectives after its submission: every short task went before it and took the room. Ruled out: leases (the executors were known to be gone), a change of owner (none).

Change: within a priority, steps of long-running tasks come first; they earn all the time.

--- a/control/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -50,6 +51,11 @@
 func (w *waitingStep) orderingKey() ordering.Waiting {
 	s := w.job.sub
 	arrived := w.job.arrived
+	if s.Steps[w.key.step].LongRunning {
+		// Such a task earns all the time, so that it is never late: it goes before the tasks
+		// that end. Each of those would take the room that it waits for.
+		return ordering.Waiting{Priority: s.Priority, Due: endless, LateDue: endless, Arrived: arrived, ID: s.ID}
+	}
 	if due := s.Due(w.key.occurrence); due > 0 {
 		arrived += time.Duration(due-s.Accepted) * time.Millisecond
 	}
@@ -63,6 +69,9 @@
 // on which its tasks that fill harm no other. Then one task runs at a reduced pace.
 const harmPatience = 4 * time.Second
 
+// endless is a time after all others.
+const endless = time.Duration(math.MaxInt64)
+
 // lateFactor is the multiple of its objective up to which a submission is late but of use.
 const lateFactor = 3
 
