Evacuate availability zones: no task starts in a zone while an operator's row evacuates it

Ruled out: reading the rows in each agent (a feed for each of 69 VMs), and trusting that the owner hears of an evacuation in time (an owner that is suspended, cut off or new knows an old state, and orders may be executed late).

Change: entries follow the evacuations with the manifest, in one feed. The follower learns which rows are gone when the history was dropped, and when its knowledge was last complete. From that time and the bound of the settings the owner derives until when a run may begin; it places nothing anywhere while less than a second of that is left, and each start carries the limit on the executor's clock, so that an executor refuses an order that was delayed. Agents check it too before an order leaves. Starts in progress are withdrawn or called back with a stop. Runs in the zone go on to their end.

--- a/base/metrics/deployment.go
+++ b/base/metrics/deployment.go
@@ -26,6 +26,8 @@
 	Owning prometheus.GaugeFunc
 	// ManifestVersion is the manifest version in force.
 	ManifestVersion prometheus.GaugeFunc
+	// EvacuatedZones is the number of availability zones under evacuation.
+	EvacuatedZones prometheus.GaugeFunc
 	// OwnerSilence is the time since the last message from the owner, in seconds.
 	OwnerSilence prometheus.GaugeFunc
 }
@@ -34,6 +36,7 @@
 type DeploymentSources struct {
 	Owning          func() bool
 	ManifestVersion func() int64
+	EvacuatedZones  func() int
 	OwnerSilence    func() time.Duration
 	// OwnerCounters returns the totals over all of this process's terms as owner.
 	OwnerCounters func() dispatch.Counters
@@ -59,6 +62,8 @@
 			}),
 		ManifestVersion: prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_manifest_version", Help: "Version of the manifest in force."},
 			func() float64 { return float64(s.ManifestVersion()) }),
+		EvacuatedZones: prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_evacuated_zones", Help: "Number of availability zones under evacuation, as far as this process knows."},
+			func() float64 { return float64(s.EvacuatedZones()) }),
 		OwnerSilence: prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_owner_silence_seconds", Help: "Time since the last message from the owner of the work."},
 			func() float64 { return s.OwnerSilence().Seconds() }),
 	}
@@ -70,12 +75,14 @@
 		{"chicory_owner_ends_total", "Recorded ends of runs.", func(c dispatch.Counters) uint64 { return c.Ends }},
 		{"chicory_owner_failed_runs_total", "Runs that failed.", func(c dispatch.Counters) uint64 { return c.Failures }},
 		{"chicory_owner_lost_runs_total", "Runs lost because their executor ended or its lease expired.", func(c dispatch.Counters) uint64 { return c.Lost }},
+		{"chicory_owner_withdrawn_starts_total", "Starts that were taken back because their zone was evacuated.", func(c dispatch.Counters) uint64 { return c.Withdrawn }},
+		{"chicory_owner_zone_waits_total", "Steps that waited because only evacuated zones could run them.", func(c dispatch.Counters) uint64 { return c.ZoneWaits }},
 		{"chicory_owner_refused_starts_total", "Starts that were rejected.", func(c dispatch.Counters) uint64 { return c.Rejected }},
 	} {
 		m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: c.name, Help: c.help},
 			func() float64 { return float64(c.value(s.OwnerCounters())) }))
 	}
-	m.Registry.MustRegister(m.Responses, m.Refusals, m.Orders, m.Duration, m.Owning, m.ManifestVersion, m.OwnerSilence)
+	m.Registry.MustRegister(m.Responses, m.Refusals, m.Orders, m.Duration, m.Owning, m.ManifestVersion, m.EvacuatedZones, m.OwnerSilence)
 	return m
 }
 
--- a/command/deployed/entry.go
+++ b/command/deployed/entry.go
@@ -13,6 +13,7 @@
 	"github.com/chicorystand/chicorystand/base/metrics"
 	"github.com/chicorystand/chicorystand/control/advice"
 	"github.com/chicorystand/chicorystand/control/coordinator"
+	"github.com/chicorystand/chicorystand/control/evacuation"
 	"github.com/chicorystand/chicorystand/control/manifest"
 	"github.com/chicorystand/chicorystand/ingress/gateway"
 	"github.com/chicorystand/chicorystand/platform"
@@ -43,7 +44,9 @@
 // entryProcess is the entry process, its readiness and its open connections.
 type entryProcess struct {
 	*process
-	manifest  *manifest.Follower
+	manifest    *manifest.Follower
+	evacuations *evacuation.Follower
+	// follower follows the operators' table for manifest and evacuations.
 	follower  *follow.Follower
 	stopping  atomic.Bool
 	openConns atomic.Int64
@@ -54,16 +57,17 @@
 	defer cancel()
 	workCtx, stop := context.WithCancel(context.Background())
 	defer stop()
-	e := &entryProcess{process: p, manifest: manifest.NewFollower(platform.ManifestKey, platform.DecodeManifest, p.log)}
-	e.follower = follow.New(p.store, platform.ManifestTable, e.manifest, p.clock, p.log)
+	e := &entryProcess{process: p, manifest: manifest.NewFollower(platform.ManifestKey, platform.DecodeManifest, p.log),
+		evacuations: evacuation.NewFollower(platform.EvacuatedZone, p.log)}
+	e.follower = follow.New(p.store, platform.OperatorTable, follow.Sinks{e.manifest, e.evacuations}, p.clock, p.log)
 	self := p.registration(member.Entry)
 	var adviceClient advice.Client
 	if p.settings.AdviceAddress != "" {
 		adviceClient = platform.NewAdviceClient(p.settings.AdviceAddress)
 	}
 	candidate := coordinator.NewCandidate(coordinator.Config{Advice: adviceClient, Store: p.store, Clock: p.clock, Log: p.log, Bounds: p.bounds(),
-		Member: self, TakeoverDelay: p.takeoverDelay(), Manifest: e.manifest.Current, HighestEpoch: p.link.Epoch}, p.link)
-	m := metrics.NewDeployment(metrics.DeploymentSources{Owning: candidate.Owning, ManifestVersion: e.manifestVersion, OwnerSilence: p.link.SinceLastMessage,
+		Member: self, TakeoverDelay: p.takeoverDelay(), Manifest: e.manifest.Current, Evacuations: e.evacuationState, HighestEpoch: p.link.Epoch}, p.link)
+	m := metrics.NewDeployment(metrics.DeploymentSources{Owning: candidate.Owning, EvacuatedZones: func() int { return len(e.evacuations.Current()) }, ManifestVersion: e.manifestVersion, OwnerSilence: p.link.SinceLastMessage,
 		OwnerCounters: candidate.Counters})
 	g := gateway.New(gateway.Config{Store: p.store, Clock: p.clock, Log: p.log, Owner: p.link, Manifest: e.manifest.Current,
 		StoreLastResponse: e.follower.LastAnswer, Observe: m.ObserveResponse})
@@ -99,6 +103,13 @@
 	return nil
 }
 
+// evacuationState returns the evacuated zones. The time is read first, since the zones may only be
+// newer than it.
+func (e *entryProcess) evacuationState() evacuation.State {
+	asOf := e.follower.CurrentAsOf()
+	return evacuation.State{Zones: e.evacuations.Current(), AsOf: asOf}
+}
+
 func (e *entryProcess) manifestVersion() int64 {
 	if m := e.manifest.Current(); m != nil {
 		return m.Version
--- a/control/coordinator/loop.go
+++ b/control/coordinator/loop.go
@@ -80,6 +80,9 @@
 	if m := o.cfg.Manifest(); m != nil {
 		o.dispatcher.SetManifest(m)
 	}
+	if o.cfg.Evacuations != nil {
+		o.dispatcher.SetEvacuations(o.cfg.Evacuations())
+	}
 	o.dispatcher.EntriesAcknowledged(o.conns.earliestAck(o.ackEntries))
 	if o.pendingBatch == nil && now-o.lastCommit >= minCommitInterval {
 		o.dispatcher.Tick(now)
--- a/control/coordinator/owner.go
+++ b/control/coordinator/owner.go
@@ -14,6 +14,7 @@
 	"github.com/chicorystand/chicorystand/base/events"
 	"github.com/chicorystand/chicorystand/control/advice"
 	"github.com/chicorystand/chicorystand/control/dispatch"
+	"github.com/chicorystand/chicorystand/control/evacuation"
 	"github.com/chicorystand/chicorystand/control/manifest"
 	"github.com/chicorystand/chicorystand/state/member"
 	"github.com/chicorystand/chicorystand/state/store"
@@ -56,6 +57,9 @@
 	HighestEpoch func() uint64
 	// Manifest returns the manifest in force in this process, nil before the first.
 	Manifest func() *manifest.Manifest
+	// Evacuations returns what this process knows of the evacuated zones. It may be nil where
+	// Bounds.Evacuation is 0.
+	Evacuations func() evacuation.State
 }
 
 // owner runs one term of ownership.
--- a/control/dispatch/commit.go
+++ b/control/dispatch/commit.go
@@ -171,6 +171,11 @@
 	for _, s := range b.starts {
 		if s.task.phase == phaseCommitPending && s.task.rec.Run == s.run {
 			s.task.phase, s.task.changedAt = phaseStartSent, now
+			if o.evacuated(s.task.node) || !o.knowsEvacuations(now) {
+				// The next pass withdraws the start, or orders it once the evacuations are known again.
+				s.task.orderedAt = 0
+				continue
+			}
 			o.sendStart(s.task, now)
 		}
 	}
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 
 	"github.com/chicorystand/chicorystand/control/advice"
 	"github.com/chicorystand/chicorystand/control/contention"
+	"github.com/chicorystand/chicorystand/control/evacuation"
 	"github.com/chicorystand/chicorystand/control/manifest"
 	"github.com/chicorystand/chicorystand/control/speed"
 	"github.com/chicorystand/chicorystand/control/submission"
@@ -31,6 +32,9 @@
 	// MaxStoreOutage is how long an owner extends leases without a successful commit, given that
 	// all entries acknowledge it.
 	MaxStoreOutage time.Duration
+	// Evacuation is how long after the evacuation of a zone was acknowledged a run may still begin
+	// there, 0 where zones can't be evacuated.
+	Evacuation time.Duration
 	// StopTimeout is the longest time that a task takes to stop.
 	StopTimeout time.Duration
 	// Retention is how long the record of an ended submission is kept.
@@ -62,7 +66,11 @@
 	// unixMillis converts the owner's clock to Unix milliseconds.
 	unixMillis func(now time.Duration) int64
 
-	manifest  *manifest.Manifest
+	manifest    *manifest.Manifest
+	evacuations evacuation.State
+	// placementHeld is set while nothing is placed because the evacuations are not known.
+	placementHeld bool
+
 	jobs      map[string]*job
 	executors map[submission.Incarnation]*node
 	// incarnations lists the executors by their ID and by their address.
@@ -106,11 +114,15 @@
 // Counters are totals since the owner started.
 type Counters struct {
 	Starts, Ends, Failures, Lost, Rejected uint64
+	// Withdrawn counts the starts that were taken back from evacuated zones.
+	Withdrawn uint64
+	// ZoneWaits counts the steps that waited since only evacuated zones could run them.
+	ZoneWaits uint64
 }
 
 func (c Counters) Add(d Counters) Counters {
 	return Counters{Starts: c.Starts + d.Starts, Ends: c.Ends + d.Ends, Failures: c.Failures + d.Failures,
-		Lost: c.Lost + d.Lost, Rejected: c.Rejected + d.Rejected}
+		Lost: c.Lost + d.Lost, Rejected: c.Rejected + d.Rejected, Withdrawn: c.Withdrawn + d.Withdrawn, ZoneWaits: c.ZoneWaits + d.ZoneWaits}
 }
 
 // New returns an owner without work. now is the owner's clock, which includes time in suspension;
@@ -140,10 +152,15 @@
 	clear(o.pools)
 	o.expireLeases(now)
 	o.releaseDueOccurrences(now)
-	o.evacuate(now)
-	o.moveRuns(now)
-	o.placeWaiting(now)
-	o.preempt(now)
+	o.saveDrainingRuns(now)
+	o.withdrawStarts(now)
+	known := o.knowsEvacuations(now)
+	o.holdPlacement(!known, now)
+	if known {
+		o.moveRuns(now)
+		o.placeWaiting(now)
+		o.preempt(now)
+	}
 	o.retryOrders(now)
 	o.removeExpired(now)
 }
--- a/control/dispatch/orders.go
+++ b/control/dispatch/orders.go
@@ -68,19 +68,21 @@
 		ticket, _ = o.advice.Ticket(stepName(t.stepKey()), t.node.info.Incarnation, now)
 	}
 	b.starts = append(b.starts, wire.StartOrder{Task: t.name(), Run: t.rec.Run, Specification: s.Specification,
-		Checkpoint: t.rec.Checkpoint, Ticket: ticket})
+		Checkpoint: t.rec.Checkpoint, Ticket: ticket, Deadline: o.startDeadline(t.node)})
 	b.pending = true
 	o.counters.Starts++
 }
 
 // retryOrders resends unanswered orders.
 func (o *Owner) retryOrders(now time.Duration) {
+	known := o.knowsEvacuations(now)
 	for _, n := range o.executors {
 		if n.gone || !n.connected {
 			continue
 		}
+		mayStart := known && !o.evacuated(n)
 		for t := range n.tasks {
-			if t.phase == phaseStartSent && now-t.orderedAt > startRetryInterval {
+			if t.phase == phaseStartSent && !t.stopping && mayStart && now-t.orderedAt > startRetryInterval {
 				o.sendStart(t, now)
 			}
 			if t.stopping && t.stopAcked == 0 && now-t.stopSent > stopRetryInterval {
--- a/control/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -98,6 +98,7 @@
 func (o *Owner) placeStep(w *waitingStep, now time.Duration) {
 	p := o.pool(o.service(w.job.sub), now)
 	if len(p.nodes) == 0 {
+		o.reportZoneWait(w)
 		return
 	}
 	if w.job.sub.Steps[w.key.step].Gang {
@@ -112,6 +113,7 @@
 		best := ranking.Best(t.avoidFilter())
 		if best < 0 {
 			left = append(left, tasks[i:]...)
+			o.reportZoneWait(w)
 			break
 		}
 		w.onNode[p.placementNodes[best].ID]++
@@ -236,23 +238,23 @@
 		Dur("list_age", now-n.clockAt).Send()
 }
 
-// evacuate stops tasks with checkpoints on draining executors shortly before the drain ends, so
-// that they resume elsewhere without losing work.
-func (o *Owner) evacuate(now time.Duration) {
+// saveDrainingRuns stops tasks with checkpoints on draining executors shortly before the drain ends,
+// so that they resume elsewhere without losing work.
+func (o *Owner) saveDrainingRuns(now time.Duration) {
 	for _, n := range o.executors {
 		if n.gone || !n.info.Draining {
 			continue
 		}
 		for t := range n.tasks {
-			if t.phase == phaseRunning && !t.stopping && t.step().Checkpoints && now >= n.drainEnd-evacuationLead {
+			if t.phase == phaseRunning && !t.stopping && t.step().Checkpoints && now >= n.drainEnd-drainLead {
 				o.stop(t, now)
 			}
 		}
 	}
 }
 
-// evacuationLead is how long before the end of an executor's drain time its tasks are stopped.
-const evacuationLead = 700 * time.Millisecond
+// drainLead is how long before the end of an executor's drain time its tasks are stopped.
+const drainLead = 700 * time.Millisecond
 
 // remainingWork returns the estimated work of the tasks that are not done, in processor seconds.
 func (j *job) remainingWork(occurrence int) float64 {
--- a/control/dispatch/reports.go
+++ b/control/dispatch/reports.go
@@ -326,7 +326,7 @@
 	}
 	p := new(pool)
 	for _, n := range o.executors {
-		if n.gone || n.leaseExpired || !n.adopted || !n.connected || n.info.Draining || n.info.Service != service || now < n.closedUntil {
+		if n.gone || n.leaseExpired || !n.adopted || !n.connected || n.info.Draining || o.evacuated(n) || n.info.Service != service || now < n.closedUntil {
 			continue
 		}
 		n.placementNode.Closed = false
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -194,6 +194,8 @@
 	onNode map[string]int
 	// since is when the step became ready.
 	since time.Duration
+	// awaitsZone is set once it was logged that only evacuated zones could run the step.
+	awaitsZone bool
 }
 
 // node is a row of the table of executors.
--- a/state/follow/follow.go
+++ b/state/follow/follow.go
@@ -32,6 +32,43 @@
 	Row(c store.Change)
 }
 
+// TableSink is a sink that also learns which rows do not exist. Deletions that the store
+// has compacted away are not delivered as changes.
+type TableSink interface {
+	Sink
+	// Table is called in place of Row after a full read, with all rows of the table as
+	// of the given version of the store.
+	Table(rows []store.Row, version uint64)
+}
+
+// Sinks passes the rows of one table on to several sinks.
+type Sinks []Sink
+
+// Row implements Sink.
+func (s Sinks) Row(c store.Change) {
+	for _, sink := range s {
+		sink.Row(c)
+	}
+}
+
+// Table implements TableSink.
+func (s Sinks) Table(rows []store.Row, version uint64) {
+	for _, sink := range s {
+		deliverTable(sink, rows, version)
+	}
+}
+
+// deliverTable passes the result of a full read to a sink.
+func deliverTable(s Sink, rows []store.Row, version uint64) {
+	if t, ok := s.(TableSink); ok {
+		t.Table(rows, version)
+		return
+	}
+	for _, r := range rows {
+		s.Row(store.Change{Row: r})
+	}
+}
+
 // Follower follows one table.
 type Follower struct {
 	store store.Follower
@@ -41,7 +78,9 @@
 	clock clock.Clock
 	// lastAnswer is the time of the store's last reply, 0 before the first.
 	lastAnswer atomic.Int64
-	failing    bool
+	// currentAsOf is the time as of which all changes have been delivered, 0 before the first full read.
+	currentAsOf atomic.Int64
+	failing     bool
 }
 
 // New returns a follower. Run starts it.
@@ -58,13 +97,22 @@
 // LastAnswer returns the time of the store's last reply, 0 before the first.
 func (t *Follower) LastAnswer() time.Duration { return time.Duration(t.lastAnswer.Load()) }
 
+// CurrentAsOf returns the time as of which all changes have been delivered to the sink, 0 before
+// the first full read. A store whose answers are linearizable has applied every change that it
+// acknowledged before a call was sent, so this is the time of sending the last successful call.
+func (t *Follower) CurrentAsOf() time.Duration { return time.Duration(t.currentAsOf.Load()) }
+
 // Run follows the table until ctx ends, starting from the given version or, when it
 // is 0, with a full read.
 func (t *Follower) Run(ctx context.Context, version uint64) {
 	delay := minRetryDelay
 	for ctx.Err() == nil {
-		next, err := t.poll(ctx, version)
+		sent := t.clock.Now()
+		next, complete, err := t.poll(ctx, version)
 		if err == nil {
+			if complete {
+				t.currentAsOf.Store(int64(sent))
+			}
 			version, delay = next, minRetryDelay
 			t.lastAnswer.Store(int64(t.clock.Now()))
 			t.logTransition(nil)
@@ -87,22 +135,22 @@
 	}
 }
 
-func (t *Follower) poll(ctx context.Context, version uint64) (uint64, error) {
+// poll delivers the next changes, or all rows when version is 0, and returns the version to continue
+// from. complete is false when the store has held back changes for the next call.
+func (t *Follower) poll(ctx context.Context, version uint64) (next uint64, complete bool, err error) {
 	if version != 0 {
 		page, err := t.store.Changes(ctx, t.table, version, changesWait)
 		for _, c := range page.Changes {
 			t.sink.Row(c)
 		}
-		return max(version, page.Version), err
+		return max(version, page.Version), !page.More, err
 	}
 	rows, version, err := store.ReadAll(ctx, t.store, t.table)
 	if err != nil {
-		return 0, err
-	}
-	for _, r := range rows {
-		t.sink.Row(store.Change{Row: r})
+		return 0, false, err
 	}
-	return version, nil
+	deliverTable(t.sink, rows, version)
+	return version, true, nil
 }
 
 func (t *Follower) logTransition(err error) {
--- a/verify/standin/table.go
+++ b/verify/standin/table.go
@@ -216,7 +216,7 @@
 	for i, w := range writes {
 		if w.Delete {
 			delete(t.rows, w.Key)
-			t.recordChange(store.Change{Row: store.Row{Key: w.Key}, Deleted: true})
+			t.recordChange(store.Change{Row: store.Row{Key: w.Key, Version: t.version}, Deleted: true})
 			continue
 		}
 		r := store.Row{Key: w.Key, Value: append([]byte(nil), w.Value...), Version: t.version}
--- a/vm/vmagent/orders.go
+++ b/vm/vmagent/orders.go
@@ -34,13 +34,14 @@
 	}
 	for _, s := range m.Starts {
 		k := runKey{s.Task, s.Run}
+		deadline := startDeadline(m.LeaseEnd, s.Deadline)
 		if p := u.starting[k]; p != nil {
 			// The owner still requests the run, under a later lease.
-			p.leaseEnd = max(p.leaseEnd, m.LeaseEnd)
+			p.deadline = max(p.deadline, deadline)
 			continue
 		}
 		ctx, cancel := context.WithCancel(u.ctx)
-		u.starting[k] = &pendingStart{cancel: cancel, leaseEnd: m.LeaseEnd}
+		u.starting[k] = &pendingStart{cancel: cancel, deadline: deadline}
 		go u.start(ctx, k, s, m.Epoch)
 	}
 }
@@ -48,10 +49,19 @@
 // pendingStart is a start whose outcome is not final yet.
 type pendingStart struct {
 	cancel context.CancelFunc
-	// leaseEnd is the end of the lease under which the owner ordered the run. After it the owner
-	// may start the task elsewhere, so the start must not be sent under a later lease of the
-	// executor.
-	leaseEnd int64
+	// deadline is the latest time at which the run may begin, on the executor's clock. After the
+	// end of the lease under which the owner ordered the run it may start the task elsewhere, so
+	// the start must not be sent under a later lease of the executor.
+	deadline int64
+}
+
+// startDeadline returns the earlier of the end of the lease and the deadline of a start, which is 0
+// when the owner has set none.
+func startDeadline(leaseEnd, deadline int64) int64 {
+	if deadline == 0 {
+		return leaseEnd
+	}
+	return min(leaseEnd, deadline)
 }
 
 // start sends a start until its outcome is final, and reports the outcome.
@@ -118,6 +128,9 @@
 			if u.currentInfo().Draining && !uncertain {
 				return executor.Answer{Outcome: executor.Unavailable}, false
 			}
+			if u.startExpired(s) {
+				return executor.Answer{Outcome: executor.Rejected, Reason: executor.ReasonDeadlinePassed}, uncertain
+			}
 			answer = u.sendStart(ctx, s, epoch)
 		}
 		switch answer.Outcome {
@@ -134,11 +147,20 @@
 	return answer, uncertain
 }
 
+// startExpired reports whether the deadline of a start has passed, for example while this process
+// was suspended.
+func (u *executorSession) startExpired(s wire.StartOrder) bool {
+	u.agent.mu.Lock()
+	defer u.agent.mu.Unlock()
+	deadline := u.starting[runKey{s.Task, s.Run}].deadline
+	return deadline != 0 && u.passed(deadline)
+}
+
 // sendStart sends a start once.
 func (u *executorSession) sendStart(ctx context.Context, s wire.StartOrder, epoch uint64) executor.Answer {
 	u.agent.mu.Lock()
 	order := executor.Start{Task: s.Task, Run: s.Run, Specification: s.Specification, Checkpoint: s.Checkpoint,
-		Epoch: epoch, Deadline: u.starting[runKey{s.Task, s.Run}].leaseEnd, Ticket: s.Ticket}
+		Epoch: epoch, Deadline: u.starting[runKey{s.Task, s.Run}].deadline, Ticket: s.Ticket}
 	info := u.info
 	u.agent.mu.Unlock()
 	// The outcome of a call in progress is needed even when the incarnation has ended.
--- a/vm/vmagent/unit.go
+++ b/vm/vmagent/unit.go
@@ -51,7 +51,9 @@
 	lastReportedEnd int64
 
 	// The fields below are guarded by the agent's mu.
-	info       executor.Info
+	info executor.Info
+	// clockAt is when info.Clock was received, on the agent's clock.
+	clockAt    time.Duration
 	heartbeats int
 	leaseEnd   int64
 	lastSeen   int64
@@ -146,6 +148,23 @@
 	events.ExecutorAnswers.Log(u.agent.cfg.Log).Str("executor", u.inc.ID).Send()
 }
 
+// observeClock records a reading of the executor's clock. The caller holds the agent's mu.
+func (u *executorSession) observeClock(clock int64) {
+	if clock > u.info.Clock || u.clockAt == 0 {
+		u.info.Clock, u.clockAt = max(clock, u.info.Clock), u.agent.cfg.Clock.Now()
+	}
+}
+
+// minClockRate is the slowest rate of an executor's clock, which may run 2% slow.
+const minClockRate = 0.98
+
+// passed reports whether a time on the executor's clock has certainly passed. The caller holds the
+// agent's mu.
+func (u *executorSession) passed(deadline int64) bool {
+	elapsed := float64(u.agent.cfg.Clock.Now()-u.clockAt) * minClockRate
+	return u.info.Clock+time.Duration(elapsed).Milliseconds() >= deadline
+}
+
 // currentInfo returns what the executor reported last.
 func (u *executorSession) currentInfo() executor.Info {
 	u.agent.mu.Lock()
@@ -185,7 +204,7 @@
 // report sends a snapshot to the owner, with the ends that the owner has not acknowledged.
 func (u *executorSession) report(epoch uint64, snap executor.Snapshot) {
 	u.agent.mu.Lock()
-	u.info.Clock = max(u.info.Clock, snap.Clock)
+	u.observeClock(snap.Clock)
 	r := &wire.Report{Epoch: epoch, Agent: u.agent.cfg.Name, Info: u.info, FullSnapshot: true, Running: snap.Running}
 	for _, e := range snap.Ended {
 		// Every report carries all unacknowledged ends, since an owner treats a run
--- a/vm/vmagent/vmagent.go
+++ b/vm/vmagent/vmagent.go
@@ -82,7 +82,8 @@
 	}
 	u.heartbeats++
 	// The clock in a heartbeat may be older than that of a snapshot.
-	info.Clock = max(info.Clock, u.info.Clock)
+	u.observeClock(info.Clock)
+	info.Clock = u.info.Clock
 	info.Draining = info.Draining || u.info.Draining
 	u.info = info
 	return true
--- a/vm/vmagent/vmagent_test.go
+++ b/vm/vmagent/vmagent_test.go
@@ -474,3 +474,30 @@
 	s.seen(o)
 	return executor.Answer{}
 }
+
+// The agent is suspended between the arrival of a start and its call. The permission to start has run
+// out meanwhile, for example since the zone was evacuated, so the start must not leave the agent; and
+// the executor gets the deadline, in case the call itself is delayed.
+func TestExpiredStartIsNotSent(t *testing.T) {
+	f := &fakeExecutor{hold: func(executor.PollRequest) executor.Snapshot {
+		return executor.Snapshot{StartedAt: 7, Answer: executor.Answer{Clock: 2000}}
+	}}
+	f.start = func(executor.Start) executor.Answer { return executor.Answer{} }
+	a := newTestAgent(t, f)
+	o := connectOwner(t, a, 1)
+	a.Heartbeat(testInfo())
+	waitFor(t, o.reports, "snapshot", func(r *wire.Report) bool { return r.FullSnapshot })
+	order := func(name string, deadline int64) wire.OrderResult {
+		assert.NilError(t, o.peer.Notify(&wire.Orders{Epoch: 1, Executor: "i-1", StartedAt: 7, LeaseEnd: 60_000,
+			Starts: []wire.StartOrder{{Task: name, Run: 1, Deadline: deadline}}}))
+		return waitFor(t, o.results, "result", func(*wire.OrderResults) bool { return true }).Results[0]
+	}
+	r := order("a.0.0.0", 1999)
+	assert.Equal(t, r.Outcome, executor.Rejected)
+	assert.Equal(t, r.Reason, executor.ReasonDeadlinePassed)
+	assert.Equal(t, order("b.0.0.0", 50_000).Outcome, executor.OK)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	assert.Equal(t, len(f.starts), 1)
+	assert.Equal(t, f.starts[0].Deadline, int64(50_000))
+}
--- a/wire/dispatch.go
+++ b/wire/dispatch.go
@@ -48,6 +48,9 @@
 	Specification string
 	Checkpoint    string
 	Ticket        string
+	// Deadline is the latest time at which the run may begin, in milliseconds on the executor's
+	// clock, 0 for the end of the lease.
+	Deadline int64
 }
 
 // StopOrder instructs an executor to stop a run.
