--- a/verify/histories/cluster_test.go
+++ b/verify/histories/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -12,10 +13,13 @@
 	"github.com/chicorystand/chicorystand/base/clock"
 	"github.com/chicorystand/chicorystand/control/coordinator"
 	"github.com/chicorystand/chicorystand/control/dispatch"
+	"github.com/chicorystand/chicorystand/control/evacuation"
 	"github.com/chicorystand/chicorystand/control/manifest"
 	"github.com/chicorystand/chicorystand/control/task"
 	"github.com/chicorystand/chicorystand/ingress/gateway"
+	"github.com/chicorystand/chicorystand/state/follow"
 	"github.com/chicorystand/chicorystand/state/member"
+	"github.com/chicorystand/chicorystand/state/store"
 	"github.com/chicorystand/chicorystand/verify/bench/inmem"
 	"github.com/chicorystand/chicorystand/verify/history"
 	"github.com/chicorystand/chicorystand/verify/standin"
@@ -27,6 +31,7 @@
 const (
 	entryCount    = 3
 	executorCount = 4
+	zoneCount     = 2
 	// networkDelay is the one-way network delay between two VMs.
 	networkDelay      = 2 * time.Millisecond
 	heartbeatInterval = 1500 * time.Millisecond
@@ -100,6 +105,28 @@
 func agentName(i int) string    { return fmt.Sprintf("agent-%d", i) }
 func executorName(i int) string { return fmt.Sprintf("vm-%d", i) }
 
+// zoneName returns the availability zone of an executor. Neighbours are in different zones.
+func zoneName(i int) string { return fmt.Sprintf("zone-%d", i%zoneCount) }
+
+// Rows of the operators: one for each evacuated zone.
+const (
+	operatorTable    = "operator"
+	evacuationPrefix = operatorTable + "/evacuate/"
+)
+
+func evacuatedZone(key string) (string, bool) { return strings.CutPrefix(key, evacuationPrefix) }
+
+// setEvacuated evacuates a zone or restores it.
+func (c *cluster) setEvacuated(zone string, on bool) {
+	if !on {
+		c.recorder.Record(history.Event{Kind: history.ZoneRestored, Zone: zone})
+	}
+	c.table.Apply(store.Write{Key: evacuationPrefix + zone, Delete: !on})
+	if on {
+		c.recorder.Record(history.Event{Kind: history.ZoneEvacuated, Zone: zone})
+	}
+}
+
 // newProcess returns a process and the context that its goroutines stop with.
 func (c *cluster) newProcess(name string) (*process, context.Context) {
 	ctx, stop := context.WithCancel(c.ctx)
@@ -122,12 +149,19 @@
 	current := func() *manifest.Manifest { return c.manifest }
 	p.requests = gateway.New(gateway.Config{Store: p.link, Clock: c.clock, Log: p.log, Owner: owner, Manifest: current,
 		StoreLastResponse: c.clock.Now, Observe: func(string, int, time.Duration, error) {}})
-	candidate := coordinator.NewCandidate(coordinator.Config{Store: p.link, Clock: c.clock, Log: p.log, Member: self,
+	zones := evacuation.NewFollower(evacuatedZone, p.log)
+	follower := follow.New(p.link, operatorTable, follow.Sinks{zones}, c.clock, p.log)
+	evacuations := func() evacuation.State {
+		asOf := follower.CurrentAsOf()
+		return evacuation.State{Zones: zones.Current(), AsOf: asOf}
+	}
+	candidate := coordinator.NewCandidate(coordinator.Config{Store: p.link, Evacuations: evacuations, Clock: c.clock, Log: p.log, Member: self,
 		Dial: c.net.Dialer(p.name), HighestEpoch: owner.Epoch, Manifest: current,
-		Bounds: dispatch.Bounds{LeaseDuration: testLease, AckValidity: 2 * time.Second, MaxStoreOutage: 15 * time.Second, StopTimeout: testStopTimeout, Retention: time.Hour}}, owner)
+		Bounds: dispatch.Bounds{LeaseDuration: testLease, Evacuation: history.EvacuationBound, AckValidity: 2 * time.Second, MaxStoreOutage: 15 * time.Second, StopTimeout: testStopTimeout, Retention: time.Hour}}, owner)
 	l := c.net.Listen(p.name, self.Address)
 	go member.Serve(l, owner, owner.Handle)
 	go member.KeepRegistered(ctx, p.link, self, owner.SinceLastMessage)
+	go follower.Run(ctx, 0)
 	go func() {
 		defer close(p.ended)
 		candidate.Run(ctx)
@@ -135,7 +169,7 @@
 }
 
 func (c *cluster) startExecutor(i int) {
-	e := standin.NewExecutor(standin.ExecutorConfig{VM: executorName(i), Service: "pool", Address: fmt.Sprintf("10.0.0.%d:1", i),
+	e := standin.NewExecutor(standin.ExecutorConfig{VM: executorName(i), Service: "pool", Zone: zoneName(i), Address: fmt.Sprintf("10.0.0.%d:1", i),
 		Rack: fmt.Sprintf("r%d", i/2), Capacity: executorCapacity, Clock: c.clock, ClockRate: 1 - 0.02*float64(i%2), MaxLease: testMaxLease,
 		StopTimeout: testStopTimeout, CheckpointInterval: time.Second, Recorder: c.recorder,
 		Work: func(name string, _ uint32) standin.Work { return c.taskWork[name] }})
--- a/verify/histories/histories_test.go
+++ b/verify/histories/histories_test.go
@@ -194,6 +194,10 @@
 		c.applyFor(f, func(on bool) { c.setPartitioned(entryName(entry), on) })
 	case cutAgent:
 		c.applyFor(f, func(on bool) { c.setPartitioned(agentName(f.target), on) })
+	case evacuateZone:
+		c.evacuate(f, zoneName(f.target))
+	case evacuateAllZones:
+		c.evacuate(f, zoneName(0), zoneName(1))
 	case crashExecutor, restartSameID, drainExecutors:
 		c.replaceExecutor(f, e)
 	default:
@@ -201,6 +205,16 @@
 	}
 }
 
+// evacuate evacuates zones for the duration of a fault and the time in which runs may still start there.
+func (c *cluster) evacuate(f fault, zones ...string) {
+	f.duration += history.EvacuationBound
+	c.applyFor(f, func(on bool) {
+		for _, z := range zones {
+			c.setEvacuated(z, on)
+		}
+	})
+}
+
 // replaceExecutor ends an incarnation of an executor and starts the next one.
 func (c *cluster) replaceExecutor(f fault, e *standin.Executor) {
 	name := executorName(f.target)
--- a/verify/histories/plan_test.go
+++ b/verify/histories/plan_test.go
@@ -36,10 +36,13 @@
 	storeDelaysCommits   faultKind = "store delays commits"
 	storeCompacts        faultKind = "store compacts its history"
 	drainExecutors       faultKind = "executor drains and is replaced"
+	evacuateZone         faultKind = "operator evacuates a zone"
+	evacuateAllZones     faultKind = "operator evacuates all zones"
 )
 
 var faultKinds = []faultKind{killEntry, killAll, cutEntryStore, cutEntry, killAgent, cutAgent, crashExecutor, restartSameID, unresponsiveExecutor,
-	rejectingExecutor, lostOrderReplies, delayedOrders, failingRuns, storeDown, storeSlow, storeLosesReplies, storeDelaysCommits, storeCompacts, drainExecutors}
+	rejectingExecutor, lostOrderReplies, delayedOrders, failingRuns, storeDown, storeSlow, storeLosesReplies, storeDelaysCommits, storeCompacts, drainExecutors,
+	evacuateZone, evacuateAllZones}
 
 // fault is one fault of a plan. The meaning of amount depends on the kind.
 type fault struct {
--- a/verify/history/check.go
+++ b/verify/history/check.go
@@ -27,19 +27,21 @@
 	StepOrder         Invariant = "no task starts before those that it depends on have succeeded"
 	FailureBudget     Invariant = "no task starts after its last permitted failure"
 	CancelHolds       Invariant = "cancelled work does not run on"
+	NoWorkInEvacuated Invariant = "no task starts in an evacuated zone after 5 s"
 )
 
 // Invariants lists all invariants.
 func Invariants() []Invariant {
 	return []Invariant{NoOvercommit, NoDoubleRun, ResumeOnce, OwnAnswer, NotRunIsTrue, AtMostOnce,
 		NoWorkAfterDrain, GracefulStop, ConfigInForceFast, ConfigNoRevert, NothingLost,
-		StepOrder, FailureBudget, CancelHolds}
+		StepOrder, FailureBudget, CancelHolds, NoWorkInEvacuated}
 }
 
 // Time limits of the invariants that have one.
 const (
-	DrainBound  = 2 * time.Second
-	ConfigBound = 3 * time.Second
+	DrainBound      = 2 * time.Second
+	ConfigBound     = 3 * time.Second
+	EvacuationBound = 5 * time.Second
 )
 
 // Violation is one violation of an invariant.
@@ -117,9 +119,11 @@
 	tasks        map[string]*taskState
 	reservedOnVM map[string]task.Resources
 	drains       map[string]drain
-	generations  map[string]uint64
-	accepted     []Event
-	inForce      []Event
+	// evacuated holds since when each zone has been evacuated.
+	evacuated   map[string]time.Duration
+	generations map[string]uint64
+	accepted    []Event
+	inForce     []Event
 }
 
 type drain struct {
@@ -129,7 +133,7 @@
 
 func newChecker(opt Options) *checker {
 	return &checker{opt: opt, requests: make(map[string]*requestState), tasks: make(map[string]*taskState),
-		reservedOnVM: make(map[string]task.Resources), drains: make(map[string]drain), generations: make(map[string]uint64)}
+		reservedOnVM: make(map[string]task.Resources), drains: make(map[string]drain), evacuated: make(map[string]time.Duration), generations: make(map[string]uint64)}
 }
 
 func (c *checker) report(inv Invariant, at time.Duration, format string, args ...any) {
@@ -151,6 +155,10 @@
 		c.drains[e.VM] = drain{e.At, e.Incarnation}
 	case UpstreamStarted:
 		delete(c.drains, e.VM)
+	case ZoneEvacuated:
+		c.evacuated[e.Zone] = e.At
+	case ZoneRestored:
+		delete(c.evacuated, e.Zone)
 	case ConfigAccepted:
 		c.configAccepted(e)
 	case ConfigInForce:
@@ -267,6 +275,9 @@
 	if d, ok := c.drains[e.VM]; ok && e.At > d.at+DrainBound {
 		c.report(NoWorkAfterDrain, e.At, "task %s started on %s %v after its drain began", e.Task, e.VM, e.At-d.at)
 	}
+	if at, ok := c.evacuated[e.Zone]; ok && e.At > at+EvacuationBound {
+		c.report(NoWorkInEvacuated, e.At, "attempt %d of task %s started on %s %v after the evacuation of zone %s", e.Attempt, e.Task, e.VM, e.At-at, e.Zone)
+	}
 	c.trackReserved(e, e.Reserved)
 }
 
--- a/verify/history/history.go
+++ b/verify/history/history.go
@@ -61,6 +61,10 @@
 	TaskEndConfirmed
 	// TaskCancelled: the cancellation of a task was acknowledged to the client.
 	TaskCancelled
+	// ZoneEvacuated: the evacuation of a zone was acknowledged to the operator.
+	ZoneEvacuated
+	// ZoneRestored: the operator is about to withdraw the evacuation of a zone.
+	ZoneRestored
 )
 
 // Event is one recorded event. Unused fields are zero.
@@ -72,6 +76,8 @@
 	Attempt     uint32
 	VM          string
 	Incarnation uint64
+	// Zone is the availability zone of the VM, or that of the operator's request.
+	Zone string
 	// Progress is the work done at TaskRunStart (resumed from) and TaskRunEnd.
 	Progress time.Duration
 	// Reserved and Capacity belong to Commitment.
--- a/verify/soak/cluster.go
+++ b/verify/soak/cluster.go
@@ -197,9 +197,12 @@
 	return p, err
 }
 
+// zoneName returns the availability zone of a process.
+func zoneName(host int) string { return fmt.Sprintf("z%d", host%2) }
+
 // addNode creates the proxies and settings that entries and agents have in common.
 func (c *cluster) addNode(host int, kind string) (*node, stub.Settings, error) {
-	s := stub.Settings{Node: fmt.Sprintf("%s-%d", kind, host), IP: c.net.host(partProcess, host), Zone: fmt.Sprintf("z%d", host%2),
+	s := stub.Settings{Node: fmt.Sprintf("%s-%d", kind, host), IP: c.net.host(partProcess, host), Zone: zoneName(host),
 		StoreAddress: c.net.address(partStoreProxy, host, storePort), FirstPort: firstPort, LastPort: lastPort, HeartbeatInterval: heartbeatInterval,
 		MaxLease: maxLease, StopTimeout: stopTimeout, GracePeriod: gracePeriod, StatusRetention: retention}
 	n := new(node)
--- a/verify/soak/faults.go
+++ b/verify/soak/faults.go
@@ -6,6 +6,9 @@
 	"syscall"
 	"time"
 
+	"github.com/chicorystand/chicorystand/platform"
+	"github.com/chicorystand/chicorystand/state/store"
+	"github.com/chicorystand/chicorystand/verify/history"
 	"github.com/chicorystand/chicorystand/verify/standin"
 )
 
@@ -58,6 +61,8 @@
 		c.injectStoreFault(f, standin.Faults{DelayCommits: 3 * f.intensity, CommitDelay: time.Duration(f.intensity) * time.Second})
 	}},
 	{"the store drops its history", 1, func(c *cluster, _ *fault) { c.table.Compact() }},
+	{"an operator evacuates a zone", 2, func(c *cluster, f *fault) { c.evacuate(f, zoneName(f.target)) }},
+	{"an operator evacuates all zones", 1, func(c *cluster, f *fault) { c.evacuate(f, zoneName(0), zoneName(1)) }},
 	{"an executor crashes", 2, func(c *cluster, f *fault) { c.replaceExecutor(f, false, false) }},
 	{"an executor restarts with the same id", 1, func(c *cluster, f *fault) { c.replaceExecutor(f, true, false) }},
 	{"an executor drains and is replaced", 1, func(c *cluster, f *fault) { c.replaceExecutor(f, false, true) }},
@@ -176,6 +181,19 @@
 	c.table.SetFaults(standin.Faults{})
 }
 
+// evacuate evacuates zones for the duration of a fault and the time in which runs may still start there.
+func (c *cluster) evacuate(f *fault, zones ...string) {
+	for _, z := range zones {
+		c.table.Apply(store.Write{Key: platform.EvacuationKey(z), Value: []byte("{}")})
+		c.recorder.Record(history.Event{Kind: history.ZoneEvacuated, Zone: z})
+	}
+	time.Sleep(f.duration + history.EvacuationBound)
+	for _, z := range zones {
+		c.recorder.Record(history.Event{Kind: history.ZoneRestored, Zone: z})
+		c.table.Apply(store.Write{Key: platform.EvacuationKey(z), Delete: true})
+	}
+}
+
 func (c *cluster) injectExecutorFault(f *fault, s standin.ExecutorFaults) {
 	e := c.executors[f.target%len(c.executors)]
 	e.SetFaults(s)
--- a/verify/standin/executor.go
+++ b/verify/standin/executor.go
@@ -258,7 +258,7 @@
 }
 
 func (e *Executor) recordRun(kind history.Kind, name string, r *executorRun, outcome string) {
-	e.cfg.Recorder.Record(history.Event{Kind: kind, Task: name, Attempt: r.number, VM: e.cfg.VM, Progress: r.initialProgress,
+	e.cfg.Recorder.Record(history.Event{Kind: kind, Task: name, Attempt: r.number, VM: e.cfg.VM, Zone: e.cfg.Zone, Progress: r.initialProgress,
 		Reserved: r.work.Request, Capacity: e.cfg.Capacity, Outcome: outcome})
 }
 
--- a/verify/standin/table.go
+++ b/verify/standin/table.go
@@ -190,6 +190,14 @@
 	return versions, nil
 }
 
+// Apply writes rows at once and whatever the active faults, as the operators' own access to the
+// store does.
+func (t *Table) Apply(writes ...store.Write) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.apply(writes)
+}
+
 func (t *Table) applyDelayed(txn store.Txn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
