TestPlanLimits waits until the first request is in progress

Cause: the test sent the second request 50 ms after the first, which was in progress for 100 ms; with cold caches it came too late. The first request now stays at the upstream until the second is answered, and the first of the stranger is awaited too.

--- a/ingress/entry/requests_test.go
+++ b/ingress/entry/requests_test.go
@@ -624,7 +624,14 @@
 // without Retry-After or that do not report the request as not run.
 func TestPlanLimits(t *testing.T) {
 	t.Parallel()
-	c := startCluster(t, options{entries: 1, agents: 1, slots: 4, serviceTime: 100 * time.Millisecond})
+	// The first request of a customer stays in progress at the upstream until the second is answered.
+	started, release := make(chan struct{}), make(chan struct{})
+	hold := func(*http.Request) standin.UpstreamFault {
+		started <- struct{}{}
+		<-release
+		return standin.FaultNone
+	}
+	c := startCluster(t, options{entries: 1, agents: 1, slots: 4, fault: hold})
 	for _, tc := range []struct {
 		customer string
 		kind     errkind.Kind
@@ -633,14 +640,19 @@
 	} {
 		first := make(chan reply, 1)
 		go func() { first <- c.send(0, request{name: tc.customer + "-1", customer: tc.customer}) }()
-		time.Sleep(50 * time.Millisecond)
+		if tc.kind != errkind.PermissionDenied {
+			<-started
+		}
 		second := c.send(0, request{name: tc.customer + "-2", customer: tc.customer})
 		assert.Equal(t, second.kind, tc.kind.String())
 		assert.Equal(t, second.outcome, "not_run")
 		assert.Equal(t, second.retryAfter != "", tc.kind.Attributes().Retryable)
+		want := "not_run"
 		if tc.kind != errkind.PermissionDenied {
-			assert.Equal(t, (<-first).outcome, "answer")
+			release <- struct{}{}
+			want = "answer"
 		}
+		assert.Equal(t, (<-first).outcome, want)
 	}
 	c.check()
 }
