Mend the faults that were noticed while the code was reworded

- SIGHUP on the platform's path logged "reloaded" and applied nothing.
It now names the settings that differ and take effect at the next start (event 522).
- Event 511 was logged for every listen and serve error.
Other causes have events 513 and 514.
Test: TestListenErrorNamesTheCause.
- gate.Retention: 60 s suffice.
An entry takes the absence of a result for a proof only within 45 s of the sending, and the result is kept for 60 s after the end, which comes later than the sending; the deadline does not add up.
The comment says so, and TestResultOutlivesProofOfAbsence checks it.
- shard.Owner.apply: the second block for quarantines could not run; the task is in the line of the first.
- sizing: 1.15 was both the margin of memory reservations and the bound above which processor use exceeds its reservation.
Two constants of the same value; no behaviour changed.
- capacity ignored its seed; it passes it to the network.
- inmem: a connection that lost data to a partition went on with a gap.

--- a/base/events/events_test.go
+++ b/base/events/events_test.go
@@ -4,7 +4,10 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -49,3 +52,9 @@
 	_, _ = fmt.Fprintln(r, `{"n":"new"}`)
 	assert.Equal(t, string((<-got)[0].Line), `{"n":"new"}`)
 }
+
+// A process that runs out of file descriptors was reported as one whose address is in use.
+func TestListenErrorNamesTheCause(t *testing.T) {
+	assert.Equal(t, ListenError(&net.OpError{Err: os.NewSyscallError("bind", syscall.EADDRINUSE)}).Number, AddressUnavailable.Number)
+	assert.Equal(t, ListenError(&net.OpError{Err: os.NewSyscallError("socket", syscall.EMFILE)}).Number, ListenFailed.Number)
+}
--- a/base/events/shard.go
+++ b/base/events/shard.go
@@ -12,5 +12,6 @@
 	ConfigAccepted      = define(305, "config_accepted", zerolog.InfoLevel, "A configuration generation was accepted.")
 	ConfigInForce       = define(306, "config_in_force", zerolog.InfoLevel, "A configuration generation is in force in this entry.")
 	ConfigApplied       = define(307, "config_applied", zerolog.InfoLevel, "An operator's change of plans or limits was accepted.")
+	ZoneChanged         = define(309, "zone_changed", zerolog.WarnLevel, "An operator has evacuated a zone or withdrawn its evacuation. by names the operator.")
 	ConfigRefused       = define(308, "config_refused", zerolog.WarnLevel, "An operator's change of plans or limits was rejected. Nothing was changed.")
 )
--- a/command/daemon/daemon.go
+++ b/command/daemon/daemon.go
@@ -162,7 +162,7 @@
 			kind = errkind.Conflict
 		}
 		err = errkind.Wrap(kind, err, "%s", field)
-		events.AddressUnavailable.Log(p.Log).Str("field", field).Str("address", addr).Err(err).Send()
+		events.ListenError(err).Log(p.Log).Str("field", field).Str("address", addr).Err(err).Send()
 		return nil, run.Reported(err)
 	}
 	var config = p.serverConfig(roles)
--- a/command/deployed/process.go
+++ b/command/deployed/process.go
@@ -197,14 +197,14 @@
 		}
 		time.Sleep(retryDelay)
 	}
-	events.AddressUnavailable.Log(p.log).Str("address", addr).Err(err).Send()
+	events.ListenError(err).Log(p.log).Str("address", addr).Err(err).Send()
 	return nil, errors.Wrapf(err, "listen on %s", addr)
 }
 
 // serveHTTP serves on l until the server is closed, and logs a failure.
 func (p *process) serveHTTP(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		events.AddressUnavailable.Log(p.log).Str("address", l.Addr().String()).Err(err).Send()
+		events.ServeFailed.Log(p.log).Str("address", l.Addr().String()).Err(err).Send()
 	}
 }
 
@@ -220,19 +220,29 @@
 }
 
 // signalContext returns a context that is cancelled on SIGTERM or SIGINT. On SIGHUP the settings are read
-// and checked, and the outcome is logged.
+// and checked; nothing of them can change while the process runs, so that differences are logged.
 func (p *process) signalContext() (context.Context, context.CancelFunc) {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	go func() {
 		for range hup {
-			if _, err := platform.LoadSettings(); err != nil {
-				events.ReloadFailed.Log(p.log).Err(err).Send()
-				continue
-			}
-			events.Reloaded.Log(p.log).Send()
+			p.checkSettings()
 		}
 	}()
 	return ctx, cancel
 }
+
+// checkSettings reads the settings file again and logs how it differs from the settings in use.
+func (p *process) checkSettings() {
+	s, err := platform.LoadSettings()
+	if err != nil {
+		events.ReloadFailed.Log(p.log).Err(err).Send()
+		return
+	}
+	if changed := p.settings.Differences(&s); len(changed) > 0 {
+		events.SettingsChanged.Log(p.log).Strs("fields", changed).Send()
+		return
+	}
+	events.Reloaded.Log(p.log).Bool("changed", false).Send()
+}
--- a/control/scheduler/sizing/sizing.go
+++ b/control/scheduler/sizing/sizing.go
@@ -13,10 +13,13 @@
 // Parameters of the estimates.
 const (
 	// memoryQuantile is the quantile of the learnt memory use that a reservation covers, and
-	// useMargin the factor on top of it: use of memory beyond the reservations ends tasks.
-	// Processor use exceeds a reservation when it is above it by useMargin.
+	// memoryMargin the factor on top of it: use of memory beyond the reservations ends tasks.
 	memoryQuantile = 0.99
-	useMargin      = 1.15
+	memoryMargin   = 1.15
+	// Use exceeds a reservation when it is above it by these factors. Memory cannot be shared;
+	// processors can be for a while.
+	memoryExcess = 1.02
+	cpuExcess    = 1.15
 	// Processors are shared when tasks use more than they reserved, so their quantile is lower. It
 	// and the margin rise with the tail weight, up to 0.48 and 5%.
 	cpuQuantileBase  = 0.38
@@ -169,7 +172,7 @@
 	}
 	learnt := need
 	learnt.CPU = withMargin(need.CPU, minEstimate(s.Estimate.Amount.CPU, s.Estimate.CPURatio, need.CPU), 1+cpuMarginRange*tailWeight)
-	learnt.Memory = withMargin(need.Memory, minEstimate(s.Estimate.Amount.Memory, s.Estimate.MemoryRatio, need.Memory), useMargin)
+	learnt.Memory = withMargin(need.Memory, minEstimate(s.Estimate.Amount.Memory, s.Estimate.MemoryRatio, need.Memory), memoryMargin)
 	if fits, known := t.FitsEmptyVM(tk.Record.Spec.Zone, learnt); known && !fits {
 		return need
 	}
@@ -196,10 +199,9 @@
 	return int64(math.Ceil(min(max(float64(use)*margin, low), high)))
 }
 
-// reservationExcess compares the use with the reservation. Memory cannot be shared, so it has a margin of
-// 2% only; processors can be shared for a while and have a larger one.
+// reservationExcess compares the use with the reservation.
 func reservationExcess(tk *tables.Task, use task.Resources, v *tables.VM) (ReservationExcess, bool) {
-	if float64(use.Memory) <= float64(tk.Reserved.Memory)*1.02 && float64(use.CPU) <= float64(tk.Reserved.CPU)*useMargin {
+	if float64(use.Memory) <= float64(tk.Reserved.Memory)*memoryExcess && float64(use.CPU) <= float64(tk.Reserved.CPU)*cpuExcess {
 		return ReservationExcess{}, false
 	}
 	need := tk.Reserved
--- a/control/shard/owner.go
+++ b/control/shard/owner.go
@@ -283,11 +283,7 @@
 // after the record is durable.
 func (o *Owner) apply(ctx context.Context, e scheduler.Decision) {
 	if e.Kind == scheduler.Quarantine {
-		events.VMQuarantined.Log(o.cfg.Log).Str("shard", o.cfg.Shard).Str("vm", e.VM).Send()
-		return
-	}
-	if e.Kind == scheduler.Quarantine {
-		events.VMQuarantined.Log(o.cfg.Log).Str("vm", e.VM).Str("task", e.Task).Send()
+		events.VMQuarantined.Log(o.cfg.Log).Str("shard", o.cfg.Shard).Str("vm", e.VM).Str("task", e.Task).Send()
 		return
 	}
 	tk, ok := o.tables.Tasks[e.Task]
@@ -314,7 +310,7 @@
 
 func (o *Owner) assign(ctx context.Context, tk *tables.Task, e scheduler.Decision) {
 	v, ok := o.tables.VMs[e.VM]
-	if !ok || !v.Connected || v.Draining || !v.Reserved.Add(e.Reservation).Fits(v.Capacity) {
+	if !ok || !v.Connected || v.Draining || v.Evacuated || !v.Reserved.Add(e.Reservation).Fits(v.Capacity) {
 		return
 	}
 	attempt := tk.Record.Attempt + 1
--- a/ingress/gate/gate.go
+++ b/ingress/gate/gate.go
@@ -15,9 +15,11 @@
 	// DrainGrace is how long a draining gate still admits requests, as some are in transit.
 	// Together with the propagation of the drain it stays below the bound of 2 s.
 	DrainGrace = time.Second
-	// Retention is how long results are retained. It is longer than the longest request
-	// deadline (30 s) and than the request age up to which an entry accepts a not-run
-	// response as proof (45 s).
+	// Retention is how long results are retained after the end of a request. It is longer than
+	// the request age up to which an entry accepts a not-run response as proof (45 s, counted
+	// from the sending), so that the result of a request that ran is never missing while its
+	// absence would count as proof. The request's deadline does not add to it: the time until
+	// its end passes for both.
 	Retention = time.Minute
 	// maxRetainedBytes bounds the total size of the retained response bodies. The oldest
 	// bodies are evicted first; their requests then resolve to an unknown outcome.
--- a/ingress/gate/gate_test.go
+++ b/ingress/gate/gate_test.go
@@ -144,3 +144,14 @@
 	assert.Equal(t, len(g.records), 1)
 	assert.Equal(t, g.retainedBytes, 0)
 }
+
+// A request that ran must not be taken for one that did not: its result has to be there as long as an
+// entry accepts the absence of a result as proof, which is 45 s after the sending, however soon it ended.
+func TestResultOutlivesProofOfAbsence(t *testing.T) {
+	const longestProof = 45 * time.Second
+	g := newOpenGate(t, 1)
+	assert.Equal(t, g.Admit(conn1, request(1), 0), errkind.None)
+	g.Finish(request(1).ID, &wire.Response{Outcome: wire.OutcomeAnswered}, 0)
+	resp, _ := g.Resolve(&wire.Resolve{ID: request(1).ID, Conn: conn1.Seq, Incarnation: g.incarnation}, longestProof)
+	assert.Equal(t, resp.Outcome, wire.OutcomeAnswered)
+}
--- a/verify/bench/capacity/capacity.go
+++ b/verify/bench/capacity/capacity.go
@@ -54,7 +54,7 @@
 	for _, n := range agentCounts {
 		var s sample
 		err := inmem.RunInVirtualTime(ctx, func(ctx context.Context) (err error) {
-			s, err = measureSize(ctx, n)
+			s, err = measureSize(ctx, n, seed)
 			return err
 		})
 		if err != nil {
@@ -66,9 +66,9 @@
 	return res, nil
 }
 
-func measureSize(ctx context.Context, agents int) (sample, error) {
+func measureSize(ctx context.Context, agents int, seed uint64) (sample, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	c := inmem.Start(ctx, inmem.Config{Entries: entries, Agents: agents, Zones: zones, ShardsPerZone: 2, AgentsPerRack: 12,
+	c := inmem.Start(ctx, inmem.Config{Seed: seed, Entries: entries, Agents: agents, Zones: zones, ShardsPerZone: 2, AgentsPerRack: 12,
 		Capacity: task.Resources{CPU: 32000, Memory: 125 << 10}, WorkerStep: 5 * time.Second})
 	defer c.Stop(cancel)
 	s := sample{agents: agents, tasks: agents * tasksPer100Agents / 100}
--- a/verify/bench/decide/load.go
+++ b/verify/bench/decide/load.go
@@ -100,7 +100,7 @@
 		}
 		doc.Plans = append(doc.Plans, plan.CustomerPlan{Customer: customer(i), Plan: name})
 	}
-	l.t.SetLimits(doc)
+	l.t.SetConfig(doc)
 }
 
 func customer(i int) string { return fmt.Sprintf("team-%03d", i) }
--- a/verify/bench/inmem/net.go
+++ b/verify/bench/inmem/net.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/chicorystand/chicorystand/base/errkind"
@@ -232,6 +233,8 @@
 	mu    sync.Mutex
 	queue []chunk
 	eof   bool
+	// lost is set once data was lost to a partition.
+	lost  bool
 	ready chan struct{}
 	// unackedSince is the time of the oldest write that the reader has not acknowledged, zero if there is none.
 	unackedSince time.Time
@@ -305,8 +308,8 @@
 	}
 }
 
-// Write implements net.Conn. Data sent across a partition is lost without an error,
-// and is not sent again after the partition heals.
+// Write implements net.Conn. Data sent across a partition is lost without an error. The first write
+// after the partition has healed resets the connection, since the stream would have a gap.
 func (c *conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	closed := c.closed
@@ -331,8 +334,14 @@
 		c.out.unackedSince = now
 	}
 	if c.net.isPartitioned(c.local, c.remote) {
+		c.out.lost = true
 		return len(b), nil
 	}
+	if c.out.lost {
+		c.out.eof = true
+		c.out.signal()
+		return 0, syscall.ECONNRESET
+	}
 	c.out.queue = append(c.out.queue, chunk{deliverAt: now.Add(c.net.jitteredDelay(c.out.delay)), data: append([]byte(nil), b...)})
 	c.out.signal()
 	return len(b), nil
--- a/verify/bench/policy/model.go
+++ b/verify/bench/policy/model.go
@@ -155,7 +155,7 @@
 	r := &run{dep: dep, classes: classes(dep), load: rand.New(rand.NewPCG(seed, 1)), noise: rand.New(rand.NewPCG(seed, 2)),
 		rng: rand.New(rand.NewPCG(seed, 3)), tables: tables.New(), sched: s, jobs: make(map[string]*job), now: time.Hour, nextArrival: time.Hour,
 		usesGuards: guards, latencies: hdrhistogram.New(100, 60_000_000, 3), startDelays: hdrhistogram.New(1, 7200_000, 3)}
-	r.tables.SetLimits(dep.Config)
+	r.tables.SetConfig(dep.Config)
 	for i := range dep.Workers.Count {
 		v := &tables.VM{ID: fmt.Sprintf("vm-%02d", i), Zone: dep.Zones[i%len(dep.Zones)], Rack: fmt.Sprintf("r%d", i/dep.Workers.PerRack),
 			Capacity: dep.Workers.Capacity, Service: dep.Service.Name, ServiceReserved: dep.Service.Reserved, Connected: true, Load: meanLoad}
