chicoryctl zone: evacuate and restore availability zones on the product's own interface

Cause: operators have zones nowhere on the product's own interface.

Ruled out: a row for each zone as on the platform (it would need its own proof that it is in force everywhere and never reverts); draining each VM of the zone (VMs that join would get work).

Change: the zones under evacuation are a third list of the configuration document, so that they are in force in all entries within 3 s, never revert, and appear in the history with the operator's name. Operators change them with /v1/zones; a change of plans or limits keeps them. No task is placed in such a zone, a start whose record was being committed is withdrawn, agents refuse starts, and no request is routed there. New tasks without a zone go to shards of other zones. Also: readyz reports a configuration that cannot be confirmed by its own message, which the order of its cases made unreachable.

--- a/base/metrics/metrics.go
+++ b/base/metrics/metrics.go
@@ -33,6 +33,8 @@
 	Tasks *prometheus.GaugeVec
 	// ConfigGeneration is the configuration generation in force.
 	ConfigGeneration prometheus.Gauge
+	// EvacuatedZones is the number of availability zones under evacuation.
+	EvacuatedZones prometheus.Gauge
 	// ConfigAge is the time since the configuration was last confirmed by the store, in seconds.
 	ConfigAge prometheus.GaugeFunc
 	// LeaseAge is the time since the last successful renewal of a shard lease, in seconds.
@@ -58,6 +60,7 @@
 		Reserved:         gauge("chicory_vm_reserved", "Reservations on the VMs of this entry's shards, in the unit of chicory_vm_capacity.", "resource"),
 		Used:             gauge("chicory_vm_used", "Measured use on the VMs of this entry's shards, in the unit of chicory_vm_capacity.", "resource"),
 		Tasks:            gauge("chicory_tasks", "Tasks of this entry's shards by state.", "state"),
+		EvacuatedZones:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "chicory_evacuated_zones", Help: "Number of availability zones under evacuation."}),
 		ConfigGeneration: prometheus.NewGauge(prometheus.GaugeOpts{Name: "chicory_config_generation", Help: "Configuration generation in force."}),
 		Duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "chicory_request_duration_seconds", Help: "Time from the arrival of a request to its final response.",
@@ -68,7 +71,7 @@
 	m.ConfigAge = m.configReadAt.gauge("chicory_config_age_seconds", "Time since the table service last confirmed the configuration; -1 before the first.")
 	m.LeaseAge = m.leaseRenewedAt.gauge("chicory_lease_age_seconds", "Time since the last successful write of a shard lease; -1 before the first.")
 	m.Registry.MustRegister(m.Requests, m.Duration, m.Errors, m.Refusals, m.Retries, m.Evictions, m.APIErrors, m.Capacity, m.Reserved, m.Used,
-		m.Tasks, m.ConfigGeneration, m.ConfigAge, m.LeaseAge, m.Connections.Refused, m.Store.Latency, m.Store.Errors)
+		m.Tasks, m.ConfigGeneration, m.EvacuatedZones, m.ConfigAge, m.LeaseAge, m.Connections.Refused, m.Store.Latency, m.Store.Errors)
 	for _, k := range errkind.All() {
 		m.Refusals.WithLabelValues(k.String())
 		m.Retries.WithLabelValues(k.String())
--- a/command/chicoryctl/ctl_test.go
+++ b/command/chicoryctl/ctl_test.go
@@ -215,7 +215,7 @@
 
 // Guards against a misspelt verb that prints help and exits with 0, so that a script takes it for a success.
 func TestUnknownVerbIsAUsageError(t *testing.T) {
-	for _, noun := range []string{"plan", "limit", "upstream", "task", "explain"} {
+	for _, noun := range []string{"plan", "limit", "upstream", "zone", "task", "explain"} {
 		out, code := ctl(t, "", "", noun, "frobnicate")
 		assert.Equal(t, code, errkind.InvalidArgument.Attributes().ExitCode, "%s: %s", noun, out)
 		assert.Assert(t, strings.Contains(out, `"frobnicate"`), "%s: %s", noun, out)
--- a/command/chicoryctl/root.go
+++ b/command/chicoryctl/root.go
@@ -13,15 +13,15 @@
 	o := &options{}
 	root := &cobra.Command{
 		Use:   "chicoryctl",
-		Short: "Operate chicorystand: plans, limits, upstreams and tasks",
-		Long: "Operate chicorystand: plans, limits, upstreams and tasks.\n\nThe server's address comes from --server, the environment variable " +
+		Short: "Operate chicorystand: plans, limits, upstreams, zones and tasks",
+		Long: "Operate chicorystand: plans, limits, upstreams, zones and tasks.\n\nThe server's address comes from --server, the environment variable " +
 			envPrefix + "SERVER, or the file of --config (default $XDG_CONFIG_HOME/chicoryctl.yaml), in this order.\n" +
 			"Each error kind has its own exit code; docs/errors.md lists them.",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
 	o.addFlags(root)
-	root.AddCommand(newList(o, planList), newList(o, limitList), newUpstream(o), newTask(o), newExplain(o), newStatus(o), newEvents(o))
+	root.AddCommand(newList(o, planList), newList(o, limitList), newUpstream(o), newZone(o), newTask(o), newExplain(o), newStatus(o), newEvents(o))
 	return root
 }
 
--- a/control/confsync/confsync.go
+++ b/control/confsync/confsync.go
@@ -123,5 +123,5 @@
 }
 
 func sameContent(a, b plan.Document) bool {
-	return slices.Equal(a.Plans, b.Plans) && slices.Equal(a.Limits, b.Limits)
+	return slices.Equal(a.Plans, b.Plans) && slices.Equal(a.Limits, b.Limits) && slices.Equal(a.EvacuatedZones, b.EvacuatedZones)
 }
--- a/control/plan/diff.go
+++ b/control/plan/diff.go
@@ -7,12 +7,14 @@
 )
 
 // Diff describes the changes from one document to another, one line for each
-// customer and plan: "+" added, "-" removed, "~" changed.
+// customer, plan and evacuated zone: "+" added, "-" removed, "~" changed.
 func Diff(from, to Document) []string {
 	plans := diffLists(from.Plans, to.Plans, "customer", func(p CustomerPlan) string { return p.Customer },
 		func(p CustomerPlan) string { return "plan " + p.Plan })
 	limits := diffLists(from.Limits, to.Limits, "plan", func(l Limit) string { return l.Plan }, describe)
-	return append(plans, limits...)
+	zones := diffLists(from.EvacuatedZones, to.EvacuatedZones, "zone", func(z string) string { return z },
+		func(string) string { return "under evacuation" })
+	return slices.Concat(plans, limits, zones)
 }
 
 func describe(l Limit) string {
@@ -49,11 +51,11 @@
 
 // SameLists reports whether both documents hold the same lists, regardless of order.
 func SameLists(a, b Document) bool {
-	return len(a.Plans) == len(b.Plans) && len(a.Limits) == len(b.Limits) && len(Diff(a, b)) == 0
+	return len(a.Plans) == len(b.Plans) && len(a.Limits) == len(b.Limits) && len(a.EvacuatedZones) == len(b.EvacuatedZones) && len(Diff(a, b)) == 0
 }
 
 // Clone returns a copy that shares no memory with d.
 func (d Document) Clone() Document {
-	d.Plans, d.Limits = slices.Clone(d.Plans), slices.Clone(d.Limits)
+	d.Plans, d.Limits, d.EvacuatedZones = slices.Clone(d.Plans), slices.Clone(d.Limits), slices.Clone(d.EvacuatedZones)
 	return d
 }
--- a/control/plan/plan.go
+++ b/control/plan/plan.go
@@ -1,10 +1,12 @@
 // Package plan defines the configuration document that operators maintain: the plan of each
-// customer and the limits of each plan. Both lists share one generation.
+// customer, the limits of each plan, and the availability zones under evacuation. They share one
+// generation.
 package plan
 
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 
 	"github.com/chicorystand/chicorystand/base/errkind"
@@ -16,6 +18,7 @@
 	MaxCustomers = 10_000
 	MaxPlans     = 100
 	MaxPriority  = 9
+	MaxZones     = 100
 )
 
 // CustomerPlan assigns a customer to a plan.
@@ -40,12 +43,28 @@
 	ShareWeight float64 `yaml:"share_weight" json:"share_weight" msgpack:"sw"`
 }
 
-// Document holds both lists and their generation.
+// Document holds the lists and their generation.
 type Document struct {
 	// Generation is 0 before the first accepted change and increases by 1 with each change.
 	Generation uint64         `yaml:"generation" json:"generation" msgpack:"g"`
 	Plans      []CustomerPlan `yaml:"plans" json:"plans" msgpack:"pl"`
 	Limits     []Limit        `yaml:"limits" json:"limits" msgpack:"li"`
+	// EvacuatedZones are the availability zones in which nothing new may start, in order.
+	EvacuatedZones []string `yaml:"evacuated_zones" json:"evacuated_zones,omitempty" msgpack:"ez,omitempty"`
+}
+
+// Evacuated reports whether the zone is under evacuation.
+func (d Document) Evacuated(zone string) bool { return slices.Contains(d.EvacuatedZones, zone) }
+
+// WithZone returns a copy in which the zone is under evacuation or not.
+func (d Document) WithZone(zone string, evacuated bool) Document {
+	d = d.Clone()
+	d.EvacuatedZones = slices.DeleteFunc(d.EvacuatedZones, func(z string) bool { return z == zone })
+	if evacuated {
+		d.EvacuatedZones = append(d.EvacuatedZones, zone)
+		slices.Sort(d.EvacuatedZones)
+	}
+	return d
 }
 
 // Parse decodes a YAML document, rejecting unknown fields and duplicate keys, and validates it.
@@ -73,6 +92,7 @@
 	}
 	limits := d.validateLimits(report)
 	d.validatePlans(limits, report)
+	d.validateZones(report)
 	if len(problems) > 0 {
 		return errkind.New(errkind.InvalidArgument, "%s", strings.Join(problems, "; "))
 	}
@@ -119,6 +139,20 @@
 	}
 }
 
+func (d Document) validateZones(report func(string, ...any)) {
+	if len(d.EvacuatedZones) > MaxZones {
+		report("evacuated_zones: %d entries, at most %d", len(d.EvacuatedZones), MaxZones)
+	}
+	for i, z := range d.EvacuatedZones {
+		if z == "" {
+			report("evacuated_zones[%d]: must not be empty", i)
+		}
+		if slices.Contains(d.EvacuatedZones[:i], z) {
+			report("evacuated_zones[%d]: duplicate name %q", i, z)
+		}
+	}
+}
+
 // LimitOf returns the limit of the customer's plan and whether the customer is listed.
 func (d Document) LimitOf(customer string) (Limit, bool) {
 	for _, p := range d.Plans {
--- a/control/scheduler/feasibility/feasibility.go
+++ b/control/scheduler/feasibility/feasibility.go
@@ -55,6 +55,8 @@
 		return tables.NoVM
 	case v.Draining:
 		return tables.VMDraining
+	case v.Evacuated:
+		return tables.ZoneEvacuated
 	case now < v.Health.NotBefore || v.Health.ProbeTask != "":
 		return tables.Quarantined
 	case v.HeldFor != "" && v.HeldFor != spec.ID:
--- a/control/scheduler/finder.go
+++ b/control/scheduler/finder.go
@@ -90,7 +90,7 @@
 // reason returns the refusal to report: that of the VMs that came closest to being feasible.
 func (f *vmSearch) reason() tables.Reason {
 	for _, r := range []tables.Reason{tables.RackLimit, tables.InterferenceLimit, tables.VMHeld, tables.Quarantined, tables.InsufficientMemory,
-		tables.InsufficientCPU, tables.InsufficientAccelerators, tables.VMDraining, tables.NoVM, tables.ZoneMismatch} {
+		tables.InsufficientCPU, tables.InsufficientAccelerators, tables.VMDraining, tables.ZoneEvacuated, tables.NoVM, tables.ZoneMismatch} {
 		if f.refusals[r] > 0 {
 			return r
 		}
--- a/control/scheduler/naive/naive.go
+++ b/control/scheduler/naive/naive.go
@@ -101,7 +101,7 @@
 		return scheduler.Decision{Kind: scheduler.Reject, Task: spec.ID, Reason: kind, Detail: detail}, true
 	}
 	for _, v := range vms {
-		if !v.Connected || v.Draining || (spec.Zone != "" && spec.Zone != v.Zone) || !need.Fits(v.Free().Sub(planned[v.ID])) {
+		if !v.Connected || v.Draining || v.Evacuated || (spec.Zone != "" && spec.Zone != v.Zone) || !need.Fits(v.Free().Sub(planned[v.ID])) {
 			continue
 		}
 		planned[v.ID] = planned[v.ID].Add(need)
--- a/control/scheduler/tables/index.go
+++ b/control/scheduler/tables/index.go
@@ -219,7 +219,7 @@
 func (t *Tables) addToTotals(v *VM) {
 	c := contribution{shape: vmShape{v.Zone, v.Capacity.Sub(v.ServiceReserved)}, rack: v.Rack, reserved: v.Reserved}
 	t.vmsByShape[c.shape]++
-	if v.Connected && !v.Draining {
+	if v.Connected && !v.Draining && !v.Evacuated {
 		c.capacity = v.Capacity
 	}
 	t.vmsByRack[v.Rack]++
--- a/control/scheduler/tables/reason.go
+++ b/control/scheduler/tables/reason.go
@@ -20,6 +20,7 @@
 	VMHeld
 	InterferenceLimit
 	NotSearched
+	ZoneEvacuated
 	NumReasons
 )
 
@@ -40,6 +41,7 @@
 	VMHeld:                   {"held", errkind.CapacityExceeded},
 	InterferenceLimit:        {"interference", errkind.CapacityExceeded},
 	NotSearched:              {"not_tried", errkind.QueueFull},
+	ZoneEvacuated:            {"evacuated", errkind.Draining},
 }
 
 // String returns the stable identifier of the reason.
--- a/control/scheduler/tables/tables.go
+++ b/control/scheduler/tables/tables.go
@@ -3,6 +3,7 @@
 package tables
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -31,6 +32,8 @@
 	// LoadTrend is the smoothed change of Load per second.
 	LoadTrend float64
 	Draining  bool
+	// Evacuated is set while the VM's availability zone is under evacuation.
+	Evacuated bool
 	// ConfigGen is the configuration generation reported by the agent.
 	ConfigGen uint64
 	// Connected is false from the loss of the control connection until the agent announces itself again.
@@ -123,6 +126,8 @@
 	VMs       map[string]*VM
 	Tasks     map[string]*Task
 	Customers map[string]*Customer
+	// evacuatedZones are the availability zones under evacuation.
+	evacuatedZones []string
 	// Pending holds the ids of tasks in state pending.
 	Pending map[string]struct{}
 	// Slowdowns holds the learnt slowdown of services by job class, and their baselines.
@@ -197,6 +202,7 @@
 	v.Tasks = make(map[string]struct{})
 	v.batchCPU = nil
 	v.Reserved = v.ServiceReserved
+	v.Evacuated = slices.Contains(t.evacuatedZones, v.Zone)
 	t.VMs[v.ID] = v
 	for id, tk := range t.Tasks {
 		if tk.Record.VM == v.ID && OccupiesVM(tk.Record.State) {
@@ -248,8 +254,15 @@
 	return c
 }
 
-// SetLimits applies the limits of a configuration document.
-func (t *Tables) SetLimits(doc plan.Document) {
+// SetConfig applies a configuration document: the customers' limits and the zones under evacuation.
+func (t *Tables) SetConfig(doc plan.Document) {
+	t.evacuatedZones = doc.EvacuatedZones
+	for _, v := range t.VMs {
+		if evacuated := slices.Contains(t.evacuatedZones, v.Zone); evacuated != v.Evacuated {
+			v.Evacuated = evacuated
+			t.Reindex(v)
+		}
+	}
 	limits := make(map[string]plan.Limit, len(doc.Limits))
 	for _, l := range doc.Limits {
 		limits[l.Plan] = l
--- a/control/shard/agents.go
+++ b/control/shard/agents.go
@@ -179,7 +179,7 @@
 		return
 	}
 	o.configDoc = doc
-	o.tables.SetLimits(doc)
+	o.tables.SetConfig(doc)
 	for vm := range o.agents {
 		o.pushConfig(ctx, vm)
 	}
@@ -192,7 +192,7 @@
 	if !ok || o.configDoc.Generation == 0 {
 		return
 	}
-	msg := &wire.ConfigPush{Generation: o.configDoc.Generation, Limits: o.configDoc.Limits}
+	msg := &wire.ConfigPush{Generation: o.configDoc.Generation, Limits: o.configDoc.Limits, EvacuatedZones: o.configDoc.EvacuatedZones}
 	go func() {
 		for ctx.Err() == nil && o.pushOnce(ctx, vm, l, msg) {
 			sleep(ctx, configPushRetry)
@@ -242,6 +242,12 @@
 	if tk.Record.State != task.Assigned || o.lost || !o.cfg.Valid() {
 		return
 	}
+	if v, ok := o.tables.VMs[tk.Record.VM]; ok && v.Evacuated {
+		// The zone was evacuated while the record was being committed. No order was sent.
+		events.TaskWithdrawn.Log(o.cfg.Log).Str("task", tk.Record.Spec.ID).Str("vm", v.ID).Str("zone", v.Zone).Send()
+		o.requeue(tk, nil)
+		return
+	}
 	if !ok {
 		// The agent is reconnecting. Its next announcement, or the expiry of the VM's grant, decides
 		// whether the attempt runs.
--- a/control/shard/status.go
+++ b/control/shard/status.go
@@ -120,7 +120,7 @@
 
 func vmStatus(v *tables.VM) wire.VMStatus {
 	return wire.VMStatus{VM: v.ID, Zone: v.Zone, Rack: v.Rack, Service: v.Service, Capacity: v.Capacity, Reserved: v.Reserved,
-		Load: v.Load, Tail: v.Tail, Tasks: len(v.Tasks), Connected: v.Connected, Draining: v.Draining, ConfigGen: v.ConfigGen}
+		Load: v.Load, Tail: v.Tail, Tasks: len(v.Tasks), Connected: v.Connected, Draining: v.Draining, ConfigGen: v.ConfigGen, Evacuated: v.Evacuated}
 }
 
 // configConfirmed records the configuration generation acknowledged by a VM's agent.
--- a/ingress/entry/api_config.go
+++ b/ingress/entry/api_config.go
@@ -60,6 +60,10 @@
 		writeError(w, err)
 		return
 	}
+	if doc, err = e.keepZones(r.Context(), doc); err != nil {
+		writeError(w, err)
+		return
+	}
 	before := e.config()
 	accepted, err := e.applyConfig(r.Context(), doc)
 	if errkind.Of(err) == errkind.Conflict && alreadyAccepted(doc, e.config()) {
--- a/ingress/entry/api_tasks.go
+++ b/ingress/entry/api_tasks.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"regexp"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -29,23 +30,39 @@
 	shardPageSize = 500
 )
 
-// shardOfTask returns the shard that queues a task: one of the shards of the
-// requested zone, or of all zones, chosen by the hash of the task id.
+// shardOfTask returns the shard that queues a task: one of the shards of the requested zone, or of
+// all zones that are not under evacuation, chosen by the hash of the task id. A submission that is
+// repeated after a change of the zones may reach another shard, which finds that the task exists.
 func (e *Entry) shardOfTask(s task.Spec) (string, error) {
 	all := e.manager.Shards()
 	sort.Strings(all)
 	var eligible []string
+	evacuated := e.config().EvacuatedZones
 	for _, id := range all {
-		if s.Zone == "" || strings.HasPrefix(id, s.Zone+"-") {
+		switch {
+		case s.Zone != "" && zoneOfShard(id) != s.Zone:
+		case s.Zone == "" && slices.Contains(evacuated, zoneOfShard(id)):
+		default:
 			eligible = append(eligible, id)
 		}
 	}
+	if len(eligible) == 0 && s.Zone == "" {
+		eligible = all // The task waits until a zone is restored.
+	}
 	if len(eligible) == 0 {
 		return "", errkind.New(errkind.NotReady, "no shard serves zone %q", s.Zone)
 	}
 	return eligible[xxhash.Sum64String(s.ID)%uint64(len(eligible))], nil
 }
 
+// zoneOfShard returns the zone of a shard's VMs. Shards are named by zone and number.
+func zoneOfShard(id string) string {
+	if i := strings.LastIndexByte(id, '-'); i >= 0 {
+		return id[:i]
+	}
+	return id
+}
+
 // ownerPollInterval is the interval between attempts to reach the owner of a shard during a takeover.
 const ownerPollInterval = 50 * time.Millisecond
 
--- a/ingress/entry/config.go
+++ b/ingress/entry/config.go
@@ -66,7 +66,8 @@
 	}
 	doc := *c.InForce
 	e.cfg.Recorder.Record(history.Event{Kind: history.ConfigInForce, Process: e.cfg.ID, Generation: doc.Generation})
-	events.ConfigInForce.Log(e.cfg.Log).Uint64("generation", doc.Generation).Send()
+	events.ConfigInForce.Log(e.cfg.Log).Uint64("generation", doc.Generation).Strs("evacuated_zones", doc.EvacuatedZones).Send()
+	e.table.SetEvacuated(doc.EvacuatedZones)
 	for _, o := range e.manager.Owners() {
 		go func() { _ = o.Do(ctx, func() { o.SetConfig(ctx, doc) }) }()
 	}
--- a/ingress/entry/http.go
+++ b/ingress/entry/http.go
@@ -62,6 +62,9 @@
 	mux.HandleFunc("GET /v1/upstreams", e.authorize(readRoles, e.listUpstreams))
 	mux.HandleFunc("GET /v1/upstreams/{vm}", e.authorize(readRoles, e.getUpstream))
 	mux.HandleFunc("POST /v1/upstreams/{vm}/drain", e.authorize(operateRoles, e.drainUpstream))
+	mux.HandleFunc("GET /v1/zones", e.authorize(readRoles, e.listZones))
+	mux.HandleFunc("POST /v1/zones/{zone}/evacuate", e.authorize(operateRoles, e.changeZone(true)))
+	mux.HandleFunc("POST /v1/zones/{zone}/restore", e.authorize(operateRoles, e.changeZone(false)))
 	mux.HandleFunc("GET /v1/status", e.authorize(readRoles, e.getStatus))
 	mux.HandleFunc("GET /v1/events", e.authorize(readRoles, e.getEvents))
 	mux.HandleFunc("GET /livez", livez)
@@ -107,12 +110,12 @@
 	ready := e.ready
 	e.mu.Unlock()
 	switch {
-	case !ready || e.follower.Admit() != nil:
-		writeError(w, errkind.New(errkind.NotReady, "entry %s is starting or shutting down, or its configuration is not confirmed", e.cfg.ID))
-	case e.config().Generation == 0:
-		writeError(w, errkind.New(errkind.NotReady, "no configuration is in force; an operator must apply plans and limits"))
+	case !ready:
+		writeError(w, errkind.New(errkind.NotReady, "entry %s is starting or shutting down", e.cfg.ID))
 	case e.follower.Admit() != nil:
 		writeError(w, errkind.New(errkind.NotReady, "the configuration in force cannot be confirmed"))
+	case e.config().Generation == 0:
+		writeError(w, errkind.New(errkind.NotReady, "no configuration is in force; an operator must apply plans and limits"))
 	default:
 		_, _ = io.WriteString(w, "ok\n")
 	}
--- a/ingress/entry/operator.go
+++ b/ingress/entry/operator.go
@@ -85,7 +85,9 @@
 // refreshGauges updates the gauges that are sums over the shards owned by this entry.
 func (e *Entry) refreshGauges(ctx context.Context) {
 	m := e.metrics
-	m.ConfigGeneration.Set(float64(e.config().Generation))
+	doc := e.config()
+	m.ConfigGeneration.Set(float64(doc.Generation))
+	m.EvacuatedZones.Set(float64(len(doc.EvacuatedZones)))
 	var capacity, reserved, used [3]int64
 	states := make(map[string]int)
 	for _, o := range e.manager.Owners() {
--- a/ingress/entry/status_page.go
+++ b/ingress/entry/status_page.go
@@ -24,6 +24,7 @@
 <style>body{font:14px sans-serif;margin:1.5em}table{border-collapse:collapse;margin-bottom:1.5em}td,th{border:1px solid #bbb;padding:2px 8px;text-align:left}</style></head><body>
 <h1>chicorystand, entry {{.Entry}}</h1>
 {{range .Status.Missing}}<p><strong>No answer from {{.}}.</strong></p>{{end}}
+{{range .Config.EvacuatedZones}}<p><strong>Zone {{.}} is under evacuation: nothing new starts there.</strong></p>{{end}}
 <h2>Entries</h2><table><tr><th>entry</th><th>zone</th><th>ready</th><th>configuration</th><th>lags</th><th>store</th></tr>
 {{range .Status.Entries}}<tr><td>{{.Entry}}</td><td>{{.Zone}}</td><td>{{.Ready}}</td><td>{{.ConfigGen}}</td><td>{{if lt .ConfigGen $.Status.Generation}}yes{{else}}no{{end}}</td><td>{{if .StoreReachable}}answers{{else}}does not answer{{end}}</td></tr>
 {{end}}</table>
@@ -34,7 +35,7 @@
 {{range $s := .Status.Shards}}{{range .VMs}}<tr><td>{{$s.Shard}}</td><td>{{$s.Owner}}</td><td>{{.VM}}</td><td>{{.Rack}}</td><td>{{.Service}}</td><td>{{.Tasks}}</td>
 <td>{{template "bar" width .Reserved.CPU .Capacity.CPU}} {{.Reserved.CPU}} of {{.Capacity.CPU}}</td><td>{{template "bar" width .Reserved.Memory .Capacity.Memory}} {{.Reserved.Memory}} of {{.Capacity.Memory}} MiB</td>
 <td>{{template "bar" width (permille .Load) 1000}}</td><td>{{printf "%.2f" .Tail}}</td><td>{{.ConfigGen}}</td>
-<td>{{if not .Connected}}not connected {{end}}{{if .Draining}}draining {{end}}{{if .Quarantined}}quarantined{{end}}</td></tr>
+<td>{{if not .Connected}}not connected {{end}}{{if .Draining}}draining {{end}}{{if .Evacuated}}zone evacuated {{end}}{{if .Quarantined}}quarantined{{end}}</td></tr>
 {{end}}{{end}}</table>
 <h2>Queues</h2><table><tr><th>shard</th><th>customer</th><th>tasks by state</th><th>processors in use</th><th>memory in use</th></tr>
 {{range $s := .Status.Shards}}{{range .Queues}}<tr><td>{{$s.Shard}}</td><td>{{.Customer}}</td><td>{{range $state, $n := .States}}{{$state}} {{$n}} {{end}}</td><td>{{.Used.CPU}}</td><td>{{.Used.Memory}} MiB</td></tr>
--- a/ingress/route/route_test.go
+++ b/ingress/route/route_test.go
@@ -399,3 +399,21 @@
 	d := h.Delay()
 	assert.Assert(t, d > 85*time.Millisecond && d < 105*time.Millisecond, "delay %v", d)
 }
+
+// Upstreams of an evacuated zone get no requests, also when no other zone serves them.
+func TestEvacuatedZoneGetsNoRequests(t *testing.T) {
+	table := route.NewTable("z1", 1)
+	table.Apply(members(1, 1, upstream("a", "z1", 2), upstream("b", "z2", 2)))
+	table.SetEvacuated([]string{"z1"})
+	for range 4 {
+		if u, _, v := table.Pick("s", skipNone); v == route.Picked {
+			assert.Equal(t, u.VM, "b")
+		}
+	}
+	table.SetEvacuated([]string{"z1", "z2"})
+	_, _, v := table.Pick("s", skipNone)
+	assert.Equal(t, v, route.NoUpstream)
+	table.SetEvacuated(nil)
+	_, _, v = table.Pick("s", skipNone)
+	assert.Equal(t, v, route.Picked)
+}
--- a/ingress/route/table.go
+++ b/ingress/route/table.go
@@ -3,6 +3,7 @@
 package route
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,8 @@
 	shards    map[string]shardMembers
 	byService map[string][]wire.Upstream
 	draining  map[Key]time.Time
+	// evacuated are the zones under evacuation.
+	evacuated []string
 }
 
 // shardMembers is the membership list of a shard. previous is the list of the previous
@@ -159,13 +162,24 @@
 	}
 }
 
-// Draining reports whether u is draining according to the membership list or its own report.
+// SetEvacuated sets the zones under evacuation, whose upstreams get no requests.
+func (t *Table) SetEvacuated(zones []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.evacuated = zones
+}
+
+// Draining reports whether u gets no new requests: it is draining according to the membership list
+// or its own report, or its zone is under evacuation.
 func (t *Table) Draining(u *wire.Upstream) bool {
 	if u.Draining {
 		return true
 	}
 	t.mu.RLock()
 	defer t.mu.RUnlock()
+	if slices.Contains(t.evacuated, u.Zone) {
+		return true
+	}
 	if len(t.draining) == 0 {
 		return false
 	}
--- a/vm/agent/agent.go
+++ b/vm/agent/agent.go
@@ -81,6 +81,9 @@
 
 	// configMu keeps the recorded configuration generations in order.
 	configMu sync.Mutex
+	// evacuatedZones are the zones under evacuation as of zonesGeneration; configMu guards both.
+	evacuatedZones  []string
+	zonesGeneration uint64
 
 	mu sync.Mutex
 	// ctx is the context of Run; it is cancelled when the process stops.
--- a/vm/agent/tasks.go
+++ b/vm/agent/tasks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/chicorystand/chicorystand/base/errkind"
@@ -30,7 +31,7 @@
 	case *wire.ResizeTask:
 		reply(ackOrError(a.resizeTask(msg)))
 	case *wire.ConfigPush:
-		a.applyConfigGeneration(msg.Generation)
+		a.applyConfig(msg)
 		reply(&wire.Ack{})
 	default:
 		a.handleData(ctx, m, reply)
@@ -46,6 +47,23 @@
 	a.cfg.Recorder.Record(history.Event{Kind: history.ConfigInForce, Process: a.cfg.VM, Generation: a.gate.MinGeneration()})
 }
 
+// applyConfig puts a configuration that the owner has pushed into force.
+func (a *Agent) applyConfig(m *wire.ConfigPush) {
+	a.configMu.Lock()
+	if m.Generation >= a.zonesGeneration {
+		a.zonesGeneration, a.evacuatedZones = m.Generation, m.EvacuatedZones
+	}
+	a.configMu.Unlock()
+	a.applyConfigGeneration(m.Generation)
+}
+
+// evacuated reports whether the VM's zone is under evacuation.
+func (a *Agent) evacuated() bool {
+	a.configMu.Lock()
+	defer a.configMu.Unlock()
+	return slices.Contains(a.evacuatedZones, a.cfg.Zone)
+}
+
 func ackOrError(err error) wire.Message {
 	if err != nil {
 		return wire.ErrorReply(err)
@@ -64,6 +82,9 @@
 	if a.gate.Draining() {
 		return errkind.New(errkind.Draining, "VM %s is draining", a.cfg.VM)
 	}
+	if a.evacuated() {
+		return errkind.New(errkind.Draining, "zone %s is under evacuation", a.cfg.Zone)
+	}
 	a.interference.set(m.JobClass, m.InterferencePPM)
 	if err := a.ledger.Admit(m.Epoch, ledger.Reservation{ID: m.ID, Attempt: m.Attempt, Reserved: m.Reserved}); err != nil {
 		return err
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -407,10 +407,11 @@
 	ConfigGen uint64
 }
 
-// ConfigPush sends a configuration generation and its limits to agents.
+// ConfigPush sends a configuration generation, its limits and the zones under evacuation to agents.
 type ConfigPush struct {
-	Generation uint64
-	Limits     []plan.Limit
+	Generation     uint64
+	Limits         []plan.Limit
+	EvacuatedZones []string
 }
 
 // Submit forwards task submissions to the shard owner.
--- a/wire/operator.go
+++ b/wire/operator.go
@@ -92,6 +92,8 @@
 	Draining    bool           `json:"draining"`
 	Quarantined bool           `json:"quarantined"`
 	ConfigGen   uint64         `json:"config_generation"`
+	// Evacuated is set while the VM's zone is under evacuation.
+	Evacuated bool `json:"evacuated"`
 }
 
 // QueueStatus counts the tasks of a customer by state.
