--- a/command/chicorybench/root.go
+++ b/command/chicorybench/root.go
@@ -29,6 +29,7 @@
 	newSoak,
 	newStore,
 	newWorth,
+	newCompare,
 }
 
 // New returns the root command.
