gateway: entries that the store turns away write through the owner

Ruled out: retrying within the caller's time alone (stands, and stays; the outage lasts 9 s); staying ready for the platform's probe by the owner's word (the entry's manifest would be old).

Change: after a failed attempt, or at once while the store is known not to answer, the entry asks the owner to create the row. The row's absence is the condition, so that repetitions are one submission; a lost answer is an unknown outcome (504), and a rejection after one is none. The owner accepts rows of the work table only, at most 64 at a time. Cancellations go the same way. Entries beside an owner of an older build that does not know the message lose their connection to it for a moment.

--- a/base/metrics/deployment.go
+++ b/base/metrics/deployment.go
@@ -20,6 +20,8 @@
 	Duration *prometheus.HistogramVec
 	// Refusals counts rejected requests by error kind.
 	Refusals *prometheus.CounterVec
+	// Forwards counts the writes through the owner by error kind.
+	Forwards *prometheus.CounterVec
 	// Orders counts the replies of executors by order, outcome and reason.
 	Orders *prometheus.CounterVec
 	// Owning is 1 while this process is the owner of the work.
@@ -48,6 +50,7 @@
 		Registry:  prometheus.NewRegistry(),
 		Responses: counter("chicory_requester_answers_total", "Responses to requesters.", "method", "status"),
 		Refusals:  counter("chicory_refusals_total", "Rejected work by error kind.", "kind"),
+		Forwards:  counter("chicory_forwarded_writes_total", "Writes through the owner of the work, while the store did not serve this process, by error kind.", "kind"),
 		Orders:    counter("chicory_executor_orders_total", "Replies of executors to orders.", "order", "outcome", "reason"),
 		Duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "chicory_requester_duration_seconds", Help: "Time from the arrival of a request to its response.",
@@ -82,7 +85,7 @@
 		m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: c.name, Help: c.help},
 			func() float64 { return float64(c.value(s.OwnerCounters())) }))
 	}
-	m.Registry.MustRegister(m.Responses, m.Refusals, m.Orders, m.Duration, m.Owning, m.ManifestVersion, m.EvacuatedZones, m.OwnerSilence)
+	m.Registry.MustRegister(m.Responses, m.Refusals, m.Forwards, m.Orders, m.Duration, m.Owning, m.ManifestVersion, m.EvacuatedZones, m.OwnerSilence)
 	return m
 }
 
@@ -95,6 +98,11 @@
 	}
 }
 
+// ObserveForward records the outcome of a write through the owner.
+func (m *Deployment) ObserveForward(err error) {
+	m.Forwards.WithLabelValues(errkind.Of(err).String()).Inc()
+}
+
 // ObserveOrder records an executor's reply to an order.
 func (m *Deployment) ObserveOrder(order string, a executor.Answer) {
 	m.Orders.WithLabelValues(order, a.Outcome.String(), a.Reason.String()).Inc()
--- a/command/deployed/entry.go
+++ b/command/deployed/entry.go
@@ -70,7 +70,7 @@
 	m := metrics.NewDeployment(metrics.DeploymentSources{Owning: candidate.Owning, EvacuatedZones: func() int { return len(e.evacuations.Current()) }, ManifestVersion: e.manifestVersion, OwnerSilence: p.link.SinceLastMessage,
 		OwnerCounters: candidate.Counters})
 	g := gateway.New(gateway.Config{Store: p.store, Clock: p.clock, Log: p.log, Owner: p.link, Manifest: e.manifest.Current,
-		StoreLastResponse: e.follower.LastAnswer, Observe: m.ObserveResponse})
+		StoreLastResponse: e.follower.LastAnswer, Observe: m.ObserveResponse, ObserveForward: m.ObserveForward})
 	control, err := p.listen(ctx, self.Address)
 	if err != nil {
 		return err
--- a/control/coordinator/coordinator_test.go
+++ b/control/coordinator/coordinator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -22,6 +23,7 @@
 	"github.com/chicorystand/chicorystand/verify/standin"
 	"github.com/chicorystand/chicorystand/vm/executor"
 	"github.com/chicorystand/chicorystand/vm/vmagent"
+	"github.com/chicorystand/chicorystand/wire"
 )
 
 const testTimeout = 20 * time.Second
@@ -371,3 +373,30 @@
 	table.Compact()
 	eventually(t, "submission completed", func() bool { return completed(table, "00000000000000a4") })
 }
+
+// An entry must not be able to write anything but work through the owner, and writes of many entries
+// must not pile up in it while the store is slow.
+func TestForwardedWritesAreBounded(t *testing.T) {
+	table := newTable()
+	slow := &slowTable{Follower: table, commitDelay: 300 * time.Millisecond}
+	o := newOwner(Config{Store: slow, Clock: clock.Boottime{}, Log: zerolog.Nop()}, ownerRow{}, 0)
+	kindOf := func(m wire.Message) errkind.Kind {
+		if e, ok := m.(*wire.Error); ok {
+			return e.Kind
+		}
+		return errkind.None
+	}
+	assert.Equal(t, kindOf(o.createRow(&wire.CreateRow{Key: ownerKey})), errkind.InvalidArgument)
+	assert.Equal(t, kindOf(o.createRow(&wire.CreateRow{Key: dispatch.WorkKey("a")})), errkind.None)
+	assert.Equal(t, kindOf(o.createRow(&wire.CreateRow{Key: dispatch.WorkKey("a")})), errkind.Conflict)
+	kinds := make(chan errkind.Kind, 2*maxForwardedWrites)
+	for i := range 2 * maxForwardedWrites {
+		go func() { kinds <- kindOf(o.createRow(&wire.CreateRow{Key: dispatch.WorkKey("b" + strconv.Itoa(i))})) }()
+	}
+	counts := make(map[errkind.Kind]int)
+	for range 2 * maxForwardedWrites {
+		counts[<-kinds]++
+	}
+	assert.Equal(t, counts[errkind.None], maxForwardedWrites)
+	assert.Equal(t, counts[errkind.QueueFull], maxForwardedWrites)
+}
--- a/control/coordinator/owner.go
+++ b/control/coordinator/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,8 @@
 	queueCountInterval = 700 * time.Millisecond
 	// statusInterval is the time between two status lines in the log.
 	statusInterval = 2 * time.Second
+	// maxForwardedWrites bounds the writes in progress for entries that the store does not serve.
+	maxForwardedWrites = 64
 	// inboxSize bounds the events queued for the owner's loop.
 	inboxSize = 4096
 )
@@ -82,6 +85,9 @@
 	adviceInFlight bool
 	nextAdviceAt   time.Duration
 
+	// forwardedWrites holds a token for each write in progress for another entry.
+	forwardedWrites chan struct{}
+
 	counters *counters
 	// pendingBatch is the commit in progress, nil when there is none.
 	pendingBatch       *dispatch.Batch
@@ -102,7 +108,7 @@
 }
 
 func newOwner(cfg Config, row ownerRow, previousOwnerWindow time.Duration) *owner {
-	o := &owner{cfg: cfg, inbox: make(chan func(time.Duration), inboxSize), commitResults: make(chan commitResult, 1), cancelCommit: func() {}}
+	o := &owner{cfg: cfg, inbox: make(chan func(time.Duration), inboxSize), commitResults: make(chan commitResult, 1), forwardedWrites: make(chan struct{}, maxForwardedWrites), cancelCommit: func() {}}
 	unix := func(now time.Duration) int64 { return time.Now().Add(now - cfg.Clock.Now()).UnixMilli() }
 	bounds := cfg.Bounds
 	bounds.PreviousOwnerWindow = previousOwnerWindow
@@ -164,7 +170,28 @@
 			state, known := o.dispatcher.State(m.ID)
 			reply(&wire.StateReply{Known: known, State: uint8(state)})
 		})
+	case *wire.CreateRow:
+		go func() { reply(o.createRow(m)) }()
 	default:
 		reply(wire.ErrorReply(errkind.New(errkind.InvalidArgument, "unexpected message type %d", msg.Type())))
 	}
 }
+
+// createRow writes a row for an entry that the store does not serve. The write is independent of the
+// ownership, like those of the entries.
+func (o *owner) createRow(m *wire.CreateRow) wire.Message {
+	if !strings.HasPrefix(m.Key, dispatch.WorkTable+"/") {
+		return wire.ErrorReply(errkind.New(errkind.InvalidArgument, "row %s is not in the work table; nothing was written", m.Key))
+	}
+	select {
+	case o.forwardedWrites <- struct{}{}:
+	default:
+		return wire.ErrorReply(errkind.New(errkind.QueueFull, "%d forwarded writes are in progress; nothing was written", maxForwardedWrites))
+	}
+	defer func() { <-o.forwardedWrites }()
+	_, err := o.cfg.Store.Commit(context.Background(), store.Txn{Conds: []store.Cond{{Key: m.Key}}, Writes: []store.Write{{Key: m.Key, Value: m.Value}}})
+	if err != nil {
+		return wire.ErrorReply(err)
+	}
+	return &wire.Ack{}
+}
--- a/ingress/gateway/gateway.go
+++ b/ingress/gateway/gateway.go
@@ -28,6 +28,8 @@
 	writeRetryInterval = 50 * time.Millisecond
 	// writeBudget bounds the retries of a write, after which the requester is told to retry.
 	writeBudget = 700 * time.Millisecond
+	// forwardTimeout bounds a write through the owner.
+	forwardTimeout = 500 * time.Millisecond
 	// responseMargin is the time reserved before the requester's deadline to send the response.
 	responseMargin = 150 * time.Millisecond
 	// countsMaxAge is the maximum age of a queue count that is returned.
@@ -47,7 +49,9 @@
 	owner    *member.OwnerLink
 	manifest func() *manifest.Manifest
 	observe  func(method string, status int, took time.Duration, err error)
-	breaker  breaker
+	// observeForward records the outcome of a write through the owner.
+	observeForward func(err error)
+	breaker        breaker
 
 	mu          sync.Mutex
 	finalStates map[string]submission.State
@@ -64,11 +68,13 @@
 	StoreLastResponse func() time.Duration
 	// Observe records each response in the metrics.
 	Observe func(method string, status int, took time.Duration, err error)
+	// ObserveForward records the outcome of each write through the owner in the metrics.
+	ObserveForward func(err error)
 }
 
 // New returns a gateway.
 func New(c Config) *Gateway {
-	return &Gateway{store: c.Store, clock: c.Clock, log: c.Log, owner: c.Owner, manifest: c.Manifest, observe: c.Observe,
+	return &Gateway{store: c.Store, clock: c.Clock, log: c.Log, owner: c.Owner, manifest: c.Manifest, observe: c.Observe, observeForward: c.ObserveForward,
 		breaker: breaker{clock: c.Clock, lastResponse: c.StoreLastResponse}, finalStates: make(map[string]submission.State)}
 }
 
@@ -83,32 +89,27 @@
 	if err != nil {
 		return err
 	}
-	key := dispatch.WorkKey(s.ID)
-	err = g.write(ctx, store.Txn{Conds: []store.Cond{{Key: key}}, Writes: []store.Write{{Key: key, Value: value}}})
-	if errkind.Of(err) == errkind.Conflict {
-		return nil // The row exists: an earlier request with this id was accepted.
-	}
-	return err
+	return g.create(ctx, dispatch.WorkKey(s.ID), value)
 }
 
-// write commits an idempotent transaction, with retries.
-// It returns errkind.StoreUnavailable only when no attempt can have taken effect.
-func (g *Gateway) write(ctx context.Context, txn store.Txn) error {
-	if g.breaker.open() {
-		return errkind.New(errkind.StoreUnavailable, "the store does not respond; nothing was sent")
-	}
+// create creates a row, with retries. It succeeds too when the row exists: an earlier request with
+// the same id has created it. It returns errkind.StoreUnavailable only when no attempt can have taken
+// effect.
+func (g *Gateway) create(ctx context.Context, key string, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, g.budget(ctx))
 	defer cancel()
-	uncertain := false
+	uncertain, failing := false, g.breaker.open()
 	for {
-		startedAt := g.clock.Now()
-		_, err := g.store.Commit(ctx, txn)
-		failed := errkind.Of(err) == errkind.StoreAmbiguous || errkind.Of(err) == errkind.StoreUnavailable
-		g.breaker.record(failed, startedAt)
+		err := g.attempt(ctx, key, value)
 		switch errkind.Of(err) {
+		case errkind.None, errkind.Conflict:
+			return nil
 		case errkind.StoreAmbiguous:
 			uncertain = true
 		case errkind.StoreUnavailable:
+			if failing && !uncertain {
+				return err
+			}
 		default:
 			return err
 		}
@@ -126,6 +127,43 @@
 	}
 }
 
+// attempt writes the row once: to the store or, where the store does not answer or rejects this
+// process, through the owner, which the store may serve.
+func (g *Gateway) attempt(ctx context.Context, key string, value []byte) error {
+	err := errkind.New(errkind.StoreUnavailable, "the store does not respond; nothing was sent")
+	if !g.breaker.open() {
+		startedAt := g.clock.Now()
+		_, err = g.store.Commit(ctx, store.Txn{Conds: []store.Cond{{Key: key}}, Writes: []store.Write{{Key: key, Value: value}}})
+		failed := errkind.Of(err) == errkind.StoreAmbiguous || errkind.Of(err) == errkind.StoreUnavailable
+		g.breaker.record(failed, startedAt)
+		if !failed {
+			return err
+		}
+	}
+	forwarded := g.forward(ctx, key, value)
+	kind := errkind.Of(forwarded)
+	switch {
+	case kind == errkind.None || kind == errkind.Conflict:
+		return nil
+	case kind.Attributes().Execution != errkind.ExecutionNotRun:
+		return errkind.Wrap(errkind.StoreAmbiguous, forwarded, "write through the owner")
+	}
+	return err
+}
+
+// forward writes the row through the owner of the work.
+func (g *Gateway) forward(ctx context.Context, key string, value []byte) error {
+	p := g.owner.Peer()
+	if p == nil {
+		return errkind.New(errkind.NotReady, "no owner is connected; nothing was sent")
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	_, err := p.Call(ctx, &wire.CreateRow{Key: key, Value: value})
+	g.observeForward(err)
+	return err
+}
+
 // budget returns the time within which a write may be retried.
 func (g *Gateway) budget(ctx context.Context) time.Duration {
 	budget := writeBudget
@@ -215,17 +253,13 @@
 func (g *Gateway) Cancel(ctx context.Context, _ *manifest.Route, id string) error {
 	rows, err := g.store.Get(ctx, dispatch.WorkKey(id))
 	if err != nil {
-		return err
-	}
-	if len(rows) == 0 {
+		if _, known := g.queryOwner(ctx, id); !known {
+			return err
+		}
+	} else if len(rows) == 0 {
 		return errkind.New(errkind.NotFound, "no submission has the id %s", id)
 	}
-	key := dispatch.CancelKey(id)
-	err = g.write(ctx, store.Txn{Conds: []store.Cond{{Key: key}}, Writes: []store.Write{{Key: key}}})
-	if errkind.Of(err) == errkind.Conflict {
-		return nil // The row exists: an earlier request cancelled the submission.
-	}
-	return err
+	return g.create(ctx, dispatch.CancelKey(id), nil)
 }
 
 // Pending returns the count of pending submissions that the owner last sent.
--- a/ingress/gateway/gateway_test.go
+++ b/ingress/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/chicorystand/chicorystand/state/member"
 	"github.com/chicorystand/chicorystand/state/store"
 	"github.com/chicorystand/chicorystand/verify/standin"
+	"github.com/chicorystand/chicorystand/wire"
 )
 
 const testID = "00000000000000b1"
@@ -24,7 +26,7 @@
 	c := clock.Boottime{}
 	return New(Config{Store: table, Clock: c, Log: zerolog.Nop(), Owner: member.NewOwnerLink(c, zerolog.Nop()),
 		Manifest: func() *manifest.Manifest { return nil }, StoreLastResponse: lastResponse,
-		Observe: func(string, int, time.Duration, error) {}})
+		Observe: func(string, int, time.Duration, error) {}, ObserveForward: func(error) {}})
 }
 
 func noResponse() time.Duration { return 0 }
@@ -129,3 +131,95 @@
 	assert.NilError(t, g.Cancel(t.Context(), nil, testID))
 	assert.Equal(t, rowVersion(t, table, dispatch.CancelKey(testID)), written)
 }
+
+// connectOwner connects the gateway to an owner that answers writes with handle.
+func connectOwner(t *testing.T, g *Gateway, handle func(m *wire.CreateRow, reply wire.Reply)) {
+	t.Helper()
+	near, far := net.Pipe()
+	owner := wire.NewPeer(far, func(_ *wire.Peer, m wire.Message, reply wire.Reply) {
+		if row, ok := m.(*wire.CreateRow); ok {
+			handle(row, reply)
+		}
+	})
+	p := wire.NewPeer(near, g.owner.Handle)
+	t.Cleanup(func() { p.Close(); owner.Close() })
+	accepted, _ := g.owner.AcceptLead(p, &wire.Lead{Epoch: 1, Owner: "owner"})
+	assert.Assert(t, accepted)
+}
+
+// The store turns away some VMs and serves others. A requester whose connection happens to lead to an
+// entry that is turned away must be served all the same, through the owner, and only once.
+func TestEntryWithoutStoreWritesThroughOwner(t *testing.T) {
+	table := newTable()
+	link := standin.NewLink(table)
+	g := newGateway(table, noResponse)
+	g.store = link
+	link.SetDisconnected(true)
+	connectOwner(t, g, func(m *wire.CreateRow, reply wire.Reply) {
+		_, err := table.Commit(t.Context(), store.Txn{Conds: []store.Cond{{Key: m.Key}}, Writes: []store.Write{{Key: m.Key, Value: m.Value}}})
+		if err != nil {
+			reply(wire.ErrorReply(err))
+			return
+		}
+		reply(&wire.Ack{})
+	})
+	for range 3 {
+		start := time.Now()
+		assert.NilError(t, g.Submit(t.Context(), &manifest.Route{Name: "q"}, testSubmission()))
+		assert.Assert(t, time.Since(start) < writeBudget/2, "the answer took %v", time.Since(start))
+	}
+	assert.Equal(t, rowVersion(t, table, dispatch.WorkKey(testID)), uint64(1))
+}
+
+// The answer of a write through the owner is lost after the row was written. The requester must not be
+// told that the submission will never run.
+func TestLostAnswerOfForwardedWriteIsNotARejection(t *testing.T) {
+	table := newTable()
+	link := standin.NewLink(table)
+	g := newGateway(table, noResponse)
+	g.store = link
+	link.SetDisconnected(true)
+	connectOwner(t, g, func(m *wire.CreateRow, _ wire.Reply) {
+		_, _ = table.Commit(t.Context(), store.Txn{Conds: []store.Cond{{Key: m.Key}}, Writes: []store.Write{{Key: m.Key, Value: m.Value}}})
+	})
+	err := g.Submit(t.Context(), &manifest.Route{Name: "q"}, testSubmission())
+	assert.Assert(t, errkind.Of(err).Attributes().Execution != errkind.ExecutionNotRun, "%v", err)
+	assert.Equal(t, rowVersion(t, table, dispatch.WorkKey(testID)), uint64(1))
+}
+
+// An owner that can't reach the store either, or has too much to write, has written nothing: the
+// requester is told so at once.
+func TestRejectionByOwnerIsARejection(t *testing.T) {
+	link := standin.NewLink(newTable())
+	g := newGateway(newTable(), noResponse)
+	g.store = link
+	link.SetDisconnected(true)
+	connectOwner(t, g, func(_ *wire.CreateRow, reply wire.Reply) {
+		reply(wire.ErrorReply(errkind.New(errkind.QueueFull, "nothing was written")))
+	})
+	err := g.Submit(t.Context(), &manifest.Route{Name: "q"}, testSubmission())
+	assert.Equal(t, errkind.Of(err), errkind.StoreUnavailable)
+}
+
+// The store is known to be down, the answer of a write through the owner is lost, and the next one is
+// rejected. The first may have been written, so the rejection of the second is none of the submission.
+func TestRejectionAfterLostAnswerIsNotARejection(t *testing.T) {
+	link := standin.NewLink(newTable())
+	g := newGateway(newTable(), noResponse)
+	g.store = link
+	link.SetDisconnected(true)
+	err := g.Submit(t.Context(), &manifest.Route{Name: "q"}, testSubmission())
+	assert.Equal(t, errkind.Of(err), errkind.StoreUnavailable)
+	assert.Assert(t, g.breaker.open())
+	writes := 0
+	connectOwner(t, g, func(_ *wire.CreateRow, reply wire.Reply) {
+		if writes++; writes == 1 {
+			reply(wire.ErrorReply(errkind.New(errkind.StoreAmbiguous, "no answer")))
+			return
+		}
+		reply(wire.ErrorReply(errkind.New(errkind.StoreUnavailable, "nothing was written")))
+	})
+	err = g.Submit(t.Context(), &manifest.Route{Name: "q"}, testSubmission())
+	assert.Assert(t, writes > 1)
+	assert.Assert(t, errkind.Of(err).Attributes().Execution != errkind.ExecutionNotRun, "%v", err)
+}
--- a/verify/histories/cluster_test.go
+++ b/verify/histories/cluster_test.go
@@ -148,7 +148,7 @@
 	owner := member.NewOwnerLink(c.clock, p.log)
 	current := func() *manifest.Manifest { return c.manifest }
 	p.requests = gateway.New(gateway.Config{Store: p.link, Clock: c.clock, Log: p.log, Owner: owner, Manifest: current,
-		StoreLastResponse: c.clock.Now, Observe: func(string, int, time.Duration, error) {}})
+		StoreLastResponse: c.clock.Now, Observe: func(string, int, time.Duration, error) {}, ObserveForward: func(error) {}})
 	zones := evacuation.NewFollower(evacuatedZone, p.log)
 	follower := follow.New(p.link, operatorTable, follow.Sinks{zones}, c.clock, p.log)
 	evacuations := func() evacuation.State {
--- a/wire/dispatch.go
+++ b/wire/dispatch.go
@@ -15,6 +15,7 @@
 	TypeStateQuery
 	TypeStateReply
 	TypeQueueCounts
+	TypeCreateRow
 )
 
 // Lead announces the current owner to a member. A member replies with Ack when the
@@ -113,6 +114,17 @@
 	Counts map[string]int
 }
 
+// CreateRow asks the owner to create a row of the work table in the store, for an entry that the
+// store does not serve. The reply is Ack once the row is durable, errkind.Conflict when it exists,
+// and otherwise an error whose kind tells whether the row may have been written.
+type CreateRow struct {
+	Key   string
+	Value []byte
+}
+
+// Type implements Message.
+func (*CreateRow) Type() Type { return TypeCreateRow }
+
 // Type implements Message.
 func (*Lead) Type() Type { return TypeLead }
 
@@ -150,6 +162,8 @@
 		return new(StateReply)
 	case TypeQueueCounts:
 		return new(QueueCounts)
+	case TypeCreateRow:
+		return new(CreateRow)
 	}
 	return nil
 }
