--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -3,6 +3,12 @@
 // tasks and executors. Reports from agents update the tables, and Tick runs the scheduling passes
 // over them. Orders leave the package only after the records that they depend on are committed.
 //
+// The tables are in tables.go and neighbours.go; jobs.go and reports.go change them by submissions and
+// by reports. Each pass of Tick has a file: place.go, preempt.go, move.go, zones.go, stall.go and speed.go,
+// contention.go for speed limits. commit.go and orders.go turn decisions into records and orders. What
+// can be decided without the tables is in packages of its own: ordering, placement, contention, speed,
+// eviction and advice.
+//
 // The package uses no network and no clock of its own. An Owner is not safe for concurrent use.
 package dispatch
 
@@ -17,6 +23,7 @@
 	"github.com/chicorystand/chicorystand/control/manifest"
 	"github.com/chicorystand/chicorystand/control/speed"
 	"github.com/chicorystand/chicorystand/control/submission"
+	"github.com/chicorystand/chicorystand/vm/executor"
 )
 
 // Bounds are the time limits of a deployment from which the owner derives its timeouts.
@@ -42,8 +49,6 @@
 }
 
 const (
-	// minClockRate is the slowest rate of an executor's clock, which may run 2% slow.
-	minClockRate = 0.98
 	// leaseMargin is added to the end of a lease, for the resolution of the clocks.
 	leaseMargin = 150 * time.Millisecond
 	// maxBatchWrites is the largest number of records in one commit. The store accepts 100 entries
@@ -53,7 +58,7 @@
 
 // maxLeaseTime returns the longest time in which an executor's clock advances by d.
 func maxLeaseTime(d time.Duration) time.Duration {
-	return time.Duration(float64(d)/minClockRate) + leaseMargin
+	return time.Duration(float64(d)/executor.MinClockRate) + leaseMargin
 }
 
 // Owner holds the scheduler's tables and the orders that wait to be sent.
--- a/control/dispatch/dispatch_test.go
+++ b/control/dispatch/dispatch_test.go
@@ -219,7 +219,7 @@
 	f.answerStart("e1", name(0, 0), 1, executor.OK, executor.ReasonNone)
 	f.owner.AgentDisconnected("agent-e1")
 	f.executor("e2", nil)
-	f.now += time.Duration(float64(testBounds().LeaseDuration) / minClockRate)
+	f.now += time.Duration(float64(testBounds().LeaseDuration) / executor.MinClockRate)
 	f.executor("e2", nil)
 	f.pass()
 	assert.Equal(t, len(f.starts()), 1)
--- a/control/dispatch/zones.go
+++ b/control/dispatch/zones.go
@@ -7,6 +7,7 @@
 	"github.com/chicorystand/chicorystand/base/events"
 	"github.com/chicorystand/chicorystand/control/evacuation"
 	"github.com/chicorystand/chicorystand/control/placement"
+	"github.com/chicorystand/chicorystand/vm/executor"
 )
 
 const (
@@ -52,7 +53,7 @@
 	if !limited {
 		return 0
 	}
-	left := time.Duration(float64(limit-n.clockAt) * minClockRate)
+	left := time.Duration(float64(limit-n.clockAt) * executor.MinClockRate)
 	return n.clock + left.Milliseconds()
 }
 
--- a/control/dispatch/zones_test.go
+++ b/control/dispatch/zones_test.go
@@ -235,7 +235,7 @@
 	}
 	// The executor's clock read `known` at the time `known` and may have lost 2% since.
 	latest := time.Duration(start.Deadline)*time.Millisecond - known
-	assert.Assert(t, time.Duration(float64(latest)/minClockRate) <= testEvacuation, "a run may begin %v after the evacuation", latest)
+	assert.Assert(t, time.Duration(float64(latest)/executor.MinClockRate) <= testEvacuation, "a run may begin %v after the evacuation", latest)
 	assert.Assert(t, latest > testEvacuation-time.Second, "only %v are left for a start", latest)
 }
 
--- a/vm/executor/executor.go
+++ b/vm/executor/executor.go
@@ -10,6 +10,9 @@
 	"github.com/chicorystand/chicorystand/control/task"
 )
 
+// MinClockRate is the slowest rate of an executor's clock, which may run 2% slow. It is never fast.
+const MinClockRate = 0.98
+
 // Info is what an executor reports about itself.
 type Info struct {
 	submission.Incarnation
--- a/vm/vmagent/unit.go
+++ b/vm/vmagent/unit.go
@@ -155,13 +155,10 @@
 	}
 }
 
-// minClockRate is the slowest rate of an executor's clock, which may run 2% slow.
-const minClockRate = 0.98
-
 // passed reports whether a time on the executor's clock has certainly passed. The caller holds the
 // agent's mu.
 func (u *executorSession) passed(deadline int64) bool {
-	elapsed := float64(u.agent.cfg.Clock.Now()-u.clockAt) * minClockRate
+	elapsed := float64(u.agent.cfg.Clock.Now()-u.clockAt) * executor.MinClockRate
 	return u.info.Clock+time.Duration(elapsed).Milliseconds() >= deadline
 }
 
