--- a/base/events/process.go
+++ b/base/events/process.go
@@ -20,6 +20,7 @@
 	ServeFailed         = define(514, "serve_failed", zerolog.ErrorLevel, "A server stopped accepting connections because of an error.")
 	Reloaded            = define(520, "reloaded", zerolog.InfoLevel, "Certificates and the log level were reloaded.")
 	SettingsChanged     = define(522, "settings_changed", zerolog.WarnLevel, "The settings file differs from the settings in use. They take effect at the next start of the process. fields names them.")
+	SettingsChecked     = define(523, "settings_checked", zerolog.InfoLevel, "The settings file was read again and equals the settings in use.")
 	ReloadFailed        = define(521, "reload_failed", zerolog.ErrorLevel, "Certificates or settings could not be reloaded. The previous ones stay in use.")
 	ConnectionRefused   = defineHot(530, "connection_refused", zerolog.WarnLevel, "A connection was refused. The field reason names the cause.")
 	AccessDenied        = defineHot(531, "access_denied", zerolog.WarnLevel, "A caller is not authorized for an operation.")
--- a/command/deployed/process.go
+++ b/command/deployed/process.go
@@ -244,5 +244,5 @@
 		events.SettingsChanged.Log(p.log).Strs("fields", changed).Send()
 		return
 	}
-	events.Reloaded.Log(p.log).Bool("changed", false).Send()
+	events.SettingsChecked.Log(p.log).Send()
 }
