--- a/command/chicoryctl/zone.go
+++ b/command/chicoryctl/zone.go
@@ -75,14 +75,12 @@
 	}
 }
 
-func newZoneEvacuate(o *options) *cobra.Command {
-	var wait time.Duration
-	cmd := &cobra.Command{
-		Use:   "evacuate ZONE",
-		Short: "Start nothing new in an availability zone until it is restored",
-		Long: "Start nothing new in an availability zone until it is restored. Tasks and requests in progress there go on to their end.\n" +
-			"The command returns once the change is accepted; with --wait it returns when nothing is left in the zone.",
-		Example:           "  chicoryctl zone evacuate z1 --wait 5m",
+// zoneCommand returns a command that changes a zone and prints it.
+func (o *options) zoneCommand(verb, short string, change func(cmd *cobra.Command, c *client, zone string) (entry.ZoneView, error)) *cobra.Command {
+	return &cobra.Command{
+		Use:               verb + " ZONE",
+		Short:             short,
+		Example:           "  chicoryctl zone " + verb + " z1",
 		Args:              cobra.ExactArgs(1),
 		ValidArgsFunction: o.completeZones,
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -90,20 +88,39 @@
 			if err != nil {
 				return err
 			}
-			v, err := c.changeZone(cmd.Context(), args[0], "evacuate")
-			if err == nil && wait > 0 {
-				v, err = c.awaitEmptyZone(cmd, args[0], wait)
-			}
+			v, err := change(cmd, c, args[0])
 			if err != nil {
 				return err
 			}
 			return o.print(cmd, v, zoneRows(v))
 		},
 	}
+}
+
+func newZoneEvacuate(o *options) *cobra.Command {
+	var wait time.Duration
+	cmd := o.zoneCommand("evacuate", "Start nothing new in an availability zone until it is restored",
+		func(cmd *cobra.Command, c *client, zone string) (entry.ZoneView, error) {
+			v, err := c.changeZone(cmd.Context(), zone, "evacuate")
+			if err != nil || wait == 0 {
+				return v, err
+			}
+			return c.awaitEmptyZone(cmd, zone, wait)
+		})
+	cmd.Long = "Start nothing new in an availability zone until it is restored. Tasks and requests in progress there go on to their end.\n" +
+		"The command returns once the change is accepted; with --wait it returns when nothing is left in the zone."
+	cmd.Example = "  chicoryctl zone evacuate z1 --wait 5m"
 	cmd.Flags().DurationVar(&wait, "wait", 0, "maximum time to wait until no task and no request is left in the zone; 0 does not wait")
 	return cmd
 }
 
+func newZoneRestore(o *options) *cobra.Command {
+	return o.zoneCommand("restore", "Withdraw the evacuation of an availability zone",
+		func(cmd *cobra.Command, c *client, zone string) (entry.ZoneView, error) {
+			return c.changeZone(cmd.Context(), zone, "restore")
+		})
+}
+
 // awaitEmptyZone waits until no task and no request is left in an evacuated zone.
 func (c *client) awaitEmptyZone(cmd *cobra.Command, zone string, wait time.Duration) (entry.ZoneView, error) {
 	ctx, cancel := context.WithTimeout(cmd.Context(), wait)
@@ -140,24 +157,3 @@
 	}
 	return entry.ZoneView{}, errkind.New(errkind.NotFound, "zone %s", name)
 }
-
-func newZoneRestore(o *options) *cobra.Command {
-	return &cobra.Command{
-		Use:               "restore ZONE",
-		Short:             "Withdraw the evacuation of an availability zone",
-		Example:           "  chicoryctl zone restore z1",
-		Args:              cobra.ExactArgs(1),
-		ValidArgsFunction: o.completeZones,
-		RunE: func(cmd *cobra.Command, args []string) error {
-			c, err := o.client()
-			if err != nil {
-				return err
-			}
-			v, err := c.changeZone(cmd.Context(), args[0], "restore")
-			if err != nil {
-				return err
-			}
-			return o.print(cmd, v, zoneRows(v))
-		},
-	}
-}
