dispatch: log when a latency-critical task reaches its target and when it is below it again

The three hypotheses of docs/incidents/late-pause.md differ in the readings: the time between the last one below the target and the first one at or above it, readings equal to the target, and the latency that is taken for the task's own. Both events are sampled.

--- a/base/events/dispatch.go
+++ b/base/events/dispatch.go
@@ -52,5 +52,7 @@
 	TaskMoved         = define(656, "task_moved", zerolog.InfoLevel, "A throttled run is stopped, since it can run at full speed on another executor.")
 	RunSlow           = define(658, "run_slow", zerolog.InfoLevel, "A run on an executor that takes factor times as long as others is stopped, since it finishes earlier elsewhere.")
 	RunPreempted      = define(659, "run_preempted", zerolog.InfoLevel, "A run is preempted by a task of a higher-priority queue. for names the step of that task.")
+	LatencyOverTarget = defineHot(661, "latency_over_target", zerolog.InfoLevel, "A latency-critical task reports a latency at or above its target. within_before is the time since its last report below the target, base_ms the latency that the owner takes for that of the task's own load, limits the speed limits in percent of the best-effort images beside it.")
+	LatencyInTarget   = defineHot(662, "latency_in_target", zerolog.InfoLevel, "A latency-critical task reports a latency below its target again. over is the time since the first report at or above it.")
 	LogLinesDropped   = define(660, "log_lines_dropped", zerolog.WarnLevel, "Log lines were dropped because the log could not be written fast enough.")
 )
--- a/control/dispatch/contention.go
+++ b/control/dispatch/contention.go
@@ -61,6 +61,7 @@
 func (o *Owner) observeContention(n *node, running []executor.Run, now time.Duration) {
 	usage := make(map[string]float64)
 	var latencies []contention.TaskLatency
+	var reporting []*taskEntry
 	for i := range running {
 		t := o.find(running[i].Task)
 		switch {
@@ -69,15 +70,38 @@
 			usage[t.step().Image] += n.share(int64(running[i].Load))
 		case t.step().LatencyCritical() && running[i].ProgressPercent >= 100:
 			latencies = append(latencies, t.taskLatency(&running[i]))
+			reporting = append(reporting, t)
 		}
 	}
 	used := imageUsages(usage)
 	o.contention.Observe(n.info.ID, latencies, imageUsages(n.peakUsage(usage, now)), now)
 	n.updateBaseLatencies(latencies)
 	n.updateOverTarget(contention.AnyOverTarget(latencies), len(used) > 0, now)
+	for i, t := range reporting {
+		o.logLatency(t, &latencies[i], now)
+	}
 	o.updateSpeedLimits(n, latencies, now)
 }
 
+// logLatency logs when the reported latency of a task reaches its target, and when it is below it again.
+func (o *Owner) logLatency(t *taskEntry, l *contention.TaskLatency, now time.Duration) {
+	if l.Latency < l.Target {
+		if t.latencyOverSince != 0 {
+			events.LatencyInTarget.Log(o.log).Str("task", l.Task).Uint32("run", t.rec.Run).Str("executor", t.node.info.ID).
+				Dur("latency", l.Latency).Dur("target", l.Target).Dur("over", now-t.latencyOverSince).Send()
+		}
+		t.latencyInTargetAt, t.latencyOverSince = now, 0
+		return
+	}
+	if t.latencyOverSince != 0 {
+		return
+	}
+	t.latencyOverSince = now
+	events.LatencyOverTarget.Log(o.log).Str("task", l.Task).Uint32("run", t.rec.Run).Str("executor", t.node.info.ID).
+		Dur("latency", l.Latency).Dur("target", l.Target).Dur("within_before", now-t.latencyInTargetAt).
+		Float64("base_ms", l.Base/float64(time.Millisecond)).Bool("base_known", l.BaseKnown).Interface("limits", t.node.speedLimits).Send()
+}
+
 // usageSample holds the processor shares of one snapshot, by image.
 type usageSample struct {
 	at     time.Duration
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -65,6 +65,9 @@
 	moves int
 	// preemptions counts the runs that were stopped in favor of a queue with higher priority.
 	preemptions int
+	// latencyInTargetAt is when a latency below the task's target was last reported, latencyOverSince when the
+	// first one at or above it was reported after that, both 0 for never.
+	latencyInTargetAt, latencyOverSince time.Duration
 	// missingSnapshots counts the complete snapshots of the executor that lacked the run.
 	missingSnapshots int
 	// failedOn lists the executors on which a run has failed.
