entry: age of the manifest in request_answered, state_asked and a metric

With the age a follower that stands still (hypotheses 1 and 2 of docs/incidents/stale-manifest.md) differs from one that has missed a row (hypothesis 3).

--- a/base/events/dispatch.go
+++ b/base/events/dispatch.go
@@ -40,7 +40,7 @@
 	StartWithdrawn    = define(639, "start_withdrawn", zerolog.InfoLevel, "A start in an evacuated zone was withdrawn before the executor confirmed it. sent tells whether the order had left the owner; it is then called back with a stop.")
 	StepAwaitsZone    = define(642, "step_awaits_zone", zerolog.WarnLevel, "A step waits because only executors of evacuated zones could run it.")
 	RowInvalid        = define(634, "row_invalid", zerolog.ErrorLevel, "A row in the store cannot be decoded and is skipped.")
-	RequestAnswered   = define(640, "request_answered", zerolog.InfoLevel, "A requester got its final response. error names why a request was rejected.")
+	RequestAnswered   = define(640, "request_answered", zerolog.InfoLevel, "A requester got its final response. error names why a request was rejected. manifest_age is the time since the manifest was last known to be the newest.")
 	StateAsked        = defineHot(641, "state_asked", zerolog.InfoLevel, "A requester queried a submission's state or a queue's pending count.")
 	ExecutorHeartbeat = define(650, "executor_heartbeat", zerolog.InfoLevel, "The agent has received the first heartbeat of an executor incarnation, or the executor's state has changed.")
 	ExecutorSilent    = define(651, "executor_silent", zerolog.WarnLevel, "The executor does not respond to the agent.")
--- a/base/metrics/deployment.go
+++ b/base/metrics/deployment.go
@@ -28,6 +28,8 @@
 	Owning prometheus.GaugeFunc
 	// ManifestVersion is the manifest version in force.
 	ManifestVersion prometheus.GaugeFunc
+	// ManifestAge is the time since the manifest was last known to be the newest, in seconds.
+	ManifestAge prometheus.GaugeFunc
 	// EvacuatedZones is the number of availability zones under evacuation.
 	EvacuatedZones prometheus.GaugeFunc
 	// OwnerSilence is the time since the last message from the owner, in seconds.
@@ -38,6 +40,7 @@
 type DeploymentSources struct {
 	Owning          func() bool
 	ManifestVersion func() int64
+	ManifestAge     func() time.Duration
 	EvacuatedZones  func() int
 	OwnerSilence    func() time.Duration
 	// OwnerCounters returns the totals over all of this process's terms as owner.
@@ -65,6 +68,8 @@
 			}),
 		ManifestVersion: prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_manifest_version", Help: "Version of the manifest in force."},
 			func() float64 { return float64(s.ManifestVersion()) }),
+		ManifestAge: prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_manifest_age_seconds", Help: "Time since the manifest was last known to be the newest."},
+			func() float64 { return s.ManifestAge().Seconds() }),
 		EvacuatedZones: prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_evacuated_zones", Help: "Number of availability zones under evacuation, as far as this process knows."},
 			func() float64 { return float64(s.EvacuatedZones()) }),
 		OwnerSilence: prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_owner_silence_seconds", Help: "Time since the last message from the owner of the work."},
@@ -85,7 +90,7 @@
 		m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: c.name, Help: c.help},
 			func() float64 { return float64(c.value(s.OwnerCounters())) }))
 	}
-	m.Registry.MustRegister(m.Responses, m.Refusals, m.Forwards, m.Orders, m.Duration, m.Owning, m.ManifestVersion, m.EvacuatedZones, m.OwnerSilence)
+	m.Registry.MustRegister(m.Responses, m.Refusals, m.Forwards, m.Orders, m.Duration, m.Owning, m.ManifestVersion, m.ManifestAge, m.EvacuatedZones, m.OwnerSilence)
 	return m
 }
 
--- a/command/deployed/entry.go
+++ b/command/deployed/entry.go
@@ -67,9 +67,9 @@
 	}
 	candidate := coordinator.NewCandidate(coordinator.Config{Advice: adviceClient, Store: p.store, Clock: p.clock, Log: p.log, Bounds: p.bounds(),
 		Member: self, TakeoverDelay: p.takeoverDelay(), Manifest: e.manifest.Current, Evacuations: e.evacuationState, HighestEpoch: p.link.Epoch}, p.link)
-	m := metrics.NewDeployment(metrics.DeploymentSources{Owning: candidate.Owning, EvacuatedZones: func() int { return len(e.evacuations.Current()) }, ManifestVersion: e.manifestVersion, OwnerSilence: p.link.SinceLastMessage,
+	m := metrics.NewDeployment(metrics.DeploymentSources{Owning: candidate.Owning, EvacuatedZones: func() int { return len(e.evacuations.Current()) }, ManifestVersion: e.manifestVersion, ManifestAge: e.manifestAge, OwnerSilence: p.link.SinceLastMessage,
 		OwnerCounters: candidate.Counters})
-	g := gateway.New(gateway.Config{Store: p.store, Clock: p.clock, Log: p.log, Owner: p.link, Manifest: e.manifest.Current,
+	g := gateway.New(gateway.Config{Store: p.store, Clock: p.clock, Log: p.log, Owner: p.link, Manifest: e.manifest.Current, ManifestAsOf: e.follower.CurrentAsOf,
 		StoreLastResponse: e.follower.LastAnswer, Observe: m.ObserveResponse, ObserveForward: m.ObserveForward})
 	control, err := p.listen(ctx, self.Address)
 	if err != nil {
@@ -117,6 +117,9 @@
 	return 0
 }
 
+// manifestAge returns the time since the manifest was last known to be the newest.
+func (e *entryProcess) manifestAge() time.Duration { return e.clock.Now() - e.follower.CurrentAsOf() }
+
 // ready reports whether the platform should send new connections here.
 func (e *entryProcess) ready() bool {
 	age, ok := e.follower.Age()
--- a/ingress/gateway/gateway.go
+++ b/ingress/gateway/gateway.go
@@ -48,7 +48,9 @@
 	// owner is the connection from the owner.
 	owner    *member.OwnerLink
 	manifest func() *manifest.Manifest
-	observe  func(method string, status int, took time.Duration, err error)
+	// manifestAsOf returns the time as of which the manifest is known to be the newest, 0 for never.
+	manifestAsOf func() time.Duration
+	observe      func(method string, status int, took time.Duration, err error)
 	// observeForward records the outcome of a write through the owner.
 	observeForward func(err error)
 	breaker        breaker
@@ -64,6 +66,8 @@
 	Log      zerolog.Logger
 	Owner    *member.OwnerLink
 	Manifest func() *manifest.Manifest
+	// ManifestAsOf returns the clock's time as of which Manifest is known to return the newest one, 0 for never.
+	ManifestAsOf func() time.Duration
 	// StoreLastResponse returns the clock's time of the store's last response, 0 before the first.
 	StoreLastResponse func() time.Duration
 	// Observe records each response in the metrics.
@@ -74,7 +78,8 @@
 
 // New returns a gateway.
 func New(c Config) *Gateway {
-	return &Gateway{store: c.Store, clock: c.Clock, log: c.Log, owner: c.Owner, manifest: c.Manifest, observe: c.Observe, observeForward: c.ObserveForward,
+	return &Gateway{store: c.Store, clock: c.Clock, log: c.Log, owner: c.Owner, manifest: c.Manifest, manifestAsOf: c.ManifestAsOf,
+		observe: c.Observe, observeForward: c.ObserveForward,
 		breaker: breaker{clock: c.Clock, lastResponse: c.StoreLastResponse}, finalStates: make(map[string]submission.State)}
 }
 
@@ -289,5 +294,8 @@
 		event = events.StateAsked
 	}
 	event.Log(g.log).Str("id", id).Str("method", method).Str("queue", queue).Int("status", status).
-		Dur("took", took).Int64("manifest", version).AnErr("error", err).Send()
+		Dur("took", took).Int64("manifest", version).Dur("manifest_age", g.ManifestAge()).AnErr("error", err).Send()
 }
+
+// ManifestAge returns the time since the manifest was last known to be the newest.
+func (g *Gateway) ManifestAge() time.Duration { return g.clock.Now() - g.manifestAsOf() }
