contention: pause best-effort work by the earliest time at which the target may have been exceeded

Cause: the owner counted 2.2 s from its first report over the target. That report comes up to a second after the one before, which itself covers the half second before it; the pause then waited for the next report and for the interval between two changes of a limit (0.6 s). Ruled out by the trace: readings equal to the target, and own load taken for the cause (base 19 to 30 ms, target 50 ms). Class of fault: a deadline that is counted from the observation in place of the event, and a rate limit that holds back an action with a deadline.

Change: the count begins half a second before the last report within the target; the pause is due at the bound of the deployment (impactMs) less 0.8 s, is checked in each pass of the owner and not only with a report, and is exempt from the interval between changes.

--- a/control/contention/contention.go
+++ b/control/contention/contention.go
@@ -84,8 +84,8 @@
 	usages   []ImageUsage
 	// usedShare is the share of the executor that best-effort tasks used.
 	usedShare float64
-	// overTargetSince is the time since which the latency has continuously been above the target,
-	// 0 while it is not.
+	// overTargetSince is the earliest time since which the latency may have continuously been above the
+	// target, 0 while it is not.
 	overTargetSince time.Duration
 }
 
@@ -97,6 +97,9 @@
 
 // Model holds the learnt interference and latencies. The zero value is not usable.
 type Model struct {
+	// PauseAfter is how long a latency may be above its target before all best-effort work beside the
+	// task is paused.
+	PauseAfter time.Duration
 	// meanBase is the mean base of an image in nanoseconds.
 	meanBase map[string]float64
 	// peakBase is the highest known base of an image, which decays.
@@ -110,7 +113,7 @@
 
 // New returns an empty model.
 func New() *Model {
-	return &Model{meanBase: make(map[string]float64), peakBase: make(map[string]float64), lowestBase: make(map[string]decayingMinimum), estimators: make(map[string]*estimator), groups: make(map[string]map[string]latencySample)}
+	return &Model{PauseAfter: defaultPauseAfter, meanBase: make(map[string]float64), peakBase: make(map[string]float64), lowestBase: make(map[string]decayingMinimum), estimators: make(map[string]*estimator), groups: make(map[string]map[string]latencySample)}
 }
 
 // Observe records the latencies and the best-effort usage on one executor, and sets the base of
@@ -167,15 +170,24 @@
 	}
 	if s.Latency > 0 {
 		if s.Latency > s.Target {
-			v.overTargetSince = v.at
-			if before := g[s.Task].overTargetSince; before != 0 {
-				v.overTargetSince = before
-			}
+			v.overTargetSince = g[s.Task].earliestExcess(v.at)
 		}
 		g[s.Task] = v
 	}
 }
 
+// earliestExcess returns since when the latency may have been above the target, given that a report at
+// the time now shows it so. v is the sample before, the zero value if there is none.
+func (v latencySample) earliestExcess(now time.Duration) time.Duration {
+	if v.overTargetSince != 0 {
+		return v.overTargetSince
+	}
+	if v.at != 0 {
+		now = v.at
+	}
+	return max(now-reportWindow, 1)
+}
+
 // base returns the latency in nanoseconds that the task's own load causes: the lowest in its
 // group. It is known when a task of the group runs undisturbed. Otherwise interference may slow
 // all of them alike, and the base is at most the highest undisturbed latency of the image.
--- a/control/contention/pace.go
+++ b/control/contention/pace.go
@@ -9,10 +9,11 @@
 	// targetShare is the share of its target that a task's latency is controlled to. A throttled
 	// run takes longer and so interferes for longer; a lower share protects less than it costs.
 	targetShare = 0.95
-	// pauseAllAfter is how long a latency may stay above the target before all best-effort work
-	// beside the task is paused, whatever the model predicts. It leaves time for two snapshots
-	// within the 4 s that count as a violation.
-	pauseAllAfter = 2200 * time.Millisecond
+	// defaultPauseAfter is the PauseAfter of a new model.
+	defaultPauseAfter = 3200 * time.Millisecond
+	// reportWindow is the time that a reported latency covers. The latency may have exceeded the target
+	// that long before a report that is still within it.
+	reportWindow = 500 * time.Millisecond
 	// ownLoadShare is the share of a latency from which the task's own load counts as its cause.
 	ownLoadShare = 0.85
 )
@@ -30,7 +31,12 @@
 	}
 	for _, s := range tasks {
 		if s.Base > 0 {
-			m.limitSpeeds(s, full, speed, now)
+			m.limitSpeeds(s, full, speed)
+		}
+	}
+	if at := m.PauseAt(tasks); at != 0 && now >= at {
+		for _, f := range full {
+			speed[f.Image] = 0
 		}
 	}
 	out := make(map[string]int, len(speed))
@@ -54,13 +60,36 @@
 	return false
 }
 
+// PauseAt returns the time from which all best-effort work beside the tasks has to be paused, whatever
+// the model predicts, and 0 while no latency is above its target because of that work.
+func (m *Model) PauseAt(tasks []TaskLatency) time.Duration {
+	earliest := time.Duration(0)
+	for i := range tasks {
+		s := &tasks[i]
+		since := m.groups[s.Group][s.Task].overTargetSince
+		if since == 0 || s.ownLoadExceedsTarget() {
+			continue
+		}
+		if at := since + m.PauseAfter; earliest == 0 || at < earliest {
+			earliest = at
+		}
+	}
+	return earliest
+}
+
+// ownLoadExceedsTarget reports whether the task would be above its target without any best-effort work
+// beside it, so that throttling would not help.
+func (s *TaskLatency) ownLoadExceedsTarget() bool {
+	return s.BaseKnown && s.Base >= ownLoadShare*float64(s.Latency) && s.Base >= float64(s.Target)
+}
+
 // limitSpeeds lowers the speeds until one task meets its target, those of the most interfering
 // images first.
-func (m *Model) limitSpeeds(s TaskLatency, full []ImageUsage, speed map[string]float64, now time.Duration) {
-	base, latency, target := s.Base, float64(s.Latency), float64(s.Target)
-	if s.BaseKnown && base >= ownLoadShare*latency && base >= target {
-		return // the task's own load exceeds the target; throttling others would not help
+func (m *Model) limitSpeeds(s TaskLatency, full []ImageUsage, speed map[string]float64) {
+	if s.ownLoadExceedsTarget() {
+		return
 	}
+	base, target := s.Base, float64(s.Target)
 	idle := m.idleLatency(s.Image, s.Target)
 	budget := max(0, idle/base-idle/(targetShare*target))
 	order := slices.Clone(full)
@@ -83,13 +112,6 @@
 		speed[f.Image] = min(speed[f.Image], allowed)
 		budget -= added * speed[f.Image]
 	}
-	since := m.groups[s.Group][s.Task].overTargetSince
-	if since == 0 || now-since < pauseAllAfter {
-		return
-	}
-	for _, f := range full {
-		speed[f.Image] = 0
-	}
 }
 
 // speedLevel rounds a speed down to a level. A speed rises by two levels at most.
--- a/control/coordinator/loop.go
+++ b/control/coordinator/loop.go
@@ -92,6 +92,7 @@
 			}
 		}
 	}
+	o.dispatcher.PauseOverdue(now)
 	o.requestAdvice(ctx, now)
 	lease := now-o.lastLeaseExtension >= leaseExtensionInterval
 	if lease {
--- a/control/dispatch/contention.go
+++ b/control/dispatch/contention.go
@@ -149,20 +149,44 @@
 // their targets.
 func (o *Owner) updateSpeedLimits(n *node, latencies []contention.TaskLatency, now time.Duration) {
 	full := n.bestEffortUsage()
+	n.pauseAt = o.contention.PauseAt(latencies)
 	if len(full) == 0 || len(latencies) == 0 && !n.throttled() {
 		clear(n.speedLimits)
 		return
 	}
-	if now-n.throttledAt < throttleInterval {
+	pause := n.pauseDue(now)
+	if !pause && now-n.throttledAt < throttleInterval {
 		return
 	}
-	limits := o.contention.SpeedLimits(latencies, full, n.speedLimits, now)
-	n.speedLimits = limits
+	n.speedLimits = o.contention.SpeedLimits(latencies, full, n.speedLimits, now)
+	o.orderSpeedLimits(n, now)
+}
+
+// PauseOverdue pauses the best-effort work on the nodes whose time for it has come since their last
+// report. It needs no commit, so that it is called while one is in progress too.
+func (o *Owner) PauseOverdue(now time.Duration) {
+	for _, n := range o.executors {
+		if n.gone || !n.connected || !n.pauseDue(now) {
+			continue
+		}
+		n.speedLimits = make(map[string]int, len(n.bestEffort))
+		for _, f := range n.bestEffort {
+			n.speedLimits[f.image] = 0
+		}
+		o.orderSpeedLimits(n, now)
+	}
+}
+
+// pauseDue reports whether all best-effort work on the node has to be paused.
+func (n *node) pauseDue(now time.Duration) bool { return n.pauseAt != 0 && now >= n.pauseAt }
+
+// orderSpeedLimits orders the speed limits of a node for its best-effort runs.
+func (o *Owner) orderSpeedLimits(n *node, now time.Duration) {
 	for t := range n.tasks {
 		if !t.step().BestEffort || t.phase != phaseRunning || t.stopping {
 			continue
 		}
-		want := limits[t.step().Image]
+		want := n.speedLimits[t.step().Image]
 		if t.speedLimit != want {
 			n.throttledAt = now
 			o.throttle(t, want, now)
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -42,6 +42,9 @@
 	// Evacuation is how long after the evacuation of a zone was acknowledged a run may still begin
 	// there, 0 where zones can't be evacuated.
 	Evacuation time.Duration
+	// Impact is how long best-effort work may keep a latency-critical task over its target, 0 for the
+	// default of package contention.
+	Impact time.Duration
 	// StopTimeout is the longest time that a task takes to stop.
 	StopTimeout time.Duration
 	// Retention is how long the record of an ended submission is kept.
@@ -54,6 +57,9 @@
 	// maxBatchWrites is the largest number of records in one commit. The store accepts 100 entries
 	// in a transaction, some of which belong to the ownership lease.
 	maxBatchWrites = 90
+	// pauseMargin is how long before the bound on the impact of best-effort work that work is paused: a
+	// scheduling pass, the order's way to the executor, one retry, and the time until the limit takes effect.
+	pauseMargin = 800 * time.Millisecond
 )
 
 // maxLeaseTime returns the longest time in which an executor's clock advances by d.
@@ -133,9 +139,13 @@
 // New returns an owner without work. now is the owner's clock, which includes time in suspension;
 // unixMillis converts it to Unix milliseconds.
 func New(b Bounds, epoch uint64, now time.Duration, unix func(time.Duration) int64, log zerolog.Logger) *Owner {
+	model := contention.New()
+	if b.Impact > 0 {
+		model.PauseAfter = max(0, b.Impact-pauseMargin)
+	}
 	return &Owner{bounds: b, epoch: epoch, startedAt: now, now: now, modelWrittenAt: now, lastCommit: now, log: log, unixMillis: unix, jobs: make(map[string]*job),
 		executors: make(map[submission.Incarnation]*node), incarnations: make(map[string][]*node), waiting: make(map[stepKey]*waitingStep), scheduled: make(map[string]*job),
-		dirty: make(map[string]*job), outbox: make(map[submission.Incarnation]*outbox), uncommitted: newEffects(), estimates: make(map[string]*speed.EstimateAccuracy), contention: contention.New(),
+		dirty: make(map[string]*job), outbox: make(map[submission.Incarnation]*outbox), uncommitted: newEffects(), estimates: make(map[string]*speed.EstimateAccuracy), contention: model,
 		compatibility: make(map[string]float64), pools: make(map[string]*pool), moveTargets: make(map[stepKey]*pool), advice: advice.NewTable()}
 }
 
--- a/control/dispatch/dispatch_test.go
+++ b/control/dispatch/dispatch_test.go
@@ -34,7 +34,7 @@
 
 func testBounds() Bounds {
 	return Bounds{LeaseDuration: 4 * time.Second, AckValidity: 2 * time.Second, PreviousOwnerWindow: 2 * time.Second, MaxStoreOutage: 15 * time.Second,
-		StopTimeout: 200 * time.Millisecond, Retention: time.Hour}
+		Impact: testImpact, StopTimeout: 200 * time.Millisecond, Retention: time.Hour}
 }
 
 func (f *fixture) newOwner(epoch uint64) *Owner {
@@ -62,6 +62,7 @@
 func (f *fixture) pass() {
 	f.t.Helper()
 	f.owner.Tick(f.now)
+	f.owner.PauseOverdue(f.now)
 	b, err := f.owner.Prepare()
 	assert.NilError(f.t, err)
 	f.commit(b)
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -234,6 +234,8 @@
 	// throttledAt.
 	speedLimits map[string]int
 	throttledAt time.Duration
+	// pauseAt is when all best-effort work on the node has to be paused, 0 while it has not.
+	pauseAt time.Duration
 	// interferedAt is when a latency-critical task was last over its target beside best-effort
 	// tasks, 0 for never.
 	interferedAt time.Duration
