dispatch: a run that was given up is not started from the outbox any more

Callers would have seen a task run twice at the same time (TWICE). A start was committed while the connection to its agent was down (placed at 31.674 s, VM cut off from 29.64 to 33.62 s), and waited in the outbox. The lease expired at 34.358 s and the task was started elsewhere. When the connection was back at 34.41 s, the outbox was sent with a new lease, under which the executor accepted the old run. Ruled out: a late order of the executor, its clock, and the deadline of a start, which is taken from the lease of the message that carries it. Class of fault: a permission that is renewed after the decision that it was given for.

Change: unassigning a run drops its start from the outbox.

--- a/control/dispatch/jobs.go
+++ b/control/dispatch/jobs.go
@@ -179,6 +179,9 @@
 // unassign makes an assigned task pending again without queueing it.
 func (o *Owner) unassign(t *taskEntry, now time.Duration) {
 	if t.node != nil {
+		if b := o.outbox[t.node.info.Incarnation]; b != nil {
+			b.dropStart(t.name(), t.rec.Run)
+		}
 		t.node.release(t)
 		t.node = nil
 	}
--- a/control/dispatch/orders.go
+++ b/control/dispatch/orders.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chicorystand/chicorystand/base/events"
@@ -39,6 +40,11 @@
 	b.pending = true
 }
 
+// dropStart removes the start of a run that was not sent.
+func (b *outbox) dropStart(name string, run uint32) {
+	b.starts = slices.DeleteFunc(b.starts, func(s wire.StartOrder) bool { return s.Task == name && s.Run == run })
+}
+
 func (o *Owner) outboxFor(n *node) *outbox {
 	b := o.outbox[n.info.Incarnation]
 	if b == nil {
