gateway: a manifest of unknown age does not deny a queue

Cause on our side, whatever delays the follower: an entry answered 404 from the manifest that it has, however long ago that was known to be the newest, for example throughout an outage. A 404 is final for a caller, while the queue exists at the next entry. Class of fault: a negative answer from knowledge whose age is not considered; the evacuations (package evacuation) had that bound already, the manifest had not.

Requests for queues that the manifest has are served as before: while the store is away the last known manifest is the best there is, and refusing all would end the service that the owner still gives. A queue that was removed meanwhile is so served for longer; the follower's time to recover bounds that.

--- a/ingress/gateway/gateway.go
+++ b/ingress/gateway/gateway.go
@@ -49,8 +49,9 @@
 	owner    *member.OwnerLink
 	manifest func() *manifest.Manifest
 	// manifestAsOf returns the time as of which the manifest is known to be the newest, 0 for never.
-	manifestAsOf func() time.Duration
-	observe      func(method string, status int, took time.Duration, err error)
+	manifestAsOf   func() time.Duration
+	maxManifestAge time.Duration
+	observe        func(method string, status int, took time.Duration, err error)
 	// observeForward records the outcome of a write through the owner.
 	observeForward func(err error)
 	breaker        breaker
@@ -68,6 +69,8 @@
 	Manifest func() *manifest.Manifest
 	// ManifestAsOf returns the clock's time as of which Manifest is known to return the newest one, 0 for never.
 	ManifestAsOf func() time.Duration
+	// MaxManifestAge is how long after its confirmation a manifest has to be in force.
+	MaxManifestAge time.Duration
 	// StoreLastResponse returns the clock's time of the store's last response, 0 before the first.
 	StoreLastResponse func() time.Duration
 	// Observe records each response in the metrics.
@@ -78,7 +81,7 @@
 
 // New returns a gateway.
 func New(c Config) *Gateway {
-	return &Gateway{store: c.Store, clock: c.Clock, log: c.Log, owner: c.Owner, manifest: c.Manifest, manifestAsOf: c.ManifestAsOf,
+	return &Gateway{store: c.Store, clock: c.Clock, log: c.Log, owner: c.Owner, manifest: c.Manifest, manifestAsOf: c.ManifestAsOf, maxManifestAge: c.MaxManifestAge,
 		observe: c.Observe, observeForward: c.ObserveForward,
 		breaker: breaker{clock: c.Clock, lastResponse: c.StoreLastResponse}, finalStates: make(map[string]submission.State)}
 }
@@ -86,6 +89,15 @@
 // Manifest returns the current manifest, nil before the first is received.
 func (g *Gateway) Manifest() *manifest.Manifest { return g.manifest() }
 
+// CheckManifestAge returns an error while a newer manifest may have to be in force. A queue that this
+// manifest lacks may then exist, so that the requester is told to retry.
+func (g *Gateway) CheckManifestAge() error {
+	if age := g.ManifestAge(); age > g.maxManifestAge {
+		return errkind.New(errkind.NotReady, "the manifest was last known to be the newest %s ago", age.Round(time.Millisecond))
+	}
+	return nil
+}
+
 // Submit makes a submission durable. A repeated submission succeeds without effect.
 func (g *Gateway) Submit(ctx context.Context, r *manifest.Route, s *submission.Submission) error {
 	s.Queue, s.Service, s.Priority, s.MaxAttempts = r.Name, r.Service, r.Priority, r.MaxAttempts
