--- /dev/null
+++ b/control/dispatch/crash_test.go
@@ -0,0 +1,161 @@
+package dispatch
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorystand/chicorystand/control/submission"
+	"github.com/chicorystand/chicorystand/vm/executor"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+// crashingFleet simulates executors that are crashed by the tasks of one submission.
+type crashingFleet struct {
+	*fixture
+	executors []*crashingExecutor
+	// fuse is the age at which a run of a deadly task crashes its executor.
+	fuse time.Duration
+	// crashesOf counts the crashes, startsOf the starts of each task.
+	crashesOf, startsOf map[string]int
+}
+
+type crashingExecutor struct {
+	id   string
+	born int64
+	// downUntil is when the executor is back after a crash.
+	downUntil time.Duration
+	// ended is the number of the last end.
+	ended int64
+	ends  []executor.End
+	runs  map[string]*simulatedRun
+}
+
+type simulatedRun struct {
+	number uint32
+	since  time.Duration
+}
+
+const (
+	// crashDetection is the time from a crash to the agent's report of it.
+	crashDetection = 100 * time.Millisecond
+	// executorDowntime is the time that a crashed executor takes to come back.
+	executorDowntime = 3 * time.Second
+	innocentRunTime  = time.Second
+)
+
+func newCrashingFleet(t *testing.T, size int, fuse time.Duration) *crashingFleet {
+	t.Helper()
+	c := &crashingFleet{fixture: newFixture(t), fuse: fuse, crashesOf: make(map[string]int), startsOf: make(map[string]int)}
+	for i := range size {
+		c.executors = append(c.executors, &crashingExecutor{id: fmt.Sprintf("e%d", i), born: 1, runs: make(map[string]*simulatedRun)})
+	}
+	return c
+}
+
+func deadly(task string) bool { return strings.HasPrefix(task, testID) }
+
+// step advances the executors and the owner by 20 ms.
+func (c *crashingFleet) step() {
+	c.now += 20 * time.Millisecond
+	for _, e := range c.executors {
+		c.advance(e)
+	}
+	c.pass()
+	for _, m := range c.messages {
+		c.execute(m.Orders)
+	}
+	c.messages = nil
+}
+
+// advance ends the runs of an executor, crashes it and reports it.
+func (c *crashingFleet) advance(e *crashingExecutor) {
+	info := testInfo(e.id, c.now)
+	info.StartedAt = e.born
+	if e.downUntil != 0 {
+		switch {
+		case c.now >= e.downUntil:
+			e.downUntil, e.ended, e.ends, e.runs = 0, 0, nil, make(map[string]*simulatedRun)
+			e.born++
+		case c.now >= e.downUntil-executorDowntime+crashDetection:
+			c.owner.ApplyReport(&wire.Report{Epoch: testEpoch, Agent: "agent-" + e.id, Info: info, ExecutorEnded: true}, c.now)
+		}
+		return
+	}
+	var running []executor.Run
+	for task, r := range e.runs {
+		switch age := c.now - r.since; {
+		case deadly(task) && age >= c.fuse:
+			c.crashesOf[task]++
+			e.downUntil = c.now + executorDowntime
+			return
+		case !deadly(task) && age >= innocentRunTime:
+			e.ended++
+			e.ends = append(e.ends, executor.End{Number: e.ended, Task: task, Run: r.number, Cause: executor.Done})
+			delete(e.runs, task)
+		default:
+			running = append(running, executor.Run{Task: task, Number: r.number, ProgressPercent: int(100 * age / (2 * innocentRunTime))})
+		}
+	}
+	c.owner.ApplyReport(&wire.Report{Epoch: testEpoch, Agent: "agent-" + e.id, Info: info, FullSnapshot: true, Running: running, Ended: e.ends}, c.now)
+}
+
+func (c *crashingFleet) execute(m *wire.Orders) {
+	for _, e := range c.executors {
+		if e.id != m.Executor || e.born != m.StartedAt || e.downUntil != 0 {
+			continue
+		}
+		for _, s := range m.Starts {
+			c.startsOf[s.Task]++
+			e.runs[s.Task] = &simulatedRun{number: s.Run, since: c.now}
+			c.owner.ApplyOrderResults(&wire.OrderResults{Epoch: testEpoch, Executor: e.id, StartedAt: e.born,
+				Results: []wire.OrderResult{{Task: s.Task, Run: s.Run, Outcome: executor.OK}}}, c.now)
+		}
+		for _, s := range m.Stops {
+			delete(e.runs, s.Task)
+		}
+	}
+}
+
+// Guards against starting a task again and again that crashes each executor, and against giving up the tasks beside it.
+func TestTaskThatCrashesExecutorsIsGivenUp(t *testing.T) {
+	// maxStarts is three, and two more after three executors have crashed.
+	const maxStarts, submissions, duration = 5, 60, 40 * time.Second
+	for _, fuse := range []time.Duration{20 * time.Millisecond, 300 * time.Millisecond, 2 * time.Second} {
+		t.Run(fuse.String(), func(t *testing.T) {
+			c := newCrashingFleet(t, 11, fuse)
+			for i := range submissions {
+				s := testSubmission(testStep(6))
+				s.Steps[0].Request.CPU = 400
+				s.MaxAttempts = 2
+				if i == 10 {
+					s.Steps[0].Count = 1
+				} else {
+					s.ID = fmt.Sprintf("%016x", 0xb00+i)
+				}
+				c.add(s)
+				for range 15 {
+					c.step()
+				}
+			}
+			for end := c.now + duration; c.now < end; {
+				c.step()
+			}
+			for task, starts := range c.startsOf {
+				if deadly(task) {
+					assert.Check(t, starts <= maxStarts, "%s was started %d times and crashed %d executors", task, starts, c.crashesOf[task])
+				}
+			}
+			for id, j := range c.owner.jobs {
+				if want := submission.Completed; deadly(id) {
+					assert.Check(t, j.state == submission.Failed, "%s is %v", id, j.state)
+				} else {
+					assert.Check(t, j.state == want, "%s is %v", id, j.state)
+				}
+			}
+		})
+	}
+}
