dispatch: attribute crashes of executors to tasks, and give up a task after three

Cause: a run that is lost with its executor counted for nothing, so that the task was started again without limit; each start ended all other runs there. Class of fault: a retry without a budget, for a failure that is not the fault of the place but of the work. Ruled out by the logs: a new owner that does not know of earlier losses, and retries of the agent.

Change: package blame decides to which runs a crash is attributed: a suspected one that has just begun, else those that have just begun and those at the age at which they were in a crash before, else all that are not proven. The age counts to the last sign of life of the executor, as a crash may be known seconds later. A suspected task starts alone on an executor: 0.25 s after the start before and right after a sign of life, and nothing else starts there until it was seen at work for 0.2 s. The third crash gives it up, after a last attempt on a VM that did not crash without explanation lately. The count is part of the progress record, behind the part that the version before reads; a ninth element of the array would have been rejected by it (TestRecordsOfOtherVersionsAreRead).

Before: TestTaskThatCrashesExecutorsIsGivenUp counted 201 starts. After: it passes, as do TestTasksOnFlappingExecutorsAreNotGivenUp and TestCrashesSurviveChangeOfOwner.

--- a/control/dispatch/commit.go
+++ b/control/dispatch/commit.go
@@ -171,8 +171,8 @@
 	for _, s := range b.starts {
 		if s.task.phase == phaseCommitPending && s.task.rec.Run == s.run {
 			s.task.phase, s.task.changedAt = phaseStartSent, now
-			if o.evacuated(s.task.node) || !o.knowsEvacuations(now) {
-				// The next pass withdraws the start, or orders it once the evacuations are known again.
+			if o.evacuated(s.task.node) || !o.knowsEvacuations(now) || !s.task.mayOrder(now) {
+				// A later pass withdraws the start, or orders it once that is possible.
 				s.task.orderedAt = 0
 				continue
 			}
--- /dev/null
+++ b/control/dispatch/crash.go
@@ -0,0 +1,156 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/control/blame"
+	"github.com/chicorystand/chicorystand/control/submission"
+)
+
+const (
+	// maxHeldShare is the share of the executors that may be held for suspected tasks at a time.
+	maxHeldShare = 0.5
+	// startGap is the time between the last start of another task on an executor and that of a suspected
+	// one, so that a crash is due to only one of them.
+	startGap = 250 * time.Millisecond
+	// maxSilence is the time without a sign of life after which an executor may have crashed before a
+	// start reached it. Snapshots come at least every second.
+	maxSilence = time.Second
+	// freshSilence bounds the time from a sign of life of an executor to the start of a suspected task.
+	freshSilence = 200 * time.Millisecond
+	// distrustTime is how long a VM whose executor has crashed without a single suspect may be the cause
+	// itself, for example one whose executor goes down and up.
+	distrustTime = 10 * time.Second
+)
+
+// crash is the last crash of an executor on a VM.
+type crash struct {
+	at time.Duration
+	// explained is set when it is attributed to a single task.
+	explained bool
+}
+
+// trusted reports whether a crash on the node's VM would be due to a task.
+func (o *Owner) trusted(n *node, now time.Duration) bool {
+	last, ok := o.crashes[n.agent]
+	return !ok || last.explained || now-last.at >= distrustTime
+}
+
+// suspected reports whether a crash of an executor is attributed to the task.
+func (t *taskEntry) suspected() bool { return t.rec.Crashes > 0 }
+
+// received reports whether the executor, if it has crashed, may have got the start of the run before.
+func (t *taskEntry) received() bool {
+	if t.phase == phaseStartSent {
+		return t.firstOrderedAt != 0 && t.firstOrderedAt-t.node.aliveAt <= maxSilence
+	}
+	return t.phase != phaseCommitPending
+}
+
+// age returns the time from the start of the run to the last sign of life of its executor, 0 for one whose
+// start is not confirmed; known is false for a run that a previous owner started.
+func (t *taskEntry) age() (age time.Duration, known bool) {
+	switch {
+	case t.phase == phaseStartSent:
+		return 0, true
+	case t.phase == phaseRunning && t.startedAt != 0:
+		return max(0, t.node.aliveAt-t.startedAt), true
+	}
+	return 0, false
+}
+
+// mayOrder reports whether the start of the run may be ordered now. That of a suspected task keeps a distance
+// to the start before it, and follows a sign of life, so that a crash is due to that task.
+func (t *taskEntry) mayOrder(now time.Duration) bool {
+	n := t.node
+	return !t.suspected() || t.step().Gang || t.firstOrderedAt != 0 ||
+		(n.lastStartAt == 0 || now-n.lastStartAt >= startGap) && now-n.aliveAt <= freshSilence
+}
+
+// attributeCrash records the crash of an executor with the tasks to which it is attributed, and gives up those
+// that have crashed too many.
+func (o *Owner) attributeCrash(n *node, now time.Duration) {
+	var tasks []*taskEntry
+	var runs []blame.Run
+	for t := range n.tasks {
+		if !t.received() {
+			continue
+		}
+		age, known := t.age()
+		tasks = append(tasks, t)
+		runs = append(runs, blame.Run{Age: age, AgeKnown: known, Crashes: int(t.rec.Crashes), CrashAge: t.rec.CrashAge})
+	}
+	blamed := blame.Attribute(runs)
+	o.crashes[n.agent] = crash{at: now, explained: len(blamed) == 1}
+	for i, t := range tasks {
+		if runs[i].AgeKnown {
+			t.rec.CrashAge = runs[i].Age
+		}
+	}
+	for _, i := range blamed {
+		t := tasks[i]
+		if !t.suspected() {
+			n.suspects++
+		}
+		t.rec.Crashes++
+		events.CrashAttributed.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", n.info.ID).
+			Dur("age", runs[i].Age).Uint16("crashes", t.rec.Crashes).Int("runs", len(runs)).Send()
+		if int(t.rec.Crashes) >= blame.MaxCrashes && !t.job.state.Final() {
+			o.giveUp(t, now)
+		}
+	}
+}
+
+// giveUp fails the submission of a task that crashes its executors.
+func (o *Owner) giveUp(t *taskEntry, now time.Duration) {
+	events.TaskGivenUp.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Uint16("crashes", t.rec.Crashes).Send()
+	o.unassign(t, now)
+	t.rec.State = submission.TaskFailed
+	o.finishJob(t.job, submission.Failed, now)
+}
+
+// held reports whether nothing else may start on the node, since a suspected task is about to begin there
+// or has not been seen at work for long enough: a crash is then due to that task.
+func (n *node) held() bool {
+	if n.suspects == 0 {
+		return false
+	}
+	for t := range n.tasks {
+		if !t.suspected() {
+			continue
+		}
+		if age, known := t.age(); t.phase == phaseCommitPending || known && age <= blame.FreshAge {
+			return true
+		}
+	}
+	return false
+}
+
+// placeSuspect assigns a suspected task to an executor and holds that until the task has shown that it does not
+// crash it at once. It prefers VMs that have not crashed lately, since the task may be innocent, and executors
+// with few other tasks; the last attempt needs such a VM. It returns the executor's position in the pool, -1
+// when none can take the task now.
+func (o *Owner) placeSuspect(t *taskEntry, p *pool, fits func(i int) bool, now time.Duration) int {
+	if float64(p.heldCount) >= maxHeldShare*float64(len(p.nodes)+p.heldCount) {
+		return -1
+	}
+	lastAttempt := int(t.rec.Crashes) == blame.MaxCrashes-1
+	best, bestTrusted := -1, false
+	for i, n := range p.nodes {
+		trusted := o.trusted(n, now)
+		if !fits(i) || now-n.aliveAt > maxSilence || lastAttempt && !trusted {
+			continue
+		}
+		if best < 0 || trusted && !bestTrusted || trusted == bestTrusted && len(n.tasks) < len(p.nodes[best].tasks) {
+			best, bestTrusted = i, trusted
+		}
+	}
+	if best < 0 {
+		return -1
+	}
+	o.assign(t, p.nodes[best], now)
+	p.nodes[best].placementNode.Closed = true
+	p.heldCount++
+	return best
+}
--- a/control/dispatch/crash_test.go
+++ b/control/dispatch/crash_test.go
@@ -159,3 +159,50 @@
 		})
 	}
 }
+
+// Guards against giving up tasks that are innocent where executors go down and up by themselves.
+func TestTasksOnFlappingExecutorsAreNotGivenUp(t *testing.T) {
+	const flapping, period, submissions = 2, 1200 * time.Millisecond, 60
+	c := newCrashingFleet(t, 11, time.Hour)
+	next := c.now + period
+	step := func() {
+		if c.now >= next {
+			next += period + executorDowntime
+			for _, e := range c.executors[:flapping] {
+				e.downUntil = c.now + executorDowntime
+			}
+		}
+		c.step()
+	}
+	for i := range submissions {
+		s := testSubmission(testStep(6))
+		s.ID = fmt.Sprintf("%016x", 0xb00+i)
+		s.Steps[0].Request.CPU = 400
+		c.add(s)
+		for range 15 {
+			step()
+		}
+	}
+	for end := c.now + 20*time.Second; c.now < end; {
+		step()
+	}
+	for id, j := range c.owner.jobs {
+		assert.Check(t, j.state == submission.Completed, "%s is %v", id, j.state)
+	}
+}
+
+// Guards against a new owner that does not know of earlier crashes and starts the task as often again.
+func TestCrashesSurviveChangeOfOwner(t *testing.T) {
+	c := newCrashingFleet(t, 6, 20*time.Millisecond)
+	s := testSubmission(testStep(1))
+	c.add(s)
+	for range 3000 {
+		c.step()
+		if c.crashesOf[name(0, 0)] > 0 && c.owner.jobs[testID].record().Tasks[0].Crashes == uint16(c.crashesOf[name(0, 0)]) {
+			c.owner = c.newOwner(testEpoch)
+			c.add(s)
+		}
+	}
+	assert.Assert(t, c.startsOf[name(0, 0)] <= 5, "started %d times", c.startsOf[name(0, 0)])
+	assert.Equal(t, c.owner.jobs[testID].state, submission.Failed)
+}
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -116,6 +116,8 @@
 	// latency-critical images, by the key of the set. It was computed at compatibleAt.
 	compatibility map[string]float64
 	compatibleAt  time.Duration
+	// crashes holds the last crash on each VM, by the name of its agent.
+	crashes map[string]crash
 	// pools are the executors that can take tasks in this scheduling pass, by service.
 	pools    map[string]*pool
 	advice   *advice.Table
@@ -146,7 +148,7 @@
 	return &Owner{bounds: b, epoch: epoch, startedAt: now, now: now, modelWrittenAt: now, lastCommit: now, log: log, unixMillis: unix, jobs: make(map[string]*job),
 		executors: make(map[submission.Incarnation]*node), incarnations: make(map[string][]*node), waiting: make(map[stepKey]*waitingStep), scheduled: make(map[string]*job),
 		dirty: make(map[string]*job), outbox: make(map[submission.Incarnation]*outbox), uncommitted: newEffects(), estimates: make(map[string]*speed.EstimateAccuracy), contention: model,
-		compatibility: make(map[string]float64), pools: make(map[string]*pool), moveTargets: make(map[stepKey]*pool), advice: advice.NewTable()}
+		compatibility: make(map[string]float64), crashes: make(map[string]crash), pools: make(map[string]*pool), moveTargets: make(map[stepKey]*pool), advice: advice.NewTable()}
 }
 
 func (o *Owner) Epoch() uint64 { return o.epoch }
--- a/control/dispatch/orders.go
+++ b/control/dispatch/orders.go
@@ -66,7 +66,10 @@
 func (o *Owner) sendStart(t *taskEntry, now time.Duration) {
 	s := t.job.sub
 	b := o.outboxFor(t.node)
-	t.orderedAt = now
+	t.orderedAt, t.node.lastStartAt = now, now
+	if t.firstOrderedAt == 0 {
+		t.firstOrderedAt = now
+	}
 	ticket := ""
 	if o.needsAdvice(s) {
 		// Without a valid ticket the executor refuses the start, and advice for the step is
@@ -88,7 +91,7 @@
 		}
 		mayStart := known && !o.evacuated(n)
 		for t := range n.tasks {
-			if t.phase == phaseStartSent && !t.stopping && mayStart && now-t.orderedAt > startRetryInterval {
+			if t.phase == phaseStartSent && !t.stopping && mayStart && now-t.orderedAt > startRetryInterval && t.mayOrder(now) {
 				o.sendStart(t, now)
 			}
 			if t.stopping && t.stopAcked == 0 && now-t.stopSent > stopRetryInterval {
--- a/control/dispatch/reports.go
+++ b/control/dispatch/reports.go
@@ -112,6 +112,9 @@
 	}
 	n.gone, n.goneAt = true, now
 	events.ExecutorGone.Log(o.log).Str("executor", inc.ID).Int64("born", inc.StartedAt).Int("tasks", len(n.tasks)).Send()
+	if !n.info.Draining {
+		o.attributeCrash(n, now)
+	}
 	o.requeueAll(n, now)
 	delete(o.outbox, inc)
 }
@@ -263,7 +266,7 @@
 		n.grantedLeaseEnd = max(n.grantedLeaseEnd, n.clock+o.bounds.LeaseDuration.Milliseconds())
 		n.previousLeaseUntil = 0
 	}
-	n.adopted = true
+	n.adopted, n.aliveAt = true, now
 	for t := range n.tasks {
 		if _, ok := listed[t]; !ok {
 			o.applyMissing(t, n, first, now)
@@ -289,6 +292,10 @@
 
 // confirmRunning records that the executor runs the task.
 func (o *Owner) confirmRunning(t *taskEntry, now time.Duration) {
+	t.node.aliveAt = now
+	if t.phase != phaseAdopted {
+		t.startedAt = now
+	}
 	t.phase, t.changedAt, t.job.started = phaseRunning, now, true
 	t.restoring = t.rec.Checkpoint != ""
 }
@@ -316,6 +323,8 @@
 type pool struct {
 	placementNodes []*placement.Node
 	nodes          []*node
+	// heldCount is the number of executors that are left out because they are held for a suspected task.
+	heldCount int
 }
 
 // pool returns the executors that can take tasks of a service. It is built once in each scheduling
@@ -329,6 +338,10 @@
 		if n.gone || n.leaseExpired || !n.adopted || !n.connected || n.info.Draining || o.evacuated(n) || n.info.Service != service || now < n.closedUntil {
 			continue
 		}
+		if n.held() {
+			p.heldCount++
+			continue
+		}
 		n.placementNode.Closed = false
 		n.placementNode.FailureRate = n.faultScore(now)
 		p.nodes = append(p.nodes, n)
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -42,6 +42,10 @@
 	// changedAt is when the phase was entered.
 	changedAt time.Duration
 	orderedAt time.Duration
+	// firstOrderedAt is when the start was ordered first, 0 before.
+	firstOrderedAt time.Duration
+	// startedAt is when the executor confirmed the start, 0 before, and for runs that a previous owner started.
+	startedAt time.Duration
 	// stopping is set once a stop was ordered. stopAcked is when the stop was answered, 0 before.
 	stopping  bool
 	stopSent  time.Duration
@@ -228,8 +232,14 @@
 	// closedUntil is the time until which the executor gets no new tasks after a refusal.
 	closedUntil time.Duration
 	drainEnd    time.Duration
-	health      health
-	speed       speed.Executor
+	// aliveAt is when the executor last reported a snapshot or answered a start.
+	aliveAt time.Duration
+	// lastStartAt is when a start was last ordered from the executor, 0 for never.
+	lastStartAt time.Duration
+	// suspects counts the node's tasks to which a crash is attributed.
+	suspects int
+	health   health
+	speed    speed.Executor
 	// speedLimits are the speed limits of the best-effort images in percent, ordered at
 	// throttledAt.
 	speedLimits map[string]int
@@ -250,6 +260,9 @@
 // reserve assigns the task to the node and adds what it uses.
 func (n *node) reserve(t *taskEntry) {
 	n.tasks[t] = struct{}{}
+	if t.suspected() {
+		n.suspects++
+	}
 	n.colocatedImages.add(t.step())
 	n.placementNode.Reserved = n.placementNode.Reserved.Add(t.reserved())
 	if t.step().BestEffort {
@@ -267,6 +280,9 @@
 		return
 	}
 	delete(n.tasks, t)
+	if t.suspected() {
+		n.suspects--
+	}
 	n.colocatedImages.remove(t.step())
 	n.placementNode.Reserved = n.placementNode.Reserved.Sub(t.reserved())
 	if t.step().BestEffort {
--- a/control/placement/placement.go
+++ b/control/placement/placement.go
@@ -129,6 +129,9 @@
 	}
 }
 
+// Fits reports whether the node at an index can run a task.
+func (r *Ranking) Fits(i int) bool { return !math.IsInf(r.costs[i], 1) }
+
 // Best returns the index of the best node, or -1 when none can run a task now. avoid reports nodes
 // that are the last choice; nil reports none.
 func (r *Ranking) Best(avoid func(id string) bool) int {
--- a/control/submission/record.go
+++ b/control/submission/record.go
@@ -1,6 +1,11 @@
 package submission
 
 import (
+	"bytes"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/chicorystand/chicorystand/base/errkind"
@@ -52,6 +57,10 @@
 	Run uint32
 	// Failures counts the runs that ended as failed.
 	Failures uint16
+	// Crashes counts the crashes of executors that are attributed to the task.
+	Crashes uint16
+	// CrashAge is the age of the task's run at the last crash of its executor, 0 for none.
+	CrashAge time.Duration
 	// Executor is the incarnation that the run is assigned to.
 	Executor Incarnation
 	// Address is the executor's address. A later incarnation at the same
@@ -91,11 +100,19 @@
 	Checkpoints map[int]string
 }
 
+// encodedCrashes holds Crashes and CrashAge of a task. A map of them by task follows the record where there are
+// any: a reader of an array rejects one with more elements than it knows, and ignores what follows it.
+type encodedCrashes struct {
+	Count uint16 `msgpack:"n"`
+	AgeMS int64  `msgpack:"a"`
+}
+
 // Encode returns the stored form.
 func (r *Record) Encode() ([]byte, error) {
 	n := len(r.Tasks)
 	e := encodedRecord{State: r.State, Ended: r.Ended, States: make([]byte, n), Runs: make([]uint32, n),
 		Failures: make([]uint16, n), Assigned: make([]uint16, n)}
+	crashes := make(map[int]encodedCrashes)
 	positions := make(map[executorRef]uint16)
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
@@ -103,6 +120,9 @@
 		if t.State == TaskAssigned {
 			e.Assigned[i] = executorIndex(positions, &e.Executors, executorRef{t.Executor, t.Address})
 		}
+		if (t.Crashes > 0 || t.CrashAge > 0) && t.State != TaskDone {
+			crashes[i] = encodedCrashes{Count: t.Crashes, AgeMS: t.CrashAge.Milliseconds()}
+		}
 		if t.Checkpoint != "" && t.State != TaskDone {
 			if e.Checkpoints == nil {
 				e.Checkpoints = make(map[int]string)
@@ -110,8 +130,13 @@
 			e.Checkpoints[i] = t.Checkpoint
 		}
 	}
-	b, err := msgpack.Marshal(&e)
-	return b, errkind.Wrap(errkind.Internal, err, "encode progress record")
+	values := []any{&e}
+	if len(crashes) > 0 {
+		values = append(values, crashes)
+	}
+	var b bytes.Buffer
+	err := msgpack.NewEncoder(&b).EncodeMulti(values...)
+	return b.Bytes(), errkind.Wrap(errkind.Internal, err, "encode progress record")
 }
 
 func executorIndex(positions map[executorRef]uint16, list *[]executorRef, at executorRef) uint16 {
@@ -127,15 +152,21 @@
 // DecodeRecord reads the stored form of a record with the given number of tasks.
 func DecodeRecord(b []byte, tasks int) (Record, error) {
 	var e encodedRecord
-	if err := msgpack.Unmarshal(b, &e); err != nil {
+	var crashes map[int]encodedCrashes
+	decoder := msgpack.NewDecoder(bytes.NewReader(b))
+	if err := decoder.Decode(&e); err != nil {
 		return Record{}, errkind.Wrap(errkind.InvalidArgument, err, "decode progress record")
 	}
+	if err := decoder.Decode(&crashes); err != nil && !errors.Is(err, io.EOF) {
+		return Record{}, errkind.Wrap(errkind.InvalidArgument, err, "decode crashes of progress record")
+	}
 	if len(e.States) != tasks || len(e.Runs) != tasks || len(e.Failures) != tasks || len(e.Assigned) != tasks || e.State > Cancelled {
 		return Record{}, errkind.New(errkind.InvalidArgument, "progress record has %d tasks, expected %d", len(e.States), tasks)
 	}
 	r := Record{State: e.State, Ended: e.Ended, Tasks: make([]TaskRecord, tasks)}
 	for i := range r.Tasks {
-		t := TaskRecord{State: TaskState(e.States[i]), Run: e.Runs[i], Failures: e.Failures[i], Checkpoint: e.Checkpoints[i]}
+		t := TaskRecord{State: TaskState(e.States[i]), Run: e.Runs[i], Failures: e.Failures[i], Checkpoint: e.Checkpoints[i],
+			Crashes: crashes[i].Count, CrashAge: time.Duration(crashes[i].AgeMS) * time.Millisecond}
 		if t.State > TaskFailed {
 			return Record{}, errkind.New(errkind.InvalidArgument, "task state %d is not defined", t.State)
 		}
--- a/control/submission/submission_test.go
+++ b/control/submission/submission_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -77,3 +78,34 @@
 		})
 	}
 }
+
+// Guards against a record that the version before or after this one can't read while VMs are upgraded one by one.
+func TestRecordsOfOtherVersionsAreRead(t *testing.T) {
+	type recordWithoutCrashes struct {
+		//lint:ignore U1000 read by the encoder
+		_msgpack    struct{} `msgpack:",as_array"`
+		State       State
+		Ended       int64
+		States      []byte
+		Runs        []uint32
+		Failures    []uint16
+		Executors   []executorRef
+		Assigned    []uint16
+		Checkpoints map[int]string
+	}
+	before, err := msgpack.Marshal(&recordWithoutCrashes{State: Running, States: []byte{0}, Runs: []uint32{4}, Failures: []uint16{1}, Assigned: []uint16{0}})
+	assert.NilError(t, err)
+	r, err := DecodeRecord(before, 1)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, r.Tasks[0], TaskRecord{Run: 4, Failures: 1})
+
+	r.Tasks[0].Crashes, r.Tasks[0].CrashAge = 2, 1500*time.Millisecond
+	now, err := r.Encode()
+	assert.NilError(t, err)
+	again, err := DecodeRecord(now, 1)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, r)
+	var old recordWithoutCrashes
+	assert.NilError(t, msgpack.Unmarshal(now, &old))
+	assert.Equal(t, old.Runs[0], uint32(4))
+}
