dispatch: test that starts follow the capacity that an executor reports while it runs

The owner takes it from each report, and what is being stopped counts until its end is listed. The test passes without a change of the code.

--- a/control/dispatch/dispatch_test.go
+++ b/control/dispatch/dispatch_test.go
@@ -358,6 +358,35 @@
 	assert.Equal(t, len(f.starts()), 5)
 }
 
+// An executor's capacity may shrink and grow while it runs. What runs and what is being stopped counts against the
+// capacity that it reported last.
+func TestStartsFollowReportedCapacity(t *testing.T) {
+	f := newFixture(t)
+	f.executor("e1", nil)
+	f.add(testSubmission(testStep(6)))
+	f.pass()
+	assert.Equal(t, len(f.starts()), 4)
+	running := make([]executor.Run, 4)
+	for i := range running {
+		f.answerStart("e1", name(0, i), 1, executor.OK, executor.ReasonNone)
+		running[i] = executor.Run{Task: name(0, i), Number: 1}
+	}
+	report := func(cpu int64, running []executor.Run, ended ...executor.End) {
+		f.now += 400 * time.Millisecond
+		info := testInfo("e1", f.now)
+		info.Capacity.CPU = cpu
+		f.owner.ApplyReport(&wire.Report{Epoch: testEpoch, Agent: "agent-e1", Info: info, FullSnapshot: true, Running: running, Ended: ended}, f.now)
+		f.pass()
+	}
+	report(2000, running)
+	f.owner.stop(f.owner.find(name(0, 0)), f.now)
+	report(2000, running)
+	report(2000, running[2:], executor.End{Number: 1, Task: name(0, 0), Run: 1, Cause: executor.Stopped}, executor.End{Number: 2, Task: name(0, 1), Run: 1, Cause: executor.Done})
+	assert.Equal(t, len(f.starts()), 4, "%v", f.starts())
+	report(4000, running[2:])
+	assert.Equal(t, len(f.starts()), 6, "%v", f.starts())
+}
+
 // The limit on tasks of a step on one executor holds across scheduling passes.
 func TestMaxPerExecutorIsRespected(t *testing.T) {
 	f := newFixture(t)
