--- a/verify/soak/faults.go
+++ b/verify/soak/faults.go
@@ -52,6 +52,7 @@
 	}},
 	{"one link of a process drops all data", 3, (*cluster).silenceLink},
 	{"connections of a process are reset", 2, (*cluster).resetLinks},
+	{"open connections of all processes go silent", 2, (*cluster).silenceOpenConns},
 	{"the store is down", 2, func(c *cluster, f *fault) { c.injectStoreFault(f, standin.Faults{Down: true}) }},
 	{"the store is slow", 1, func(c *cluster, f *fault) {
 		c.injectStoreFault(f, standin.Faults{Latency: time.Duration(f.intensity) * 60 * time.Millisecond})
@@ -175,6 +176,14 @@
 	}
 }
 
+func (c *cluster) silenceOpenConns(*fault) {
+	for _, n := range c.nodes() {
+		for _, p := range n.links() {
+			p.silenceOpenConns()
+		}
+	}
+}
+
 func (c *cluster) injectStoreFault(f *fault, s standin.Faults) {
 	c.table.SetFaults(s)
 	time.Sleep(f.duration)
--- a/verify/soak/proxy.go
+++ b/verify/soak/proxy.go
@@ -26,6 +26,8 @@
 	mu    sync.Mutex
 	fault linkFault
 	conns map[net.Conn]struct{}
+	// silent holds the open connections that carry nothing any more.
+	silent map[net.Conn]struct{}
 }
 
 // newProxy returns a proxy that listens on address until close.
@@ -35,7 +37,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for a proxy")
 	}
-	p := &proxy{listener: l, target: target, conns: make(map[net.Conn]struct{})}
+	p := &proxy{listener: l, target: target, conns: make(map[net.Conn]struct{}), silent: make(map[net.Conn]struct{})}
 	go p.accept()
 	return p, nil
 }
@@ -65,6 +67,22 @@
 	}
 }
 
+// silenceOpenConns makes the open connections drop all data without an error. Later ones work.
+func (p *proxy) silenceOpenConns() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		p.silent[c] = struct{}{}
+	}
+}
+
+func (p *proxy) isSilent(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.silent[c]
+	return ok
+}
+
 func (p *proxy) close() {
 	_ = p.listener.Close()
 	p.resetConns()
@@ -100,8 +118,10 @@
 	wg.Go(func() { p.forward(to, from, func(f linkFault) bool { return f.dropBack }) })
 	wg.Wait()
 	p.mu.Lock()
-	delete(p.conns, from)
-	delete(p.conns, to)
+	for _, c := range []net.Conn{from, to} {
+		delete(p.conns, c)
+		delete(p.silent, c)
+	}
 	p.mu.Unlock()
 }
 
@@ -121,6 +141,9 @@
 		if fault.delay > 0 {
 			time.Sleep(fault.delay)
 		}
+		if p.isSilent(from) {
+			continue
+		}
 		if dropped(p.currentFault()) {
 			lost = true
 			continue
--- a/verify/soak/soak_test.go
+++ b/verify/soak/soak_test.go
@@ -96,6 +96,13 @@
 	c = dial()
 	_, err = roundTrip(c)
 	assert.NilError(t, err)
+	p.silenceOpenConns()
+	_, err = roundTrip(c)
+	var timeout net.Error
+	assert.Assert(t, errors.As(err, &timeout) && timeout.Timeout(), "silent connection: %v", err)
+	c = dial()
+	_, err = roundTrip(c)
+	assert.NilError(t, err)
 	p.resetConns()
 	_, err = c.Read(make([]byte, 1))
 	assert.Assert(t, err != nil)
