dispatch: losses of many executors make no suspects

Cause: each crash without a hint made all runs of up to 10 s suspects; after the loss of all executors 930 tasks waited for an executor each.

Change: without a hint nobody is blamed, as the age of the next crash shows a task that crashes its executors late in its run. When a fifth of the executors crash within a second, four at least, only a run that stands out alone is blamed. A VM is distrusted for 6 s in place of 10.

--- a/control/blame/blame.go
+++ b/control/blame/blame.go
@@ -6,6 +6,8 @@
 import "time"
 
 const (
+	// SuspectCrashes is the number of crashes attributed to a task from which it starts alone.
+	SuspectCrashes = 1
 	// MaxCrashes is the number of crashes attributed to a task after which it is given up. The second and
 	// the third follow starts that no other start followed at once, so that chance is unlikely.
 	MaxCrashes = 3
@@ -13,8 +15,6 @@
 	FreshAge = 200 * time.Millisecond
 	// ageTolerance is the difference up to which two crashes count as being at the same age of a run.
 	ageTolerance = 500 * time.Millisecond
-	// provenAge is the age from which a run that was never suspected is not blamed.
-	provenAge = 10 * time.Second
 )
 
 // Run is a run on an executor that has crashed.
@@ -33,15 +33,13 @@
 // Attribute returns the positions of the runs to which a crash is attributed, in ascending order.
 //
 // A suspected run that has just begun is blamed alone, since the scheduler lets nothing else start beside it.
-// Otherwise those that have just begun are blamed, and those at the age of their last crash. Without any of these,
-// all runs that are neither suspected nor proven become suspects.
+// Otherwise those that have just begun are blamed, and those at the age of their last crash. Without any of these
+// nobody is: a task that crashes its executors later in its run is found by the age of the next crash.
 func Attribute(runs []Run) []int {
-	for _, matches := range []func(*Run) bool{(*Run).freshSuspect, (*Run).likely, (*Run).unproven} {
-		if found := positions(runs, matches); len(found) > 0 {
-			return found
-		}
+	if found := positions(runs, (*Run).freshSuspect); len(found) > 0 {
+		return found
 	}
-	return nil
+	return positions(runs, (*Run).likely)
 }
 
 func positions(runs []Run, matches func(*Run) bool) []int {
@@ -56,12 +54,10 @@
 
 func (r *Run) fresh() bool { return r.AgeKnown && r.Age <= FreshAge }
 
-func (r *Run) freshSuspect() bool { return r.Crashes > 0 && r.fresh() }
+func (r *Run) freshSuspect() bool { return r.Crashes >= SuspectCrashes && r.fresh() }
 
 // likely reports whether a run has just begun, or has the age at which the task was in a crash before.
 func (r *Run) likely() bool {
 	sameAge := r.CrashAge > 0 && r.AgeKnown && (r.Age-r.CrashAge).Abs() <= ageTolerance
 	return r.fresh() || sameAge
 }
-
-func (r *Run) unproven() bool { return r.Crashes == 0 && (!r.AgeKnown || r.Age < provenAge) }
--- a/control/dispatch/crash.go
+++ b/control/dispatch/crash.go
@@ -21,7 +21,12 @@
 	freshSilence = 200 * time.Millisecond
 	// distrustTime is how long a VM whose executor has crashed without a single suspect may be the cause
 	// itself, for example one whose executor goes down and up.
-	distrustTime = 10 * time.Second
+	distrustTime = 6 * time.Second
+	// massShare is the share of the executors that crash within massWindow, massCrashes at least, from which
+	// the cause is taken for one outside the tasks, such as a loss of power, unless a single task stands out.
+	massShare   = 0.2
+	massCrashes = 4
+	massWindow  = time.Second
 )
 
 // crash is the last crash of an executor on a VM.
@@ -37,8 +42,8 @@
 	return !ok || last.explained || now-last.at >= distrustTime
 }
 
-// suspected reports whether a crash of an executor is attributed to the task.
-func (t *taskEntry) suspected() bool { return t.rec.Crashes > 0 }
+// suspected reports whether so many crashes are attributed to the task that it starts alone.
+func (t *taskEntry) suspected() bool { return t.rec.Crashes >= blame.SuspectCrashes }
 
 // received reports whether the executor, if it has crashed, may have got the start of the run before.
 func (t *taskEntry) received() bool {
@@ -83,6 +88,9 @@
 	}
 	blamed := blame.Attribute(runs)
 	o.crashes[n.agent] = crash{at: now, explained: len(blamed) == 1}
+	if len(blamed) > 1 && o.massCrash(now) {
+		blamed = nil
+	}
 	for i, t := range tasks {
 		if runs[i].AgeKnown {
 			t.rec.CrashAge = runs[i].Age
@@ -90,10 +98,11 @@
 	}
 	for _, i := range blamed {
 		t := tasks[i]
-		if !t.suspected() {
+		before := t.suspected()
+		t.rec.Crashes++
+		if t.suspected() && !before {
 			n.suspects++
 		}
-		t.rec.Crashes++
 		events.CrashAttributed.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", n.info.ID).
 			Dur("age", runs[i].Age).Uint16("crashes", t.rec.Crashes).Int("runs", len(runs)).Send()
 		if int(t.rec.Crashes) >= blame.MaxCrashes && !t.job.state.Final() {
@@ -102,8 +111,25 @@
 	}
 }
 
+// massCrash reports whether many executors have crashed at about the same time.
+func (o *Owner) massCrash(now time.Duration) bool {
+	crashes, up := 0, 0
+	for _, c := range o.crashes {
+		if now-c.at < massWindow {
+			crashes++
+		}
+	}
+	for _, n := range o.executors {
+		if !n.gone {
+			up++
+		}
+	}
+	return crashes >= massCrashes && float64(crashes) >= massShare*float64(crashes+up)
+}
+
 // giveUp fails the submission of a task that crashes its executors.
 func (o *Owner) giveUp(t *taskEntry, now time.Duration) {
+	o.counters.GivenUp++
 	events.TaskGivenUp.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Uint16("crashes", t.rec.Crashes).Send()
 	o.unassign(t, now)
 	t.rec.State = submission.TaskFailed
@@ -128,9 +154,9 @@
 }
 
 // placeSuspect assigns a suspected task to an executor and holds that until the task has shown that it does not
-// crash it at once. It prefers VMs that have not crashed lately, since the task may be innocent, and executors
-// with few other tasks; the last attempt needs such a VM. It returns the executor's position in the pool, -1
-// when none can take the task now.
+// crash it at once. It prefers VMs that have not crashed without an explanation lately, since the task may be
+// innocent, and executors with few other tasks; the last attempt needs such a VM. It returns the executor's
+// position in the pool, -1 when none can take the task now.
 func (o *Owner) placeSuspect(t *taskEntry, p *pool, fits func(i int) bool, now time.Duration) int {
 	if float64(p.heldCount) >= maxHeldShare*float64(len(p.nodes)+p.heldCount) {
 		return -1
--- a/control/dispatch/crash_test.go
+++ b/control/dispatch/crash_test.go
@@ -206,3 +206,38 @@
 	assert.Assert(t, c.startsOf[name(0, 0)] <= 5, "started %d times", c.startsOf[name(0, 0)])
 	assert.Equal(t, c.owner.jobs[testID].state, submission.Failed)
 }
+
+// Guards against blaming all tasks that have just begun when many executors crash at once.
+func TestLossOfAllExecutorsBlamesFewTasks(t *testing.T) {
+	const size = 11
+	c := newCrashingFleet(t, size, time.Hour)
+	for range 50 {
+		c.step()
+	}
+	for i := range 30 {
+		s := testSubmission(testStep(6))
+		s.ID = fmt.Sprintf("%016x", 0xb00+i)
+		s.Steps[0].Request.CPU = 200
+		c.add(s)
+	}
+	for range 5 {
+		c.step()
+	}
+	for _, e := range c.executors {
+		assert.Assert(t, len(e.runs) > 0)
+		e.downUntil = c.now + executorDowntime
+	}
+	for range 10 {
+		c.step()
+	}
+	blamed, tasks := 0, 0
+	for _, j := range c.owner.jobs {
+		for _, task := range j.tasks {
+			tasks++
+			if task.rec.Crashes > 0 {
+				blamed++
+			}
+		}
+	}
+	assert.Assert(t, blamed <= tasks*(massCrashes-1)/size+size, "%d of %d tasks are blamed", blamed, tasks)
+}
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -131,11 +131,14 @@
 	Withdrawn uint64
 	// ZoneWaits counts the steps that waited since only evacuated zones could run them.
 	ZoneWaits uint64
+	// GivenUp counts the tasks that were given up since they crash their executors.
+	GivenUp uint64
 }
 
 func (c Counters) Add(d Counters) Counters {
 	return Counters{Starts: c.Starts + d.Starts, Ends: c.Ends + d.Ends, Failures: c.Failures + d.Failures,
-		Lost: c.Lost + d.Lost, Rejected: c.Rejected + d.Rejected, Withdrawn: c.Withdrawn + d.Withdrawn, ZoneWaits: c.ZoneWaits + d.ZoneWaits}
+		Lost: c.Lost + d.Lost, Rejected: c.Rejected + d.Rejected, Withdrawn: c.Withdrawn + d.Withdrawn, ZoneWaits: c.ZoneWaits + d.ZoneWaits,
+		GivenUp: c.GivenUp + d.GivenUp}
 }
 
 // New returns an owner without work. now is the owner's clock, which includes time in suspension;
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -236,7 +236,7 @@
 	aliveAt time.Duration
 	// lastStartAt is when a start was last ordered from the executor, 0 for never.
 	lastStartAt time.Duration
-	// suspects counts the node's tasks to which a crash is attributed.
+	// suspects counts the node's suspected tasks.
 	suspects int
 	health   health
 	speed    speed.Executor
