dispatch: a recorded start does not count as begun for a new owner

Cause: a start is recorded before it is ordered, and a new owner took each recorded run for one that has begun.

One whose only run was lost without any of these counts as waiting again.

--- a/control/dispatch/jobs.go
+++ b/control/dispatch/jobs.go
@@ -50,9 +50,7 @@
 	j.state, j.durableState, j.endedUnixMS, j.endedAt = r.State, r.State, r.Ended, now
 	for i, t := range j.tasks {
 		t.rec = r.Tasks[i]
-		if t.rec.Run > 0 {
-			j.started = true
-		}
+		j.started = j.started || t.rec.Begun()
 		switch t.rec.State {
 		case submission.TaskDone:
 			j.remaining[t.id.Occurrence][t.id.Step]--
--- a/control/submission/record.go
+++ b/control/submission/record.go
@@ -70,6 +70,12 @@
 	Checkpoint string
 }
 
+// Begun reports whether the record proves that a run of the task has begun. The record of a start does not:
+// it is written before the start is ordered.
+func (t *TaskRecord) Begun() bool {
+	return t.State == TaskDone || t.State == TaskFailed || t.Failures > 0 || t.Crashes > 0 || t.Checkpoint != ""
+}
+
 // Record is the durable progress of a submission. Tasks holds all occurrences
 // in order, and within one the steps in order.
 type Record struct {
