dispatch: beside many crashes, tasks that were in a crash before are blamed

Cause: the exemption for losses of many executors. A few deadly tasks that move from one executor to the next crash four of eleven within a second, and none of their crashes counted.

Change: beside many crashes those are still blamed whose task was in a crash before. A loss of power finds few such tasks.

Before: TestTaskThatCrashesExecutorsIsGivenUp with four deadly submissions at once failed in 10 of 10 runs (7 starts).

--- a/control/dispatch/crash.go
+++ b/control/dispatch/crash.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chicorystand/chicorystand/base/events"
@@ -23,7 +24,7 @@
 	// itself, for example one whose executor goes down and up.
 	distrustTime = 6 * time.Second
 	// massShare is the share of the executors that crash within massWindow, massCrashes at least, from which
-	// the cause is taken for one outside the tasks, such as a loss of power, unless a single task stands out.
+	// the cause may be outside the tasks, such as a loss of power.
 	massShare   = 0.2
 	massCrashes = 4
 	massWindow  = time.Second
@@ -89,11 +90,12 @@
 	blamed := blame.Attribute(runs)
 	o.crashes[n.agent] = crash{at: now, explained: len(blamed) == 1}
 	if len(blamed) > 1 && o.massCrash(now) {
-		blamed = nil
+		// A task that crashes one executor after the other was in a crash before.
+		blamed = slices.DeleteFunc(blamed, func(i int) bool { return runs[i].CrashAge == 0 })
 	}
 	for i, t := range tasks {
 		if runs[i].AgeKnown {
-			t.rec.CrashAge = runs[i].Age
+			t.rec.CrashAge = max(runs[i].Age, time.Millisecond)
 		}
 	}
 	for _, i := range blamed {
--- a/control/dispatch/crash_test.go
+++ b/control/dispatch/crash_test.go
@@ -56,7 +56,10 @@
 	return c
 }
 
-func deadly(task string) bool { return strings.HasPrefix(task, testID) }
+// deadlyPrefix begins the IDs of the submissions whose tasks crash their executors.
+var deadlyPrefix = testID[:len(testID)-1]
+
+func deadly(task string) bool { return strings.HasPrefix(task, deadlyPrefix) }
 
 // step advances the executors and the owner by 20 ms.
 func (c *crashingFleet) step() {
@@ -124,19 +127,25 @@
 func TestTaskThatCrashesExecutorsIsGivenUp(t *testing.T) {
 	// maxStarts is three, and two more after three executors have crashed.
 	const maxStarts, submissions, duration = 5, 60, 40 * time.Second
-	for _, fuse := range []time.Duration{20 * time.Millisecond, 300 * time.Millisecond, 2 * time.Second} {
-		t.Run(fuse.String(), func(t *testing.T) {
-			c := newCrashingFleet(t, 11, fuse)
+	for _, test := range []struct {
+		fuse time.Duration
+		// deadly submissions arrive together.
+		deadly int
+	}{{20 * time.Millisecond, 1}, {20 * time.Millisecond, 4}, {300 * time.Millisecond, 1}, {2 * time.Second, 1}} {
+		t.Run(fmt.Sprintf("%d after %v", test.deadly, test.fuse), func(t *testing.T) {
+			c := newCrashingFleet(t, 11, test.fuse)
+			submit := func(id string, count int) {
+				s := testSubmission(testStep(count))
+				s.ID, s.MaxAttempts, s.Steps[0].Request.CPU = id, 2, 400
+				c.add(s)
+			}
 			for i := range submissions {
-				s := testSubmission(testStep(6))
-				s.Steps[0].Request.CPU = 400
-				s.MaxAttempts = 2
-				if i == 10 {
-					s.Steps[0].Count = 1
-				} else {
-					s.ID = fmt.Sprintf("%016x", 0xb00+i)
+				submit(fmt.Sprintf("%016x", 0xb00+i), 6)
+				for j := range test.deadly {
+					if i == submissions/6 {
+						submit(fmt.Sprintf("%s%d", deadlyPrefix, j), 1)
+					}
 				}
-				c.add(s)
 				for range 15 {
 					c.step()
 				}
--- a/control/submission/record.go
+++ b/control/submission/record.go
@@ -59,7 +59,7 @@
 	Failures uint16
 	// Crashes counts the crashes of executors that are attributed to the task.
 	Crashes uint16
-	// CrashAge is the age of the task's run at the last crash of its executor, 0 for none.
+	// CrashAge is the age of the task's run at the last crash of its executor, a millisecond at least, 0 for none.
 	CrashAge time.Duration
 	// Executor is the incarnation that the run is assigned to.
 	Executor Incarnation
