--- a/base/events/dispatch.go
+++ b/base/events/dispatch.go
@@ -54,7 +54,7 @@
 	RunPreempted      = define(659, "run_preempted", zerolog.InfoLevel, "A run is preempted by a task of a higher-priority queue. for names the step of that task.")
 	LatencyOverTarget = defineHot(661, "latency_over_target", zerolog.InfoLevel, "A latency-critical task reports a latency at or above its target. within_before is the time since its last report below the target, base_ms the latency that the owner takes for that of the task's own load, limits the speed limits in percent of the best-effort images beside it.")
 	LatencyInTarget   = defineHot(662, "latency_in_target", zerolog.InfoLevel, "A latency-critical task reports a latency below its target again. over is the time since the first report at or above it.")
-	CrashAttributed   = define(663, "crash_attributed", zerolog.WarnLevel, "The crash of an executor is attributed to a task: its run had just begun, or the task was in a crash at the same age before. crashes counts those of the task, runs those that the executor held. Until the task has run for a while it starts alone.")
+	CrashAttributed   = define(663, "crash_attributed", zerolog.WarnLevel, "The crash of an executor is attributed to a task: its run had just begun, or the task was in a crash at the same age before. crashes counts those of the task, runs those that the executor held. The task then starts on an executor where nothing else starts at the same time.")
 	TaskGivenUp       = define(664, "task_given_up", zerolog.WarnLevel, "A task has crashed the executors that started it. It is not started again, and its submission has failed.")
 	LogLinesDropped   = define(660, "log_lines_dropped", zerolog.WarnLevel, "Log lines were dropped because the log could not be written fast enough.")
 )
--- a/command/deployed/agent.go
+++ b/command/deployed/agent.go
@@ -30,7 +30,8 @@
 	workCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	m := metrics.NewDeployment(metrics.DeploymentSources{Owning: func() bool { return false },
-		ManifestVersion: func() int64 { return 0 }, ManifestAge: func() time.Duration { return 0 }, EvacuatedZones: func() int { return 0 }, OwnerSilence: p.link.SinceLastMessage,
+		ManifestVersion: func() int64 { return 0 }, ManifestAge: func() time.Duration { return 0 },
+		EvacuatedZones: func() int { return 0 }, OwnerSilence: p.link.SinceLastMessage,
 		OwnerCounters: func() dispatch.Counters { return dispatch.Counters{} }})
 	a := vmagent.New(workCtx, vmagent.Config{Name: p.settings.Node, Client: platform.NewExecutorClient(), Clock: p.clock, Log: p.log,
 		Link: p.link, Observe: m.ObserveOrder})
--- a/command/deployed/entry.go
+++ b/command/deployed/entry.go
@@ -67,9 +67,10 @@
 	}
 	candidate := coordinator.NewCandidate(coordinator.Config{Advice: adviceClient, Store: p.store, Clock: p.clock, Log: p.log, Bounds: p.bounds(),
 		Member: self, TakeoverDelay: p.takeoverDelay(), Manifest: e.manifest.Current, Evacuations: e.evacuationState, HighestEpoch: p.link.Epoch}, p.link)
-	m := metrics.NewDeployment(metrics.DeploymentSources{Owning: candidate.Owning, EvacuatedZones: func() int { return len(e.evacuations.Current()) }, ManifestVersion: e.manifestVersion, ManifestAge: e.manifestAge, OwnerSilence: p.link.SinceLastMessage,
-		OwnerCounters: candidate.Counters})
-	g := gateway.New(gateway.Config{Store: p.store, Clock: p.clock, Log: p.log, Owner: p.link, Manifest: e.manifest.Current, ManifestAsOf: e.follower.CurrentAsOf, MaxManifestAge: p.settings.Bounds.ConfigApply,
+	m := metrics.NewDeployment(metrics.DeploymentSources{Owning: candidate.Owning, EvacuatedZones: func() int { return len(e.evacuations.Current()) },
+		ManifestVersion: e.manifestVersion, ManifestAge: e.manifestAge, OwnerSilence: p.link.SinceLastMessage, OwnerCounters: candidate.Counters})
+	g := gateway.New(gateway.Config{Store: p.store, Clock: p.clock, Log: p.log, Owner: p.link, Manifest: e.manifest.Current,
+		ManifestAge: e.manifestAge, MaxManifestAge: p.settings.Bounds.ConfigApply,
 		StoreLastResponse: e.follower.LastAnswer, Observe: m.ObserveResponse, ObserveForward: m.ObserveForward})
 	control, err := p.listen(ctx, self.Address)
 	if err != nil {
--- a/control/blame/blame.go
+++ b/control/blame/blame.go
@@ -1,13 +1,11 @@
-// Package blame attributes the crash of an executor to the runs that it held. It answers tasks that crash each
-// executor that starts them: each crash ends all other runs there too, so that such a task has to be told from
-// the others within few crashes. It has no side effects.
+// Package blame attributes the crash of an executor to some of the runs that it held. It finds tasks that crash
+// each executor that starts them. Every crash ends the other runs there too, so that few crashes have to suffice.
+// It has no side effects.
 package blame
 
 import "time"
 
 const (
-	// SuspectCrashes is the number of crashes attributed to a task from which it starts alone.
-	SuspectCrashes = 1
 	// MaxCrashes is the number of crashes attributed to a task after which it is given up. The second and
 	// the third follow starts that no other start followed at once, so that chance is unlikely.
 	MaxCrashes = 3
@@ -54,7 +52,7 @@
 
 func (r *Run) fresh() bool { return r.AgeKnown && r.Age <= FreshAge }
 
-func (r *Run) freshSuspect() bool { return r.Crashes >= SuspectCrashes && r.fresh() }
+func (r *Run) freshSuspect() bool { return r.Crashes > 0 && r.fresh() }
 
 // likely reports whether a run has just begun, or has the age at which the task was in a crash before.
 func (r *Run) likely() bool {
--- a/control/dispatch/crash.go
+++ b/control/dispatch/crash.go
@@ -43,8 +43,8 @@
 	return !ok || last.explained || now-last.at >= distrustTime
 }
 
-// suspected reports whether so many crashes are attributed to the task that it starts alone.
-func (t *taskEntry) suspected() bool { return t.rec.Crashes >= blame.SuspectCrashes }
+// suspected reports whether a crash of an executor is attributed to the task, which then starts alone.
+func (t *taskEntry) suspected() bool { return t.rec.Crashes > 0 }
 
 // received reports whether the executor, if it has crashed, may have got the start of the run before.
 func (t *taskEntry) received() bool {
@@ -69,9 +69,11 @@
 // mayOrder reports whether the start of the run may be ordered now. That of a suspected task keeps a distance
 // to the start before it, and follows a sign of life, so that a crash is due to that task.
 func (t *taskEntry) mayOrder(now time.Duration) bool {
+	if !t.suspected() || t.step().Gang || t.firstOrderedAt != 0 {
+		return true
+	}
 	n := t.node
-	return !t.suspected() || t.step().Gang || t.firstOrderedAt != 0 ||
-		(n.lastStartAt == 0 || now-n.lastStartAt >= startGap) && now-n.aliveAt <= freshSilence
+	return (n.lastStartAt == 0 || now-n.lastStartAt >= startGap) && now-n.aliveAt <= freshSilence
 }
 
 // attributeCrash records the crash of an executor with the tasks to which it is attributed, and gives up those
@@ -156,9 +158,9 @@
 }
 
 // placeSuspect assigns a suspected task to an executor and holds that until the task has shown that it does not
-// crash it at once. It prefers VMs that have not crashed without an explanation lately, since the task may be
-// innocent, and executors with few other tasks; the last attempt needs such a VM. It returns the executor's
-// position in the pool, -1 when none can take the task now.
+// crash it at once. It prefers trusted VMs, since the task may not be the cause of the crashes, and executors with
+// few other tasks; the last attempt needs a trusted VM. It returns the executor's position in the pool, -1 when
+// none can take the task now.
 func (o *Owner) placeSuspect(t *taskEntry, p *pool, fits func(i int) bool, now time.Duration) int {
 	if float64(p.heldCount) >= maxHeldShare*float64(len(p.nodes)+p.heldCount) {
 		return -1
--- a/control/dispatch/crash_test.go
+++ b/control/dispatch/crash_test.go
@@ -17,8 +17,8 @@
 type crashingFleet struct {
 	*fixture
 	executors []*crashingExecutor
-	// fuse is the age at which a run of a deadly task crashes its executor.
-	fuse time.Duration
+	// crashAge is the age at which a run of a crashing task ends its executor.
+	crashAge time.Duration
 	// crashesOf counts the crashes, startsOf the starts of each task.
 	crashesOf, startsOf map[string]int
 }
@@ -44,22 +44,23 @@
 	crashDetection = 100 * time.Millisecond
 	// executorDowntime is the time that a crashed executor takes to come back.
 	executorDowntime = 3 * time.Second
-	innocentRunTime  = time.Second
+	// runTime is the run time of the tasks that crash nothing.
+	runTime = time.Second
 )
 
-func newCrashingFleet(t *testing.T, size int, fuse time.Duration) *crashingFleet {
+func newCrashingFleet(t *testing.T, size int, crashAge time.Duration) *crashingFleet {
 	t.Helper()
-	c := &crashingFleet{fixture: newFixture(t), fuse: fuse, crashesOf: make(map[string]int), startsOf: make(map[string]int)}
+	c := &crashingFleet{fixture: newFixture(t), crashAge: crashAge, crashesOf: make(map[string]int), startsOf: make(map[string]int)}
 	for i := range size {
 		c.executors = append(c.executors, &crashingExecutor{id: fmt.Sprintf("e%d", i), born: 1, runs: make(map[string]*simulatedRun)})
 	}
 	return c
 }
 
-// deadlyPrefix begins the IDs of the submissions whose tasks crash their executors.
-var deadlyPrefix = testID[:len(testID)-1]
+// crashingPrefix begins the IDs of the submissions whose tasks crash their executors.
+var crashingPrefix = testID[:len(testID)-1]
 
-func deadly(task string) bool { return strings.HasPrefix(task, deadlyPrefix) }
+func isCrashing(task string) bool { return strings.HasPrefix(task, crashingPrefix) }
 
 // step advances the executors and the owner by 20 ms.
 func (c *crashingFleet) step() {
@@ -91,16 +92,16 @@
 	var running []executor.Run
 	for task, r := range e.runs {
 		switch age := c.now - r.since; {
-		case deadly(task) && age >= c.fuse:
+		case isCrashing(task) && age >= c.crashAge:
 			c.crashesOf[task]++
 			e.downUntil = c.now + executorDowntime
 			return
-		case !deadly(task) && age >= innocentRunTime:
+		case !isCrashing(task) && age >= runTime:
 			e.ended++
 			e.ends = append(e.ends, executor.End{Number: e.ended, Task: task, Run: r.number, Cause: executor.Done})
 			delete(e.runs, task)
 		default:
-			running = append(running, executor.Run{Task: task, Number: r.number, ProgressPercent: int(100 * age / (2 * innocentRunTime))})
+			running = append(running, executor.Run{Task: task, Number: r.number, ProgressPercent: int(100 * age / (2 * runTime))})
 		}
 	}
 	c.owner.ApplyReport(&wire.Report{Epoch: testEpoch, Agent: "agent-" + e.id, Info: info, FullSnapshot: true, Running: running, Ended: e.ends}, c.now)
@@ -128,12 +129,12 @@
 	// maxStarts is three, and two more after three executors have crashed.
 	const maxStarts, submissions, duration = 5, 60, 40 * time.Second
 	for _, test := range []struct {
-		fuse time.Duration
-		// deadly submissions arrive together.
-		deadly int
+		crashAge time.Duration
+		// crashing is the number of such submissions, which arrive together.
+		crashing int
 	}{{20 * time.Millisecond, 1}, {20 * time.Millisecond, 4}, {300 * time.Millisecond, 1}, {2 * time.Second, 1}} {
-		t.Run(fmt.Sprintf("%d after %v", test.deadly, test.fuse), func(t *testing.T) {
-			c := newCrashingFleet(t, 11, test.fuse)
+		t.Run(fmt.Sprintf("%d after %v", test.crashing, test.crashAge), func(t *testing.T) {
+			c := newCrashingFleet(t, 11, test.crashAge)
 			submit := func(id string, count int) {
 				s := testSubmission(testStep(count))
 				s.ID, s.MaxAttempts, s.Steps[0].Request.CPU = id, 2, 400
@@ -141,9 +142,9 @@
 			}
 			for i := range submissions {
 				submit(fmt.Sprintf("%016x", 0xb00+i), 6)
-				for j := range test.deadly {
-					if i == submissions/6 {
-						submit(fmt.Sprintf("%s%d", deadlyPrefix, j), 1)
+				if i == submissions/6 {
+					for j := range test.crashing {
+						submit(fmt.Sprintf("%s%d", crashingPrefix, j), 1)
 					}
 				}
 				for range 15 {
@@ -154,22 +155,22 @@
 				c.step()
 			}
 			for task, starts := range c.startsOf {
-				if deadly(task) {
+				if isCrashing(task) {
 					assert.Check(t, starts <= maxStarts, "%s was started %d times and crashed %d executors", task, starts, c.crashesOf[task])
 				}
 			}
 			for id, j := range c.owner.jobs {
-				if want := submission.Completed; deadly(id) {
-					assert.Check(t, j.state == submission.Failed, "%s is %v", id, j.state)
-				} else {
-					assert.Check(t, j.state == want, "%s is %v", id, j.state)
+				want := submission.Completed
+				if isCrashing(id) {
+					want = submission.Failed
 				}
+				assert.Check(t, j.state == want, "%s is %v", id, j.state)
 			}
 		})
 	}
 }
 
-// Guards against giving up tasks that are innocent where executors go down and up by themselves.
+// Guards against giving up tasks of executors that go down and up by themselves.
 func TestTasksOnFlappingExecutorsAreNotGivenUp(t *testing.T) {
 	const flapping, period, submissions = 2, 1200 * time.Millisecond, 60
 	c := newCrashingFleet(t, 11, time.Hour)
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -42,9 +42,9 @@
 	// Evacuation is how long after the evacuation of a zone was acknowledged a run may still begin
 	// there, 0 where zones can't be evacuated.
 	Evacuation time.Duration
-	// Impact is how long best-effort work may keep a latency-critical task over its target, 0 for the
+	// MaxInterference is how long best-effort work may keep a latency-critical task over its target, 0 for the
 	// default of package contention.
-	Impact time.Duration
+	MaxInterference time.Duration
 	// StopTimeout is the longest time that a task takes to stop.
 	StopTimeout time.Duration
 	// Retention is how long the record of an ended submission is kept.
@@ -145,8 +145,8 @@
 // unixMillis converts it to Unix milliseconds.
 func New(b Bounds, epoch uint64, now time.Duration, unix func(time.Duration) int64, log zerolog.Logger) *Owner {
 	model := contention.New()
-	if b.Impact > 0 {
-		model.PauseAfter = max(0, b.Impact-pauseMargin)
+	if b.MaxInterference > 0 {
+		model.PauseAfter = max(0, b.MaxInterference-pauseMargin)
 	}
 	return &Owner{bounds: b, epoch: epoch, startedAt: now, now: now, modelWrittenAt: now, lastCommit: now, log: log, unixMillis: unix, jobs: make(map[string]*job),
 		executors: make(map[submission.Incarnation]*node), incarnations: make(map[string][]*node), waiting: make(map[stepKey]*waitingStep), scheduled: make(map[string]*job),
--- a/control/dispatch/dispatch_test.go
+++ b/control/dispatch/dispatch_test.go
@@ -34,7 +34,7 @@
 
 func testBounds() Bounds {
 	return Bounds{LeaseDuration: 4 * time.Second, AckValidity: 2 * time.Second, PreviousOwnerWindow: 2 * time.Second, MaxStoreOutage: 15 * time.Second,
-		Impact: testImpact, StopTimeout: 200 * time.Millisecond, Retention: time.Hour}
+		MaxInterference: testMaxInterference, StopTimeout: 200 * time.Millisecond, Retention: time.Hour}
 }
 
 func (f *fixture) newOwner(epoch uint64) *Owner {
--- a/control/dispatch/pause_test.go
+++ b/control/dispatch/pause_test.go
@@ -11,12 +11,14 @@
 )
 
 const (
-	// testImpact is how long a latency-critical task may be over its target beside best-effort work, and
+	// testMaxInterference is how long a latency-critical task may be over its target beside best-effort work, and
 	// testThrottleDelay the time until a speed limit takes effect, on the deployments with the shortest bound.
-	testImpact        = 4 * time.Second
-	testThrottleDelay = 100 * time.Millisecond
+	testMaxInterference = 4 * time.Second
+	testThrottleDelay   = 100 * time.Millisecond
 	// testReportWindow is the time that a reported latency covers.
 	testReportWindow = 500 * time.Millisecond
+	// undisturbedLatency is the latency of a task without interference in milliseconds.
+	undisturbedLatency = 20
 )
 
 // contendedExecutor is an executor that runs a latency-critical task beside a best-effort task that the owner has
@@ -41,16 +43,16 @@
 	assert.Equal(t, len(c.starts()), 3)
 	for range 40 {
 		c.now += 250 * time.Millisecond
-		c.report(20, 20)
+		c.report(undisturbedLatency)
 		c.pass()
 	}
 	return c
 }
 
-// report reports the latencies of both latency-critical tasks in milliseconds.
-func (c *contendedExecutor) report(contended, undisturbed int) {
+// report reports the latency of the contended task in milliseconds, and that of the other one.
+func (c *contendedExecutor) report(contended int) {
 	c.executor("e1", []executor.Run{{Task: name(0, 0), Number: 1, ProgressPercent: 100, Load: contended}, {Task: name(1, 0), Number: 1, Load: 400}})
-	c.executor("e2", []executor.Run{{Task: name(0, 1), Number: 1, ProgressPercent: 100, Load: undisturbed}})
+	c.executor("e2", []executor.Run{{Task: name(0, 1), Number: 1, ProgressPercent: 100, Load: undisturbedLatency}})
 }
 
 // lastLimit returns the speed limit that the best-effort task was last ordered.
@@ -75,14 +77,14 @@
 					c := newContendedExecutor(t)
 					onset := c.now
 					next := onset + phase
-					for ; c.now < onset+testImpact-testThrottleDelay; c.now += pass {
+					for ; c.now < onset+testMaxInterference-testThrottleDelay; c.now += pass {
 						if c.now >= next {
 							next += interval
-							latency := 20
+							latency := undisturbedLatency
 							if c.now-onset >= testReportWindow {
 								latency = over
 							}
-							c.report(latency, 20)
+							c.report(latency)
 						}
 						c.pass()
 					}
--- a/ingress/gateway/gateway.go
+++ b/ingress/gateway/gateway.go
@@ -48,8 +48,8 @@
 	// owner is the connection from the owner.
 	owner    *member.OwnerLink
 	manifest func() *manifest.Manifest
-	// manifestAsOf returns the time as of which the manifest is known to be the newest, 0 for never.
-	manifestAsOf   func() time.Duration
+	// manifestAge returns the time since the manifest was last known to be the newest.
+	manifestAge    func() time.Duration
 	maxManifestAge time.Duration
 	observe        func(method string, status int, took time.Duration, err error)
 	// observeForward records the outcome of a write through the owner.
@@ -67,8 +67,8 @@
 	Log      zerolog.Logger
 	Owner    *member.OwnerLink
 	Manifest func() *manifest.Manifest
-	// ManifestAsOf returns the clock's time as of which Manifest is known to return the newest one, 0 for never.
-	ManifestAsOf func() time.Duration
+	// ManifestAge returns the time since Manifest was last known to return the newest one.
+	ManifestAge func() time.Duration
 	// MaxManifestAge is how long after its confirmation a manifest has to be in force.
 	MaxManifestAge time.Duration
 	// StoreLastResponse returns the clock's time of the store's last response, 0 before the first.
@@ -81,7 +81,7 @@
 
 // New returns a gateway.
 func New(c Config) *Gateway {
-	return &Gateway{store: c.Store, clock: c.Clock, log: c.Log, owner: c.Owner, manifest: c.Manifest, manifestAsOf: c.ManifestAsOf, maxManifestAge: c.MaxManifestAge,
+	return &Gateway{store: c.Store, clock: c.Clock, log: c.Log, owner: c.Owner, manifest: c.Manifest, manifestAge: c.ManifestAge, maxManifestAge: c.MaxManifestAge,
 		observe: c.Observe, observeForward: c.ObserveForward,
 		breaker: breaker{clock: c.Clock, lastResponse: c.StoreLastResponse}, finalStates: make(map[string]submission.State)}
 }
@@ -92,7 +92,7 @@
 // CheckManifestAge returns an error while a newer manifest may have to be in force. A queue that this
 // manifest lacks may then exist, so that the requester is told to retry.
 func (g *Gateway) CheckManifestAge() error {
-	if age := g.ManifestAge(); age > g.maxManifestAge {
+	if age := g.manifestAge(); age > g.maxManifestAge {
 		return errkind.New(errkind.NotReady, "the manifest was last known to be the newest %s ago", age.Round(time.Millisecond))
 	}
 	return nil
@@ -306,8 +306,5 @@
 		event = events.StateAsked
 	}
 	event.Log(g.log).Str("id", id).Str("method", method).Str("queue", queue).Int("status", status).
-		Dur("took", took).Int64("manifest", version).Dur("manifest_age", g.ManifestAge()).AnErr("error", err).Send()
+		Dur("took", took).Int64("manifest", version).Dur("manifest_age", g.manifestAge()).AnErr("error", err).Send()
 }
-
-// ManifestAge returns the time since the manifest was last known to be the newest.
-func (g *Gateway) ManifestAge() time.Duration { return g.clock.Now() - g.manifestAsOf() }
--- a/ingress/gateway/gateway_test.go
+++ b/ingress/gateway/gateway_test.go
@@ -25,7 +25,7 @@
 func newGateway(table *standin.Table, lastResponse func() time.Duration) *Gateway {
 	c := clock.Boottime{}
 	return New(Config{Store: table, Clock: c, Log: zerolog.Nop(), Owner: member.NewOwnerLink(c, zerolog.Nop()),
-		Manifest: func() *manifest.Manifest { return nil }, ManifestAsOf: lastResponse, StoreLastResponse: lastResponse,
+		Manifest: func() *manifest.Manifest { return nil }, ManifestAge: func() time.Duration { return 0 }, StoreLastResponse: lastResponse,
 		Observe: func(string, int, time.Duration, error) {}, ObserveForward: func(error) {}})
 }
 
--- a/ingress/gateway/manifest_test.go
+++ b/ingress/gateway/manifest_test.go
@@ -26,7 +26,7 @@
 		status int
 	}{{maxAge / 2, http.StatusNotFound}, {maxAge + time.Millisecond, http.StatusServiceUnavailable}} {
 		g := New(Config{Store: newTable(), Clock: c, Log: zerolog.Nop(), Owner: member.NewOwnerLink(c, zerolog.Nop()),
-			Manifest: func() *manifest.Manifest { return m }, ManifestAsOf: func() time.Duration { return c.Now() - test.age }, MaxManifestAge: maxAge,
+			Manifest: func() *manifest.Manifest { return m }, ManifestAge: func() time.Duration { return test.age }, MaxManifestAge: maxAge,
 			StoreLastResponse: noResponse, Observe: func(string, int, time.Duration, error) {}, ObserveForward: func(error) {}})
 		w := httptest.NewRecorder()
 		platform.RequestHandler(g).ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "http://h.example/added/", nil))
--- a/verify/histories/cluster_test.go
+++ b/verify/histories/cluster_test.go
@@ -147,7 +147,7 @@
 	self := c.member(p.name, member.Entry)
 	owner := member.NewOwnerLink(c.clock, p.log)
 	current := func() *manifest.Manifest { return c.manifest }
-	p.requests = gateway.New(gateway.Config{Store: p.link, Clock: c.clock, Log: p.log, Owner: owner, Manifest: current, ManifestAsOf: c.clock.Now, MaxManifestAge: time.Second,
+	p.requests = gateway.New(gateway.Config{Store: p.link, Clock: c.clock, Log: p.log, Owner: owner, Manifest: current, ManifestAge: func() time.Duration { return 0 }, MaxManifestAge: time.Second,
 		StoreLastResponse: c.clock.Now, Observe: func(string, int, time.Duration, error) {}, ObserveForward: func(error) {}})
 	zones := evacuation.NewFollower(evacuatedZone, p.log)
 	follower := follow.New(p.link, operatorTable, follow.Sinks{zones}, c.clock, p.log)
--- a/verify/soak/proxy.go
+++ b/verify/soak/proxy.go
@@ -25,9 +25,8 @@
 
 	mu    sync.Mutex
 	fault linkFault
-	conns map[net.Conn]struct{}
-	// silent holds the open connections that carry nothing any more.
-	silent map[net.Conn]struct{}
+	// conns holds the open connections; a value is true for one that carries nothing any more.
+	conns map[net.Conn]bool
 }
 
 // newProxy returns a proxy that listens on address until close.
@@ -37,7 +36,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for a proxy")
 	}
-	p := &proxy{listener: l, target: target, conns: make(map[net.Conn]struct{}), silent: make(map[net.Conn]struct{})}
+	p := &proxy{listener: l, target: target, conns: make(map[net.Conn]bool)}
 	go p.accept()
 	return p, nil
 }
@@ -72,15 +71,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		p.silent[c] = struct{}{}
+		p.conns[c] = true
 	}
 }
 
 func (p *proxy) isSilent(c net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_, ok := p.silent[c]
-	return ok
+	return p.conns[c]
 }
 
 func (p *proxy) close() {
@@ -111,17 +109,15 @@
 		return
 	}
 	p.mu.Lock()
-	p.conns[from], p.conns[to] = struct{}{}, struct{}{}
+	p.conns[from], p.conns[to] = false, false
 	p.mu.Unlock()
 	var wg sync.WaitGroup
 	wg.Go(func() { p.forward(from, to, func(f linkFault) bool { return f.dropForward }) })
 	wg.Go(func() { p.forward(to, from, func(f linkFault) bool { return f.dropBack }) })
 	wg.Wait()
 	p.mu.Lock()
-	for _, c := range []net.Conn{from, to} {
-		delete(p.conns, c)
-		delete(p.silent, c)
-	}
+	delete(p.conns, from)
+	delete(p.conns, to)
 	p.mu.Unlock()
 }
 
