review: case 1, a schedule for a year stops all work

A submission with 365 occurrences of 16 tasks is accepted; its record of progress is larger than a row of the store may be, so that the owner can't commit any more and nothing starts.

Tried: the schedule among ordinary submissions, with no other disruption. The store refused a value of 70,451 bytes.

--- /dev/null
+++ b/review/cases/cases.go
@@ -0,0 +1,6 @@
+package main
+
+// cases holds the cases by name, as the scripts run them.
+var cases = []reviewCase{
+	{"schedule", 1, runSchedule},
+}
