review: case 2, a start that was refused is carried out by its second copy

Tried: an executor that answers some of its starts with 503, while the owner of the work freezes for 1.6 s now and then. At its return the owner sends unanswered starts again before it reads their refusals; the agent carries the second copy out, and the owner starts the task elsewhere.

--- a/review/cases/cases.go
+++ b/review/cases/cases.go
@@ -3,4 +3,5 @@
 // cases holds the cases by name, as the scripts run them.
 var cases = []reviewCase{
 	{"schedule", 1, runSchedule},
+	{"owner", 2, runOwner},
 }
