review: case 3, a gang never works again after an executor has left

Tried: the planned end of one executor that runs a task of a gang with checkpoints. The members carry different checkpoints from then on.

--- a/review/cases/cases.go
+++ b/review/cases/cases.go
@@ -4,4 +4,5 @@
 var cases = []reviewCase{
 	{"schedule", 1, runSchedule},
 	{"owner", 2, runOwner},
+	{"gang", 1, runGang},
 }
