--- a/review/cases/cases.go
+++ b/review/cases/cases.go
@@ -5,4 +5,5 @@
 	{"schedule", 1, runSchedule},
 	{"owner", 2, runOwner},
 	{"gang", 1, runGang},
+	{"watcher", 1, runWatcher},
 }
