review: case 5, many starts with a long specification never reach an executor

Tried: 300 tasks with a specification of 4,000 bytes that only one executor may run. Their starts do not fit one message to its agent.

--- a/review/cases/cases.go
+++ b/review/cases/cases.go
@@ -6,4 +6,5 @@
 	{"owner", 2, runOwner},
 	{"gang", 1, runGang},
 	{"watcher", 1, runWatcher},
+	{"orders", 1, runOrders},
 }
