--- a/review/cases/cases.go
+++ b/review/cases/cases.go
@@ -7,4 +7,7 @@
 	{"gang", 1, runGang},
 	{"watcher", 1, runWatcher},
 	{"orders", 1, runOrders},
+	{"ends", 1, runEnds},
+	{"drain", 1, runDrain},
+	{"starve", 1, runStarve},
 }
