dispatch, vmagent: number the copies of a start, and log copies and refusals

Neither side had a line that a start was sent a second time, nor which copy an answer belongs to, so that the logs could not tell a doubled order from a call to the executor that is carried out late.

StartOrder and OrderResult carry the number of the copy. The owner logs further copies (start_resent, 665) and names the answered copy in run_started and start_refused; the agent logs further copies (666) and each answer without a confirmed start, with the number of its calls and whether one got no reply (667). chicory_owner_resent_starts_total counts the copies. No decision changes.

--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -133,12 +133,14 @@
 	ZoneWaits uint64
 	// GivenUp counts the tasks that were given up since they crash their executors.
 	GivenUp uint64
+	// Resent counts the copies of starts after the first.
+	Resent uint64
 }
 
 func (c Counters) Add(d Counters) Counters {
 	return Counters{Starts: c.Starts + d.Starts, Ends: c.Ends + d.Ends, Failures: c.Failures + d.Failures,
 		Lost: c.Lost + d.Lost, Rejected: c.Rejected + d.Rejected, Withdrawn: c.Withdrawn + d.Withdrawn, ZoneWaits: c.ZoneWaits + d.ZoneWaits,
-		GivenUp: c.GivenUp + d.GivenUp}
+		GivenUp: c.GivenUp + d.GivenUp, Resent: c.Resent + d.Resent}
 }
 
 // New returns an owner without work. now is the owner's clock, which includes time in suspension;
--- a/control/dispatch/orders.go
+++ b/control/dispatch/orders.go
@@ -70,6 +70,11 @@
 	if t.firstOrderedAt == 0 {
 		t.firstOrderedAt = now
 	}
+	if t.startAttempts++; t.startAttempts > 1 {
+		o.counters.Resent++
+		events.StartResent.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", t.node.info.ID).
+			Uint32("attempt", t.startAttempts).Dur("since_first", now-t.firstOrderedAt).Send()
+	}
 	ticket := ""
 	if o.needsAdvice(s) {
 		// Without a valid ticket the executor refuses the start, and advice for the step is
@@ -77,7 +82,7 @@
 		ticket, _ = o.advice.Ticket(stepName(t.stepKey()), t.node.info.Incarnation, now)
 	}
 	b.starts = append(b.starts, wire.StartOrder{Task: t.name(), Run: t.rec.Run, Specification: s.Specification,
-		Checkpoint: t.rec.Checkpoint, Ticket: ticket, Deadline: o.startDeadline(t.node)})
+		Checkpoint: t.rec.Checkpoint, Ticket: ticket, Deadline: o.startDeadline(t.node), Attempt: t.startAttempts})
 	b.pending = true
 	o.counters.Starts++
 }
@@ -170,14 +175,15 @@
 	}
 	if r.Outcome == executor.OK {
 		events.RunStarted.Log(o.log).Str("task", r.Task).Uint32("run", r.Run).Str("executor", n.info.ID).
-			Dur("answered", now-t.orderedAt).Send()
+			Dur("answered", now-t.orderedAt).Uint32("attempt", r.Attempt).Uint32("attempts", t.startAttempts).Send()
 		o.confirmRunning(t, now)
 		o.beginSpeedMeasurement(t, now)
 		return
 	}
 	o.counters.Rejected++
 	events.StartRefused.Log(o.log).Str("task", r.Task).Uint32("run", r.Run).Str("executor", n.info.ID).
-		Str("outcome", r.Outcome.String()).Str("reason", r.Reason.String()).Dur("list_age", now-n.clockAt).Send()
+		Str("outcome", r.Outcome.String()).Str("reason", r.Reason.String()).Dur("list_age", now-n.clockAt).
+		Uint32("attempt", r.Attempt).Uint32("attempts", t.startAttempts).Send()
 	if r.Outcome == executor.Rejected && r.Reason == executor.ReasonStaleEpoch {
 		return
 	}
--- a/vm/vmagent/orders.go
+++ b/vm/vmagent/orders.go
@@ -35,13 +35,18 @@
 	for _, s := range m.Starts {
 		k := runKey{s.Task, s.Run}
 		deadline := startDeadline(m.LeaseEnd, s.Deadline)
-		if p := u.starting[k]; p != nil {
+		p := u.starting[k]
+		if s.Attempt > 1 {
+			events.StartCopyReceived.Log(u.agent.cfg.Log).Str("task", s.Task).Uint32("run", s.Run).Uint32("attempt", s.Attempt).
+				Bool("in_progress", p != nil).Send()
+		}
+		if p != nil {
 			// The owner still requests the run, under a later lease.
-			p.deadline = max(p.deadline, deadline)
+			p.deadline, p.attempt = max(p.deadline, deadline), max(p.attempt, s.Attempt)
 			continue
 		}
 		ctx, cancel := context.WithCancel(u.ctx)
-		u.starting[k] = &pendingStart{cancel: cancel, deadline: deadline}
+		u.starting[k] = &pendingStart{cancel: cancel, deadline: deadline, attempt: s.Attempt}
 		go u.start(ctx, k, s, m.Epoch)
 	}
 }
@@ -53,6 +58,17 @@
 	// end of the lease under which the owner ordered the run it may start the task elsewhere, so
 	// the start must not be sent under a later lease of the executor.
 	deadline int64
+	// attempt is the last copy of the order that was received.
+	attempt uint32
+}
+
+// startOutcome is what is known of a start after the calls to the executor.
+type startOutcome struct {
+	// answer is the executor's last one.
+	answer executor.Answer
+	// uncertain is set if a call got no reply, so that it may have been executed or may still be.
+	uncertain bool
+	calls     int
 }
 
 // startDeadline returns the earlier of the end of the lease and the deadline of a start, which is 0
@@ -79,19 +95,33 @@
 	if !u.beginStart(ctx, k) {
 		return
 	}
-	answer, uncertain := u.startUntilCertain(ctx, s, epoch)
-	u.recordStartAnswer(k, answer, uncertain)
+	out := u.startUntilCertain(ctx, s, epoch)
+	answer := out.answer
+	u.recordStartAnswer(k, answer, out.uncertain)
 	if ctx.Err() != nil {
 		return
 	}
-	if answer.Outcome == executor.Rejected && (uncertain || answer.Reason == executor.ReasonStaleRun) || uncertain && answer.Outcome == executor.Unavailable {
+	if answer.Outcome == executor.Rejected && (out.uncertain || answer.Reason == executor.ReasonStaleRun) || out.uncertain && answer.Outcome == executor.Unavailable {
 		// An earlier attempt may have been executed, or may still be. A stop prevents it
 		// from starting later, and a snapshot reports its end to the owner.
 		if !u.stopUntilCertain(ctx, k, epoch) || !u.reportUntilAbsent(ctx, k, epoch) {
 			return
 		}
 	}
-	u.sendResult(epoch, wire.OrderResult{Task: k.task, Run: k.run, Outcome: answer.Outcome, Reason: answer.Reason})
+	u.reportStart(k, out, epoch)
+}
+
+// reportStart sends the outcome of a start to the owner.
+func (u *executorSession) reportStart(k runKey, out startOutcome, epoch uint64) {
+	u.agent.mu.Lock()
+	attempt := u.starting[k].attempt
+	u.agent.mu.Unlock()
+	a := out.answer
+	if a.Outcome != executor.OK {
+		events.StartNotConfirmed.Log(u.agent.cfg.Log).Str("task", k.task).Uint32("run", k.run).Uint32("attempt", attempt).
+			Str("outcome", a.Outcome.String()).Str("reason", a.Reason.String()).Int("calls", out.calls).Bool("uncertain", out.uncertain).Send()
+	}
+	u.sendResult(epoch, wire.OrderResult{Task: k.task, Run: k.run, Outcome: a.Outcome, Reason: a.Reason, Attempt: attempt})
 }
 
 // reportUntilAbsent reports a snapshot without the run, so that the owner learns of the end of the
@@ -115,36 +145,39 @@
 	}
 }
 
-// startUntilCertain returns the last answer and whether an earlier attempt got no reply. It gives
-// up once a new owner is known.
-func (u *executorSession) startUntilCertain(ctx context.Context, s wire.StartOrder, epoch uint64) (answer executor.Answer, uncertain bool) {
-	answer.Outcome = executor.Unavailable
+// startUntilCertain sends a start until its outcome is known, a few times while the executor is
+// unavailable. It gives up once a new owner is known.
+func (u *executorSession) startUntilCertain(ctx context.Context, s wire.StartOrder, epoch uint64) startOutcome {
+	out := startOutcome{answer: executor.Answer{Outcome: executor.Unavailable}}
 	unavailable := 0
 	for attempt := 0; ctx.Err() == nil && u.agent.cfg.Link.Epoch() == epoch; attempt++ {
 		if attempt > 0 {
 			u.pause(ctx, orderRetryDelay)
 		}
 		if attempt == 0 || u.sameIncarnation(ctx, epoch) {
-			if u.currentInfo().Draining && !uncertain {
-				return executor.Answer{Outcome: executor.Unavailable}, false
+			if u.currentInfo().Draining && !out.uncertain {
+				out.answer = executor.Answer{Outcome: executor.Unavailable}
+				return out
 			}
 			if u.startExpired(s) {
-				return executor.Answer{Outcome: executor.Rejected, Reason: executor.ReasonDeadlinePassed}, uncertain
+				out.answer = executor.Answer{Outcome: executor.Rejected, Reason: executor.ReasonDeadlinePassed}
+				return out
 			}
-			answer = u.sendStart(ctx, s, epoch)
+			out.answer = u.sendStart(ctx, s, epoch)
+			out.calls++
 		}
-		switch answer.Outcome {
+		switch out.answer.Outcome {
 		case executor.OK, executor.Rejected, executor.OtherIncarnation:
-			return answer, uncertain
+			return out
 		case executor.Unavailable, executor.NoListener:
 			if unavailable++; unavailable >= maxUnavailableAttempts {
-				return answer, uncertain
+				return out
 			}
 		case executor.Unknown:
-			uncertain = true
+			out.uncertain = true
 		}
 	}
-	return answer, uncertain
+	return out
 }
 
 // startExpired reports whether the deadline of a start has passed, for example while this process
