vmagent: a refused start can't be carried out by a later copy of the order

What callers saw: two runs of a task at the same time, or a run after the task had ended done (TWICE).

Cause: a start is an order that is sent at least once (a copy after 1.5 s without an answer and on each new connection), but the refusal of one copy was reported as the outcome of the run. Only after a call without a reply did the agent stop the run before it reported a refusal; after a refusal without effect (room, ticket, deadline, unavailable, dropped as late by the agent) a copy on its way was carried out as a new start, while the owner had started the task elsewhere.

A start is also removed before its result is sent; a copy that arrived in between got no answer. Where the executor refuses the next copy as an old run, the owner gets that refusal. No result is sent any more where the incarnation has ended: the end of the executor is reported instead.

Weighed: a record of refused runs in the agent (lost with its process, and blind to calls of an earlier one), copies numbered by the owner so that it ignores the refusal of all but the last (a refusal that is lost with its connection, or a copy on another connection, leaves the run open until the lease ends).

The fake executor of the other tests answers a stop that a test does not define.

--- a/vm/vmagent/orders.go
+++ b/vm/vmagent/orders.go
@@ -46,8 +46,9 @@
 			continue
 		}
 		ctx, cancel := context.WithCancel(u.ctx)
-		u.starting[k] = &pendingStart{cancel: cancel, deadline: deadline, attempt: s.Attempt}
-		go u.start(ctx, k, s, m.Epoch)
+		p = &pendingStart{cancel: cancel, deadline: deadline, attempt: s.Attempt}
+		u.starting[k] = p
+		go u.start(ctx, p, s, m.Epoch)
 	}
 }
 
@@ -80,14 +81,12 @@
 	return min(leaseEnd, deadline)
 }
 
-// start sends a start until its outcome is final, and reports the outcome.
-func (u *executorSession) start(ctx context.Context, k runKey, s wire.StartOrder, epoch uint64) {
-	defer func() {
-		u.agent.mu.Lock()
-		defer u.agent.mu.Unlock()
-		u.starting[k].cancel()
-		delete(u.starting, k)
-	}()
+// start sends a start until its outcome is final, and reports the outcome. The owner may have sent
+// further copies of the order, which arrive later or have reached an earlier process of this agent,
+// so a start counts as refused only once the run can't begin any more and is not at work.
+func (u *executorSession) start(ctx context.Context, p *pendingStart, s wire.StartOrder, epoch uint64) {
+	k := runKey{s.Task, s.Run}
+	defer u.forgetStart(k, p)
 	if !u.acquireSlot(ctx) {
 		return
 	}
@@ -96,26 +95,37 @@
 		return
 	}
 	out := u.startUntilCertain(ctx, s, epoch)
-	answer := out.answer
-	u.recordStartAnswer(k, answer, out.uncertain)
-	if ctx.Err() != nil {
+	u.recordStartAnswer(k, out.answer, out.uncertain)
+	if ctx.Err() != nil || u.agent.cfg.Link.Epoch() != epoch {
 		return
 	}
-	if answer.Outcome == executor.Rejected && (out.uncertain || answer.Reason == executor.ReasonStaleRun) || out.uncertain && answer.Outcome == executor.Unavailable {
-		// An earlier attempt may have been executed, or may still be. A stop prevents it
-		// from starting later, and a snapshot reports its end to the owner.
-		if !u.stopUntilCertain(ctx, k, epoch) || !u.reportUntilAbsent(ctx, k, epoch) {
-			return
-		}
+	if out.answer.Outcome != executor.OK && !u.preventRun(ctx, k, epoch) {
+		return
 	}
-	u.reportStart(k, out, epoch)
+	u.reportStart(k, out, u.forgetStart(k, p), epoch)
 }
 
-// reportStart sends the outcome of a start to the owner.
-func (u *executorSession) reportStart(k runKey, out startOutcome, epoch uint64) {
+// forgetStart ends a start and returns the last copy of the order that it covers. A copy that arrives
+// later is a start of its own.
+func (u *executorSession) forgetStart(k runKey, p *pendingStart) (attempt uint32) {
 	u.agent.mu.Lock()
-	attempt := u.starting[k].attempt
-	u.agent.mu.Unlock()
+	defer u.agent.mu.Unlock()
+	p.cancel()
+	if u.starting[k] == p {
+		delete(u.starting, k)
+	}
+	return p.attempt
+}
+
+// preventRun makes the executor reject each later start of the run, and reports a snapshot without
+// it, so that the owner learns of an end of the run before the refusal of its start. The executor
+// keeps that state, so it outlasts this process.
+func (u *executorSession) preventRun(ctx context.Context, k runKey, epoch uint64) bool {
+	return u.stopUntilCertain(ctx, k, epoch) && u.reportUntilAbsent(ctx, k, epoch)
+}
+
+// reportStart sends the final outcome of a start to the owner.
+func (u *executorSession) reportStart(k runKey, out startOutcome, attempt uint32, epoch uint64) {
 	a := out.answer
 	if a.Outcome != executor.OK {
 		events.StartNotConfirmed.Log(u.agent.cfg.Log).Str("task", k.task).Uint32("run", k.run).Uint32("attempt", attempt).
--- a/vm/vmagent/vmagent_test.go
+++ b/vm/vmagent/vmagent_test.go
@@ -39,6 +39,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.stops = append(f.stops, name)
+	if f.stop == nil {
+		return executor.Answer{}
+	}
 	return f.stop(name, run)
 }
 
