vmagent: a start without an answer is not tried again on an executor that drains

Cause: an executor that drains got no start unless an earlier attempt had no reply, since giving up then would have been a refusal of a start that may be carried out.

--- a/vm/vmagent/copies_test.go
+++ b/vm/vmagent/copies_test.go
@@ -145,3 +145,33 @@
 	assert.Equal(t, r.Outcome, executor.Unavailable)
 	assert.Equal(t, f.runCount(), 0, "the run of the earlier copy is at work when its start is reported as refused")
 }
+
+// Guards against a run that begins on an executor that leaves, seconds after it has said so, and ends with it.
+func TestUncertainStartIsNotRepeatedOnDrainingExecutor(t *testing.T) {
+	f := newFencingExecutor(func(n int) (executor.Answer, bool) { return executor.Answer{Outcome: executor.Unknown}, n == 1 })
+	a := newTestAgent(t, &fakeExecutor{})
+	a.cfg.Client = &drainingAfterStart{fencingExecutor: f, drain: func() {
+		info := testInfo()
+		info.Sequence, info.Draining = 2, true
+		a.Heartbeat(info)
+	}}
+	o := connectOwner(t, a, 1)
+	a.Heartbeat(testInfo())
+	r := o.orderStart(t, wire.StartOrder{Task: "a.0.0.0", Run: 1, Attempt: 1})
+	assert.Equal(t, r.Outcome, executor.Unavailable)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	assert.Equal(t, f.starts, 1)
+	assert.Equal(t, f.highest["a.0.0.0"], uint32(1), "the attempt without a reply may still be carried out")
+}
+
+// drainingAfterStart reports that it drains before it answers a start.
+type drainingAfterStart struct {
+	*fencingExecutor
+	drain func()
+}
+
+func (d *drainingAfterStart) Start(ctx context.Context, info executor.Info, s executor.Start) executor.Answer {
+	d.drain()
+	return d.fencingExecutor.Start(ctx, info, s)
+}
--- a/vm/vmagent/orders.go
+++ b/vm/vmagent/orders.go
@@ -165,7 +165,7 @@
 			u.pause(ctx, orderRetryDelay)
 		}
 		if attempt == 0 || u.sameIncarnation(ctx, epoch) {
-			if u.currentInfo().Draining && !out.uncertain {
+			if u.currentInfo().Draining {
 				out.answer = executor.Answer{Outcome: executor.Unavailable}
 				return out
 			}
