gate: a drain ends when its last request outlives its deadline

Cause: at the deadline the agent answers "unknown" and keeps the slot until the upstream has ended. The drain was checked when a response was written, not when a slot became free. Here the response is written first, and nothing checks afterwards.

TestDrainFinishesAfterRequestOutlivesItsDeadline failed before: "the drain has not finished, although no request is in progress". Finish now checks the drain too; it still waits for responses that are not written (TestDrainWaitsForAnswers).

--- a/ingress/gate/gate.go
+++ b/ingress/gate/gate.go
@@ -168,6 +168,8 @@
 		g.bodyOrder = append(g.bodyOrder, expiryEntry{id: key})
 		g.evictBodies()
 	}
+	// The response has been written already if the request outlived its deadline.
+	g.checkDrained()
 	return g.slots - g.inUse
 }
 
--- a/ingress/gate/gate_test.go
+++ b/ingress/gate/gate_test.go
@@ -135,6 +135,24 @@
 	})
 }
 
+// Guards against a drain that never finishes because the last request ended after its deadline had been answered.
+func TestDrainFinishesAfterRequestOutlivesItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newOpenGate(t, 1)
+		assert.Equal(t, g.Admit(conn1, request(1), 0), errkind.None)
+		finished, _ := g.Drain(0)
+		time.Sleep(2 * DrainGrace)
+		g.ResponseWritten()
+		g.Finish(request(1).ID, &wire.Response{}, 0)
+		synctest.Wait()
+		select {
+		case <-finished:
+		default:
+			t.Fatal("the drain has not finished, although no request is in progress")
+		}
+	})
+}
+
 // Guards against unbounded memory use: results must expire after Retention.
 func TestRecordsExpire(t *testing.T) {
 	g := newOpenGate(t, 2)
