agent: report an attempt's end by a stop order until it is acknowledged

Cause: the end of an attempt by an eviction order was told only in the answer to that order. The agent stores a checkpoint first. Meanwhile the order can be repeated, and the refusal of the second copy (the checkpoint could not be stored) made the owner give the eviction up; or the agent announces the attempt to a new owner, as after a hand-over. The first copy then ends the attempt, and its answer reaches nobody.

The agent now also queues the end as a task event, which it repeats until the owner has recorded it.

--- a/control/ledger/ledger.go
+++ b/control/ledger/ledger.go
@@ -131,6 +131,14 @@
 	l.endQueue = l.endQueue[n:]
 }
 
+// Holds reports whether the attempt is admitted and has not ended.
+func (l *Ledger) Holds(id string, attempt uint32) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	cur, ok := l.reservations[id]
+	return ok && cur.Attempt == attempt
+}
+
 // Reserved returns the sum of all reservations, including the service's.
 func (l *Ledger) Reserved() task.Resources {
 	l.mu.Lock()
--- a/control/shard/agents.go
+++ b/control/shard/agents.go
@@ -358,7 +358,7 @@
 		o.tables.Update(tk, func(t *tables.Task) { applyCheckpoint(&t.Record, ev) })
 		o.markDirty(tk, false, done)
 	case wire.TaskStopped:
-		o.recordEviction(tk, ev, ev.Reason, done)
+		o.stopReported(tk, ev, done)
 	default:
 		done(nil)
 	}
--- a/control/shard/stops.go
+++ b/control/shard/stops.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/scheduler/tables"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
@@ -75,10 +76,7 @@
 		return
 	}
 	if ev, ok := m.(*wire.TaskEvent); ok && err == nil {
-		delete(o.pendingStops, key)
-		for _, done := range p.callbacks {
-			done(ev)
-		}
+		o.finishStop(key, p, ev)
 		return
 	}
 	// An eviction whose checkpoint could not be stored is abandoned, and the scheduler decides again.
@@ -87,3 +85,23 @@
 		delete(o.pendingStops, key)
 	}
 }
+
+func (o *Owner) finishStop(key stopKey, p *pendingStop, ev *wire.TaskEvent) {
+	delete(o.pendingStops, key)
+	for _, done := range p.callbacks {
+		done(ev)
+	}
+}
+
+// stopReported applies the event that reports the end of an attempt by a stop request. The event can
+// arrive before the answer to the request, or without one.
+func (o *Owner) stopReported(tk *tables.Task, ev *wire.TaskEvent, done func(error)) {
+	key := stopKey{ev.VM, ev.ID, ev.Attempt}
+	p, ok := o.pendingStops[key]
+	if !ok || len(p.callbacks) == 0 || ev.Reason != errkind.None {
+		o.recordEviction(tk, ev, ev.Reason, done)
+		return
+	}
+	o.finishStop(key, p, ev)
+	o.whenDurable(ev.ID, done)
+}
--- a/vm/agent/tasks.go
+++ b/vm/agent/tasks.go
@@ -128,7 +128,9 @@
 }
 
 // stopTask ends an attempt and replies with a TaskEvent: the result if the attempt has ended by
-// itself, the agent's own eviction if that came first, otherwise the last checkpoint.
+// itself, the agent's own eviction if that came first, otherwise the last checkpoint. An end that the
+// order caused is reported as an event too: the owner may have taken back the order, or have been
+// replaced, while the checkpoint was stored, and then discards the reply.
 func (a *Agent) stopTask(m *wire.StopTask) wire.Message {
 	if !a.ledger.ObserveEpoch(m.Epoch) {
 		return wire.ErrorReply(errkind.New(errkind.StaleEpoch, "stop order has stale epoch %d", m.Epoch))
@@ -141,12 +143,16 @@
 	}
 	a.endMu.Lock()
 	defer a.endMu.Unlock()
+	held := a.ledger.Holds(m.ID, m.Attempt)
 	if result := a.endAttempt(m.ID, m.Attempt); result != nil {
 		return result
 	}
 	if posted := a.outbox.endEvent(m.ID, m.Attempt); posted != nil {
 		return posted
 	}
+	if held {
+		a.post(ev)
+	}
 	return ev
 }
 
