shard: grant nothing once the release of a shard is on its way

Cause: the write that marks a lease row free can take effect while its reply is lost or late (store cut off, process paused). Another entry then acquires the shard at once, as the row is free, and starts the tasks of silent VMs elsewhere after 31.3 s. The old owner still held its lease on its own clock, up to 15 s after its last renewal, and went on granting 30 s to its VMs. A VM that is cut off after such a grant runs its tasks up to 45 s after the hand-over.

TestNoGrantAfterReleaseWithLostReply failed before (a heartbeat at the old owner got a grant after the new owner had acquired the shard). The lease now counts as ended when the release is prepared, before it is sent. If the release fails, the shard is given up as before.

--- a/control/shard/manager.go
+++ b/control/shard/manager.go
@@ -151,10 +151,14 @@
 	// reassignAfter is the time on this entry's clock until which LeaseRow.ReassignDelayMS applies.
 	reassignAfter time.Duration
 	loaded        bool
-	cancel        context.CancelFunc
-	finished      chan struct{}
+	// releasing is set before the write that marks the row free is sent. That write may take effect long before its reply.
+	releasing bool
+	cancel    context.CancelFunc
+	finished  chan struct{}
 }
 
+func (s *ownedShard) valid(now time.Duration) bool { return !s.releasing && s.lease.Valid(now) }
+
 // NewManager returns a manager that owns no shards.
 func NewManager(cfg ManagerConfig) *Manager {
 	if cfg.ExtensionGrants == nil {
@@ -327,7 +331,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s, ok := m.owned[id]
-	return ok && s.row.Epoch == epoch && s.lease.Valid(m.cfg.Clock.Now())
+	return ok && s.row.Epoch == epoch && s.valid(m.cfg.Clock.Now())
 }
 
 func (m *Manager) lostShard(id string, epoch uint64) {
@@ -392,7 +396,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s, ok := m.owned[id]
-	return ok && s.loaded && s.lease.Valid(m.cfg.Clock.Now())
+	return ok && s.loaded && s.valid(m.cfg.Clock.Now())
 }
 
 // Digests returns digests of the membership lists of the shards that this entry owns. Shards whose
--- a/control/shard/manager_test.go
+++ b/control/shard/manager_test.go
@@ -21,6 +21,7 @@
 	"github.com/chicorystand/chicorystand/control/task"
 	"github.com/chicorystand/chicorystand/state/store"
 	"github.com/chicorystand/chicorystand/verify/standin"
+	"github.com/chicorystand/chicorystand/wire"
 )
 
 const testShard = "z-0"
@@ -191,6 +192,34 @@
 	}
 }
 
+type nopCaller struct{}
+
+func (nopCaller) Call(context.Context, wire.Message) (wire.Message, error) { return &wire.Ack{}, nil }
+func (nopCaller) Close()                                                   {}
+
+// Guards against VM grants by an owner that has released its shard but has not seen the reply to that write.
+func TestNoGrantAfterReleaseWithLostReply(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		m := c.startInOrder("a", "b")
+		o, ok := m[0].Owner(testShard)
+		assert.Assert(t, ok)
+		_, err := shard.Ask(c.ctx, o, func() (*wire.AnnounceReply, error) {
+			return o.Announce(c.ctx, &wire.Announce{VM: "vm", Zone: "z"}, nopCaller{})
+		})
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		m[0].link.DisconnectAtCommit(1)
+		go m[0].Release(c.ctx)
+		for c.row().Owner != "b" {
+			time.Sleep(10 * time.Millisecond)
+			m[1].EntryDisconnected("a")
+		}
+		_, err = shard.Ask(c.ctx, o, func() (*wire.Grant, error) { return o.Heartbeat("vm", &wire.Heartbeat{}) })
+		assert.Equal(t, errkind.Of(err), errkind.NotOwner)
+		time.Sleep(time.Second)
+	})
+}
+
 // Guards against a lease or request admission that ends in a store outage without a second fault, a
 // lease extension beyond 40 minutes or not granted by every member, and an entry that admits
 // requests or owns shards after starting in an outage.
--- a/control/shard/renew.go
+++ b/control/shard/renew.go
@@ -134,7 +134,7 @@
 			s.members[member] = true
 		}
 		if release || id == free {
-			r.free[id] = true
+			r.free[id], s.releasing = true, true
 			row.Owner, row.Addr, row.Members = "", "", nil
 		}
 		r.shards, r.rows = append(r.shards, s), append(r.rows, row)
--- a/control/shard/takeover.go
+++ b/control/shard/takeover.go
@@ -272,7 +272,7 @@
 	}
 	best := ""
 	for id, s := range m.owned {
-		if !s.loaded || !s.lease.Valid(now) || s.reassignAfter > now {
+		if !s.loaded || !s.valid(now) || s.reassignAfter > now {
 			continue
 		}
 		otherZone, bestOtherZone := !strings.HasPrefix(id, m.cfg.Zone+"-"), !strings.HasPrefix(best, m.cfg.Zone+"-")
--- a/verify/standin/link.go
+++ b/verify/standin/link.go
@@ -18,6 +18,8 @@
 	disconnected   bool
 	commits        int
 	loseResponseOf int
+	// disconnectThen disconnects the link when the response is lost.
+	disconnectThen bool
 }
 
 // NewLink returns a connected link to table.
@@ -34,7 +36,14 @@
 func (l *Link) LoseCommitResponse(n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.commits, l.loseResponseOf = 0, n
+	l.commits, l.loseResponseOf, l.disconnectThen = 0, n, false
+}
+
+// DisconnectAtCommit disconnects the link after the nth commit from now, counted from 1, has taken effect and lost its response.
+func (l *Link) DisconnectAtCommit(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.commits, l.loseResponseOf, l.disconnectThen = 0, n, true
 }
 
 // Commits returns the number of commits since the last LoseCommitResponse.
@@ -80,11 +89,18 @@
 	l.mu.Unlock()
 	versions, err := l.table.Commit(ctx, txn)
 	if err == nil && loseResponse {
+		l.disconnectIfRequested()
 		return nil, errkind.New(errkind.StoreAmbiguous, "response lost")
 	}
 	return versions, err
 }
 
+func (l *Link) disconnectIfRequested() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.disconnected = l.disconnected || l.disconnectThen
+}
+
 // List implements store.Follower.
 func (l *Link) List(ctx context.Context, table, after string) (store.Page, error) {
 	if err := l.checkConnected(); err != nil {
