shard: keep the checkpoint of an eviction that a fence finds

Effect for callers (by reading and by the test, not seen in a run): a task that a draining agent has evicted resumes from an older checkpoint, or from its start, and runs the rest again.

Cause: the agent reports its eviction until it is acknowledged. If its connection is replaced before that, the announcement no longer lists the attempt, and the new session's owner fences it with a stop. The agent answers the stop with the unsent report. The owner took from it that the attempt has ended, and dropped its checkpoint; the report itself came too late, as the record no longer named the attempt.

TestFenceKeepsTheCheckpointOfAnEviction failed before (checkpoint "" in place of "c"). The owner records such an answer as the eviction that it is. The agents of the tests announce no evictions as results any more, as real agents don't.

--- a/control/shard/agents.go
+++ b/control/shard/agents.go
@@ -90,6 +90,11 @@
 			o.TaskEvent(ctx, ev, func(error) {})
 			return
 		}
+		if ev.Checkpoint != "" {
+			// The agent has evicted the attempt, and its report has not arrived yet.
+			o.recordEviction(tk, ev, ev.Reason, nil)
+			return
+		}
 		o.requeue(tk, nil)
 	})
 }
--- a/control/shard/lifecycle_test.go
+++ b/control/shard/lifecycle_test.go
@@ -208,6 +208,9 @@
 		m.Tasks = append(m.Tasks, wire.TaskStatus{ID: id, Attempt: attempt, State: task.Running})
 	}
 	for _, ev := range a.outbox {
+		if ev.Event == wire.TaskStopped {
+			continue // Agents announce results only.
+		}
 		state := task.Succeeded
 		if ev.Event == wire.TaskFailed {
 			state = task.Failed
--- a/control/shard/stops_test.go
+++ b/control/shard/stops_test.go
@@ -79,3 +79,22 @@
 		assert.Equal(w.t, w.record("t").Evictions, uint32(1))
 	})
 }
+
+// Guards against work that is run again: the eviction by a draining agent is learnt from the answer to a stop, after its report was lost.
+func TestFenceKeepsTheCheckpointOfAnEviction(t *testing.T) {
+	runFuzzCluster(t, func(w *fuzzCluster) {
+		a, attempt := w.startOne("t")
+		w.locked(func() {
+			a.stop("t", attempt)
+			a.outbox = append(a.outbox, &wire.TaskEvent{VM: a.id, ID: "t", Attempt: attempt, Event: wire.TaskStopped,
+				Checkpoint: "c", ProgressMS: 5000, Reason: errkind.Draining})
+		})
+		w.announce(a)
+		time.Sleep(time.Second)
+		rec := w.record("t")
+		assert.Equal(w.t, rec.Attempt, attempt+1)
+		assert.Equal(w.t, rec.Checkpoint, "c")
+		assert.Equal(w.t, rec.Progress, 5*time.Second)
+		assert.Equal(w.t, rec.Evictions, uint32(1))
+	})
+}
