--- a/vm/agent/tasks_test.go
+++ b/vm/agent/tasks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,11 +20,21 @@
 )
 
 // slowObjects stores each object after the next delay, or fails if the delay is negative.
-type slowObjects struct{ delays []time.Duration }
+type slowObjects struct {
+	mu     sync.Mutex
+	delays []time.Duration
+}
 
-func (s *slowObjects) Put(context.Context, string, []byte) error {
+func (s *slowObjects) nextDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	d := s.delays[0]
 	s.delays = s.delays[1:]
+	return d
+}
+
+func (s *slowObjects) Put(context.Context, string, []byte) error {
+	d := s.nextDelay()
 	if d < 0 {
 		return errkind.New(errkind.StoreUnavailable, "the object store is down")
 	}
