agent: a start of an upstream does not undo a planned stop

Effect for callers (by reading and by the test, not seen in a run): requests in progress are cut off, and new ones get no answer, when an agent is stopped (SIGTERM) and an operator's start of its upstream, or a late copy of one, arrives during the drain.

Cause: the start reopened the gate and ended the drain early. The process took the return for the end of the drain and ended, while entries sent requests again.

TestStartDoesNotUndoAPlannedStop failed before ("the stop has ended before the drain"). A stop now uses Leave, after which a start is refused with the kind conflict and changes nothing.

--- a/command/chicoryagent/root.go
+++ b/command/chicoryagent/root.go
@@ -166,6 +166,6 @@
 // Stop implements daemon.Server.
 func (s *server) Stop(ctx context.Context) {
 	events.UpstreamDraining.Log(s.process.Log).Send()
-	s.agent.Drain(ctx)
+	s.agent.Leave(ctx)
 	events.UpstreamLeft.Log(s.process.Log).Send()
 }
--- a/verify/devenv/env.go
+++ b/verify/devenv/env.go
@@ -264,7 +264,7 @@
 
 // Stop drains the agent and then ends it.
 func (a *Agent) Stop(ctx context.Context) {
-	a.Process.Drain(ctx)
+	a.Process.Leave(ctx)
 	a.cancel()
 	<-a.done
 }
--- a/vm/agent/agent.go
+++ b/vm/agent/agent.go
@@ -85,6 +85,10 @@
 	evacuatedZones  []string
 	zonesGeneration uint64
 
+	// drainMu orders drains and their undoing. leaving is set for good when the process begins to stop.
+	drainMu sync.Mutex
+	leaving bool
+
 	mu sync.Mutex
 	// ctx is the context of Run; it is cancelled when the process stops.
 	ctx      context.Context
@@ -210,13 +214,28 @@
 	a.drainedOnce.Do(func() { close(a.drained) })
 }
 
-// Undrain cancels a drain and puts the upstream back into service.
-func (a *Agent) Undrain() {
+// Leave is Drain for a process that stops afterwards. It cannot be undone.
+func (a *Agent) Leave(ctx context.Context) {
+	a.drainMu.Lock()
+	a.leaving = true
+	a.drainMu.Unlock()
+	a.Drain(ctx)
+}
+
+// Undrain cancels a drain and puts the upstream back into service. It fails with errkind.Conflict once
+// the process stops.
+func (a *Agent) Undrain() error {
+	a.drainMu.Lock()
+	defer a.drainMu.Unlock()
+	if a.leaving {
+		return errkind.New(errkind.Conflict, "the agent of VM %s is stopping; nothing was done", a.cfg.VM)
+	}
 	if !a.gate.Undrain() {
-		return
+		return nil
 	}
 	a.cfg.Recorder.Record(history.Event{Kind: history.UpstreamStarted, VM: a.cfg.VM, Incarnation: a.cfg.Incarnation})
 	a.notifyDrain(true)
+	return nil
 }
 
 // notifyDrain notifies the owner and the connected entries of a drain or its undoing. Delivery is
--- a/vm/agent/data.go
+++ b/vm/agent/data.go
@@ -197,10 +197,10 @@
 	switch msg := m.(type) {
 	case *wire.Drain:
 		if msg.Undo {
-			a.Undrain()
-		} else {
-			go a.Drain(ctx)
+			reply(ackOrError(a.Undrain()))
+			return
 		}
+		go a.Drain(ctx)
 		reply(&wire.Ack{})
 	case *wire.AgentStatus:
 		reply(a.status())
