platform: a list of ended runs that is cut to 500 is not taken for complete

Cause: an executor lists at most 500 ends in one answer and the following ones once these are acknowledged.

An end that the next incarnation lists before its list is complete counts although the run is still assigned to the earlier one.

The stand-in of the executor cuts its list at 500 by default; every second one of verify/histories lists one end.

--- a/control/dispatch/reports.go
+++ b/control/dispatch/reports.go
@@ -25,7 +25,7 @@
 		o.markGone(r.Info.Incarnation, now)
 		return
 	}
-	if r.Epoch == o.epoch {
+	if r.Epoch == o.epoch && r.FullSnapshot {
 		o.retireOlderIncarnations(r.Info, now)
 	}
 	n := o.node(r.Info.Incarnation)
@@ -43,13 +43,12 @@
 	}
 	n.leaseExpired = false
 	o.applyEnds(n, r.Ended, now)
-	if r.FullSnapshot {
-		o.applySnapshot(n, r.Running, now)
-	}
+	o.applySnapshot(n, r, now)
 }
 
 // retireOlderIncarnations marks older incarnations with the same ID or address as gone: the
-// executor's process has been replaced, so none of their runs is alive.
+// executor's process has been replaced, so none of their runs is alive. It needs a complete snapshot,
+// since the executor may have run their tasks and list the ends later.
 func (o *Owner) retireOlderIncarnations(info executor.Info, now time.Duration) {
 	for _, n := range slices.Concat(o.incarnations[info.ID], o.incarnations[info.Address]) {
 		if !n.gone && n.info.StartedAt < info.StartedAt && (n.info.ID == info.ID || n.info.Address == info.Address) {
@@ -177,19 +176,35 @@
 	}
 }
 
-// adoptFromPredecessor assigns a run that was lost with an earlier incarnation to the next one
-// with the same ID, which may have executed the start and now reports the end.
+// adoptFromPredecessor assigns a run of an earlier incarnation to the next one with the same ID, which
+// may have executed the start and now reports the end.
 func (o *Owner) adoptFromPredecessor(t *taskEntry, n *node, e executor.End, now time.Duration) {
-	if t == nil || t.rec.State != submission.TaskPending || t.rec.Run != e.Run || t.step().Gang || t.job.state.Final() ||
-		t.lostOn.ID != n.info.ID || t.lostOn.StartedAt >= n.info.StartedAt {
+	if t == nil || t.rec.Run != e.Run || t.step().Gang || t.job.state.Final() || !t.assignedBefore(n) {
 		return
 	}
+	if t.node != nil {
+		t.node.release(t)
+	}
 	t.rec.State, t.rec.Executor, t.rec.Address = submission.TaskAssigned, n.info.Incarnation, n.info.Address
 	t.node, t.phase, t.changedAt = n, phaseRunning, now
 	n.reserve(t)
 	o.queueStep(t.stepKey(), t.job, now)
 }
 
+// assignedBefore reports whether the last run of the task was lost with an earlier incarnation of the
+// node's executor, or is still assigned to one.
+func (t *taskEntry) assignedBefore(n *node) bool {
+	at := t.lostOn
+	switch t.rec.State {
+	case submission.TaskPending:
+	case submission.TaskAssigned:
+		at = t.rec.Executor
+	default:
+		return false
+	}
+	return at.ID == n.info.ID && at.StartedAt < n.info.StartedAt
+}
+
 func (o *Owner) applyEnd(t *taskEntry, n *node, e executor.End, now time.Duration) {
 	o.counters.Ends++
 	events.RunEnded.Log(o.log).Str("task", e.Task).Uint32("run", e.Run).Str("cause", e.Cause.String()).
@@ -245,8 +260,18 @@
 	o.requeue(t, now)
 }
 
-// applySnapshot reconciles the tables with a complete snapshot of the executor's runs.
-func (o *Owner) applySnapshot(n *node, running []executor.Run, now time.Duration) {
+// applySnapshot reconciles the tables with a snapshot of the executor's runs.
+func (o *Owner) applySnapshot(n *node, r *wire.Report, now time.Duration) {
+	listed := o.applyRuns(n, r.Running, now)
+	n.aliveAt = now
+	if r.FullSnapshot {
+		o.applyAbsence(n, listed, now)
+	}
+	o.observeContention(n, r.Running, now)
+}
+
+// applyRuns applies what a snapshot says of running tasks, and returns those of the tables.
+func (o *Owner) applyRuns(n *node, running []executor.Run, now time.Duration) map[*taskEntry]struct{} {
 	listed := make(map[*taskEntry]struct{}, len(running))
 	for i := range running {
 		r := &running[i]
@@ -259,6 +284,11 @@
 		listed[t] = struct{}{}
 		o.applyRun(t, r, now)
 	}
+	return listed
+}
+
+// applyAbsence adopts the node, and handles its runs that a complete snapshot does not list.
+func (o *Owner) applyAbsence(n *node, listed map[*taskEntry]struct{}, now time.Duration) {
 	first := !n.adopted
 	if first {
 		// The executor refuses previous owners from now on, and they have granted at most this
@@ -266,13 +296,12 @@
 		n.grantedLeaseEnd = max(n.grantedLeaseEnd, n.clock+o.bounds.LeaseDuration.Milliseconds())
 		n.previousLeaseUntil = 0
 	}
-	n.adopted, n.aliveAt = true, now
+	n.adopted = true
 	for t := range n.tasks {
 		if _, ok := listed[t]; !ok {
 			o.applyMissing(t, n, first, now)
 		}
 	}
-	o.observeContention(n, running, now)
 	o.placementChanged = o.placementChanged || first
 }
 
--- a/verify/histories/cluster_test.go
+++ b/verify/histories/cluster_test.go
@@ -40,6 +40,9 @@
 	testLease       = 4500 * time.Millisecond
 	testMaxLease    = 6 * time.Second
 	testStopTimeout = 200 * time.Millisecond
+	// shortEndList is the largest number of ends in one snapshot of every second executor, so that lists
+	// are cut although few runs end at a time.
+	shortEndList = 1
 )
 
 var executorCapacity = task.Resources{CPU: 4000, Memory: 8000}
@@ -169,7 +172,11 @@
 }
 
 func (c *cluster) startExecutor(i int) {
-	e := standin.NewExecutor(standin.ExecutorConfig{VM: executorName(i), Service: "pool", Zone: zoneName(i), Address: fmt.Sprintf("10.0.0.%d:1", i),
+	maxEnds := 0
+	if i%2 == 1 {
+		maxEnds = shortEndList
+	}
+	e := standin.NewExecutor(standin.ExecutorConfig{VM: executorName(i), MaxListedEnds: maxEnds, Service: "pool", Zone: zoneName(i), Address: fmt.Sprintf("10.0.0.%d:1", i),
 		Rack: fmt.Sprintf("r%d", i/2), Capacity: executorCapacity, Clock: c.clock, ClockRate: 1 - 0.02*float64(i%2), MaxLease: testMaxLease,
 		StopTimeout: testStopTimeout, CheckpointInterval: time.Second, Recorder: c.recorder,
 		Work: func(name string, _ uint32) standin.Work { return c.taskWork[name] }})
--- a/verify/standin/executor.go
+++ b/verify/standin/executor.go
@@ -43,6 +43,9 @@
 	// Work returns the behavior of a run of a task.
 	Work     func(task string, run uint32) Work
 	Recorder *history.Recorder
+	// MaxListedEnds is the largest number of ends in one snapshot; 0 means that of the platform. Where
+	// the executor is served over the platform's protocol, callers assume the platform's.
+	MaxListedEnds int
 	// AdvanceInterval is the interval at which runs advance.
 	AdvanceInterval time.Duration
 }
@@ -62,6 +65,9 @@
 	FailRuns bool
 }
 
+// platformMaxListedEnds is the largest number of ends in one snapshot of the platform's executors.
+const platformMaxListedEnds = 500
+
 // answerTimeout is the time after which a caller without a response gets outcome Unknown.
 const answerTimeout = 700 * time.Millisecond
 
@@ -108,6 +114,9 @@
 	if cfg.ClockRate == 0 {
 		cfg.ClockRate = 1
 	}
+	if cfg.MaxListedEnds == 0 {
+		cfg.MaxListedEnds = platformMaxListedEnds
+	}
 	if cfg.AdvanceInterval == 0 {
 		cfg.AdvanceInterval = 20 * time.Millisecond
 	}
@@ -435,7 +444,9 @@
 		}
 		e.ends = e.ends[1:]
 	}
-	s := executor.Snapshot{Answer: executor.Answer{Clock: e.clockLocked()}, StartedAt: e.incarnation.StartedAt, Ended: append([]executor.End(nil), e.ends...)}
+	listed := e.ends[:min(len(e.ends), e.cfg.MaxListedEnds)]
+	s := executor.Snapshot{Answer: executor.Answer{Clock: e.clockLocked()}, StartedAt: e.incarnation.StartedAt,
+		Ended: append([]executor.End(nil), listed...), MoreEnds: len(listed) == e.cfg.MaxListedEnds}
 	now := e.cfg.Clock.Now()
 	for name, r := range e.runs {
 		percent := 100
--- a/verify/standin/executor_test.go
+++ b/verify/standin/executor_test.go
@@ -12,6 +12,27 @@
 	"github.com/chicorystand/chicorystand/vm/executor"
 )
 
+// Guards against a stand-in that lists all ends at once, beside which no test meets a cut list.
+func TestExecutorListsFewEndsAtATime(t *testing.T) {
+	start := time.Now()
+	recorder := history.NewRecorder(func() time.Duration { return time.Since(start) })
+	e := NewExecutor(ExecutorConfig{VM: "vm", Capacity: task.Resources{CPU: 1000}, Clock: clock.NewRuntime(), MaxLease: time.Minute, MaxListedEnds: 2,
+		Recorder: recorder, Work: func(string, uint32) Work { return Work{Request: task.Resources{CPU: 100}} }})
+	e.Boot(false)
+	info, _ := e.Info()
+	for _, name := range []string{"a.0.0.0", "a.0.0.1", "a.0.0.2"} {
+		a := e.Start(t.Context(), info, executor.Start{Task: name, Run: 1, Epoch: 1, Deadline: info.Clock + 10_000})
+		assert.Equal(t, a.Outcome, executor.OK)
+	}
+	e.Advance()
+	first := e.Poll(t.Context(), info, executor.PollRequest{Epoch: 1})
+	assert.Equal(t, len(first.Ended), 2)
+	assert.Assert(t, first.MoreEnds)
+	next := e.Poll(t.Context(), info, executor.PollRequest{Epoch: 1, LastSeen: first.Ended[1].Number})
+	assert.Equal(t, len(next.Ended), 1)
+	assert.Assert(t, !next.MoreEnds)
+}
+
 // Guards against a second boot that drops runs without recording their end: the checker then
 // reports their successors as concurrent runs. Found by soak seed 2023, in which two faults
 // overlapped: an executor crashed and restarted while another fault was about to replace it.
--- a/vm/executor/executor.go
+++ b/vm/executor/executor.go
@@ -150,8 +150,13 @@
 type Snapshot struct {
 	Answer
 	StartedAt int64
-	Running   []Run
-	Ended     []End
+	// Running lists all runs.
+	Running []Run
+	// Ended lists the ends that are not acknowledged, in the order of their numbers.
+	Ended []End
+	// MoreEnds is set when further ends may follow those in Ended. A run that is in neither list may
+	// then have ended, and its end is listed once earlier ones are acknowledged.
+	MoreEnds bool
 }
 
 // PollRequest requests a snapshot and renews the lease of all runs.
--- a/vm/vmagent/successor.go
+++ b/vm/vmagent/successor.go
@@ -198,7 +198,8 @@
 	return true
 }
 
-// reportWithout takes a snapshot and reports it to the owner unless it contains one of the runs.
+// reportWithout takes a snapshot and reports it to the owner unless it contains one of the runs. It
+// returns true once the snapshot lists all ends, which include those of the runs.
 func (u *executorSession) reportWithout(runs []runKey, epoch uint64) bool {
 	h, info, _ := u.nextPollRequest(epoch)
 	h.Wait = 0
@@ -209,7 +210,7 @@
 		return false
 	}
 	u.report(epoch, snap)
-	return true
+	return !snap.MoreEnds
 }
 
 // reportAll reports all ended incarnations and requests new snapshots, for a new owner.
--- a/vm/vmagent/unit.go
+++ b/vm/vmagent/unit.go
@@ -202,7 +202,7 @@
 func (u *executorSession) report(epoch uint64, snap executor.Snapshot) {
 	u.agent.mu.Lock()
 	u.observeClock(snap.Clock)
-	r := &wire.Report{Epoch: epoch, Agent: u.agent.cfg.Name, Info: u.info, FullSnapshot: true, Running: snap.Running}
+	r := &wire.Report{Epoch: epoch, Agent: u.agent.cfg.Name, Info: u.info, FullSnapshot: !snap.MoreEnds, Running: snap.Running}
 	for _, e := range snap.Ended {
 		// Every report carries all unacknowledged ends, since an owner treats a run
 		// that is neither running nor ended as lost.
--- a/wire/dispatch.go
+++ b/wire/dispatch.go
@@ -36,7 +36,8 @@
 	Info  executor.Info
 	// ExecutorEnded is set when this incarnation of the executor has ended and none of its runs is alive.
 	ExecutorEnded bool
-	// FullSnapshot is set when Running lists every run of the executor.
+	// FullSnapshot is set when every run of the executor is in Running, and every end that is not
+	// acknowledged is in Ended. A report of a snapshot without it has further ends to come.
 	FullSnapshot bool
 	Running      []executor.Run
 	Ended        []executor.End
