dispatch: the records that have waited longest are committed first

Callers would see submissions whose tasks do not start (rule LOST) while the records of others change all the time, for example beside a slow store: a start is ordered only after its record is committed.

Cause: a commit holds at most 90 records, and Prepare took them in the order of the submissions' ids. As long as 90 submissions with lower ids changed between any two commits, the others were never in one.

Change: each changed job keeps the position at which it became dirty, and Prepare takes the lowest positions. A job whose record was taken and changes again goes to the end, so that each waits for at most the records ahead of it.

--- a/control/dispatch/commit.go
+++ b/control/dispatch/commit.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -67,26 +69,37 @@
 	return len(o.dirty) > 0 || len(o.uncommitted.acks) > 0 || len(o.uncommitted.removed) > 0
 }
 
+// markDirty records that the job has changed since its record was last prepared for a commit.
+func (o *Owner) markDirty(j *job) {
+	if _, ok := o.dirty[j.sub.ID]; ok {
+		return
+	}
+	o.dirtySequence++
+	j.dirtySince = o.dirtySequence
+	o.dirty[j.sub.ID] = j
+}
+
+// changedJobs returns the dirty jobs, those that have waited longest first.
+func (o *Owner) changedJobs() []*job {
+	jobs := slices.Collect(maps.Values(o.dirty))
+	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(a.dirtySince, b.dirtySince) })
+	return jobs
+}
+
 // Prepare returns the next commit. The caller commits one batch at a time.
 func (o *Owner) Prepare() (*Batch, error) {
 	b := &Batch{acks: make(map[*node]int64), states: make(map[*job]submission.State)}
-	ids := make([]string, 0, len(o.dirty))
-	for id := range o.dirty {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	complete := len(ids) <= maxBatchWrites
-	ids = ids[:min(len(ids), maxBatchWrites)]
-	for _, id := range ids {
-		j := o.dirty[id]
+	changed := o.changedJobs()
+	complete := len(changed) <= maxBatchWrites
+	for _, j := range changed[:min(len(changed), maxBatchWrites)] {
 		r := j.record()
 		value, err := r.Encode()
 		if err != nil {
 			return nil, err
 		}
-		b.Writes = append(b.Writes, store.Write{Key: ProgressKey(id), Value: value})
+		b.Writes = append(b.Writes, store.Write{Key: ProgressKey(j.sub.ID), Value: value})
 		b.states[j] = j.state
-		delete(o.dirty, id)
+		delete(o.dirty, j.sub.ID)
 	}
 	o.addStarts(b)
 	if err := o.addContentionModel(b); err != nil {
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -90,7 +90,9 @@
 	waiting map[stepKey]*waitingStep
 	// scheduled holds the jobs with occurrences that are not due yet.
 	scheduled map[string]*job
-	dirty     map[string]*job
+	// dirty holds the jobs with changes that no prepared commit has; dirtySequence counts the additions.
+	dirty         map[string]*job
+	dirtySequence uint64
 	// placementChanged is set when a placement that failed before may now succeed.
 	placementChanged bool
 	placedAt         time.Duration
--- a/control/dispatch/jobs.go
+++ b/control/dispatch/jobs.go
@@ -151,7 +151,7 @@
 // finishJob sets the job's final state and stops its remaining runs.
 func (o *Owner) finishJob(j *job, state submission.State, now time.Duration) {
 	j.state, j.endedUnixMS, j.endedAt = state, o.unixMillis(now), now
-	o.dirty[j.sub.ID] = j
+	o.markDirty(j)
 	delete(o.scheduled, j.sub.ID)
 	for k := range j.sub.OccurrenceCount() {
 		for step := range j.sub.Steps {
@@ -186,7 +186,7 @@
 	t.rec.State, t.rec.Executor, t.rec.Address = submission.TaskPending, submission.Incarnation{}, ""
 	t.phase, t.changedAt = phaseIdle, now
 	t.stopping, t.stopAcked, t.progressPercent, t.progressAt, t.missingSnapshots, t.speedBaseAt, t.fullRun = false, 0, 0, 0, 0, 0, false
-	o.dirty[t.job.sub.ID] = t.job
+	o.markDirty(t.job)
 	o.placementChanged = true
 }
 
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -114,7 +114,10 @@
 	state submission.State
 	// durableState is the last committed state.
 	durableState submission.State
-	endedUnixMS  int64
+	// dirtySince is the value of the owner's dirtySequence at the first change since the record was last
+	// prepared for a commit.
+	dirtySince  uint64
+	endedUnixMS int64
 	// endedAt is when the job reached its final state; it is removed after the retention time.
 	endedAt time.Duration
 	arrived time.Duration
