dispatch: ends are acknowledged while more records change than a commit holds

Callers would see no end taken note of, and with over 500 ends on an executor no further end at all, as long as more than 90 submissions change between any two commits, for example beside a slow store.

Cause: Prepare acknowledged ends only with a batch that holds all changed records. While there are always more than 90, no batch does.

Change: an end waits for the records that were dirty when it was applied, by their position in the order of commits, and not for those that became dirty later. Batches take the records in that order, so each end is acknowledged after a bounded number of commits. Ends that arrive meanwhile wait for the records that are dirty then.

Evidence: TestEndsAreAcknowledgedWhileMoreRecordsChangeThanABatchHolds failed before (none of 720 ends acknowledged after eight commits) and passes. TestEndIsAcknowledgedOnlyWithItsRecord passed before and passes; it fails when the comparison of the positions is taken out.

--- a/control/dispatch/batch_test.go
+++ b/control/dispatch/batch_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/chicorystand/chicorystand/control/submission"
 	"github.com/chicorystand/chicorystand/control/task"
 	"github.com/chicorystand/chicorystand/vm/executor"
 	"github.com/chicorystand/chicorystand/wire"
@@ -17,6 +18,8 @@
 	ids     []string
 	reports int
 	lastEnd int64
+	// ended holds all ends that were reported.
+	ended []executor.End
 }
 
 func newBusyFixture(t *testing.T, submissions int) *busyFixture {
@@ -43,6 +46,7 @@
 			r.Ended = append(r.Ended, executor.End{Number: f.lastEnd, Task: s.Task, Run: s.Run, Cause: executor.Failed})
 		}
 	}
+	f.ended = append(f.ended, r.Ended...)
 	f.reports++
 	f.messages = nil
 	f.owner.ApplyReport(r, f.now)
@@ -63,3 +67,37 @@
 	}
 	assert.Equal(t, len(started), len(f.ids))
 }
+
+// Guards against ends that are never acknowledged, and ends behind them that are never listed, while many records change.
+func TestEndsAreAcknowledgedWhileMoreRecordsChangeThanABatchHolds(t *testing.T) {
+	f := newBusyFixture(t, 3*maxBatchWrites)
+	acknowledged := int64(0)
+	for range 8 {
+		f.pass()
+		acknowledged = max(acknowledged, f.lastSeen("e1"))
+		f.report()
+	}
+	assert.Assert(t, acknowledged > 0, "none of %d ends is acknowledged", f.lastEnd)
+}
+
+// Guards against the acknowledgement of an end whose record is not committed: a new owner would restart the run.
+func TestEndIsAcknowledgedOnlyWithItsRecord(t *testing.T) {
+	f := newBusyFixture(t, 3*maxBatchWrites)
+	for range 12 {
+		f.owner.Tick(f.now)
+		b, err := f.owner.Prepare()
+		assert.NilError(t, err)
+		f.commit(b)
+		for _, e := range f.ended {
+			id, tid, _ := submission.ParseName(e.Task)
+			if e.Number > f.lastSeen("e1") {
+				continue
+			}
+			r, err := submission.DecodeRecord(f.rows[ProgressKey(id)], 1)
+			assert.NilError(t, err)
+			rec := r.Tasks[tid.Index]
+			assert.Assert(t, rec.Run > e.Run || rec.State != submission.TaskAssigned, "end %d of %s run %d is acknowledged, its record is %+v", e.Number, e.Task, e.Run, rec)
+		}
+		f.report()
+	}
+}
--- a/control/dispatch/commit.go
+++ b/control/dispatch/commit.go
@@ -43,12 +43,19 @@
 type effects struct {
 	starts []*taskEntry
 	// acks are the executors with ends that are applied to the tables but not committed.
-	acks map[*node]struct{}
+	acks map[*node]uncommittedEnd
 	// removed are the submissions whose rows are to be deleted.
 	removed []string
 }
 
-func newEffects() effects { return effects{acks: make(map[*node]struct{})} }
+func newEffects() effects { return effects{acks: make(map[*node]uncommittedEnd)} }
+
+// uncommittedEnd is an end that may be acknowledged once all records are committed that had become dirty
+// by then, at positions up to dirtySequence.
+type uncommittedEnd struct {
+	number        int64
+	dirtySequence uint64
+}
 
 // Batch is one commit and the actions that follow once it is durable.
 type Batch struct {
@@ -105,18 +112,40 @@
 	if err := o.addContentionModel(b); err != nil {
 		return nil, err
 	}
+	o.addAcks(b, changed[len(b.states):])
 	if complete {
-		// An end may be acknowledged only when every record that reflects it is in this batch or
-		// an earlier one.
-		for n := range o.uncommitted.acks {
-			b.acks[n] = n.lastEnd
-		}
-		clear(o.uncommitted.acks)
 		o.addRemovals(b)
 	}
 	return b, nil
 }
 
+// addAcks adds the ends that may be acknowledged: every record that reflects them is in this batch or an
+// earlier one. later are the dirty jobs that are not in the batch, those that have waited longest first.
+func (o *Owner) addAcks(b *Batch, later []*job) {
+	for n, end := range o.uncommitted.acks {
+		if len(later) == 0 {
+			b.acks[n] = n.lastEnd
+			delete(o.uncommitted.acks, n)
+			continue
+		}
+		if end.dirtySequence >= later[0].dirtySince {
+			continue
+		}
+		b.acks[n] = end.number
+		delete(o.uncommitted.acks, n)
+		if n.lastEnd > end.number {
+			o.awaitCommit(n)
+		}
+	}
+}
+
+// awaitCommit records that the node's last end waits for the records that are dirty now.
+func (o *Owner) awaitCommit(n *node) {
+	if _, ok := o.uncommitted.acks[n]; !ok {
+		o.uncommitted.acks[n] = uncommittedEnd{n.lastEnd, o.dirtySequence}
+	}
+}
+
 // addContentionModel adds the contention model to the batch once every modelWriteInterval.
 func (o *Owner) addContentionModel(b *Batch) error {
 	if o.now-o.modelWrittenAt < modelWriteInterval {
--- a/control/dispatch/reports.go
+++ b/control/dispatch/reports.go
@@ -159,12 +159,13 @@
 
 // applyEnds applies ends in the order of their numbers.
 func (o *Owner) applyEnds(n *node, ends []executor.End, now time.Duration) {
+	applied := false
 	for _, e := range ends {
 		if e.Number <= n.lastEnd {
 			continue
 		}
 		n.lastEnd = e.Number
-		o.uncommitted.acks[n] = struct{}{}
+		applied = true
 		t := o.find(e.Task)
 		o.adoptFromPredecessor(t, n, e, now)
 		if t == nil || t.rec.State != submission.TaskAssigned || t.rec.Run != e.Run || t.node != n {
@@ -174,6 +175,9 @@
 		}
 		o.applyEnd(t, n, e, now)
 	}
+	if applied {
+		o.awaitCommit(n)
+	}
 }
 
 // adoptFromPredecessor assigns a run of an earlier incarnation to the next one with the same ID, which
