vmagent: forgetting the oldest ended incarnation keeps later ones under its id

An executor that restarts under its id may execute a start meant for the incarnation before. The agent stops such starts through the next incarnation before it reports the end of the previous one; without that the task runs twice (TWICE).

Cause: the agent keeps 200 ended incarnations. dropOldestEnded removed, with the oldest one, the list of all ended incarnations under the same id, also those whose starts the next one had yet to stop.

Change: only the session of the oldest incarnation leaves that list.

Evidence: TestForgettingOldestIncarnationKeepsLaterOnesUnderItsID failed before (no session left of one) and passes. It takes 200 ended incarnations on one VM and a start that is executed late; no run of the programs has shown the fault. vm/vmagent, verify/histories and verify/faultmatrix pass.

--- a/vm/vmagent/successor.go
+++ b/vm/vmagent/successor.go
@@ -115,7 +115,10 @@
 		}
 	}
 	delete(a.ended, oldest)
-	delete(a.predecessors, oldest.ID)
+	left := slices.DeleteFunc(a.predecessors[oldest.ID], func(u *executorSession) bool { return u.inc == oldest })
+	if a.predecessors[oldest.ID] = left; len(left) == 0 {
+		delete(a.predecessors, oldest.ID)
+	}
 }
 
 // reportEndAfterCalls reports the end of an incarnation to the owner once its calls have returned.
--- a/vm/vmagent/vmagent_test.go
+++ b/vm/vmagent/vmagent_test.go
@@ -504,3 +504,21 @@
 	assert.Equal(t, len(f.starts), 1)
 	assert.Equal(t, f.starts[0].Deadline, int64(50_000))
 }
+
+// Guards against a start that an ended incarnation left behind and the next one executes, since the agent has forgotten it
+// with the oldest incarnation under the id.
+func TestForgettingOldestIncarnationKeepsLaterOnesUnderItsID(t *testing.T) {
+	a := newTestAgent(t, &fakeExecutor{})
+	for i := range maxEnded {
+		a.ended[submission.Incarnation{ID: "i-1", StartedAt: int64(i + 1)}] = true
+	}
+	later := testInfo()
+	later.StartedAt = maxEnded
+	u := newExecutorSession(a, later)
+	a.predecessors["i-1"] = []*executorSession{u}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.dropOldestEnded()
+	assert.Equal(t, len(a.ended), maxEnded-1)
+	assert.Equal(t, len(a.predecessors["i-1"]), 1)
+}
