dispatch: a test that all executors are asked about in turn

A request for advice names at most 100 executors. TestAdviceIsRequestedForAllExecutorsInTurn shows that the others are in the next one; it passes on the code as it is.

--- a/control/dispatch/advice_test.go
+++ b/control/dispatch/advice_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -50,3 +51,25 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, len(q.Executors), 1)
 }
+
+// Guards against executors beyond the length of a request that are never asked about.
+func TestAdviceIsRequestedForAllExecutorsInTurn(t *testing.T) {
+	const executors = advice.MaxExecutors + 50
+	f := newFixture(t)
+	f.owner.SetManifest(advisedManifest())
+	for i := range executors {
+		f.executor(fmt.Sprintf("e%03d", i), nil)
+	}
+	f.add(testSubmission(testStep(1)))
+	f.pass()
+	asked := make(map[string]bool)
+	for range 2 {
+		q, ok := f.owner.NextAdviceRequest(f.now)
+		assert.Assert(t, ok)
+		for _, e := range q.Executors {
+			asked[e.ID] = true
+		}
+		f.owner.ApplyAdvice(q, advice.Response{Validity: 3 * time.Second}, f.now)
+	}
+	assert.Equal(t, len(asked), executors)
+}
