vm/executor: an undefined value in a message no longer ends the owner

Seen: a report with an end cause, or an order result with an outcome or reason, that this version does not define ended the entry that owned the work (index out of range [200] with length 6). The agent repeats its reports to each next owner, so all entries would end one after the other.

Cause: the names for the log were looked up in arrays by values that are read from messages unchecked.

Fix: values without a name get one made of their number. What the owner does with them is unchanged: an undefined cause restarts the task, as a stop does.

--- a/vm/executor/executor.go
+++ b/vm/executor/executor.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/chicorystand/chicorystand/control/submission"
@@ -64,7 +65,7 @@
 
 // String returns the name of the cause in logs.
 func (c EndCause) String() string {
-	return [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone"}[c]
+	return nameOf(c, "done", "failed", "stopped", "lapsed", "broken", "alone")
 }
 
 // End is the end of a run. Numbers start at 1 in each incarnation of the executor.
@@ -110,7 +111,7 @@
 
 // String returns the name of the outcome in logs.
 func (o Outcome) String() string {
-	return [...]string{"ok", "rejected", "unavailable", "unknown", "other_incarnation", "no_listener"}[o]
+	return nameOf(o, "ok", "rejected", "unavailable", "unknown", "other_incarnation", "no_listener")
 }
 
 // Reason is why an executor rejected an order.
@@ -135,7 +136,15 @@
 
 // String returns the name of the reason in logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"none", "epoch", "old_run", "late", "room", "ticket", "invalid"}[r]
+	return nameOf(r, "none", "epoch", "old_run", "late", "room", "ticket", "invalid")
+}
+
+// nameOf returns the name of a value. Values arrive in messages, so they may be undefined here.
+func nameOf[T ~uint8](v T, names ...string) string {
+	if int(v) < len(names) {
+		return names[v]
+	}
+	return "undefined_" + strconv.Itoa(int(v))
 }
 
 // Answer is the reply to an order.
