vmagent: a late deregistration no longer ends the next incarnation under the id

Seen: the owner was told that an executor had ended which had just started; its heartbeats were ignored for the rest of its life, and a task that ran there was started elsewhere beside it.

Cause: DELETE names only the id. A process that was suspended handles the calls that waited meanwhile in any order, so that the DELETE of one incarnation may follow the first heartbeat of the next one.

Fix: where an earlier incarnation under the id is known to have ended, a DELETE ends the present one only if it has reported that it drains, which every planned end does first. Otherwise a poll at once finds out whether it is there; a refused connection still ends it.

--- /dev/null
+++ b/vm/vmagent/leave_test.go
@@ -0,0 +1,37 @@
+package vmagent
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorystand/chicorystand/vm/executor"
+)
+
+// A deregistration that is handled after the first heartbeat of the next incarnation under the id used to end that one.
+func TestDelayedDeregistrationDoesNotEndNextIncarnation(t *testing.T) {
+	f := &fakeExecutor{hold: func(executor.PollRequest) executor.Snapshot { return executor.Snapshot{StartedAt: 8} }}
+	a := newTestAgent(t, f)
+	old := testInfo()
+	old.Draining = true
+	a.Heartbeat(old)
+	next := testInfo()
+	next.StartedAt = 8
+	a.Heartbeat(next)
+	a.Leave(next.ID)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	assert.Assert(t, a.executors[next.Incarnation] != nil, "the incarnation that runs is taken for ended")
+}
+
+func TestDeregistrationEndsDrainingIncarnation(t *testing.T) {
+	f := &fakeExecutor{hold: func(executor.PollRequest) executor.Snapshot { return executor.Snapshot{StartedAt: 7} }}
+	a := newTestAgent(t, f)
+	info := testInfo()
+	info.Draining = true
+	a.Heartbeat(info)
+	a.Leave(info.ID)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	assert.Equal(t, len(a.executors), 0)
+}
--- a/vm/vmagent/vmagent.go
+++ b/vm/vmagent/vmagent.go
@@ -109,15 +109,31 @@
 	return causeSuccessor
 }
 
-// Leave handles the planned end of an executor.
+// Leave handles the planned end of an executor. The call names no incarnation, and may be handled after
+// the first heartbeat of the next one under the id, for example when this process was suspended. An
+// executor reports that it drains before it leaves, so a call for one that does not is the previous one's.
 func (a *Agent) Leave(id string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for inc, u := range a.executors {
-		if inc.ID == id {
+		switch {
+		case inc.ID != id:
+		case u.info.Draining || !a.replacedLocked(id):
 			a.endSessionLocked(u, causeDeregistered)
+		default:
+			u.requestPoll()
+		}
+	}
+}
+
+// replacedLocked reports whether an incarnation under the id has ended. The caller holds mu.
+func (a *Agent) replacedLocked(id string) bool {
+	for inc := range a.ended {
+		if inc.ID == id {
+			return true
 		}
 	}
+	return false
 }
 
 // send sends a message to the owner. Without a connection it is dropped: the next owner gets a
