member: a connection that the owner has given up does not displace the newer one

Seen: after a suspension of an agent, a heartbeat that waited on an older connection made that connection the owner's. Orders on the one in use were dropped (starts, stops, leases), and results and reports went to the closed one, until the owner's next heartbeat (0.7 s), or starts were sent again (1.5 s). An order that waited on the older connection was carried out after the newer ones.

Cause: OwnerLink took the connection of the last Lead message for the owner's. Connections are read concurrently, so the order of such messages on different connections is arbitrary.

Test: TestOlderConnectionDoesNotDisplaceNewerOne failed before the change (the older connection's message was accepted).

Fix: connections are numbered as they are accepted, and within an epoch a lower number than the newest that was taken is refused. The owner answers a refusal with a new connection, which has a higher number. A new epoch is accepted on any connection, as before.

--- a/state/member/link.go
+++ b/state/member/link.go
@@ -19,12 +19,15 @@
 
 // Serve accepts the owner's connections on l until l is closed.
 func Serve(l net.Listener, link *OwnerLink, handle wire.Handler) {
-	for {
+	for number := uint64(1); ; number++ {
 		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
-		p := wire.Accept(conn, handle, firstFrameTimeout)
+		p := wire.Accept(conn, func(p *wire.Peer, msg wire.Message, reply wire.Reply) {
+			p.Value.Store(number)
+			handle(p, msg, reply)
+		}, firstFrameTimeout)
 		go func() {
 			<-p.Done()
 			link.Disconnected(p)
@@ -43,8 +46,10 @@
 	// takingOver is true while this process tries to become the owner itself.
 	takingOver bool
 	// commitAge is the age of the owner's last commit as of its last Lead message.
-	commitAge     time.Duration
-	peer          *wire.Peer
+	commitAge time.Duration
+	peer      *wire.Peer
+	// connection is the number of the newest connection from the owner.
+	connection    uint64
 	queueCounts   map[string]int
 	queueCountsAt time.Duration
 }
@@ -102,14 +107,23 @@
 	return l.queueCounts, l.clock.Now() - l.queueCountsAt
 }
 
+// connectionNumber returns the position of a connection in the order of acceptance, 0 when Serve has not accepted it.
+func connectionNumber(p *wire.Peer) uint64 {
+	number, _ := p.Value.Load().(uint64)
+	return number
+}
+
 // AcceptLead processes a Lead message. It reports whether the message is accepted, which
-// requires the highest epoch so far, and whether its epoch or the connection is new.
+// requires the highest epoch so far, and whether its epoch or the connection is new. An owner has
+// one connection at a time, so a message on an older one than the newest was delayed.
 func (l *OwnerLink) AcceptLead(p *wire.Peer, m *wire.Lead) (accepted, changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if m.Epoch < l.epoch || (l.takingOver && m.Epoch == l.epoch) {
+	number := connectionNumber(p)
+	if m.Epoch < l.epoch || (m.Epoch == l.epoch && (l.takingOver || number < l.connection)) {
 		return false, false
 	}
+	l.connection = number
 	l.takingOver = l.takingOver && m.Epoch == l.epoch
 	changed = m.Epoch != l.epoch || l.peer != p
 	if m.Epoch != l.epoch {
--- /dev/null
+++ b/state/member/link_test.go
@@ -0,0 +1,50 @@
+package member
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+// After a suspension, messages of a connection that the owner has given up used to displace the connection that it uses,
+// so that its orders were dropped and results were lost until its next heartbeat.
+func TestOlderConnectionDoesNotDisplaceNewerOne(t *testing.T) {
+	var lc net.ListenConfig
+	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	link := NewOwnerLink(clock.Boottime{}, zerolog.Nop())
+	go Serve(l, link, link.Handle)
+	connect := func() *wire.Peer {
+		conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", l.Addr().String())
+		assert.NilError(t, err)
+		p := wire.NewPeer(conn, nil)
+		t.Cleanup(p.Close)
+		return p
+	}
+	lead := func(p *wire.Peer, epoch uint64) error {
+		_, err := p.Call(t.Context(), &wire.Lead{Epoch: epoch, Owner: "owner"})
+		return err
+	}
+	older := connect()
+	assert.NilError(t, lead(older, 1))
+	newer := connect()
+	assert.NilError(t, lead(newer, 1))
+	current := link.Peer()
+	assert.Assert(t, lead(older, 1) != nil, "a message of the older connection is accepted")
+	assert.Assert(t, link.Peer() == current, "the older connection displaces the newer one")
+	older.Close()
+	for end := time.Now().Add(50 * time.Millisecond); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, link.Peer() == current, "the end of the older connection ends the link")
+	}
+	assert.NilError(t, lead(newer, 1))
+	next := connect()
+	assert.NilError(t, lead(next, 1), "a new connection of the same owner is accepted")
+	assert.NilError(t, lead(newer, 2), "a new owner is accepted on any connection")
+}
