coordinator: a term that has ended does not go on under its epoch

Seen: after a commit that the store refused (400 or 413, such as one over 1 MB), the owner loaded the tables again and went on under the same epoch.

Cause: the candidate took a row with its own name and incarnation for a takeover whose reply was lost, also when it had served that epoch already.

Fix: the candidate remembers the epoch that it served last.

--- a/control/coordinator/candidate.go
+++ b/control/coordinator/candidate.go
@@ -75,6 +75,8 @@
 	state *fsm.FSM
 	// claimedVersion is the version of the owner row that the last takeover attempt replaces.
 	claimedVersion uint64
+	// servedEpoch is the epoch of the last ownership term of this process, 0 before the first.
+	servedEpoch    uint64
 	lastRow        ownerRow
 	unchangedSince time.Duration
 	jitter         time.Duration
@@ -137,7 +139,7 @@
 		return ownerRow{}, false
 	}
 	now := c.cfg.Clock.Now()
-	if h.Incarnation == c.cfg.Member.Incarnation && h.Owner == c.cfg.Member.Name {
+	if h.Incarnation == c.cfg.Member.Incarnation && h.Owner == c.cfg.Member.Name && h.Epoch > c.servedEpoch {
 		// An earlier attempt took effect although its reply was lost.
 		c.fire(eventClaimed)
 		return h, true
@@ -178,6 +180,9 @@
 	events.OwnershipTaken.Log(c.cfg.Log).Uint64("epoch", h.Epoch).Str("after", c.lastRow.Owner).
 		Dur("unchanged", c.cfg.Clock.Now()-c.unchangedSince).Send()
 	defer c.fire(eventLost)
+	// A term that has ended may have orders on their way that the next one does not know, so each term
+	// has an epoch of its own.
+	c.servedEpoch = h.Epoch
 	o := newOwner(c.cfg, h, c.previousOwnerWindow())
 	o.counters = &c.counters
 	err := o.run(ctx)
