vmagent: a poll after a silence sets no lease of the earlier incarnation

Seen: after a restart of an executor under its id, the next incarnation held a lease of up to maxHoldMs, more than twice what its owner had granted. Had it gone silent then, its runs would have gone on for seconds after the owner had started them elsewhere.

Test: TestPollAfterSilenceSetsNoLeaseOfEarlierIncarnation and TestSnapshotAfterUncertainStartSetsNoLeaseOfEarlierIncarnation failed before the change (486000 instead of 0).

Fix: both polls carry neither, and the first after a silence does not wait, so that the lease is extended by the next one at once.

Open: a start that was sent to the earlier incarnation sets such a lease as well.

--- /dev/null
+++ b/vm/vmagent/next_incarnation_test.go
@@ -0,0 +1,61 @@
+package vmagent
+
+import (
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorystand/chicorystand/vm/executor"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+// A poll after a silence may reach the next incarnation under the id. It used to set the lease of the previous one there,
+// which that executor's clock is far from, so that runs went on after the owner had started them elsewhere.
+func TestPollAfterSilenceSetsNoLeaseOfEarlierIncarnation(t *testing.T) {
+	var mu sync.Mutex
+	silent, lease := false, int64(0)
+	restarted := make(chan struct{})
+	f := &fakeExecutor{}
+	f.hold = func(h executor.PollRequest) executor.Snapshot {
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case h.Deadline == 0 && !silent:
+			return executor.Snapshot{StartedAt: 7}
+		case !silent:
+			silent = true
+			return executor.Snapshot{Answer: executor.Answer{Outcome: executor.Unknown}}
+		}
+		lease = h.Deadline
+		select {
+		case <-restarted:
+		default:
+			close(restarted)
+		}
+		return executor.Snapshot{StartedAt: 8}
+	}
+	a := newTestAgent(t, f)
+	o := connectOwner(t, a, 1)
+	a.Heartbeat(testInfo())
+	assert.NilError(t, o.peer.Notify(&wire.Orders{Epoch: 1, Executor: "i-1", StartedAt: 7, LeaseEnd: 486_000}))
+	<-restarted
+	mu.Lock()
+	defer mu.Unlock()
+	assert.Equal(t, lease, int64(0), "the next incarnation gets a lease that its owner has not granted")
+}
+
+// A snapshot after an uncertain start may come from the next incarnation too.
+func TestSnapshotAfterUncertainStartSetsNoLeaseOfEarlierIncarnation(t *testing.T) {
+	var polls []executor.PollRequest
+	f := &fakeExecutor{hold: func(h executor.PollRequest) executor.Snapshot {
+		polls = append(polls, h)
+		return executor.Snapshot{StartedAt: 8}
+	}}
+	u := newExecutorSession(newTestAgent(t, f), testInfo())
+	u.leaseEnd, u.lastSeen = 486_000, 57
+	assert.Assert(t, !u.reportWithout([]runKey{{"a.0.0.0", 1}}, 1))
+	assert.Equal(t, len(polls), 1)
+	assert.Equal(t, polls[0].Deadline, int64(0), "the next incarnation gets a lease that its owner has not granted")
+	assert.Equal(t, polls[0].LastSeen, int64(0), "the next incarnation was told to discard ends")
+}
--- a/vm/vmagent/successor.go
+++ b/vm/vmagent/successor.go
@@ -205,7 +205,8 @@
 // returns true once the snapshot lists all ends, which include those of the runs.
 func (u *executorSession) reportWithout(runs []runKey, epoch uint64) bool {
 	h, info, _ := u.nextPollRequest(epoch)
-	h.Wait = 0
+	// The next incarnation under the id may answer; its end numbers and its clock restart.
+	h.Deadline, h.LastSeen, h.Wait = 0, 0, 0
 	snap := u.agent.cfg.Client.Poll(u.ctx, info, h)
 	u.agent.cfg.Observe("hold", snap.Answer)
 	if snap.Outcome != executor.OK || (snap.StartedAt != 0 && snap.StartedAt != u.inc.StartedAt) ||
--- a/vm/vmagent/unit.go
+++ b/vm/vmagent/unit.go
@@ -102,8 +102,9 @@
 		}
 		h, info, starts := u.nextPollRequest(epoch)
 		if failing {
-			// The next incarnation under the id may answer after a failure; its end numbers restart at 1.
-			h.LastSeen = 0
+			// The next incarnation under the id may answer after a failure. Its end numbers restart at 1,
+			// and its clock at 0.
+			h.Deadline, h.LastSeen, h.Wait = 0, 0, 0
 		}
 		snap := u.agent.cfg.Client.Poll(u.ctx, info, h)
 		u.agent.cfg.Observe("hold", snap.Answer)
