vmagent: a later incarnation stops unconfirmed starts when the next one ends first

The owner was told of the third incarnation, started the task elsewhere, and the start could still be executed by the third.

Cause: the session of the second incarnation took the list of such starts for itself, and dropped it when the incarnation ended before the stops were answered.

Fix: the earlier incarnations stay in the list until their ends are reported. Two sessions that stop the same run do no harm.

--- a/vm/vmagent/next_incarnation_test.go
+++ b/vm/vmagent/next_incarnation_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -59,3 +60,65 @@
 	assert.Equal(t, polls[0].Deadline, int64(0), "the next incarnation gets a lease that its owner has not granted")
 	assert.Equal(t, polls[0].LastSeen, int64(0), "the next incarnation was told to discard ends")
 }
+
+// The incarnation after the one that should have stopped an unconfirmed start used to know nothing of it, so that the run
+// could go on there while the owner started the task elsewhere.
+func TestUnconfirmedStartIsStoppedByLaterIncarnationWhenNextOneEnds(t *testing.T) {
+	var mu sync.Mutex
+	incarnation := int64(7)
+	stopsOf := make(map[int64]int)
+	set := func(n int64) {
+		mu.Lock()
+		defer mu.Unlock()
+		incarnation = n
+	}
+	f := &fakeExecutor{}
+	f.hold = func(executor.PollRequest) executor.Snapshot {
+		mu.Lock()
+		defer mu.Unlock()
+		return executor.Snapshot{StartedAt: incarnation}
+	}
+	f.start = func(executor.Start) executor.Answer {
+		set(8)
+		return executor.Answer{}
+	}
+	f.stop = func(string, uint32) executor.Answer {
+		mu.Lock()
+		defer mu.Unlock()
+		stopsOf[incarnation]++
+		if incarnation == 8 {
+			return executor.Answer{Outcome: executor.Unknown}
+		}
+		return executor.Answer{}
+	}
+	a := newTestAgent(t, f)
+	o := connectOwner(t, a, 1)
+	a.Heartbeat(testInfo())
+	assert.NilError(t, o.peer.Notify(&wire.Orders{Epoch: 1, Executor: "i-1", StartedAt: 7, LeaseEnd: 5000, Starts: []wire.StartOrder{{Task: "a.0.0.0", Run: 1}}}))
+	waitFor(t, o.results, "answer", func(*wire.OrderResults) bool { return true })
+	next := testInfo()
+	next.StartedAt = 8
+	a.Heartbeat(next)
+	waitUntil(t, "stop sent to the second incarnation", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return stopsOf[8] > 0
+	})
+	set(9)
+	next.StartedAt = 9
+	a.Heartbeat(next)
+	waitFor(t, o.reports, "snapshot of the third incarnation", func(r *wire.Report) bool { return r.Info.StartedAt == 9 && r.FullSnapshot })
+	mu.Lock()
+	defer mu.Unlock()
+	assert.Assert(t, stopsOf[9] > 0, "the third incarnation is reported although the start may still be executed there")
+}
+
+func waitUntil(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(testTimeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("no %s in %s", what, testTimeout)
+}
--- a/vm/vmagent/successor.go
+++ b/vm/vmagent/successor.go
@@ -158,8 +158,9 @@
 // that this incarnation has executed.
 func (u *executorSession) endPredecessorRuns() {
 	u.agent.mu.Lock()
-	earlier := u.agent.predecessors[u.inc.ID]
-	delete(u.agent.predecessors, u.inc.ID)
+	// They stay in the list until their ends are reported: if this incarnation ends first, the next one
+	// has to stop the runs.
+	earlier := slices.Clone(u.agent.predecessors[u.inc.ID])
 	u.agent.mu.Unlock()
 	var runs []runKey
 	for _, before := range earlier {
@@ -178,6 +179,15 @@
 	for _, before := range earlier {
 		u.agent.reportEnd(before)
 	}
+	u.agent.dropPredecessors(u.inc.ID, earlier)
+}
+
+// dropPredecessors removes incarnations whose ends are reported. The caller holds mu.
+func (a *Agent) dropPredecessors(id string, reported []*executorSession) {
+	left := slices.DeleteFunc(a.predecessors[id], func(u *executorSession) bool { return slices.Contains(reported, u) })
+	if a.predecessors[id] = left; len(left) == 0 {
+		delete(a.predecessors, id)
+	}
 }
 
 // endRuns stops runs and reports a snapshot without them. It returns false when the incarnation
