vmagent: an older speed limit no longer replaces a newer one

Seen: a best-effort task that the owner had paused went on at its old speed, until the owner repeated the limit (3 s).

Cause: each speed limit was sent by itself, with two more attempts after one without a reply. A retry, or a call that the executor carried out late, followed a newer limit.

--- a/vm/vmagent/orders.go
+++ b/vm/vmagent/orders.go
@@ -29,8 +29,7 @@
 		}
 	}
 	for _, o := range m.Throttles {
-		u.throttling = true
-		go u.throttle(o, m.Epoch)
+		u.beginThrottle(o, m.Epoch)
 	}
 	for _, s := range m.Starts {
 		k := runKey{s.Task, s.Run}
@@ -265,15 +264,3 @@
 func (u *executorSession) sendResult(epoch uint64, r wire.OrderResult) {
 	u.agent.send(&wire.OrderResults{Epoch: epoch, Executor: u.inc.ID, StartedAt: u.inc.StartedAt, Results: []wire.OrderResult{r}})
 }
-
-// throttle sends a speed limit in a few attempts. The owner repeats its orders.
-func (u *executorSession) throttle(o wire.ThrottleOrder, epoch uint64) {
-	info := u.currentInfo()
-	for range maxUnavailableAttempts {
-		a := u.agent.cfg.Client.Throttle(u.ctx, info, o.Task, o.Run, epoch, o.Percent)
-		u.agent.cfg.Observe("pace", a)
-		if a.Outcome == executor.OK || a.Outcome == executor.Rejected || u.ctx.Err() != nil {
-			return
-		}
-	}
-}
