coordinator: a full read does not bring back a submission that was removed

Seen: with the store's history dropped while the retention of a submission ended, the submission was taken for a new one, without its record, and its tasks ran a second time.

Cause: the follower reads the whole table when the history is gone, which takes seconds for a large one. A submission that the owner had removed meanwhile, or whose rows were not deleted yet, was in the rows that were read, and no longer in the owner's tables.

Test: TestRemovedSubmissionDoesNotComeBackWithAFullRead failed before the change (the ended submission was back).

Fix: rows of the table do not change, and the feed delivers them in the order of their versions. So of a full read only rows with a higher version than those delivered are new, and only they are passed on.

--- a/control/coordinator/load.go
+++ b/control/coordinator/load.go
@@ -127,13 +127,37 @@
 	}
 }
 
-type workSink struct{ o *owner }
+// workSink passes the rows of the work table to the owner.
+type workSink struct {
+	o *owner
+	// delivered is the version up to which all rows have been passed on.
+	delivered uint64
+}
+
+// newWorkSink returns a sink for the changes after the version as of which the table was loaded.
+func newWorkSink(o *owner, version uint64) *workSink { return &workSink{o: o, delivered: version} }
 
 // Row implements follow.Sink.
-func (s workSink) Row(c store.Change) {
+func (s *workSink) Row(c store.Change) {
 	if !c.Deleted {
-		s.o.enqueue(func(now time.Duration) { s.o.applyWorkRow(c.Row, nil, now) })
+		s.apply(c.Row)
+	}
+	s.delivered = max(s.delivered, c.Version)
+}
+
+// Table implements follow.TableSink. A row that was passed on before may be of a submission that has ended and was
+// removed since the read began.
+func (s *workSink) Table(rows []store.Row, version uint64) {
+	for _, r := range rows {
+		if r.Version > s.delivered {
+			s.apply(r)
+		}
 	}
+	s.delivered = max(s.delivered, version)
+}
+
+func (s *workSink) apply(r store.Row) {
+	s.o.enqueue(func(now time.Duration) { s.o.applyWorkRow(r, nil, now) })
 }
 
 type memberSink struct {
--- a/control/coordinator/owner.go
+++ b/control/coordinator/owner.go
@@ -147,7 +147,7 @@
 	if err != nil {
 		return err
 	}
-	o.followTable(ctx, dispatch.WorkTable, version, workSink{o})
+	o.followTable(ctx, dispatch.WorkTable, version, newWorkSink(o, version))
 	o.followTable(ctx, member.Table, 0, memberSink{ctx, o})
 	return o.loop(ctx)
 }
