coordinator: one connection to an address that a removed VM had

Seen: nothing yet; found by reading. A new VM with the address of a removed one gets two connections from the owner, under both names, since rows of members are never deleted. Each heartbeat makes its connection the agent's, orders on the other are dropped, and starts wait for their retry (1.5 s). The removed name also stays among the entries that have to acknowledge the owner.

Test: TestRemovedMemberGetsNoConnectionAtTheAddressOfItsSuccessor failed before the change (two members).

Fix: of the members with one address only the one that started last is kept.

--- a/control/coordinator/links.go
+++ b/control/coordinator/links.go
@@ -51,7 +51,7 @@
 func (l *memberConns) setMember(ctx context.Context, m member.Member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.members[m.Name] == m {
+	if l.members[m.Name] == m || !l.claimAddressLocked(m) {
 		return
 	}
 	if stop := l.cancels[m.Name]; stop != nil {
@@ -66,10 +66,30 @@
 	}()
 }
 
+// claimAddressLocked removes members that started at the member's address before it. It returns false when
+// another one has started there since: the row of a removed VM stays in the store, and its address may be
+// assigned to a new one. The caller holds mu.
+func (l *memberConns) claimAddressLocked(m member.Member) bool {
+	for name, other := range l.members {
+		switch {
+		case name == m.Name || other.Address != m.Address:
+		case other.Incarnation > m.Incarnation:
+			return false
+		default:
+			l.removeMemberLocked(name)
+		}
+	}
+	return true
+}
+
 // removeMember closes the connection to a member and stops reconnecting.
 func (l *memberConns) removeMember(name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.removeMemberLocked(name)
+}
+
+func (l *memberConns) removeMemberLocked(name string) {
 	if stop := l.cancels[name]; stop != nil {
 		stop()
 	}
--- /dev/null
+++ b/control/coordinator/links_test.go
@@ -0,0 +1,44 @@
+package coordinator
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/state/member"
+	"github.com/chicorystand/chicorystand/wire"
+)
+
+// The row of a VM that was removed stays in the store. When a new VM got its address, the owner used to keep two
+// connections to that one, which displaced each other, and orders on the older one were dropped.
+func TestRemovedMemberGetsNoConnectionAtTheAddressOfItsSuccessor(t *testing.T) {
+	removed := member.Member{Name: "vm-1", Address: "10.0.0.1:7720", Role: member.Agent, Incarnation: 1}
+	successor := member.Member{Name: "vm-2", Address: "10.0.0.1:7720", Role: member.Agent, Incarnation: 2}
+	for name, rows := range map[string][]member.Member{"older row first": {removed, successor}, "newer row first": {successor, removed}} {
+		t.Run(name, func(t *testing.T) {
+			c := clock.Boottime{}
+			link := member.NewOwnerLink(c, zerolog.Nop())
+			l := &memberConns{leadMessage: func() *wire.Lead { return &wire.Lead{Epoch: 1} }, clock: c, log: zerolog.Nop(), lastAcked: make(map[string]time.Duration),
+				onDisconnect: func(member.Member) {}, peers: make(map[string]*wire.Peer), cancels: make(map[string]context.CancelFunc), members: make(map[string]member.Member)}
+			l.dial = func(context.Context, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				wire.NewPeer(far, link.Handle)
+				return near, nil
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			for _, m := range rows {
+				l.setMember(ctx, m)
+			}
+			eventually(t, "connection to the successor", func() bool { return l.send(successor.Name, &wire.Ack{}) == nil })
+			assert.DeepEqual(t, l.names(member.Agent), []string{successor.Name})
+			assert.Assert(t, l.send(removed.Name, &wire.Ack{}) != nil, "the removed VM is connected")
+			cancel()
+			l.wg.Wait()
+		})
+	}
+}
