dispatch: a new owner does not start some members of a gang beside the others

Seen: after a change of the owner while some members of a gang had ended and others had a run, the idle ones were started under the next run number. They waited for the others until they ended as incomplete.

Cause: only requeue checked that no member has a run. Loading a submission, and the occurrences that come due, queue the steps without it.

Test: TestNewOwnerStartsGangOnlyWhenAllMembersAreIdle failed before the change (run 2 of one member started beside run 1 of the other).

Fix: the check is in queueStep, through which every step is queued.

--- a/control/dispatch/jobs.go
+++ b/control/dispatch/jobs.go
@@ -100,6 +100,9 @@
 }
 
 func (o *Owner) queueStep(k stepKey, j *job, now time.Duration) {
+	if j.sub.Steps[k.step].Gang && !o.gangIdle(j, k) {
+		return
+	}
 	w := o.waiting[k]
 	if w == nil {
 		w = &waitingStep{key: k, job: j, since: now}
@@ -196,11 +199,7 @@
 	if t.job.state.Final() {
 		return
 	}
-	k := t.stepKey()
-	if t.step().Gang && !o.gangIdle(t.job, k) {
-		return
-	}
-	o.queueStep(k, t.job, now)
+	o.queueStep(t.stepKey(), t.job, now)
 }
 
 // gangIdle reports whether no member of a gang has a run.
