coordinator: the end of a connection is handled before messages of the next one

Seen: after an agent had restarted, the owner took it for disconnected although its new connection was up. Until the next report it held back orders, then it sent those in progress a second time.

Cause: when a member's row changed, the new connection was made while the end of the previous one was still on its way to the owner's loop. The connection was also closed only after its end was announced, so that messages from it could follow.

Test: TestEndOfConnectionIsHandledBeforeMessagesOfTheNextOne failed before the change (message before end).

Fix: the connection under the new row is made once the previous one has ended, which its cancelled context makes immediate, and a connection is closed before its end is announced.

--- a/control/coordinator/links.go
+++ b/control/coordinator/links.go
@@ -41,6 +41,8 @@
 	mu      sync.Mutex
 	peers   map[string]*wire.Peer
 	cancels map[string]context.CancelFunc
+	// ended is closed by the end of the last connection under each name.
+	ended   map[string]chan struct{}
 	members map[string]member.Member
 	// lastAcked holds the send time of the last heartbeat that each member answered.
 	lastAcked map[string]time.Duration
@@ -58,10 +60,16 @@
 		stop()
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	l.members[m.Name], l.cancels[m.Name] = m, cancel
+	previous, ended := l.ended[m.Name], make(chan struct{})
+	l.members[m.Name], l.cancels[m.Name], l.ended[m.Name] = m, cancel, ended
 	l.wg.Add(1)
 	go func() {
 		defer l.wg.Done()
+		defer close(ended)
+		if previous != nil {
+			// Otherwise the end of the previous connection could be handled after messages of this one.
+			<-previous
+		}
 		l.maintain(ctx, m)
 	}()
 }
@@ -141,6 +149,7 @@
 	if ctx.Err() == nil {
 		events.MemberLost.Log(l.log).Str("member", m.Name).Dur("silent", p.Idle()).Send()
 	}
+	p.Close()
 	l.onDisconnect(m)
 	return true
 }
--- a/control/coordinator/links_test.go
+++ b/control/coordinator/links_test.go
@@ -24,7 +24,7 @@
 			c := clock.Boottime{}
 			link := member.NewOwnerLink(c, zerolog.Nop())
 			l := &memberConns{leadMessage: func() *wire.Lead { return &wire.Lead{Epoch: 1} }, clock: c, log: zerolog.Nop(), lastAcked: make(map[string]time.Duration),
-				onDisconnect: func(member.Member) {}, peers: make(map[string]*wire.Peer), cancels: make(map[string]context.CancelFunc), members: make(map[string]member.Member)}
+				onDisconnect: func(member.Member) {}, peers: make(map[string]*wire.Peer), cancels: make(map[string]context.CancelFunc), ended: make(map[string]chan struct{}), members: make(map[string]member.Member)}
 			l.dial = func(context.Context, string) (net.Conn, error) {
 				near, far := net.Pipe()
 				wire.NewPeer(far, link.Handle)
@@ -42,3 +42,35 @@
 		})
 	}
 }
+
+// The end of a member's connection used to be handled after messages of its next one, so that the owner held back its
+// orders and sent those in progress twice.
+func TestEndOfConnectionIsHandledBeforeMessagesOfTheNextOne(t *testing.T) {
+	c := clock.Boottime{}
+	link := member.NewOwnerLink(c, zerolog.Nop())
+	events := make(chan string, 10)
+	l := &memberConns{leadMessage: func() *wire.Lead { return &wire.Lead{Epoch: 1} }, clock: c, log: zerolog.Nop(), lastAcked: make(map[string]time.Duration),
+		handler: func(*wire.Peer, wire.Message, wire.Reply) { events <- "message" },
+		peers:   make(map[string]*wire.Peer), cancels: make(map[string]context.CancelFunc), ended: make(map[string]chan struct{}), members: make(map[string]member.Member)}
+	l.onDisconnect = func(member.Member) {
+		time.Sleep(100 * time.Millisecond)
+		events <- "end"
+	}
+	l.dial = func(context.Context, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		p := wire.NewPeer(far, link.Handle)
+		go func() { _ = p.Notify(&wire.Ack{}) }()
+		return near, nil
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	m := member.Member{Name: "vm-1", Address: "10.0.0.1:7720", Role: member.Agent, Incarnation: 1}
+	l.setMember(ctx, m)
+	assert.Equal(t, <-events, "message")
+	eventually(t, "connection", func() bool { return l.send(m.Name, &wire.Ack{}) == nil })
+	m.Incarnation = 2
+	l.setMember(ctx, m)
+	assert.Equal(t, <-events, "end")
+	assert.Equal(t, <-events, "message")
+	cancel()
+	l.wg.Wait()
+}
