gateway: a refusal after an uncertain write is not reported as a rejection

Seen: nothing yet; found by reading. The answer was 503, which says that the submission never runs, although its first write could still take effect.

Cause: only refusals because the store was unavailable were told apart by whether an earlier attempt was uncertain. Any other (403, 400, 404, 413) was returned as it came.

Test: TestRefusalAfterUncertainWriteIsNotARejection failed before the change (permission_denied).

Fix: the outcome is unknown (504) after any refusal that follows an uncertain attempt.

--- a/ingress/gateway/gateway.go
+++ b/ingress/gateway/gateway.go
@@ -128,6 +128,9 @@
 				return err
 			}
 		default:
+			if uncertain {
+				return unknownOutcome(err)
+			}
 			return err
 		}
 		select {
@@ -138,12 +141,17 @@
 		case <-ctx.Done():
 		}
 		if uncertain {
-			return errkind.Wrap(errkind.StoreAmbiguous, err, "the outcome of the write is unknown")
+			return unknownOutcome(err)
 		}
 		return errkind.Wrap(errkind.StoreUnavailable, err, "nothing was written")
 	}
 }
 
+// unknownOutcome returns the error of a write of which an attempt may take effect.
+func unknownOutcome(err error) error {
+	return errkind.Wrap(errkind.StoreAmbiguous, err, "the outcome of the write is unknown")
+}
+
 // attempt writes the row once: to the store or, where the store does not answer or rejects this
 // process, through the owner, which the store may serve.
 func (g *Gateway) attempt(ctx context.Context, key string, value []byte) error {
