vmagent: a start without a reply is not forgotten while it may be executed

Seen: an executor ended after a start had got no reply and a later attempt was rejected or confirmed. The owner was told of the end at once and started the task elsewhere. The first attempt could then be executed by the next incarnation under the id, before the agent stopped it there.

Of several unproven starts, only those with a call in progress kept the end from being reported.

Fix: a start with an attempt that got no reply stays unproven for 10 s. The page of the platform says seconds; the figure is chosen.

--- a/vm/vmagent/successor.go
+++ b/vm/vmagent/successor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/chicorystand/chicorystand/base/events"
 	"github.com/chicorystand/chicorystand/control/submission"
@@ -26,8 +27,21 @@
 	startMaybeExecuted
 	// startNotExecuted: no executor has executed the start.
 	startNotExecuted
+	// startUncertain: an attempt got no reply and may be executed later, also by the next incarnation.
+	startUncertain
 )
 
+// maxExecutionDelay is how long after its last attempt a start without a reply may be executed. The platform
+// names no bound but seconds.
+const maxExecutionDelay = 10 * time.Second
+
+// unconfirmedStart is a start that no later snapshot has confirmed.
+type unconfirmedStart struct {
+	state startState
+	// until is when an uncertain start can no longer be executed.
+	until time.Duration
+}
+
 // beginStart records that a start is about to be sent. It returns false when the incarnation has
 // ended.
 func (u *executorSession) beginStart(ctx context.Context, k runKey) bool {
@@ -36,7 +50,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	u.unconfirmed[k] = startInProgress
+	u.unconfirmed[k] = unconfirmedStart{state: startInProgress}
 	u.startCalls.Add(1)
 	return true
 }
@@ -46,9 +60,13 @@
 func (u *executorSession) recordStartAnswer(k runKey, a executor.Answer, uncertain bool) {
 	u.agent.mu.Lock()
 	defer u.agent.mu.Unlock()
-	u.unconfirmed[k] = startNotExecuted
-	if uncertain || a.Outcome == executor.OK || a.Outcome == executor.Unknown {
-		u.unconfirmed[k] = startMaybeExecuted
+	switch {
+	case uncertain || a.Outcome == executor.Unknown:
+		u.unconfirmed[k] = unconfirmedStart{startUncertain, u.agent.cfg.Clock.Now() + maxExecutionDelay}
+	case a.Outcome == executor.OK:
+		u.unconfirmed[k] = unconfirmedStart{state: startMaybeExecuted}
+	default:
+		u.unconfirmed[k] = unconfirmedStart{state: startNotExecuted}
 	}
 	u.startCalls.Done()
 }
@@ -57,8 +75,9 @@
 // the agent's mu.
 func (u *executorSession) answeredStarts() []runKey {
 	var keys []runKey
-	for k, state := range u.unconfirmed {
-		if state != startInProgress {
+	now := u.agent.cfg.Clock.Now()
+	for k, s := range u.unconfirmed {
+		if s.state != startInProgress && now >= s.until {
 			keys = append(keys, k)
 		}
 	}
@@ -122,13 +141,13 @@
 }
 
 // reportEndAfterCalls reports the end of an incarnation to the owner once its calls have returned.
-// If one of them was executed meanwhile, the session of a later incarnation under the id has to
+// If one of them was executed meanwhile, or may still be, the session of a later incarnation under the id has to
 // report the end; if there is none, the owner waits until the lease expires.
 func (a *Agent) reportEndAfterCalls(u *executorSession) {
 	a.mu.Lock()
 	inProgress := make(map[runKey]struct{})
-	for k, state := range u.unconfirmed {
-		if state == startInProgress {
+	for k, s := range u.unconfirmed {
+		if s.state == startInProgress {
 			inProgress[k] = struct{}{}
 		}
 	}
@@ -136,8 +155,9 @@
 	u.startCalls.Wait()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for k := range inProgress {
-		if u.unconfirmed[k] == startMaybeExecuted {
+	now := a.cfg.Clock.Now()
+	for k, s := range u.unconfirmed {
+		if _, ok := inProgress[k]; now < s.until || (ok && s.state == startMaybeExecuted) {
 			return
 		}
 	}
--- a/vm/vmagent/unit.go
+++ b/vm/vmagent/unit.go
@@ -66,7 +66,7 @@
 	// throttles holds the speed limits that are being sent.
 	throttles map[runKey]*pendingThrottle
 	// unconfirmed holds the starts that may have reached the next incarnation under the id.
-	unconfirmed map[runKey]startState
+	unconfirmed map[runKey]unconfirmedStart
 	// startCalls counts the starts that are being sent.
 	startCalls sync.WaitGroup
 }
@@ -75,7 +75,7 @@
 	ctx, cancel := context.WithCancel(a.ctx)
 	return &executorSession{agent: a, inc: info.Incarnation, ctx: ctx, cancel: cancel, info: info, wake: make(chan struct{}, 1), slots: make(chan struct{}, maxOrders),
 		starting: make(map[runKey]*pendingStart), stopping: make(map[runKey]struct{}),
-		throttles: make(map[runKey]*pendingThrottle), unconfirmed: make(map[runKey]startState)}
+		throttles: make(map[runKey]*pendingThrottle), unconfirmed: make(map[runKey]unconfirmedStart)}
 }
 
 // requestPoll makes the next poll start and return as soon as possible. The caller holds the
