--- a/control/dispatch/reports.go
+++ b/control/dispatch/reports.go
@@ -46,6 +46,20 @@
 	o.applySnapshot(n, r, now)
 }
 
+// readAt returns when a snapshot with the given reading of the executor's clock was taken, on the owner's clock. The
+// report may have been on its way for seconds, for example while a process was suspended; the fastest of the recent
+// reports gives the offset of the clocks, which grows as the executor's clock may be slow.
+func (n *node) readAt(clock int64, now time.Duration) time.Duration {
+	const maxDrift = 1/executor.MinClockRate - 1
+	read := time.Duration(clock) * time.Millisecond
+	offset := now - read
+	if n.clockOffsetAt != 0 {
+		offset = min(offset, n.clockOffset+time.Duration(maxDrift*float64(now-n.clockOffsetAt)))
+	}
+	n.clockOffset, n.clockOffsetAt = offset, now
+	return read + offset
+}
+
 // retireOlderIncarnations marks older incarnations with the same ID or address as gone: the
 // executor's process has been replaced, so none of their runs is alive. It needs a complete snapshot,
 // since the executor may have run their tasks and list the ends later.
@@ -266,7 +280,7 @@
 
 // applySnapshot reconciles the tables with a snapshot of the executor's runs.
 func (o *Owner) applySnapshot(n *node, r *wire.Report, now time.Duration) {
-	listed := o.applyRuns(n, r.Running, now)
+	listed := o.applyRuns(n, r.Running, n.readAt(r.Info.Clock, now), now)
 	n.aliveAt = now
 	if r.FullSnapshot {
 		o.applyAbsence(n, listed, now)
@@ -274,8 +288,8 @@
 	o.observeContention(n, r.Running, now)
 }
 
-// applyRuns applies what a snapshot says of running tasks, and returns those of the tables.
-func (o *Owner) applyRuns(n *node, running []executor.Run, now time.Duration) map[*taskEntry]struct{} {
+// applyRuns applies what a snapshot, taken at readAt, says of running tasks, and returns those of the tables.
+func (o *Owner) applyRuns(n *node, running []executor.Run, readAt, now time.Duration) map[*taskEntry]struct{} {
 	listed := make(map[*taskEntry]struct{}, len(running))
 	for i := range running {
 		r := &running[i]
@@ -286,7 +300,7 @@
 			continue
 		}
 		listed[t] = struct{}{}
-		o.applyRun(t, r, now)
+		o.applyRun(t, r, readAt, now)
 	}
 	return listed
 }
@@ -309,7 +323,7 @@
 	o.placementChanged = o.placementChanged || first
 }
 
-func (o *Owner) applyRun(t *taskEntry, r *executor.Run, now time.Duration) {
+func (o *Owner) applyRun(t *taskEntry, r *executor.Run, readAt, now time.Duration) {
 	if t.phase != phaseRunning {
 		o.confirmRunning(t, now)
 	}
@@ -317,7 +331,7 @@
 	if r.Checkpoint != "" {
 		t.rec.Checkpoint = r.Checkpoint
 	}
-	o.observeProgress(t, r.ProgressPercent, now)
+	o.observeProgress(t, r.ProgressPercent, readAt, now)
 	if t.job.state.Final() && !t.stopping {
 		o.stop(t, now)
 	}
--- a/control/dispatch/speed.go
+++ b/control/dispatch/speed.go
@@ -32,8 +32,8 @@
 	}
 }
 
-// observeSpeed records the progress of a run.
-func (o *Owner) observeSpeed(t *taskEntry, percent int, now time.Duration) {
+// observeSpeed records the progress of a run at readAt.
+func (o *Owner) observeSpeed(t *taskEntry, percent int, readAt, now time.Duration) {
 	if t.step().LongRunning || t.stopping {
 		return
 	}
@@ -44,17 +44,17 @@
 		t.speedBaseAt = 0
 	}
 	if t.restoring || t.speedLimit != fullSpeed || t.speedBaseAt == 0 || percent < t.speedBasePercent {
-		t.speedBaseAt, t.speedBasePercent = now, percent
+		t.speedBaseAt, t.speedBasePercent = readAt, percent
 		return
 	}
-	elapsed := now - t.speedBaseAt
+	elapsed := readAt - t.speedBaseAt
 	if elapsed < speedWindow {
 		return
 	}
 	// Progress below one percent counts as half a percent.
 	worked := max(float64(percent-t.speedBasePercent), 0.5)
 	projected := time.Duration(float64(elapsed) * 100 / worked)
-	t.speedBaseAt, t.speedBasePercent = now, percent
+	t.speedBaseAt, t.speedBasePercent = readAt, percent
 	o.observeDuration(t, projected, now)
 }
 
--- a/control/dispatch/stall.go
+++ b/control/dispatch/stall.go
@@ -17,20 +17,20 @@
 	minStallSpeed = 50
 )
 
-// observeProgress records the progress of a run and stops it when it is stuck, so that it can
+// observeProgress records the progress of a run at readAt and stops it when it is stuck, so that it can
 // resume elsewhere.
-func (o *Owner) observeProgress(t *taskEntry, percent int, now time.Duration) {
-	o.observeSpeed(t, percent, now)
+func (o *Owner) observeProgress(t *taskEntry, percent int, readAt, now time.Duration) {
+	o.observeSpeed(t, percent, readAt, now)
 	if percent != t.progressPercent || t.progressAt == 0 || t.speedLimit < minStallSpeed {
-		t.progressPercent, t.progressAt = percent, now
+		t.progressPercent, t.progressAt = percent, readAt
 		return
 	}
 	step := t.step()
-	if step.LongRunning || step.Gang || t.stopping || step.Estimate > maxPercentTime/4 || now-t.progressAt < stallTimeout {
+	if step.LongRunning || step.Gang || t.stopping || step.Estimate > maxPercentTime/4 || readAt-t.progressAt < stallTimeout {
 		return
 	}
 	events.RunStalled.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", t.node.info.ID).
-		Int("percent", percent).Dur("still", now-t.progressAt).Send()
+		Int("percent", percent).Dur("still", readAt-t.progressAt).Send()
 	t.node.health.observe(true, now)
 	t.failedOn = append(t.failedOn, t.node.info.ID)
 	o.stop(t, now)
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -226,6 +226,8 @@
 	// clock is the executor's clock in milliseconds at the owner's time clockAt.
 	clock   int64
 	clockAt time.Duration
+	// clockOffset is how far the owner's clock is ahead of the executor's, as of clockOffsetAt.
+	clockOffset, clockOffsetAt time.Duration
 	// grantedLeaseEnd is the latest lease end that was sent, on the executor's clock.
 	grantedLeaseEnd int64
 	// previousLeaseUntil is the latest end of a lease that a previous owner may have granted.
--- a/vm/vmagent/unit.go
+++ b/vm/vmagent/unit.go
@@ -207,6 +207,10 @@
 	u.agent.mu.Lock()
 	u.observeClock(snap.Clock)
 	r := &wire.Report{Epoch: epoch, Agent: u.agent.cfg.Name, Info: u.info, FullSnapshot: !snap.MoreEnds, Running: snap.Running}
+	if snap.Clock != 0 {
+		// A heartbeat may have brought a later reading since.
+		r.Info.Clock = snap.Clock
+	}
 	for _, e := range snap.Ended {
 		// Every report carries all unacknowledged ends, since an owner treats a run
 		// that is neither running nor ended as lost.
