wire: StartOrder and OrderResult keep their fields

The number of the copy was a new field of both messages. Structs are encoded as arrays, and a decoder refuses an array with another number of fields (tried: "number of fields in array-encoded struct has changed", both ways), so an owner and an agent of different builds would have refused each other's orders and answers during an upgrade.

The owner still logs and counts the copies that it sends; the agent logs the number of copies that an answer covers.

--- a/control/dispatch/orders.go
+++ b/control/dispatch/orders.go
@@ -82,7 +82,7 @@
 		ticket, _ = o.advice.Ticket(stepName(t.stepKey()), t.node.info.Incarnation, now)
 	}
 	b.starts = append(b.starts, wire.StartOrder{Task: t.name(), Run: t.rec.Run, Specification: s.Specification,
-		Checkpoint: t.rec.Checkpoint, Ticket: ticket, Deadline: o.startDeadline(t.node), Attempt: t.startAttempts})
+		Checkpoint: t.rec.Checkpoint, Ticket: ticket, Deadline: o.startDeadline(t.node)})
 	b.pending = true
 	o.counters.Starts++
 }
@@ -175,7 +175,7 @@
 	}
 	if r.Outcome == executor.OK {
 		events.RunStarted.Log(o.log).Str("task", r.Task).Uint32("run", r.Run).Str("executor", n.info.ID).
-			Dur("answered", now-t.orderedAt).Uint32("attempt", r.Attempt).Uint32("attempts", t.startAttempts).Send()
+			Dur("answered", now-t.orderedAt).Uint32("attempts", t.startAttempts).Send()
 		o.confirmRunning(t, now)
 		o.beginSpeedMeasurement(t, now)
 		return
@@ -183,7 +183,7 @@
 	o.counters.Rejected++
 	events.StartRefused.Log(o.log).Str("task", r.Task).Uint32("run", r.Run).Str("executor", n.info.ID).
 		Str("outcome", r.Outcome.String()).Str("reason", r.Reason.String()).Dur("list_age", now-n.clockAt).
-		Uint32("attempt", r.Attempt).Uint32("attempts", t.startAttempts).Send()
+		Uint32("attempts", t.startAttempts).Send()
 	if r.Outcome == executor.Rejected && r.Reason == executor.ReasonStaleEpoch {
 		return
 	}
--- a/vm/vmagent/orders.go
+++ b/vm/vmagent/orders.go
@@ -34,18 +34,14 @@
 	for _, s := range m.Starts {
 		k := runKey{s.Task, s.Run}
 		deadline := startDeadline(m.LeaseEnd, s.Deadline)
-		p := u.starting[k]
-		if s.Attempt > 1 {
-			events.StartCopyReceived.Log(u.agent.cfg.Log).Str("task", s.Task).Uint32("run", s.Run).Uint32("attempt", s.Attempt).
-				Bool("in_progress", p != nil).Send()
-		}
-		if p != nil {
+		if p := u.starting[k]; p != nil {
 			// The owner still requests the run, under a later lease.
-			p.deadline, p.attempt = max(p.deadline, deadline), max(p.attempt, s.Attempt)
+			p.deadline = max(p.deadline, deadline)
+			p.copies++
 			continue
 		}
 		ctx, cancel := context.WithCancel(u.ctx)
-		p = &pendingStart{cancel: cancel, deadline: deadline, attempt: s.Attempt}
+		p := &pendingStart{cancel: cancel, deadline: deadline, copies: 1}
 		u.starting[k] = p
 		go u.start(ctx, p, s, m.Epoch)
 	}
@@ -58,8 +54,8 @@
 	// end of the lease under which the owner ordered the run it may start the task elsewhere, so
 	// the start must not be sent under a later lease of the executor.
 	deadline int64
-	// attempt is the last copy of the order that was received.
-	attempt uint32
+	// copies counts the copies of the order that the outcome covers.
+	copies int
 }
 
 // startOutcome is what is known of a start after the calls to the executor.
@@ -104,16 +100,16 @@
 	u.reportStart(k, out, u.forgetStart(k, p), epoch)
 }
 
-// forgetStart ends a start and returns the last copy of the order that it covers. A copy that arrives
-// later is a start of its own.
-func (u *executorSession) forgetStart(k runKey, p *pendingStart) (attempt uint32) {
+// forgetStart ends a start and returns the number of copies of the order that it covers. A copy that
+// arrives later is a start of its own.
+func (u *executorSession) forgetStart(k runKey, p *pendingStart) (copies int) {
 	u.agent.mu.Lock()
 	defer u.agent.mu.Unlock()
 	p.cancel()
 	if u.starting[k] == p {
 		delete(u.starting, k)
 	}
-	return p.attempt
+	return p.copies
 }
 
 // preventRun makes the executor reject each later start of the run, and reports a snapshot without
@@ -124,13 +120,13 @@
 }
 
 // reportStart sends the final outcome of a start to the owner.
-func (u *executorSession) reportStart(k runKey, out startOutcome, attempt uint32, epoch uint64) {
+func (u *executorSession) reportStart(k runKey, out startOutcome, copies int, epoch uint64) {
 	a := out.answer
 	if a.Outcome != executor.OK {
-		events.StartNotConfirmed.Log(u.agent.cfg.Log).Str("task", k.task).Uint32("run", k.run).Uint32("attempt", attempt).
+		events.StartNotConfirmed.Log(u.agent.cfg.Log).Str("task", k.task).Uint32("run", k.run).Int("copies", copies).
 			Str("outcome", a.Outcome.String()).Str("reason", a.Reason.String()).Int("calls", out.calls).Bool("uncertain", out.uncertain).Send()
 	}
-	u.sendResult(epoch, wire.OrderResult{Task: k.task, Run: k.run, Outcome: a.Outcome, Reason: a.Reason, Attempt: attempt})
+	u.sendResult(epoch, wire.OrderResult{Task: k.task, Run: k.run, Outcome: a.Outcome, Reason: a.Reason})
 }
 
 // reportUntilAbsent reports a snapshot without the run, so that the owner learns of the end of the
--- a/wire/dispatch.go
+++ b/wire/dispatch.go
@@ -53,8 +53,6 @@
 	// Deadline is the latest time at which the run may begin, in milliseconds on the executor's
 	// clock, 0 for the end of the lease.
 	Deadline int64
-	// Attempt numbers the copies of the order that one owner sends, from 1.
-	Attempt uint32
 }
 
 // StopOrder instructs an executor to stop a run.
@@ -92,8 +90,6 @@
 	Stop    bool
 	Outcome executor.Outcome
 	Reason  executor.Reason
-	// Attempt is the last copy of a StartOrder that the result covers.
-	Attempt uint32
 }
 
 // OrderResults carries the order results of one executor incarnation.
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -54,8 +54,8 @@
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // encodeFrame encodes a frame into a pooled buffer, which the caller returns with
-// releaseBuffer. Structs are encoded as arrays, without field names, so new fields
-// may only be added at the end of a message.
+// releaseBuffer. Structs are encoded as arrays, without field names, and a decoder refuses
+// arrays with another number of fields, so a new field needs a message type of its own.
 func encodeFrame(flag byte, corr uint32, msg Message) (*bytes.Buffer, error) {
 	buf, _ := buffers.Get().(*bytes.Buffer)
 	buf.Reset()
