vmagent: a cut list of ends goes on after a restart under the id

The fake executor of TestRejectionWaitsForEndThatDidNotFitTheList remembers acknowledged ends now, as the platform's executors do; its expectations are unchanged.

--- a/vm/vmagent/cutlist_test.go
+++ b/vm/vmagent/cutlist_test.go
@@ -54,7 +54,7 @@
 // Guards against a rejection that reaches the owner before the end of the run, which did not fit the list.
 func TestRejectionWaitsForEndThatDidNotFitTheList(t *testing.T) {
 	var mu sync.Mutex
-	started := false
+	started, acknowledged := false, int64(0)
 	ends := doneEnds("a.0.0.0", "a.0.0.1")
 	f := &fakeExecutor{hold: func(h executor.PollRequest) executor.Snapshot {
 		mu.Lock()
@@ -62,7 +62,8 @@
 		if !started {
 			return executor.Snapshot{StartedAt: 7}
 		}
-		return oneEndAtATime(7, ends, h.LastSeen)
+		acknowledged = max(acknowledged, h.LastSeen)
+		return oneEndAtATime(7, ends, acknowledged)
 	}}
 	attempts := 0
 	f.start = func(executor.Start) executor.Answer {
--- a/vm/vmagent/next_incarnation_test.go
+++ b/vm/vmagent/next_incarnation_test.go
@@ -55,7 +55,8 @@
 	}}
 	u := newExecutorSession(newTestAgent(t, f), testInfo())
 	u.leaseEnd, u.lastSeen = 486_000, 57
-	assert.Assert(t, !u.reportWithout([]runKey{{"a.0.0.0", 1}}, 1))
+	_, ok := u.snapshot(1, true)
+	assert.Assert(t, !ok)
 	assert.Equal(t, len(polls), 1)
 	assert.Equal(t, polls[0].Deadline, int64(0), "the next incarnation gets a lease that its owner has not granted")
 	assert.Equal(t, polls[0].LastSeen, int64(0), "the next incarnation was told to discard ends")
--- a/vm/vmagent/orders.go
+++ b/vm/vmagent/orders.go
@@ -133,7 +133,7 @@
 // run before the rejection of its start. It gives up once a new owner is known.
 func (u *executorSession) reportUntilAbsent(ctx context.Context, k runKey, epoch uint64) bool {
 	for ctx.Err() == nil && u.agent.cfg.Link.Epoch() == epoch {
-		if u.reportWithout([]runKey{k}, epoch) {
+		if snap, ok := u.snapshot(epoch, true); ok && u.reportWithout([]runKey{k}, snap, epoch) {
 			return true
 		}
 		u.pause(ctx, failureBackoff)
--- a/vm/vmagent/successor.go
+++ b/vm/vmagent/successor.go
@@ -213,9 +213,14 @@
 // endRuns stops runs and reports a snapshot without them. It returns false when the incarnation
 // ends first.
 func (u *executorSession) endRuns(runs []runKey) bool {
+	silent := false
 	for u.ctx.Err() == nil {
-		if epoch := u.agent.cfg.Link.Epoch(); epoch != 0 && u.stopAll(runs, epoch) && u.reportWithout(runs, epoch) {
-			return true
+		if epoch := u.agent.cfg.Link.Epoch(); epoch != 0 && u.stopAll(runs, epoch) {
+			snap, ok := u.snapshot(epoch, silent)
+			if ok && u.reportWithout(runs, snap, epoch) {
+				return true
+			}
+			silent = !ok
 		}
 		u.sleepOrWake(failureBackoff)
 	}
@@ -231,16 +236,23 @@
 	return true
 }
 
-// reportWithout takes a snapshot and reports it to the owner unless it contains one of the runs. It
-// returns true once the snapshot lists all ends, which include those of the runs.
-func (u *executorSession) reportWithout(runs []runKey, epoch uint64) bool {
+// snapshot takes a snapshot of this incarnation. afterSilence is set if the next incarnation under the id
+// may answer: its end numbers and its clock restart, so it must get neither an acknowledgement nor a lease.
+func (u *executorSession) snapshot(epoch uint64, afterSilence bool) (executor.Snapshot, bool) {
 	h, info, _ := u.nextPollRequest(epoch)
-	// The next incarnation under the id may answer; its end numbers and its clock restart.
-	h.Deadline, h.LastSeen, h.Wait = 0, 0, 0
+	h.Wait = 0
+	if afterSilence {
+		h.Deadline, h.LastSeen = 0, 0
+	}
 	snap := u.agent.cfg.Client.Poll(u.ctx, info, h)
 	u.agent.cfg.Observe("hold", snap.Answer)
-	if snap.Outcome != executor.OK || (snap.StartedAt != 0 && snap.StartedAt != u.inc.StartedAt) ||
-		slices.ContainsFunc(snap.Running, func(r executor.Run) bool { return slices.Contains(runs, runKey{r.Task, r.Number}) }) {
+	return snap, snap.Outcome == executor.OK && (snap.StartedAt == 0 || snap.StartedAt == u.inc.StartedAt)
+}
+
+// reportWithout reports a snapshot to the owner unless it contains one of the runs. It returns true
+// if the snapshot lists all ends, which include those of the runs.
+func (u *executorSession) reportWithout(runs []runKey, snap executor.Snapshot, epoch uint64) bool {
+	if slices.ContainsFunc(snap.Running, func(r executor.Run) bool { return slices.Contains(runs, runKey{r.Task, r.Number}) }) {
 		return false
 	}
 	u.report(epoch, snap)
