gateway: a rejected write is not tried again without time left for its answer

Callers got 504 in place of 503 for a submission that nothing was written of, when the last attempt was cut off by the end of the write's budget (0.7 s): its outcome is then unknown.

After a certain rejection an attempt begins only with 100 ms left.

--- a/ingress/gateway/gateway.go
+++ b/ingress/gateway/gateway.go
@@ -28,6 +28,9 @@
 	writeRetryInterval = 50 * time.Millisecond
 	// writeBudget bounds the retries of a write, after which the requester is told to retry.
 	writeBudget = 700 * time.Millisecond
+	// minAttemptTime is the least time for an attempt after the first. One that is cut off by the end of
+	// the budget leaves the outcome of the write unknown.
+	minAttemptTime = 100 * time.Millisecond
 	// forwardTimeout bounds a write through the owner.
 	forwardTimeout = 500 * time.Millisecond
 	// responseMargin is the time reserved before the requester's deadline to send the response.
@@ -135,7 +138,7 @@
 		}
 		select {
 		case <-time.After(writeRetryInterval):
-			if ctx.Err() == nil {
+			if uncertain && ctx.Err() == nil || timeLeft(ctx) >= minAttemptTime {
 				continue
 			}
 		case <-ctx.Done():
@@ -147,6 +150,12 @@
 	}
 }
 
+// timeLeft returns the time until the deadline of a context that has one.
+func timeLeft(ctx context.Context) time.Duration {
+	deadline, _ := ctx.Deadline()
+	return time.Until(deadline)
+}
+
 // unknownOutcome returns the error of a write of which an attempt may take effect.
 func unknownOutcome(err error) error {
 	return errkind.Wrap(errkind.StoreAmbiguous, err, "the outcome of the write is unknown")
--- a/ingress/gateway/gateway_test.go
+++ b/ingress/gateway/gateway_test.go
@@ -201,6 +201,22 @@
 	assert.Equal(t, errkind.Of(err), errkind.StoreUnavailable)
 }
 
+// Guards against an unknown outcome of a write that was never made: its last attempt had no time left to end.
+func TestRejectedWriteIsNotTriedAgainWithoutTimeLeft(t *testing.T) {
+	link := standin.NewLink(newTable())
+	g := newGateway(newTable(), noResponse)
+	g.store = link
+	link.SetDisconnected(true)
+	start := time.Now()
+	connectOwner(t, g, func(_ *wire.CreateRow, reply wire.Reply) {
+		if time.Since(start) < writeBudget-minAttemptTime+writeRetryInterval/2 {
+			reply(wire.ErrorReply(errkind.New(errkind.QueueFull, "nothing was written")))
+		}
+	})
+	err := g.Submit(t.Context(), &manifest.Route{Name: "q"}, testSubmission())
+	assert.Equal(t, errkind.Of(err), errkind.StoreUnavailable)
+}
+
 // The store is known to be down, the answer of a write through the owner is lost, and the next one is
 // rejected. The first may have been written, so the rejection of the second is none of the submission.
 func TestRejectionAfterLostAnswerIsNotARejection(t *testing.T) {
