dispatch: a commit holds at most 600 kB of records

Cause: a commit was bounded by 90 records alone. The record of a submission with 2,000 tasks takes 24 kB, so that 36 of them that start together make 1.15 MB in the encoding of the store.

Change: Prepare stops before the record with which the records exceed 600 kB, 800 kB as encoded, and takes the others in the next commits.

Evidence: TestCommitOfLargeRecordsStaysBelowTheLimitOfTheStore failed before (a commit of 1,154,448 bytes as encoded) and passes.

--- a/control/dispatch/batch_test.go
+++ b/control/dispatch/batch_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"encoding/base64"
 	"fmt"
 	"testing"
 
@@ -101,3 +102,31 @@
 		f.report()
 	}
 }
+
+// Guards against a commit that is larger than the store accepts, which the owner would try without end.
+func TestCommitOfLargeRecordsStaysBelowTheLimitOfTheStore(t *testing.T) {
+	const tasks, submissions = 2000, 36
+	f := newFixture(t)
+	info := testInfo("e1", f.now)
+	info.Capacity = task.Resources{CPU: tasks * submissions * 1000, Memory: tasks * submissions * 100}
+	f.owner.ApplyReport(&wire.Report{Epoch: testEpoch, Agent: "agent-e1", Info: info, FullSnapshot: true}, f.now)
+	for i := range submissions {
+		s := testSubmission(testStep(tasks))
+		s.ID = fmt.Sprintf("%016x", i+1)
+		f.add(s)
+	}
+	written := make(map[string]bool)
+	for range 6 {
+		f.owner.Tick(f.now)
+		b, err := f.owner.Prepare()
+		assert.NilError(t, err)
+		size := 0
+		for _, w := range b.Writes {
+			size += base64.StdEncoding.EncodedLen(len(w.Value))
+			written[w.Key] = true
+		}
+		assert.Assert(t, size < 1_000_000, "a commit of %d bytes", size)
+		f.commit(b)
+	}
+	assert.Equal(t, len(written), submissions)
+}
--- a/control/dispatch/commit.go
+++ b/control/dispatch/commit.go
@@ -97,13 +97,16 @@
 func (o *Owner) Prepare() (*Batch, error) {
 	b := &Batch{acks: make(map[*node]int64), states: make(map[*job]submission.State)}
 	changed := o.changedJobs()
-	complete := len(changed) <= maxBatchWrites
+	size := 0
 	for _, j := range changed[:min(len(changed), maxBatchWrites)] {
 		r := j.record()
 		value, err := r.Encode()
 		if err != nil {
 			return nil, err
 		}
+		if size += len(value); size > maxBatchBytes && len(b.Writes) > 0 {
+			break
+		}
 		b.Writes = append(b.Writes, store.Write{Key: ProgressKey(j.sub.ID), Value: value})
 		b.states[j] = j.state
 		delete(o.dirty, j.sub.ID)
@@ -112,8 +115,9 @@
 	if err := o.addContentionModel(b); err != nil {
 		return nil, err
 	}
-	o.addAcks(b, changed[len(b.states):])
-	if complete {
+	later := changed[len(b.states):]
+	o.addAcks(b, later)
+	if len(later) == 0 {
 		o.addRemovals(b)
 	}
 	return b, nil
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -57,6 +57,9 @@
 	// maxBatchWrites is the largest number of records in one commit. The store accepts 100 entries
 	// in a transaction, some of which belong to the ownership lease.
 	maxBatchWrites = 90
+	// maxBatchBytes bounds the records in one commit. The store accepts 1 MB in a transaction, in which
+	// the records take a third more, beside their keys and the owner's other rows.
+	maxBatchBytes = 600_000
 	// pauseMargin is how long before the bound on the impact of best-effort work that work is paused: a
 	// scheduling pass, the order's way to the executor, one retry, and the time until the limit takes effect.
 	pauseMargin = 800 * time.Millisecond
