platform: changes that exceed a response are read as a whole table

Callers would see submissions that the owner does not learn of, and evacuations and manifests that an entry does not, after a time without the store in which the changes of a table grew beyond 4 MiB.

Cause: the client refuses a response of more than 4 MiB as if the store had not answered, and the follower repeats the call from the same version, whose response only grows, until the store drops its history.

--- a/state/store/store.go
+++ b/state/store/store.go
@@ -84,7 +84,8 @@
 	// List returns rows of the table with a key greater than after, in key order.
 	List(ctx context.Context, table, after string) (Page, error)
 	// Changes waits at most wait for changes of the table after version. It fails
-	// with errkind.NotFound when the store has compacted that history.
+	// with errkind.NotFound when the store has compacted that history, or the changes exceed a
+	// response; the table then has to be read again.
 	Changes(ctx context.Context, table string, version uint64, wait time.Duration) (Page, error)
 }
 
