standin: failures of single start and stop calls

Change: ExecutorFaults lists failures of the next starts and of the next stops (unavailable, no capacity, executed late, answer lost). They are arrays, so that the faults stay comparable.

--- a/verify/standin/executor.go
+++ b/verify/standin/executor.go
@@ -63,7 +63,37 @@
 	OrderDelay  time.Duration
 	// FailRuns makes every run that starts end as failed.
 	FailRuns bool
-}
+	// Starts and Stops are the failures of the next calls of Start and Stop, one for each call.
+	Starts, Stops [MaxCallFaults]CallFault
+}
+
+// MaxCallFaults is the largest number of calls of one kind with a failure of their own. ExecutorFaults has arrays of
+// this size so that it stays comparable.
+const MaxCallFaults = 6
+
+// CallFault is the failure of one call. Calls of other kinds are not affected.
+type CallFault struct {
+	Kind CallFaultKind
+	// Delay is the time from the call to its execution for CallDelayed, and to the answer for CallUnavailable and
+	// CallNoCapacity.
+	Delay time.Duration
+}
+
+// CallFaultKind is the kind of a CallFault.
+type CallFaultKind uint8
+
+const (
+	// CallNormal: the call is executed and answered.
+	CallNormal CallFaultKind = iota
+	// CallUnavailable: the answer is Unavailable, without effect.
+	CallUnavailable
+	// CallNoCapacity: the answer is Rejected for lack of capacity, without effect.
+	CallNoCapacity
+	// CallDelayed: the call gets no answer and is executed after Delay.
+	CallDelayed
+	// CallResponseLost: the call is executed and gets no answer.
+	CallResponseLost
+)
 
 // platformMaxListedEnds is the largest number of ends in one snapshot of the platform's executors.
 const platformMaxListedEnds = 500
@@ -286,27 +316,43 @@
 	case e.faults.Unresponsive:
 	case e.faults.DelayOrders > 0:
 		e.faults.DelayOrders--
-		incarnation := e.incarnation
-		time.AfterFunc(e.faults.OrderDelay, func() {
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			if e.up && e.incarnation == incarnation {
-				execute()
-			}
-		})
+		e.executeLater(e.faults.OrderDelay, execute)
 	case e.faults.LoseResponses > 0:
 		e.faults.LoseResponses--
 		execute()
 	default:
 		return executor.Answer{}, true
 	}
+	return e.awaitTimeout(ctx), false
+}
+
+// awaitTimeout returns the answer to a call without a response once the caller gives up. The caller
+// holds mu, which is released meanwhile.
+func (e *Executor) awaitTimeout(ctx context.Context) executor.Answer {
+	e.sleep(ctx, answerTimeout)
+	return executor.Answer{Outcome: executor.Unknown}
+}
+
+// sleep waits for d or until ctx is done. The caller holds mu, which is released meanwhile.
+func (e *Executor) sleep(ctx context.Context, d time.Duration) {
 	e.mu.Unlock()
+	defer e.mu.Lock()
 	select {
 	case <-ctx.Done():
-	case <-time.After(answerTimeout):
+	case <-time.After(d):
 	}
-	e.mu.Lock()
-	return executor.Answer{Outcome: executor.Unknown}, false
+}
+
+// executeLater executes an order after a delay unless the incarnation ends first. The caller holds mu.
+func (e *Executor) executeLater(delay time.Duration, execute func()) {
+	incarnation := e.incarnation
+	time.AfterFunc(delay, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.up && e.incarnation == incarnation {
+			execute()
+		}
+	})
 }
 
 // rejected returns the answer to a rejected order. The caller holds mu.
@@ -331,7 +377,31 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.start(s)
+	return e.callWithFault(ctx, &e.faults.Starts, func() executor.Answer { return e.start(s) })
+}
+
+// callWithFault executes a call with the first of the remaining failures of its kind. The caller holds mu, which is
+// released while an answer is delayed.
+func (e *Executor) callWithFault(ctx context.Context, remaining *[MaxCallFaults]CallFault, execute func() executor.Answer) executor.Answer {
+	f := remaining[0]
+	copy(remaining[:], remaining[1:])
+	remaining[MaxCallFaults-1] = CallFault{}
+	switch f.Kind {
+	case CallUnavailable:
+		e.sleep(ctx, f.Delay)
+		return executor.Answer{Outcome: executor.Unavailable, Clock: e.clockLocked()}
+	case CallNoCapacity:
+		e.sleep(ctx, f.Delay)
+		return e.rejected(executor.ReasonCapacity)
+	case CallDelayed:
+		e.executeLater(f.Delay, func() { execute() })
+		return e.awaitTimeout(ctx)
+	case CallResponseLost:
+		execute()
+		return e.awaitTimeout(ctx)
+	default:
+		return execute()
+	}
 }
 
 func (e *Executor) start(s executor.Start) executor.Answer {
@@ -379,7 +449,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.stop(name, run, epoch)
+	return e.callWithFault(ctx, &e.faults.Stops, func() executor.Answer { return e.stop(name, run, epoch) })
 }
 
 func (e *Executor) stop(name string, run uint32, epoch uint64) executor.Answer {
