orderpaths: enumerate what happens to the first messages of a start

Cause: a task ran on two executors at once (TWICE). Random histories, the fault matrix and the soak draw their faults, and none of them delivers an order twice while its executor refuses the first copy; that takes two troubles within seconds.

Change: a test package runs the owner, two agents and two stand-in executors in virtual time and plays all combinations of at most three troubles: each of the first two orders and results and the first report is held back, lost or followed by the end of its connection; the start is refused, carried out late or not answered; the agent stands still or restarts. Starts that meet a cancellation, and channels that repeat or reorder messages, are played with at most two.

--- /dev/null
+++ b/verify/orderpaths/doc.go
@@ -0,0 +1,6 @@
+// Package orderpaths holds tests only. They run an owner of package dispatch and two agents of package vmagent with
+// stand-in executors in virtual time, and enumerate what can happen to the first messages between them: each order,
+// answer and report is delivered, held back, doubled, overtaken or lost with its connection, while the executor refuses
+// or delays the start and the agent stands still or restarts. All combinations of a bounded number of troubles are
+// played, so that faults which need several at once are found without a lucky seed.
+package orderpaths
