orderpaths: how to play one scenario; count those played

Cause: the summary gave the number of all scenarios when one was chosen by name, and the package did not say how to choose one.

Change: the summary counts what was played; the package comment has an example.

--- a/verify/orderpaths/doc.go
+++ b/verify/orderpaths/doc.go
@@ -3,4 +3,10 @@
 // answer and report is delivered, held back, doubled, overtaken or lost with its connection, while the executor refuses
 // or delays the start and the agent stands still or restarts. All combinations of a bounded number of troubles are
 // played, so that faults which need several at once are found without a lucky seed.
+//
+// A scenario is a sub-test named by its troubles, for example
+//
+//	go test ./verify/orderpaths -v -run 'TestStartPaths/^result1=held,start=no-room$' -orderpaths.trace
+//
+// -orderpaths.troubles, -orderpaths.stop and -orderpaths.repeated set the largest number of troubles at once.
 package orderpaths
--- a/verify/orderpaths/orderpaths_test.go
+++ b/verify/orderpaths/orderpaths_test.go
@@ -106,9 +106,8 @@
 func playAll(t *testing.T, maxTroubles int, dimensions []dimension) {
 	t.Helper()
 	f := &failures{byKind: make(map[string]int)}
-	all := enumerate(dimensions, maxTroubles)
-	t.Cleanup(func() { f.summarize(t, len(all)) })
-	for _, s := range all {
+	t.Cleanup(func() { f.summarize(t) })
+	for _, s := range enumerate(dimensions, maxTroubles) {
 		t.Run(s.name(), func(t *testing.T) {
 			t.Parallel()
 			f.add(t, s, play(t, s))
@@ -144,9 +143,9 @@
 	return kind
 }
 
-func (f *failures) summarize(t *testing.T, played int) {
+func (f *failures) summarize(t *testing.T) {
 	t.Helper()
-	t.Logf("%d scenarios, %d failed, violations by kind: %v", played, len(f.scenario), f.byKind)
+	t.Logf("%d scenarios, %d failed, violations by kind: %v", len(f.ends), len(f.scenario), f.byKind)
 	if n := len(f.ends); n > 0 {
 		slices.Sort(f.ends)
 		t.Logf("work ended after %v in the median, %v at the 99th percentile, %v at most", f.ends[n/2], f.ends[n*99/100], f.ends[n-1])
