wire: a message with more or fewer fields than known is decoded

During an upgrade that adds a field to a message, each side closed the connection at the first such message of the other. An owner and agents of two versions could not reach each other, leases ran out, and all work was started again.

Cause: messages are encoded as arrays, which the decoder accepts with exactly the number of fields that it knows. The rule that new fields go to the end does not help by itself.

Test: TestMessagesOfOtherVersionsAreDecoded failed before the change (number of fields in array-encoded struct has changed).

Fix: the array of a message gets the known number of fields before it is decoded. That covers the messages, not the structs inside them, such as StartOrder and executor.Info: a field there still needs a new message type.

--- a/wire/frame.go
+++ b/wire/frame.go
@@ -54,8 +54,9 @@
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // encodeFrame encodes a frame into a pooled buffer, which the caller returns with
-// releaseBuffer. Structs are encoded as arrays, without field names, and a decoder refuses
-// arrays with another number of fields, so a new field needs a message type of its own.
+// releaseBuffer. Structs are encoded as arrays, without field names. Builds before may
+// refuse arrays with another number of fields, and every build refuses them inside a
+// message, so a new field needs a message type of its own.
 func encodeFrame(flag byte, corr uint32, msg Message) (*bytes.Buffer, error) {
 	buf, _ := buffers.Get().(*bytes.Buffer)
 	buf.Reset()
@@ -148,7 +149,7 @@
 			return nil, err
 		}
 	}
-	if err := msgpack.Unmarshal(f.body, msg); err != nil {
+	if err := msgpack.Unmarshal(alignFields(f.body, msg), msg); err != nil {
 		return nil, errkind.Wrap(errkind.InvalidArgument, err, "decode message type %d", f.typ)
 	}
 	return msg, nil
