dispatch: the stop of a run drops its start that was not sent

When the connection was back, the start was sent together with the stop, and the run could begin.

Cause: the start stayed in the outbox beside the stop. The agent carries out both at the same time.

Test: TestWaitingStartIsDroppedWhenItsRunIsStopped failed before the change (the start was sent).

Fix: a stop takes the start of its run out of the outbox. The stop itself is still sent, as a copy of the start may have been sent before.

--- a/control/dispatch/orders.go
+++ b/control/dispatch/orders.go
@@ -30,7 +30,9 @@
 	pending   bool
 }
 
+// stop adds the stop of a run, whose start may be on its way, or may still wait here.
 func (b *outbox) stop(name string, run uint32) {
+	b.dropStart(name, run)
 	for _, s := range b.stops {
 		if s.Task == name && s.Run == run {
 			return
--- a/control/dispatch/outbox_test.go
+++ b/control/dispatch/outbox_test.go
@@ -33,3 +33,23 @@
 	f.pass()
 	assert.Assert(t, !slices.Contains(f.starts(), name(0, 0)+"#1@e1"), "%v", f.starts())
 }
+
+// A start that waited for a lost connection used to be sent together with its stop, and could begin after its submission
+// had been cancelled.
+func TestWaitingStartIsDroppedWhenItsRunIsStopped(t *testing.T) {
+	f := newFixture(t)
+	f.executor("e1", nil)
+	f.add(testSubmission(testStep(1)))
+	f.owner.Tick(f.now)
+	b, err := f.owner.Prepare()
+	assert.NilError(t, err)
+	f.owner.AgentDisconnected("agent-e1")
+	f.commit(b)
+	assert.Equal(t, len(f.starts()), 0)
+	f.owner.Cancel(testID, f.now)
+	f.now += time.Second
+	f.executor("e1", nil)
+	f.pass()
+	assert.DeepEqual(t, f.stops(), []string{name(0, 0) + "#1@e1"})
+	assert.Equal(t, len(f.starts()), 0, "%v", f.starts())
+}
