member: a connection that can't be accepted does not end the listener

After one failed accept, as when no file descriptor is free under a burst of requests, no owner could reach the process any more. An agent's executors ran out of their leases, and an entry acknowledged no owner, while the process went on and looked healthy.

Cause: the loop that accepts the owner's connections ended at any error.

Test: TestMemberAcceptsConnectionsAfterAFailure failed before the change (no reply in 2 s).

Fix: only a closed listener ends the loop. After other errors it waits 50 ms and logs the first (serve_failed).

--- a/state/member/link.go
+++ b/state/member/link.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/chicorystand/chicorystand/base/clock"
@@ -14,16 +15,31 @@
 	"github.com/chicorystand/chicorystand/wire"
 )
 
-// firstFrameTimeout bounds the time until the first frame on an accepted connection.
-const firstFrameTimeout = 2 * time.Second
+const (
+	// firstFrameTimeout bounds the time until the first frame on an accepted connection.
+	firstFrameTimeout = 2 * time.Second
+	// acceptRetryDelay is the pause after a connection could not be accepted.
+	acceptRetryDelay = 50 * time.Millisecond
+)
 
 // Serve accepts the owner's connections on l until l is closed.
 func Serve(l net.Listener, link *OwnerLink, handle wire.Handler) {
+	failing := false
 	for number := uint64(1); ; number++ {
 		conn, err := l.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			// Such as no free file descriptor; the listener goes on.
+			if !failing {
+				events.ServeFailed.Log(link.log).Str("address", l.Addr().String()).Err(err).Send()
+			}
+			failing = true
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		failing = false
 		p := wire.Accept(conn, func(p *wire.Peer, msg wire.Message, reply wire.Reply) {
 			p.Value.Store(number)
 			handle(p, msg, reply)
--- a/state/member/link_test.go
+++ b/state/member/link_test.go
@@ -1,7 +1,9 @@
 package member
 
 import (
+	"context"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -48,3 +50,40 @@
 	assert.NilError(t, lead(next, 1), "a new connection of the same owner is accepted")
 	assert.NilError(t, lead(newer, 2), "a new owner is accepted on any connection")
 }
+
+// failingListener fails once, as a listener does while the process has no file descriptor left.
+type failingListener struct {
+	net.Listener
+	failed bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// One failed accept used to end the loop for good, so that no owner could reach the process any more.
+func TestMemberAcceptsConnectionsAfterAFailure(t *testing.T) {
+	var lc net.ListenConfig
+	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	link := NewOwnerLink(clock.Boottime{}, zerolog.Nop())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		Serve(&failingListener{Listener: l}, link, link.Handle)
+	}()
+	conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", l.Addr().String())
+	assert.NilError(t, err)
+	p := wire.NewPeer(conn, nil)
+	defer p.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	_, err = p.Call(ctx, &wire.Lead{Epoch: 1, Owner: "owner"})
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	<-ended
+}
