coordinator: of two members with one address the one that registered last is kept

Test: TestRemovedMemberGetsNoConnectionAtTheAddressOfItsSuccessor now gives the removed VM the higher incarnation.

Fix: the versions of the rows decide.

--- a/control/coordinator/links.go
+++ b/control/coordinator/links.go
@@ -44,15 +44,18 @@
 	// ended is closed by the end of the last connection under each name.
 	ended   map[string]chan struct{}
 	members map[string]member.Member
+	// versions are those of the members' rows.
+	versions map[string]uint64
 	// lastAcked holds the send time of the last heartbeat that each member answered.
 	lastAcked map[string]time.Duration
 	wg        sync.WaitGroup
 }
 
-// setMember adds or updates a member and starts to connect to its address.
-func (l *memberConns) setMember(ctx context.Context, m member.Member) {
+// setMember adds or updates a member, whose row has the given version, and starts to connect to its address.
+func (l *memberConns) setMember(ctx context.Context, m member.Member, version uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.versions[m.Name] = version
 	if l.members[m.Name] == m || !l.claimAddressLocked(m) {
 		return
 	}
@@ -74,14 +77,14 @@
 	}()
 }
 
-// claimAddressLocked removes members that started at the member's address before it. It returns false when
-// another one has started there since: the row of a removed VM stays in the store, and its address may be
-// assigned to a new one. The caller holds mu.
+// claimAddressLocked removes members that have registered with the member's address before it. It returns false
+// when another one has registered with it since: the row of a removed VM stays in the store, and its address
+// may be assigned to a new one. A member without a connection registers again. The caller holds mu.
 func (l *memberConns) claimAddressLocked(m member.Member) bool {
 	for name, other := range l.members {
 		switch {
 		case name == m.Name || other.Address != m.Address:
-		case other.Incarnation > m.Incarnation:
+		case l.versions[name] > l.versions[m.Name]:
 			return false
 		default:
 			l.removeMemberLocked(name)
--- a/control/coordinator/links_test.go
+++ b/control/coordinator/links_test.go
@@ -17,14 +17,17 @@
 // The row of a VM that was removed stays in the store. When a new VM got its address, the owner used to keep two
 // connections to that one, which displaced each other, and orders on the older one were dropped.
 func TestRemovedMemberGetsNoConnectionAtTheAddressOfItsSuccessor(t *testing.T) {
-	removed := member.Member{Name: "vm-1", Address: "10.0.0.1:7720", Role: member.Agent, Incarnation: 1}
+	// The clocks of VMs differ, so that the incarnations do not tell which is the newer one.
+	removed := member.Member{Name: "vm-1", Address: "10.0.0.1:7720", Role: member.Agent, Incarnation: 9}
 	successor := member.Member{Name: "vm-2", Address: "10.0.0.1:7720", Role: member.Agent, Incarnation: 2}
+	versions := map[string]uint64{removed.Name: 5, successor.Name: 8}
 	for name, rows := range map[string][]member.Member{"older row first": {removed, successor}, "newer row first": {successor, removed}} {
 		t.Run(name, func(t *testing.T) {
 			c := clock.Boottime{}
 			link := member.NewOwnerLink(c, zerolog.Nop())
 			l := &memberConns{leadMessage: func() *wire.Lead { return &wire.Lead{Epoch: 1} }, clock: c, log: zerolog.Nop(), lastAcked: make(map[string]time.Duration),
-				onDisconnect: func(member.Member) {}, peers: make(map[string]*wire.Peer), cancels: make(map[string]context.CancelFunc), ended: make(map[string]chan struct{}), members: make(map[string]member.Member)}
+				onDisconnect: func(member.Member) {}, peers: make(map[string]*wire.Peer), cancels: make(map[string]context.CancelFunc), ended: make(map[string]chan struct{}), members: make(map[string]member.Member),
+				versions: make(map[string]uint64)}
 			l.dial = func(context.Context, string) (net.Conn, error) {
 				near, far := net.Pipe()
 				wire.NewPeer(far, link.Handle)
@@ -32,7 +35,7 @@
 			}
 			ctx, cancel := context.WithCancel(t.Context())
 			for _, m := range rows {
-				l.setMember(ctx, m)
+				l.setMember(ctx, m, versions[m.Name])
 			}
 			eventually(t, "connection to the successor", func() bool { return l.send(successor.Name, &wire.Ack{}) == nil })
 			assert.DeepEqual(t, l.names(member.Agent), []string{successor.Name})
@@ -51,7 +54,8 @@
 	events := make(chan string, 10)
 	l := &memberConns{leadMessage: func() *wire.Lead { return &wire.Lead{Epoch: 1} }, clock: c, log: zerolog.Nop(), lastAcked: make(map[string]time.Duration),
 		handler: func(*wire.Peer, wire.Message, wire.Reply) { events <- "message" },
-		peers:   make(map[string]*wire.Peer), cancels: make(map[string]context.CancelFunc), ended: make(map[string]chan struct{}), members: make(map[string]member.Member)}
+		peers:   make(map[string]*wire.Peer), cancels: make(map[string]context.CancelFunc), ended: make(map[string]chan struct{}), members: make(map[string]member.Member),
+		versions: make(map[string]uint64)}
 	l.onDisconnect = func(member.Member) {
 		time.Sleep(100 * time.Millisecond)
 		events <- "end"
@@ -64,11 +68,11 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	m := member.Member{Name: "vm-1", Address: "10.0.0.1:7720", Role: member.Agent, Incarnation: 1}
-	l.setMember(ctx, m)
+	l.setMember(ctx, m, 1)
 	assert.Equal(t, <-events, "message")
 	eventually(t, "connection", func() bool { return l.send(m.Name, &wire.Ack{}) == nil })
 	m.Incarnation = 2
-	l.setMember(ctx, m)
+	l.setMember(ctx, m, 2)
 	assert.Equal(t, <-events, "end")
 	assert.Equal(t, <-events, "message")
 	cancel()
--- a/control/coordinator/load.go
+++ b/control/coordinator/load.go
@@ -177,5 +177,5 @@
 		events.RowInvalid.Log(s.o.cfg.Log).Str("key", c.Key).Err(err).Send()
 		return
 	}
-	s.o.conns.setMember(s.ctx, m)
+	s.o.conns.setMember(s.ctx, m, c.Version)
 }
