shard: an owner whose lease has run out knows of no task

Effect for callers (by reading and by the test, not seen in a run): a cancellation is answered "not_found" though the task runs; a listing misses tasks or shows old states.

Cause: an entry that was paused, or cut off from the store, keeps the tables of a shard that another entry owns by now. It answered cancellations and lookups from them without a look at its lease. Submissions and changes were safe, as their commits are fenced.

TestLapsedOwnerKnowsOfNoTask failed before (not_found in place of not_owner). Cancel and Select now fail with not_owner unless the lease is valid; entries repeat such a message until the shard's owner is known.

--- a/control/shard/agents.go
+++ b/control/shard/agents.go
@@ -21,11 +21,19 @@
 	}
 }
 
+// checkHeld returns errkind.NotOwner when the shard lease is not held.
+func (o *Owner) checkHeld() error {
+	if o.lost || !o.cfg.Valid() {
+		return errkind.New(errkind.NotOwner, "shard %s is not held", o.cfg.Shard)
+	}
+	return nil
+}
+
 // Announce registers an agent's connection and reconciles the agent's ledger with the task records.
 // It fails with errkind.NotOwner when the shard lease is not held.
 func (o *Owner) Announce(ctx context.Context, m *wire.Announce, c Caller) (*wire.AnnounceReply, error) {
-	if o.lost || !o.cfg.Valid() {
-		return nil, errkind.New(errkind.NotOwner, "shard %s is not held", o.cfg.Shard)
+	if err := o.checkHeld(); err != nil {
+		return nil, err
 	}
 	if old, ok := o.agents[m.VM]; ok && old.caller != c {
 		go old.caller.Close()
@@ -110,8 +118,8 @@
 	if !ok || !v.Connected {
 		return nil, errkind.New(errkind.NotOwner, "VM %s has not announced itself", vm)
 	}
-	if o.lost || !o.cfg.Valid() {
-		return nil, errkind.New(errkind.NotOwner, "shard %s is not held", o.cfg.Shard)
+	if err := o.checkHeld(); err != nil {
+		return nil, err
 	}
 	o.tables.Ingest(tablesReport(vm, m, o.cfg.Clock.Now()))
 	v.ConfigGen = m.ConfigGen
@@ -396,11 +404,14 @@
 
 // Cancel stages cancellations. done is called once for each id with its outcome.
 func (o *Owner) Cancel(ctx context.Context, customer string, ids []string, done func(string, error)) {
+	notHeld := o.checkHeld()
 	for _, id := range ids {
 		tk, ok := o.tables.Tasks[id]
 		switch {
 		case o.drained:
 			done(id, errkind.New(errkind.NotOwner, "shard %s is being released", o.cfg.Shard))
+		case notHeld != nil:
+			done(id, notHeld)
 		case !ok || (customer != "" && tk.Record.Spec.Customer != customer):
 			done(id, errkind.New(errkind.NotFound, "task %s", id))
 		case tk.Record.State == task.Cancelled:
--- a/control/shard/manager_test.go
+++ b/control/shard/manager_test.go
@@ -220,6 +220,25 @@
 	})
 }
 
+// Guards against "not found" from an owner that has lost its lease, for a task that the new owner has accepted.
+func TestLapsedOwnerKnowsOfNoTask(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		m := c.startInOrder("a", "b")
+		lapsed, ok := m[0].Owner(testShard)
+		assert.Assert(t, ok)
+		m[0].link.SetDisconnected(true)
+		c.awaitHolder("b", time.Minute)
+		current, ok := m[1].Owner(testShard)
+		assert.Assert(t, ok)
+		assert.NilError(t, submit(t, current, task.Spec{ID: "t", Customer: "c"})[0])
+		done := make(chan error, 1)
+		assert.NilError(t, lapsed.Do(c.ctx, func() { lapsed.Cancel(c.ctx, "c", []string{"t"}, func(_ string, err error) { done <- err }) }))
+		assert.Equal(t, errkind.Of(<-done), errkind.NotOwner)
+		_, err := shard.Ask(c.ctx, lapsed, func() (*wire.LookupReply, error) { return lapsed.Select(&wire.Lookup{IDs: []string{"t"}}) })
+		assert.Equal(t, errkind.Of(err), errkind.NotOwner)
+	})
+}
+
 // Guards against a lease or request admission that ends in a store outage without a second fault, a
 // lease extension beyond 40 minutes or not granted by every member, and an entry that admits
 // requests or owns shards after starting in an outage.
--- a/control/shard/status.go
+++ b/control/shard/status.go
@@ -13,7 +13,10 @@
 )
 
 // Select returns the records that match the query, sorted by id, with the reasons why pending tasks wait.
-func (o *Owner) Select(q *wire.Lookup) *wire.LookupReply {
+func (o *Owner) Select(q *wire.Lookup) (*wire.LookupReply, error) {
+	if err := o.checkHeld(); err != nil {
+		return nil, err
+	}
 	reply := &wire.LookupReply{}
 	for _, id := range o.selectedIDs(q) {
 		tk := o.tables.Tasks[id]
@@ -25,7 +28,7 @@
 			reply.Waiting = append(reply.Waiting, wire.TaskResult{ID: id, Kind: tk.WaitingReason})
 		}
 	}
-	return reply
+	return reply, nil
 }
 
 func (o *Owner) selectedIDs(q *wire.Lookup) []string {
--- a/control/shard/submit_test.go
+++ b/control/shard/submit_test.go
@@ -93,7 +93,7 @@
 		assert.NilError(t, w.submitOne("t"))
 		state := func() string {
 			var r *wire.LookupReply
-			assert.NilError(t, w.owner.Do(ctx, func() { r = w.owner.Select(&wire.Lookup{IDs: []string{"t"}, Limit: 1}) }))
+			assert.NilError(t, w.owner.Do(ctx, func() { r, _ = w.owner.Select(&wire.Lookup{IDs: []string{"t"}, Limit: 1}) }))
 			return r.Records[0].State
 		}
 		w.table.SetFaults(standin.Faults{Down: true})
--- a/ingress/entry/control.go
+++ b/ingress/entry/control.go
@@ -180,6 +180,10 @@
 }
 
 func (e *Entry) cancelLocal(o *shard.Owner, m *wire.Cancel) wire.Message {
+	if !e.manager.HoldsLease(m.Shard) {
+		// The caller repeats the message until the shard has an owner.
+		return wire.ErrorReply(errkind.New(errkind.NotOwner, "shard %s is not held", m.Shard))
+	}
 	return e.runOnTasks(o, m.IDs, func(done func(string, error)) { o.Cancel(e.ctx, m.Customer, m.IDs, done) })
 }
 
@@ -216,8 +220,8 @@
 }
 
 func (e *Entry) lookupLocal(o *shard.Owner, m *wire.Lookup) wire.Message {
-	var r *wire.LookupReply
-	if err := o.Do(e.ctx, func() { r = o.Select(m) }); err != nil {
+	r, err := shard.Ask(e.ctx, o, func() (*wire.LookupReply, error) { return o.Select(m) })
+	if err != nil {
 		return wire.ErrorReply(err)
 	}
 	return r
