identity: a reload closes the connections of withdrawn peers

Effect for operators (by reading and by the test, not seen in a run): after a certificate authority was withdrawn (files replaced, SIGHUP), a process or operator with a certificate of it keeps its open connections for as long as it likes, with all its rights.

Cause: the certificate was verified in the handshake only, and connections between processes stay open for weeks.

TestReloadClosesConnectionsOfWithdrawnPeers failed before on both ends ("the connection is still open"). A source now keeps its open connections with the chains of their peers, verifies these again on a reload and closes what fails. A handshake that began before a reload and ends after it fails, so that none is missed.

--- a/state/identity/identity.go
+++ b/state/identity/identity.go
@@ -87,15 +87,20 @@
 	mu    sync.RWMutex
 	cert  tls.Certificate
 	roots *x509.CertPool
+	// reloads counts the successful calls of Reload.
+	reloads uint64
+	// peers holds the open connections with the certificates of their peers.
+	peers map[*limitedConn]verifiedPeer
 }
 
 // Load returns a source with the certificates read from files.
 func Load(files Files) (*Source, error) {
-	s := &Source{files: files}
+	s := &Source{files: files, peers: make(map[*limitedConn]verifiedPeer)}
 	return s, s.Reload()
 }
 
-// Reload reads the files again. On an error, the previous certificates stay in use.
+// Reload reads the files again and closes the connections of peers that the new certificate authority does
+// not confirm. On an error, the previous certificates stay in use.
 func (s *Source) Reload() error {
 	cert, err := tls.LoadX509KeyPair(s.files.Cert, s.files.Key)
 	if err != nil {
@@ -109,26 +114,82 @@
 	if !pool.AppendCertsFromPEM(ca) {
 		return errkind.New(errkind.InvalidArgument, "certificate authority file %s contains no certificate", s.files.CA)
 	}
+	for _, c := range s.replace(cert, pool) {
+		_ = c.Close()
+	}
+	return nil
+}
+
+// replace puts the certificates into use and returns the connections of peers that they do not confirm.
+func (s *Source) replace(cert tls.Certificate, roots *x509.CertPool) []*limitedConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cert, s.roots = cert, pool
-	return nil
+	s.cert, s.roots = cert, roots
+	s.reloads++
+	var withdrawn []*limitedConn
+	for c, p := range s.peers {
+		if p.verify(roots) != nil {
+			withdrawn = append(withdrawn, c)
+		}
+	}
+	return withdrawn
 }
 
-func (s *Source) current() (tls.Certificate, *x509.CertPool) {
+func (s *Source) current() (cert tls.Certificate, roots *x509.CertPool, reloads uint64) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.cert, s.roots
+	return s.cert, s.roots, s.reloads
+}
+
+// verifiedPeer is the certificate chain that a peer has presented, and its required usage.
+type verifiedPeer struct {
+	chain []*x509.Certificate
+	usage x509.ExtKeyUsage
+}
+
+func (p verifiedPeer) verify(roots *x509.CertPool) error {
+	opts := x509.VerifyOptions{Roots: roots, Intermediates: x509.NewCertPool(), KeyUsages: []x509.ExtKeyUsage{p.usage}}
+	for _, c := range p.chain[1:] {
+		opts.Intermediates.AddCert(c)
+	}
+	_, err := p.chain[0].Verify(opts)
+	return err
+}
+
+// track keeps an open connection, whose peer was verified after the given number of reloads. It fails if
+// there was another reload since. Connections of other types are not tracked.
+func (s *Source) track(conn net.Conn, p verifiedPeer, reloads uint64) error {
+	c, ok := conn.(*limitedConn)
+	if !ok {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reloads != reloads {
+		return errkind.New(errkind.Unauthenticated, "the certificates were reloaded during the handshake")
+	}
+	s.peers[c] = p
+	c.onClose(func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.peers, c)
+	})
+	return nil
 }
 
 // ServerConfig returns a configuration that accepts clients whose certificate has one of the roles.
 func (s *Source) ServerConfig(allowed ...Role) *tls.Config {
-	return &tls.Config{MinVersion: tls.VersionTLS13, GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
-		cert, pool := s.current()
+	return &tls.Config{MinVersion: tls.VersionTLS13, GetConfigForClient: func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
+		cert, pool, reloads := s.current()
 		return &tls.Config{
 			MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{cert}, ClientCAs: pool,
 			ClientAuth: tls.RequireAndVerifyClientCert, SessionTicketsDisabled: true,
-			VerifyConnection: func(cs tls.ConnectionState) error { return checkRole(cs, allowed) },
+			VerifyConnection: func(cs tls.ConnectionState) error {
+				if err := checkRole(cs, allowed); err != nil {
+					return err
+				}
+				return s.track(hello.Conn, verifiedPeer{cs.PeerCertificates, x509.ExtKeyUsageClientAuth}, reloads)
+			},
 		}, nil
 	}}
 }
@@ -139,18 +200,14 @@
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-			cert, _ := s.current()
+			cert, _, _ := s.current()
 			return &cert, nil
 		},
 		// VerifyConnection replaces the standard verification, which requires a host name.
 		InsecureSkipVerify: true,
 		VerifyConnection: func(cs tls.ConnectionState) error {
-			_, pool := s.current()
-			opts := x509.VerifyOptions{Roots: pool, Intermediates: x509.NewCertPool(), KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}}
-			for _, c := range cs.PeerCertificates[1:] {
-				opts.Intermediates.AddCert(c)
-			}
-			if _, err := cs.PeerCertificates[0].Verify(opts); err != nil {
+			_, pool, _ := s.current()
+			if err := (verifiedPeer{cs.PeerCertificates, x509.ExtKeyUsageServerAuth}).verify(pool); err != nil {
 				return errkind.Wrap(errkind.Unauthenticated, err, "verify server certificate")
 			}
 			return checkRole(cs, allowed)
--- a/state/identity/identity_test.go
+++ b/state/identity/identity_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"crypto/tls"
+	"errors"
+	"io"
 	"net"
 	"os"
 	"path/filepath"
@@ -59,3 +61,49 @@
 	assert.Assert(t, src.Reload() != nil)
 	assert.Equal(t, name(), "new")
 }
+
+// Guards against a peer whose certificate authority was withdrawn and that keeps its connections after a reload.
+func TestReloadClosesConnectionsOfWithdrawnPeers(t *testing.T) {
+	filesIn := func(dir string) identity.Files {
+		return identity.Files{Cert: filepath.Join(dir, "c"), Key: filepath.Join(dir, "k"), CA: filepath.Join(dir, "a")}
+	}
+	load := func(f identity.Files, ca *identity.Authority, name string) *identity.Source {
+		issue(t, f, ca, name)
+		s, err := identity.Load(f)
+		assert.NilError(t, err)
+		return s
+	}
+	before, err := identity.NewAuthority("before")
+	assert.NilError(t, err)
+	after, err := identity.NewAuthority("after")
+	assert.NilError(t, err)
+	for _, withdrawAt := range []string{"server", "client"} {
+		t.Run(withdrawAt, func(t *testing.T) {
+			files := map[string]identity.Files{"server": filesIn(t.TempDir()), "client": filesIn(t.TempDir())}
+			sources := map[string]*identity.Source{}
+			for name, f := range files {
+				sources[name] = load(f, before, name)
+			}
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			server := identity.Listen(l, sources["server"].ServerConfig(identity.Entry), 4, func(string, net.Addr, error) {})
+			defer func() { _ = server.Close() }()
+			c, err := identity.Dialer(sources["client"], identity.Entry)(t.Context(), l.Addr().String())
+			assert.NilError(t, err)
+			defer func() { _ = c.Close() }()
+			accepted, err := server.Accept()
+			assert.NilError(t, err)
+			defer func() { _ = accepted.Close() }()
+
+			issue(t, files[withdrawAt], before, "renewed")
+			assert.NilError(t, sources[withdrawAt].Reload())
+			_, err = accepted.Write([]byte("x"))
+			assert.NilError(t, err, "the authority is still trusted")
+			issue(t, files[withdrawAt], after, "renewed")
+			assert.NilError(t, sources[withdrawAt].Reload())
+			_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+			_, err = io.ReadAll(c)
+			assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded), "the connection is still open")
+		})
+	}
+}
--- a/state/identity/listener.go
+++ b/state/identity/listener.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"crypto/x509"
 	"net"
 	"sync"
 	"time"
@@ -53,7 +54,7 @@
 		}
 		select {
 		case l.slots <- struct{}{}:
-			go l.handshake(&limitedConn{Conn: c, release: func() { <-l.slots }})
+			go l.handshake(&limitedConn{Conn: c, releases: []func(){func() { <-l.slots }}})
 		default:
 			l.onRefused(ReasonLimit, c.RemoteAddr(), errkind.New(errkind.QueueFull, "%d connections are open", cap(l.slots)))
 			_ = c.Close()
@@ -112,15 +113,35 @@
 	return err
 }
 
+// limitedConn calls the functions in releases once, when it is closed.
 type limitedConn struct {
 	net.Conn
-	release func()
-	once    sync.Once
+
+	mu       sync.Mutex
+	closed   bool
+	releases []func()
+}
+
+// onClose calls release when the connection is closed, or at once on another goroutine if it is.
+func (c *limitedConn) onClose(release func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		go release()
+		return
+	}
+	c.releases = append(c.releases, release)
 }
 
 // Close implements net.Conn and releases the connection's slot.
 func (c *limitedConn) Close() error {
-	c.once.Do(c.release)
+	c.mu.Lock()
+	releases := c.releases
+	c.closed, c.releases = true, nil
+	c.mu.Unlock()
+	for _, release := range releases {
+		release()
+	}
 	return c.Conn.Close()
 }
 
@@ -132,7 +153,25 @@
 		if s == nil {
 			return d.DialContext(ctx, "tcp", addr)
 		}
-		t := tls.Dialer{NetDialer: &d, Config: s.ClientConfig(allowed...)}
-		return t.DialContext(ctx, "tcp", addr)
+		raw, err := d.DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return nil, err
+		}
+		return s.connect(ctx, &limitedConn{Conn: raw}, allowed)
+	}
+}
+
+// connect completes the TLS handshake with a server and tracks the connection. On an error it closes it.
+func (s *Source) connect(ctx context.Context, raw *limitedConn, allowed []Role) (net.Conn, error) {
+	_, _, reloads := s.current()
+	t := tls.Client(raw, s.ClientConfig(allowed...))
+	err := t.HandshakeContext(ctx)
+	if err == nil {
+		err = s.track(raw, verifiedPeer{t.ConnectionState().PeerCertificates, x509.ExtKeyUsageServerAuth}, reloads)
+	}
+	if err != nil {
+		_ = raw.Close()
+		return nil, err
 	}
+	return t, nil
 }
