shard: ignore a drain notice on a replaced connection

Effect for operators (by reading and by the test, not seen in a run): a VM gets no tasks, and its upstream no requests, though it was started again, until its agent connects anew.

Cause: an agent notifies its owner of a drain on the connection at that time. The notice can be read after the agent has announced itself on a new connection with a newer state; the owner applied it nevertheless. Two notices on one connection were applied by goroutines of their own, in any order.

TestDrainNoticeOnReplacedConnectionIsIgnored failed without the comparison ("a report on the replaced connection"). The owner takes notices from the current connection only, and each goroutine applies the latest one. The order on one connection has no test.

--- a/control/shard/agents.go
+++ b/control/shard/agents.go
@@ -153,18 +153,18 @@
 	o.publishMembers()
 }
 
-// SetDraining records that an upstream is draining. The agent evicts its own tasks and reports each
-// eviction, so no eviction depends on this message.
-func (o *Owner) SetDraining(_ context.Context, vm string, draining bool) {
-	v, ok := o.tables.VMs[vm]
-	if !ok {
+// SetDraining records whether an upstream is draining, as reported on the connection c. A report on a replaced
+// connection is ignored: the announcement on the new one is newer. The agent evicts its own tasks and
+// reports each eviction, so no eviction depends on this message.
+func (o *Owner) SetDraining(vm string, c Caller, draining bool) {
+	v, known := o.tables.VMs[vm]
+	l, ok := o.agents[vm]
+	if !known || !ok || l.caller != c {
 		return
 	}
 	v.Draining = draining
 	o.tables.Reindex(v)
-	if l, ok := o.agents[vm]; ok {
-		l.upstream.Draining = draining
-	}
+	l.upstream.Draining = draining
 	o.publishMembers()
 }
 
--- a/control/shard/stops_test.go
+++ b/control/shard/stops_test.go
@@ -100,3 +100,21 @@
 		assert.Equal(w.t, rec.Evictions, uint32(1))
 	})
 }
+
+// Guards against a VM that gets no work for good, because an old connection delivers a drain that has been undone since.
+func TestDrainNoticeOnReplacedConnectionIsIgnored(t *testing.T) {
+	runFuzzCluster(t, func(w *fuzzCluster) {
+		a := w.agents[0]
+		old := a.link
+		w.announce(a)
+		report := func(c Caller) (draining bool) {
+			w.do(func() {
+				w.owner.SetDraining(a.id, c, true)
+				draining = w.owner.tables.VMs[a.id].Draining
+			})
+			return draining
+		}
+		assert.Assert(w.t, !report(old), "a report on the replaced connection")
+		assert.Assert(w.t, report(a.link))
+	})
+}
--- a/ingress/entry/control.go
+++ b/ingress/entry/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/chicorystand/chicorystand/base/errkind"
@@ -14,6 +15,8 @@
 type session struct {
 	vm    string
 	owner *shard.Owner
+	// draining is the state in the agent's latest notification.
+	draining *atomic.Bool
 }
 
 func (e *Entry) handleControl(p *wire.Peer, m wire.Message, reply wire.Reply) {
@@ -93,7 +96,7 @@
 func (e *Entry) handleAnnounce(p *wire.Peer, m *wire.Announce, reply wire.Reply) {
 	id := shard.ForVM(m.Zone, m.VM, e.cfg.ShardsPerZone)
 	e.withOwner(id, reply, func(o *shard.Owner) {
-		p.Value.Store(session{m.VM, o})
+		p.Value.Store(session{m.VM, o, new(atomic.Bool)})
 		r, err := shard.Ask(e.ctx, o, func() (*wire.AnnounceReply, error) { return o.Announce(e.ctx, m, p) })
 		if err != nil {
 			reply(wire.ErrorReply(err))
@@ -149,10 +152,15 @@
 	}
 }
 
+// handleDrain passes an agent's notification to its owner. Each goroutine applies the latest state, as
+// the order in which they run is not that of the notifications.
 func (e *Entry) handleDrain(p *wire.Peer, m *wire.Drain) {
-	if s, ok := p.Value.Load().(session); ok {
-		go func() { _ = s.owner.Do(e.ctx, func() { s.owner.SetDraining(e.ctx, m.VM, !m.Undo) }) }()
+	s, ok := p.Value.Load().(session)
+	if !ok {
+		return
 	}
+	s.draining.Store(!m.Undo)
+	go func() { _ = s.owner.Do(e.ctx, func() { s.owner.SetDraining(s.vm, p, s.draining.Load()) }) }()
 }
 
 func (e *Entry) peerDisconnected(p *wire.Peer) {
