entry: check the configuration lease again after the wait in the queue

Effect for callers (by reading and by the test, not seen in a run): a request runs under limits or plans that were replaced more than 3 s before, at an entry that was paused or cut off from the store.

Cause: the configuration lease was checked when a request arrived. It may then wait in the queue for up to 15 s; afterwards it was checked against the document that the entry has, which may have been replaced while the entry could not read.

TestQueuedRequestNeedsAValidConfigurationLease failed before (the request got its slot). A request that has waited is now refused as not run unless the entry may admit requests at that time.

--- a/ingress/entry/request_run.go
+++ b/ingress/entry/request_run.go
@@ -123,7 +123,7 @@
 		if err != nil {
 			return wire.Upstream{}, err
 		}
-		if err := e.applyPlan(c); err != nil {
+		if err := e.admitAgain(c); err != nil {
 			q.Wake(1)
 			return wire.Upstream{}, err
 		}
@@ -131,6 +131,15 @@
 	}
 }
 
+// admitAgain checks a request that has waited against the configuration in force now. The entry may have
+// lost its configuration lease meanwhile.
+func (e *Entry) admitAgain(c *call) error {
+	if err := e.follower.Admit(); err != nil {
+		return err
+	}
+	return e.applyPlan(c)
+}
+
 // pick prefers upstreams that are neither excluded for the request nor ejected, then
 // ejected ones, and uses an excluded one only when there is no other.
 func (e *Entry) pick(c *call) (wire.Upstream, int, route.PickResult) {
