agent: refuse a resize order on a replaced connection

Effect (by reading and by the test, not seen in a run): The agent's ledger, which bounds what its VM takes on, counts less for a running task than its record says, until the next resize.

Cause: a resize that got no answer is followed by a larger one, on a new connection if the agent has announced itself anew. The first one can still arrive on the old connection, and then lowered the reservation again. Start orders were already refused there.

TestLateResizeIsRefused failed before (500 in place of 900). A resize is now accepted on the current session's connection only.

--- a/vm/agent/tasks.go
+++ b/vm/agent/tasks.go
@@ -29,7 +29,7 @@
 	case *wire.StopTask:
 		go func() { reply(a.stopTask(msg)) }()
 	case *wire.ResizeTask:
-		reply(ackOrError(a.resizeTask(msg)))
+		reply(ackOrError(a.resizeTask(p, msg)))
 	case *wire.ConfigPush:
 		a.applyConfig(msg)
 		reply(&wire.Ack{})
@@ -101,8 +101,14 @@
 	return err
 }
 
-// resizeTask changes the reservation of a running attempt if the VM has enough free capacity.
-func (a *Agent) resizeTask(m *wire.ResizeTask) error {
+// resizeTask changes the reservation of a running attempt if the VM has enough free capacity. Only the
+// connection of the current session may do so: an older one may deliver a value that was raised since.
+func (a *Agent) resizeTask(p *wire.Peer, m *wire.ResizeTask) error {
+	a.startMu.Lock()
+	defer a.startMu.Unlock()
+	if a.control != p {
+		return errkind.New(errkind.NotReady, "resize order arrived on a replaced control connection")
+	}
 	err := a.ledger.Resize(m.Epoch, ledger.Reservation{ID: m.ID, Attempt: m.Attempt, Reserved: m.Reserved})
 	a.recordCommitment()
 	return err
--- a/vm/agent/tasks_test.go
+++ b/vm/agent/tasks_test.go
@@ -77,3 +77,25 @@
 		assert.Assert(t, ev.Checkpoint != "")
 	})
 }
+
+// Guards against a ledger that counts less than the owner has reserved, because a replaced connection delivers an older resize.
+func TestLateResizeIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newTaskAgent(t, nil)
+		old, current := new(wire.Peer), new(wire.Peer)
+		a.control = current
+		resize := func(p *wire.Peer, cpu int64) errkind.Kind {
+			var got wire.Message
+			order := &wire.ResizeTask{Epoch: 1, ID: "t", Attempt: 1, Reserved: task.Resources{CPU: cpu, Memory: 1000}}
+			a.handleControl(t.Context(), p, order, func(m wire.Message) { got = m })
+			if e, ok := got.(*wire.Error); ok {
+				return e.Kind
+			}
+			return errkind.None
+		}
+		assert.Equal(t, resize(current, 900), errkind.None)
+		late := resize(old, 500)
+		assert.Equal(t, a.ledger.Reserved().CPU, int64(900))
+		assert.Equal(t, late, errkind.NotReady)
+	})
+}
