--- a/control/shard/stops_test.go
+++ b/control/shard/stops_test.go
@@ -18,15 +18,16 @@
 func (w *fuzzCluster) startOne(id string) (*fakeAgent, uint32) {
 	assert.NilError(w.t, w.submitOne(id))
 	var found *fakeAgent
+	var attempt uint32
 	w.locked(func() {
 		for _, a := range w.agents {
-			if _, ok := a.running[id]; ok {
-				found = a
+			if n, ok := a.running[id]; ok {
+				found, attempt = a, n
 			}
 		}
 	})
 	assert.Assert(w.t, found != nil)
-	return found, found.running[id]
+	return found, attempt
 }
 
 func (w *fuzzCluster) record(id string) task.Record {
@@ -74,10 +75,11 @@
 			assert.Assert(w.t, !tables.OccupiesVM(w.owner.tables.Tasks["t"].Record.State))
 		})
 		time.Sleep(time.Second)
-		w.do(func() {
-			assert.Equal(w.t, acked, 1)
-			assert.DeepEqual(w.t, causes, []errkind.Kind{errkind.SlotsFull})
-		})
+		var gotAcked int
+		var gotCauses []errkind.Kind
+		w.do(func() { gotAcked, gotCauses = acked, causes })
+		assert.Equal(w.t, gotAcked, 1)
+		assert.DeepEqual(w.t, gotCauses, []errkind.Kind{errkind.SlotsFull})
 		assert.Equal(w.t, w.record("t").Evictions, uint32(1))
 	})
 }
