vmagent: the refusal of a start holds none of the slots for starts

Beside an executor that refuses or does not answer stops, starts that it would have accepted waited.

The slot covers the calls of the start only. Stops are repeated after 30 to 240 ms in place of 30.

--- a/vm/vmagent/copies_test.go
+++ b/vm/vmagent/copies_test.go
@@ -24,6 +24,8 @@
 	refuse func(n int) (a executor.Answer, ok bool)
 	starts int
 	begun  []runKey
+	// refuseStops makes every stop unavailable.
+	refuseStops bool
 }
 
 func newFencingExecutor(refuse func(n int) (executor.Answer, bool)) *fencingExecutor {
@@ -51,6 +53,9 @@
 func (f *fencingExecutor) Stop(_ context.Context, _ executor.Info, name string, run uint32, _ uint64) executor.Answer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.refuseStops {
+		return executor.Answer{Outcome: executor.Unavailable}
+	}
 	f.highest[name] = max(f.highest[name], run)
 	if f.running[name] <= run {
 		delete(f.running, name)
@@ -175,3 +180,18 @@
 	d.drain()
 	return d.fencingExecutor.Start(ctx, info, s)
 }
+
+// Guards against starts that wait for a slot while the refusals of others wait for an executor that refuses stops too.
+func TestRefusedStartsHoldNoSlots(t *testing.T) {
+	rejected := executor.Answer{Outcome: executor.Rejected, Reason: executor.ReasonCapacity}
+	f := newFencingExecutor(func(n int) (executor.Answer, bool) { return rejected, n <= maxOrders })
+	f.refuseStops = true
+	o := agentOf(t, f)
+	var starts []wire.StartOrder
+	for i := range maxOrders + 1 {
+		starts = append(starts, wire.StartOrder{Task: string(rune('a' + i)), Run: 1})
+	}
+	assert.NilError(t, o.peer.Notify(&wire.Orders{Epoch: 1, Executor: "i-1", StartedAt: 7, LeaseEnd: 60_000, Starts: starts}))
+	r := waitFor(t, o.results, "result", func(*wire.OrderResults) bool { return true }).Results[0]
+	assert.Equal(t, r.Outcome, executor.OK)
+}
--- a/vm/vmagent/orders.go
+++ b/vm/vmagent/orders.go
@@ -82,16 +82,8 @@
 func (u *executorSession) start(ctx context.Context, p *pendingStart, s wire.StartOrder, epoch uint64) {
 	k := runKey{s.Task, s.Run}
 	defer u.forgetStart(k, p)
-	if !u.acquireSlot(ctx) {
-		return
-	}
-	defer func() { <-u.slots }()
-	if !u.beginStart(ctx, k) {
-		return
-	}
-	out := u.startUntilCertain(ctx, s, epoch)
-	u.recordStartAnswer(k, out.answer, out.uncertain)
-	if ctx.Err() != nil || u.agent.cfg.Link.Epoch() != epoch {
+	out, ok := u.callStart(ctx, k, s, epoch)
+	if !ok || u.agent.cfg.Link.Epoch() != epoch {
 		return
 	}
 	if out.answer.Outcome != executor.OK && !u.preventRun(ctx, k, epoch) {
@@ -100,6 +92,21 @@
 	u.reportStart(k, out, u.forgetStart(k, p), epoch)
 }
 
+// callStart waits for a slot and sends a start until its outcome is known. ok is false once the owner
+// has withdrawn the start or the incarnation has ended.
+func (u *executorSession) callStart(ctx context.Context, k runKey, s wire.StartOrder, epoch uint64) (out startOutcome, ok bool) {
+	if !u.acquireSlot(ctx) {
+		return out, false
+	}
+	defer func() { <-u.slots }()
+	if !u.beginStart(ctx, k) {
+		return out, false
+	}
+	out = u.startUntilCertain(ctx, s, epoch)
+	u.recordStartAnswer(k, out.answer, out.uncertain)
+	return out, ctx.Err() == nil
+}
+
 // forgetStart ends a start and returns the number of copies of the order that it covers. A copy that
 // arrives later is a start of its own.
 func (u *executorSession) forgetStart(k runKey, p *pendingStart) (copies int) {
@@ -130,7 +137,7 @@
 }
 
 // reportUntilAbsent reports a snapshot without the run, so that the owner learns of the end of the
-// run before the rejection of its start. It gives up once a new owner is known.
+// run before the refusal of its start. It gives up once a new owner is known.
 func (u *executorSession) reportUntilAbsent(ctx context.Context, k runKey, epoch uint64) bool {
 	for ctx.Err() == nil && u.agent.cfg.Link.Epoch() == epoch {
 		if snap, ok := u.snapshot(epoch, true); ok && u.reportWithout([]runKey{k}, snap, epoch) {
@@ -240,7 +247,7 @@
 }
 
 func (u *executorSession) stopUntilCertain(ctx context.Context, k runKey, epoch uint64) bool {
-	for ctx.Err() == nil {
+	for delay := orderRetryDelay; ctx.Err() == nil; delay = min(2*delay, maxOrderRetryDelay) {
 		info := u.currentInfo()
 		a := u.agent.cfg.Client.Stop(ctx, info, k.task, k.run, epoch)
 		u.agent.cfg.Observe("stop", a)
@@ -252,7 +259,7 @@
 		case executor.OtherIncarnation:
 			return false
 		}
-		u.pause(ctx, orderRetryDelay)
+		u.pause(ctx, delay)
 	}
 	return false
 }
--- a/vm/vmagent/unit.go
+++ b/vm/vmagent/unit.go
@@ -24,8 +24,9 @@
 	// maxRefusedConnections is the number of consecutive refused connections after which an
 	// executor counts as ended.
 	maxRefusedConnections = 2
-	// orderRetryDelay is the pause before an order is retried.
-	orderRetryDelay = 30 * time.Millisecond
+	// orderRetryDelay is the pause before an order is retried. That of a stop grows to maxOrderRetryDelay.
+	orderRetryDelay    = 30 * time.Millisecond
+	maxOrderRetryDelay = 240 * time.Millisecond
 	// maxUnavailableAttempts is how often an order is sent to an executor that is unavailable.
 	maxUnavailableAttempts = 3
 	// maxOrders bounds the starts in progress at one executor.
