vmagent: a copy of a start that is refused does not end the run of an earlier one

TestRefusedCopyConfirmsTheRunOfAnEarlierCopy replaces TestRefusalIsReportedOnlyOnceNoRunOfAnEarlierCopyIsLeft, which expected the stop; it asks for more (the run goes on, and its start is confirmed) and failed before in both cases. That a refusal is reported only when no run is left is guarded by TestRefusalIsReportedOnlyOnceNoRunIsLeft, where a copy is carried out just before the stop (passed before and after).

--- a/vm/vmagent/orders.go
+++ b/vm/vmagent/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/chicorystand/chicorystand/base/events"
@@ -86,8 +87,13 @@
 	if !ok || u.agent.cfg.Link.Epoch() != epoch {
 		return
 	}
-	if out.answer.Outcome != executor.OK && !u.preventRun(ctx, k, epoch) {
-		return
+	if out.answer.Outcome != executor.OK {
+		if u.atWork(k, epoch) {
+			// An earlier copy was carried out.
+			out.answer = executor.Answer{}
+		} else if !u.preventRun(ctx, k, epoch) {
+			return
+		}
 	}
 	u.reportStart(k, out, u.forgetStart(k, p), epoch)
 }
@@ -119,6 +125,12 @@
 	return p.copies
 }
 
+// atWork reports whether a snapshot shows the run.
+func (u *executorSession) atWork(k runKey, epoch uint64) bool {
+	snap, ok := u.snapshot(epoch, true)
+	return ok && slices.ContainsFunc(snap.Running, k.names)
+}
+
 // preventRun makes the executor reject each later start of the run, and reports a snapshot without
 // it, so that the owner learns of an end of the run before the refusal of its start. The executor
 // keeps that state, so it outlasts this process.
--- a/vm/vmagent/unit.go
+++ b/vm/vmagent/unit.go
@@ -39,6 +39,8 @@
 	run  uint32
 }
 
+func (k runKey) names(r executor.Run) bool { return r.Task == k.task && r.Number == k.run }
+
 // executorSession is the agent's state for one executor incarnation.
 type executorSession struct {
 	agent  *Agent
