dispatch: the end of a run that was taken for refused or lost counts

The task started again after it had ended done (TWICE). The same holds for a run that was taken for lost with the lease of its executor, whose work was done again.

An end with the number of the last run of a pending task now counts, whoever reports it: no later run exists. That covers the next incarnation under an id, which had a field of its own. Ends of gang members are ignored there as before.

TestEndOfRunThatWasTakenForRefusedOrLostCounts failed before in both cases (2 starts).

--- a/control/dispatch/dispatch_test.go
+++ b/control/dispatch/dispatch_test.go
@@ -158,6 +158,31 @@
 	assert.Equal(t, state, submission.Completed)
 }
 
+// Guards against a task that starts again after it has ended: the refusal of a later copy of its start, on another
+// connection, or the end of the lease came before the report of its end.
+func TestEndOfRunThatWasTakenForRefusedOrLostCounts(t *testing.T) {
+	task := name(0, 0)
+	for how, forget := range map[string]func(f *fixture){
+		"refused": func(f *fixture) { f.answerStart("e1", task, 1, executor.Rejected, executor.ReasonStaleRun) },
+		"lost":    func(f *fixture) { f.now += 10 * time.Second; f.owner.Tick(f.now) },
+	} {
+		t.Run(how, func(t *testing.T) {
+			f := newFixture(t)
+			f.executor("e1", nil)
+			f.add(testSubmission(testStep(1)))
+			f.pass()
+			forget(f)
+			f.executor("e1", nil, executor.End{Number: 1, Task: task, Run: 1, Cause: executor.Done})
+			f.now += time.Second
+			f.executor("e1", nil)
+			f.pass()
+			assert.Equal(t, len(f.starts()), 1)
+			state, _ := f.owner.State(testID)
+			assert.Equal(t, state, submission.Completed)
+		})
+	}
+}
+
 // A step must not start before all tasks of the steps it depends on are done.
 func TestDependentStepWaitsForAllTasks(t *testing.T) {
 	f := newFixture(t)
--- a/control/dispatch/reports.go
+++ b/control/dispatch/reports.go
@@ -137,7 +137,6 @@
 		o.counters.Lost++
 		events.RunLost.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", n.info.ID).
 			Bool("gone", n.gone).Dur("silent", o.silentFor(n, now)).Send()
-		t.lostOn = n.info.Incarnation
 		o.requeue(t, now)
 	}
 }
@@ -181,7 +180,7 @@
 		n.lastEnd = e.Number
 		applied = true
 		t := o.find(e.Task)
-		o.adoptFromPredecessor(t, n, e, now)
+		o.adoptEnded(t, n, e, now)
 		if t == nil || t.rec.State != submission.TaskAssigned || t.rec.Run != e.Run || t.node != n {
 			events.EndIgnored.Log(o.log).Str("task", e.Task).Uint32("run", e.Run).Str("cause", e.Cause.String()).
 				Str("executor", n.info.ID).Send()
@@ -194,10 +193,10 @@
 	}
 }
 
-// adoptFromPredecessor assigns a run of an earlier incarnation to the next one with the same ID, which
-// may have executed the start and now reports the end.
-func (o *Owner) adoptFromPredecessor(t *taskEntry, n *node, e executor.End, now time.Duration) {
-	if t == nil || t.rec.Run != e.Run || t.step().Gang || t.job.state.Final() || !t.assignedBefore(n) {
+// adoptEnded assigns the last run of a task to the executor that reports its end, if the tables have no other
+// place for it.
+func (o *Owner) adoptEnded(t *taskEntry, n *node, e executor.End, now time.Duration) {
+	if t == nil || e.Run == 0 || t.rec.Run != e.Run || t.step().Gang || t.job.state.Final() || !t.mayHaveRunOn(n) {
 		return
 	}
 	if t.node != nil {
@@ -209,18 +208,16 @@
 	o.queueStep(t.stepKey(), t.job, now)
 }
 
-// assignedBefore reports whether the last run of the task was lost with an earlier incarnation of the
-// node's executor, or is still assigned to one.
-func (t *taskEntry) assignedBefore(n *node) bool {
-	at := t.lostOn
+// mayHaveRunOn reports whether the node may have executed the last run of a task that is not assigned to it: the
+// run was taken for refused or lost, or its order has reached the next incarnation under the ID.
+func (t *taskEntry) mayHaveRunOn(n *node) bool {
 	switch t.rec.State {
 	case submission.TaskPending:
+		return true
 	case submission.TaskAssigned:
-		at = t.rec.Executor
-	default:
-		return false
+		return t.rec.Executor.ID == n.info.ID && t.rec.Executor.StartedAt < n.info.StartedAt
 	}
-	return at.ID == n.info.ID && at.StartedAt < n.info.StartedAt
+	return false
 }
 
 func (o *Owner) applyEnd(t *taskEntry, n *node, e executor.End, now time.Duration) {
