--- a/control/dispatch/orders.go
+++ b/control/dispatch/orders.go
@@ -72,10 +72,10 @@
 	if t.firstOrderedAt == 0 {
 		t.firstOrderedAt = now
 	}
-	if t.startAttempts++; t.startAttempts > 1 {
+	if t.startCopies++; t.startCopies > 1 {
 		o.counters.Resent++
 		events.StartResent.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", t.node.info.ID).
-			Uint32("attempt", t.startAttempts).Dur("since_first", now-t.firstOrderedAt).Send()
+			Uint32("copy", t.startCopies).Dur("since_first", now-t.firstOrderedAt).Send()
 	}
 	ticket := ""
 	if o.needsAdvice(s) {
@@ -177,7 +177,7 @@
 	}
 	if r.Outcome == executor.OK {
 		events.RunStarted.Log(o.log).Str("task", r.Task).Uint32("run", r.Run).Str("executor", n.info.ID).
-			Dur("answered", now-t.orderedAt).Uint32("attempts", t.startAttempts).Send()
+			Dur("answered", now-t.orderedAt).Uint32("copies", t.startCopies).Send()
 		o.confirmRunning(t, now)
 		o.beginSpeedMeasurement(t, now)
 		return
@@ -185,7 +185,7 @@
 	o.counters.Rejected++
 	events.StartRefused.Log(o.log).Str("task", r.Task).Uint32("run", r.Run).Str("executor", n.info.ID).
 		Str("outcome", r.Outcome.String()).Str("reason", r.Reason.String()).Dur("list_age", now-n.clockAt).
-		Uint32("attempts", t.startAttempts).Send()
+		Uint32("copies", t.startCopies).Send()
 	if r.Outcome == executor.Rejected && r.Reason == executor.ReasonStaleEpoch {
 		return
 	}
--- a/control/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -240,7 +240,7 @@
 	t.rec.State, t.rec.Executor, t.rec.Address = submission.TaskAssigned, n.info.Incarnation, n.info.Address
 	t.rec.Run++
 	t.node, t.phase, t.changedAt, t.progressPercent, t.speedLimit, t.throttledAt = n, phaseCommitPending, now, 0, fullSpeed, 0
-	t.firstOrderedAt, t.startAttempts, t.startedAt, t.latencyInTargetAt, t.latencyOverSince = 0, 0, 0, 0, 0
+	t.firstOrderedAt, t.startCopies, t.startedAt, t.latencyInTargetAt, t.latencyOverSince = 0, 0, 0, 0, 0
 	n.reserve(t)
 	o.markDirty(t.job)
 	o.uncommitted.starts = append(o.uncommitted.starts, t)
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -44,8 +44,8 @@
 	orderedAt time.Duration
 	// firstOrderedAt is when the start was ordered first, 0 before.
 	firstOrderedAt time.Duration
-	// startAttempts counts the copies of the start that were sent.
-	startAttempts uint32
+	// startCopies counts the copies of the start that were sent.
+	startCopies uint32
 	// startedAt is when the executor confirmed the start, 0 before, and for runs that a previous owner started.
 	startedAt time.Duration
 	// stopping is set once a stop was ordered. stopAcked is when the stop was answered, 0 before.
