vmagent, dispatch: the refusal of the only copy of a start counts at once

Executors that shed refuse those calls too.

The agent reports a refusal without effect at once as provisional, and the final one after the stop. An owner that has sent one copy takes the provisional one: no other copy can be carried out. After further copies it waits for the final one.

No message gets a new field (decoders refuse that): a provisional refusal has the form of a refused stop, which no agent has sent so far and owners of builds before ignore; they wait for the final one. An agent of a build before still reports its refusals as final.

--- a/control/dispatch/dispatch_test.go
+++ b/control/dispatch/dispatch_test.go
@@ -183,6 +183,30 @@
 	}
 }
 
+// Guards against two runs of a task, as a further copy of the start can be carried out, and against a task that waits
+// although none can.
+func TestProvisionalRefusalCountsForTheOnlyCopy(t *testing.T) {
+	for copies, runs := range map[int]int{1: 2, 2: 1} {
+		f := newFixture(t)
+		f.executor("e1", nil)
+		f.add(testSubmission(testStep(1)))
+		f.pass()
+		for range copies - 1 {
+			f.now += startRetryInterval + time.Millisecond
+			f.executor("e1", nil)
+			f.pass()
+		}
+		assert.Equal(t, len(f.starts()), copies)
+		f.owner.ApplyOrderResults(&wire.OrderResults{Epoch: f.owner.Epoch(), Executor: "e1", StartedAt: 1,
+			Results: []wire.OrderResult{wire.ProvisionalRefusal(name(0, 0), 1, executor.Rejected, executor.ReasonCapacity)}}, f.now)
+		f.now += refusalCooldown + time.Millisecond
+		f.executor("e1", nil)
+		f.pass()
+		last := f.starts()[len(f.starts())-1]
+		assert.Equal(t, last, fmt.Sprintf("%s#%d@e1", name(0, 0), runs), "after %d copies", copies)
+	}
+}
+
 // A step must not start before all tasks of the steps it depends on are done.
 func TestDependentStepWaitsForAllTasks(t *testing.T) {
 	f := newFixture(t)
--- a/control/dispatch/orders.go
+++ b/control/dispatch/orders.go
@@ -161,13 +161,22 @@
 		if t == nil || t.node != n || t.rec.Run != result.Run || t.rec.State != submission.TaskAssigned {
 			continue
 		}
-		if result.Stop {
-			if result.Outcome == executor.OK && t.stopAcked == 0 {
-				t.stopAcked = now
-			}
-			continue
+		switch {
+		case result.Provisional():
+			o.applyProvisionalRefusal(t, n, result, now)
+		case !result.Stop:
+			o.applyStartResult(t, n, result, now)
+		case t.stopAcked == 0:
+			t.stopAcked = now
 		}
-		o.applyStartResult(t, n, result, now)
+	}
+}
+
+// applyProvisionalRefusal applies the refusal of a start of which this owner has sent one copy: no other
+// can be carried out. After further copies the run is over with the final result only.
+func (o *Owner) applyProvisionalRefusal(t *taskEntry, n *node, r wire.OrderResult, now time.Duration) {
+	if t.startCopies == 1 {
+		o.applyStartResult(t, n, r, now)
 	}
 }
 
--- a/vm/vmagent/copies_test.go
+++ b/vm/vmagent/copies_test.go
@@ -106,11 +106,16 @@
 	return o
 }
 
-// orderStart sends a copy of a start and returns the agent's answer to it.
+// orderStart sends a copy of a start and returns the agent's final answer to it.
 func (o *testOwner) orderStart(t *testing.T, s wire.StartOrder) wire.OrderResult {
 	t.Helper()
 	assert.NilError(t, o.peer.Notify(&wire.Orders{Epoch: 1, Executor: "i-1", StartedAt: 7, LeaseEnd: 60_000, Starts: []wire.StartOrder{s}}))
-	return waitFor(t, o.results, "result", func(*wire.OrderResults) bool { return true }).Results[0]
+	return o.finalResult(t)
+}
+
+func (o *testOwner) finalResult(t *testing.T) wire.OrderResult {
+	t.Helper()
+	return waitFor(t, o.results, "final result", func(r *wire.OrderResults) bool { return !r.Results[0].Provisional() }).Results[0]
 }
 
 // Guards against two runs of a task: the owner starts it elsewhere after the refusal of one copy of the start.
@@ -214,6 +219,18 @@
 		starts = append(starts, wire.StartOrder{Task: string(rune('a' + i)), Run: 1})
 	}
 	assert.NilError(t, o.peer.Notify(&wire.Orders{Epoch: 1, Executor: "i-1", StartedAt: 7, LeaseEnd: 60_000, Starts: starts}))
+	assert.Equal(t, o.finalResult(t).Outcome, executor.OK)
+}
+
+// Guards against a task that waits for the stop of a run that was never at work, on an executor that refuses stops too.
+func TestRefusalOfACopyIsReportedBeforeItsStop(t *testing.T) {
+	rejected := executor.Answer{Outcome: executor.Rejected, Reason: executor.ReasonCapacity}
+	f := newFencingExecutor(func(int) (executor.Answer, bool) { return rejected, true })
+	f.refuseStops = true
+	o := agentOf(t, f)
+	assert.NilError(t, o.peer.Notify(&wire.Orders{Epoch: 1, Executor: "i-1", StartedAt: 7, LeaseEnd: 60_000,
+		Starts: []wire.StartOrder{{Task: "a.0.0.0", Run: 1}}}))
 	r := waitFor(t, o.results, "result", func(*wire.OrderResults) bool { return true }).Results[0]
-	assert.Equal(t, r.Outcome, executor.OK)
+	assert.Assert(t, r.Provisional())
+	assert.Equal(t, r.Reason, executor.ReasonCapacity)
 }
--- a/vm/vmagent/orders.go
+++ b/vm/vmagent/orders.go
@@ -68,6 +68,17 @@
 	calls     int
 }
 
+// withoutEffect reports whether no call of the start was or may still be executed.
+func (o startOutcome) withoutEffect() bool {
+	switch o.answer.Outcome {
+	case executor.Unavailable, executor.NoListener, executor.OtherIncarnation:
+		return !o.uncertain
+	case executor.Rejected:
+		return !o.uncertain && o.answer.Reason != executor.ReasonStaleRun && o.answer.Reason != executor.ReasonStaleEpoch
+	}
+	return false
+}
+
 // startDeadline returns the earlier of the end of the lease and the deadline of a start, which is 0
 // when the owner has set none.
 func startDeadline(leaseEnd, deadline int64) int64 {
@@ -79,7 +90,8 @@
 
 // start sends a start until its outcome is final, and reports the outcome. The owner may have sent
 // further copies of the order, which arrive later or have reached an earlier process of this agent,
-// so a start counts as refused only once the run can't begin any more and is not at work.
+// so the refusal of a start is final only once the run can't begin any more and is not at work. An owner
+// that has sent one copy does not wait for that.
 func (u *executorSession) start(ctx context.Context, p *pendingStart, s wire.StartOrder, epoch uint64) {
 	k := runKey{s.Task, s.Run}
 	defer u.forgetStart(k, p)
@@ -87,6 +99,9 @@
 	if !ok || u.agent.cfg.Link.Epoch() != epoch {
 		return
 	}
+	if out.withoutEffect() {
+		u.sendResult(epoch, wire.ProvisionalRefusal(k.task, k.run, out.answer.Outcome, out.answer.Reason))
+	}
 	if out.answer.Outcome != executor.OK {
 		if u.atWork(k, epoch) {
 			// An earlier copy was carried out.
--- a/vm/vmagent/vmagent_test.go
+++ b/vm/vmagent/vmagent_test.go
@@ -493,7 +493,7 @@
 	order := func(name string, deadline int64) wire.OrderResult {
 		assert.NilError(t, o.peer.Notify(&wire.Orders{Epoch: 1, Executor: "i-1", StartedAt: 7, LeaseEnd: 60_000,
 			Starts: []wire.StartOrder{{Task: name, Run: 1, Deadline: deadline}}}))
-		return waitFor(t, o.results, "result", func(*wire.OrderResults) bool { return true }).Results[0]
+		return o.finalResult(t)
 	}
 	r := order("a.0.0.0", 1999)
 	assert.Equal(t, r.Outcome, executor.Rejected)
--- a/wire/dispatch.go
+++ b/wire/dispatch.go
@@ -82,7 +82,7 @@
 	Percent int
 }
 
-// OrderResult is the final result of an order.
+// OrderResult is the result of an order. It is final unless Provisional.
 type OrderResult struct {
 	Task string
 	Run  uint32
@@ -92,6 +92,17 @@
 	Reason  executor.Reason
 }
 
+// ProvisionalRefusal returns the result of a StartOrder that was refused without effect, while further
+// copies of the order could still be carried out. The final result follows. It has the form of a stop
+// that was refused, which builds without provisional results ignore.
+func ProvisionalRefusal(task string, run uint32, outcome executor.Outcome, reason executor.Reason) OrderResult {
+	return OrderResult{Task: task, Run: run, Stop: true, Outcome: outcome, Reason: reason}
+}
+
+// Provisional reports whether the result is a ProvisionalRefusal. Stops are repeated until they are
+// executed, so the result of a StopOrder is always OK.
+func (r OrderResult) Provisional() bool { return r.Stop && r.Outcome != executor.OK }
+
 // OrderResults carries the order results of one executor incarnation.
 type OrderResults struct {
 	Epoch     uint64
