dispatch: a failure that the record reflects is not counted again by a new owner

What callers would see: a submission shown as failed before its tasks have used up their attempts.

Cause: counted each end with the number of the last run of a pending task. The end of a failed run is reported again to a new owner until it is acknowledged, and the record counts it already.

TestFailureIsCountedOnceAcrossOwners failed before (failed in place of running).

--- a/control/dispatch/dispatch_test.go
+++ b/control/dispatch/dispatch_test.go
@@ -183,6 +183,26 @@
 	}
 }
 
+// Guards against a submission that fails too early: a new owner gets an end again that the record reflects already.
+func TestFailureIsCountedOnceAcrossOwners(t *testing.T) {
+	f := newFixture(t)
+	f.executor("e1", nil)
+	s := testSubmission(testStep(1))
+	f.add(s)
+	f.pass()
+	failed := executor.End{Number: 1, Task: name(0, 0), Run: 1, Cause: executor.Failed}
+	f.executor("e1", nil, failed)
+	b, err := f.owner.Prepare()
+	assert.NilError(t, err)
+	f.commit(b)
+	f.owner = f.newOwner(testEpoch + 1)
+	f.add(s)
+	f.executor("e1", nil, failed)
+	f.pass()
+	state, _ := f.owner.State(testID)
+	assert.Equal(t, state, submission.Running)
+}
+
 // Guards against two runs of a task, as a further copy of the start can be carried out, and against a task that waits
 // although none can.
 func TestProvisionalRefusalCountsForTheOnlyCopy(t *testing.T) {
--- a/control/dispatch/reports.go
+++ b/control/dispatch/reports.go
@@ -137,6 +137,7 @@
 		o.counters.Lost++
 		events.RunLost.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", n.info.ID).
 			Bool("gone", n.gone).Dur("silent", o.silentFor(n, now)).Send()
+		t.lostOn = n.info.Incarnation
 		o.requeue(t, now)
 	}
 }
@@ -196,7 +197,7 @@
 // adoptEnded assigns the last run of a task to the executor that reports its end, if the tables have no other
 // place for it.
 func (o *Owner) adoptEnded(t *taskEntry, n *node, e executor.End, now time.Duration) {
-	if t == nil || e.Run == 0 || t.rec.Run != e.Run || t.step().Gang || t.job.state.Final() || !t.mayHaveRunOn(n) {
+	if t == nil || e.Run == 0 || t.rec.Run != e.Run || t.step().Gang || t.job.state.Final() || !t.mayHaveEndedOn(n, e.Cause) {
 		return
 	}
 	if t.node != nil {
@@ -208,16 +209,23 @@
 	o.queueStep(t.stepKey(), t.job, now)
 }
 
-// mayHaveRunOn reports whether the node may have executed the last run of a task that is not assigned to it: the
-// run was taken for refused or lost, or its order has reached the next incarnation under the ID.
-func (t *taskEntry) mayHaveRunOn(n *node) bool {
+// mayHaveEndedOn reports whether an end of the last run of a task counts that is reported by a node to which the
+// run is not assigned: the run was taken for refused or lost, or its order has reached the next incarnation
+// under the ID. The record of a pending task may reflect the end already, so only a completion counts then
+// unless this owner has seen the run lost.
+func (t *taskEntry) mayHaveEndedOn(n *node, cause executor.EndCause) bool {
+	at := t.lostOn
 	switch t.rec.State {
 	case submission.TaskPending:
-		return true
+		if cause == executor.Done {
+			return true
+		}
 	case submission.TaskAssigned:
-		return t.rec.Executor.ID == n.info.ID && t.rec.Executor.StartedAt < n.info.StartedAt
+		at = t.rec.Executor
+	default:
+		return false
 	}
-	return false
+	return at.ID == n.info.ID && at.StartedAt < n.info.StartedAt
 }
 
 func (o *Owner) applyEnd(t *taskEntry, n *node, e executor.End, now time.Duration) {
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -78,6 +78,8 @@
 	missingSnapshots int
 	// failedOn lists the executors on which a run has failed.
 	failedOn []string
+	// lostOn is the incarnation with which the last run was lost.
+	lostOn submission.Incarnation
 }
 
 func (t *taskEntry) step() *submission.Step { return &t.job.sub.Steps[t.id.Step] }
