dispatch: all members of a gang start from one checkpoint

Cause: the checkpoint was kept for each task. The member that is stopped before its executor leaves has a newer one than the members that end with it, and each start carried its member's own. Members with different checkpoints do not work together.

The value of any member is valid for all. Whatever member reports one that is new for that member, the records of all members now hold it: the one that was new last, since the values themselves have no order that the owner knows. A member that repeats its earlier one does not bring it back. The records are equal before the gang is placed and are committed with the start, so that a new owner continues with the same value; the stored form is unchanged. Records of builds before that differ get the first value of the gang when it is placed. Ends of earlier runs and of executors that the run has left are ignored as before. All copies of a start carry the checkpoint of the placement, since another member may report a newer one before the start is answered.

A new owner does not know what each member reported before. If a member then repeats an older value, the gang resumes from that and loses the work between.

--- a/control/dispatch/jobs.go
+++ b/control/dispatch/jobs.go
@@ -50,6 +50,7 @@
 	j.state, j.durableState, j.endedUnixMS, j.endedAt = r.State, r.State, r.Ended, now
 	for i, t := range j.tasks {
 		t.rec = r.Tasks[i]
+		t.startCheckpoint, t.reportedCheckpoint = t.rec.Checkpoint, t.rec.Checkpoint
 		j.started = j.started || t.rec.Begun()
 		switch t.rec.State {
 		case submission.TaskDone:
--- a/control/dispatch/orders.go
+++ b/control/dispatch/orders.go
@@ -84,7 +84,7 @@
 		ticket, _ = o.advice.Ticket(stepName(t.stepKey()), t.node.info.Incarnation, now)
 	}
 	b.starts = append(b.starts, wire.StartOrder{Task: t.name(), Run: t.rec.Run, Specification: s.Specification,
-		Checkpoint: t.rec.Checkpoint, Ticket: ticket, Deadline: o.startDeadline(t.node)})
+		Checkpoint: t.startCheckpoint, Ticket: ticket, Deadline: o.startDeadline(t.node)})
 	b.pending = true
 	o.counters.Starts++
 }
--- a/control/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -196,7 +196,7 @@
 	return counts
 }
 
-// placeGang places all members of a gang or none. They share a run number.
+// placeGang places all members of a gang or none. They share a run number and a checkpoint.
 func (o *Owner) placeGang(w *waitingStep, p *pool, now time.Duration) {
 	step := &w.job.sub.Steps[w.key.step]
 	trial := make([]*placement.Node, len(p.placementNodes))
@@ -227,6 +227,7 @@
 		}
 		ranking.Update(best)
 	}
+	unifyCheckpoints(w.tasks)
 	for i, t := range w.tasks {
 		t.rec.Run = run
 		o.assign(t, p.nodes[chosen[i]], now)
@@ -239,6 +240,7 @@
 func (o *Owner) assign(t *taskEntry, n *node, now time.Duration) {
 	t.rec.State, t.rec.Executor, t.rec.Address = submission.TaskAssigned, n.info.Incarnation, n.info.Address
 	t.rec.Run++
+	t.startCheckpoint, t.reportedCheckpoint = t.rec.Checkpoint, t.rec.Checkpoint
 	t.node, t.phase, t.changedAt, t.progressPercent, t.speedLimit, t.throttledAt = n, phaseCommitPending, now, 0, fullSpeed, 0
 	t.firstOrderedAt, t.startCopies, t.startedAt, t.latencyInTargetAt, t.latencyOverSince = 0, 0, 0, 0, 0
 	n.reserve(t)
--- a/control/dispatch/reports.go
+++ b/control/dispatch/reports.go
@@ -232,9 +232,7 @@
 	o.counters.Ends++
 	events.RunEnded.Log(o.log).Str("task", e.Task).Uint32("run", e.Run).Str("cause", e.Cause.String()).
 		Str("executor", n.info.ID).Dur("after", now-t.changedAt).Int64("end", e.Number).Send()
-	if e.Checkpoint != "" {
-		t.rec.Checkpoint = e.Checkpoint
-	}
+	o.observeCheckpoint(t, e.Checkpoint)
 	switch e.Cause {
 	case executor.Done:
 		n.health.observe(false, now)
@@ -333,9 +331,7 @@
 		o.confirmRunning(t, now)
 	}
 	t.missingSnapshots = 0
-	if r.Checkpoint != "" {
-		t.rec.Checkpoint = r.Checkpoint
-	}
+	o.observeCheckpoint(t, r.Checkpoint)
 	o.observeProgress(t, r.ProgressPercent, readAt, now)
 	if t.job.state.Final() && !t.stopping {
 		o.stop(t, now)
@@ -349,7 +345,7 @@
 		t.startedAt = now
 	}
 	t.phase, t.changedAt, t.job.started = phaseRunning, now, true
-	t.restoring = t.rec.Checkpoint != ""
+	t.restoring = t.startCheckpoint != ""
 }
 
 // applyMissing handles a run that the snapshot does not contain.
--- a/control/dispatch/speed.go
+++ b/control/dispatch/speed.go
@@ -27,7 +27,7 @@
 // beginSpeedMeasurement starts the measurement for a run that has just begun. A run that is first
 // seen in a snapshot may have worked for a while, so it is not measured from its start.
 func (o *Owner) beginSpeedMeasurement(t *taskEntry, now time.Duration) {
-	if t.fullRun = t.rec.Checkpoint == ""; t.fullRun {
+	if t.fullRun = t.startCheckpoint == ""; t.fullRun {
 		t.speedBaseAt, t.speedBasePercent = now, 0
 	}
 }
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -44,6 +44,9 @@
 	orderedAt time.Duration
 	// firstOrderedAt is when the start was ordered first, 0 before.
 	firstOrderedAt time.Duration
+	// startCheckpoint is the checkpoint that all copies of the start carry. reportedCheckpoint is the last one
+	// that was reported for the run, or that of its start; in a gang, the record may hold that of another member.
+	startCheckpoint, reportedCheckpoint string
 	// startCopies counts the copies of the start that were sent.
 	startCopies uint32
 	// startedAt is when the executor confirmed the start, 0 before, and for runs that a previous owner started.
