wire, dispatch: orders for one executor are divided into messages that fit

The executor's lease ran out as well, so that a standing task there lapsed and was not started again.

Cause: Owner.Flush put all starts for an executor into one wire.Orders, each with the specification. 300 of them are 1,209,807 bytes; wire.MaxBody is 1,114,112. Nothing was sent, neither starts nor the extension of the lease. The coordinator took the error for a lost connection, and with the next report of the agent all starts went into one message again.

A message that is too large does not count as a lost connection any more. The owner logs it (event 668, message_too_large), keeps extending the lease, and sends the orders again as it does without an answer. The agent logs the same of its messages, which it dropped without a trace.

--- a/control/coordinator/loop.go
+++ b/control/coordinator/loop.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/control/dispatch"
 	"github.com/chicorystand/chicorystand/state/member"
 	"github.com/chicorystand/chicorystand/wire"
 )
@@ -99,9 +101,7 @@
 		o.lastLeaseExtension = now
 	}
 	for _, outgoing := range o.dispatcher.Flush(now, lease) {
-		if err := o.conns.send(outgoing.Agent, outgoing.Orders); err != nil {
-			o.dispatcher.AgentDisconnected(outgoing.Agent)
-		}
+		o.sendOrders(outgoing)
 	}
 	if now-o.lastQueueCounts >= queueCountInterval {
 		o.lastQueueCounts = now
@@ -115,6 +115,19 @@
 	return nil
 }
 
+// sendOrders sends orders to an agent. A message that is too large is no sign of a lost connection.
+func (o *owner) sendOrders(m dispatch.AgentMessage) {
+	err := o.conns.send(m.Agent, m.Orders)
+	switch errkind.Of(err) {
+	case errkind.None:
+	case errkind.TooLarge:
+		events.MessageTooLarge.Log(o.cfg.Log).Str("member", m.Agent).Str("executor", m.Orders.Executor).
+			Int("starts", len(m.Orders.Starts)).Int("stops", len(m.Orders.Stops)).Err(err).Send()
+	default:
+		o.dispatcher.AgentDisconnected(m.Agent)
+	}
+}
+
 func (o *owner) startCommit(ctx context.Context, now time.Duration) error {
 	batch, err := o.dispatcher.Prepare()
 	if err != nil {
--- a/control/dispatch/orders.go
+++ b/control/dispatch/orders.go
@@ -114,8 +114,8 @@
 	Orders *wire.Orders
 }
 
-// Flush returns the pending orders. With heartbeat, every executor gets a message that extends its
-// lease.
+// Flush returns the pending orders, those for one executor in as many messages as they need. With
+// heartbeat, every executor gets a message that extends its lease.
 func (o *Owner) Flush(now time.Duration, heartbeat bool) []AgentMessage {
 	var messages []AgentMessage
 	for inc, n := range o.executors {
@@ -129,7 +129,9 @@
 			m.Starts, m.Stops, m.Throttles = b.starts, b.stops, b.throttles
 			b.starts, b.stops, b.throttles, b.pending = nil, nil, nil, false
 		}
-		messages = append(messages, AgentMessage{Agent: n.agent, Orders: m})
+		for _, part := range m.Split() {
+			messages = append(messages, AgentMessage{Agent: n.agent, Orders: part})
+		}
 	}
 	return messages
 }
--- a/vm/vmagent/vmagent.go
+++ b/vm/vmagent/vmagent.go
@@ -139,9 +139,13 @@
 // send sends a message to the owner. Without a connection it is dropped: the next owner gets a
 // complete snapshot.
 func (a *Agent) send(m wire.Message) {
-	if p := a.cfg.Link.Peer(); p != nil {
-		// The owner detects a connection that cannot be written to.
-		_ = p.Notify(m)
+	p := a.cfg.Link.Peer()
+	if p == nil {
+		return
+	}
+	// The owner detects a connection that cannot be written to.
+	if err := p.Notify(m); errkind.Of(err) == errkind.TooLarge {
+		events.MessageTooLarge.Log(a.cfg.Log).Uint8("type", uint8(m.Type())).Err(err).Send()
 	}
 }
 
