dispatch: long-running tasks are not given up after crashes of executors

Cause: crashes at about the same age of a run are attributed to its task, and the third attributed crash gave any task up. Long-running tasks must be restarted however they end, and their failures have no limit.

Such a task is now only isolated, as before, and delayed: from the third attributed crash on its starts are 1, 2 and then 4 s apart at least, counted from start to start. One that crashes each executor at once thus takes one in 4 s, and one that ran for longer than that is not delayed. A long-running task may be without a run for 6 s, which bounds the delay. The rule that the last attempt needs a trusted VM does not hold for it, as it has no last attempt, and nothing is preempted for it while it is delayed. The count is in the record as before; the delay is not, so that a new owner starts the task once without one.

The new tests of crash_test.go failed before; that of preempt_test.go fails when preemption does not skip delayed tasks. Tests of control, vm/vmagent, verify/orderpaths, verify/histories and verify/faultmatrix pass without the race detector, dispatch, submission and blame also with it.

The delay is shown by TestLongRunningTaskThatCrashesExecutorsIsRestartedWithDelay only.

--- a/control/dispatch/crash.go
+++ b/control/dispatch/crash.go
@@ -28,6 +28,11 @@
 	massShare   = 0.2
 	massCrashes = 4
 	massWindow  = time.Second
+	// crashBackoff is the time between the start of a long-running task that crashes its executors and the next
+	// one. It doubles with each attributed crash from blame.MaxCrashes on, up to maxCrashBackoff: each crash
+	// takes an executor for about three seconds, and a long-running task may be without a run for six.
+	crashBackoff    = time.Second
+	maxCrashBackoff = 4 * time.Second
 )
 
 // crash is the last crash of an executor on a VM.
@@ -77,7 +82,8 @@
 }
 
 // attributeCrash records the crash of an executor with the tasks to which it is attributed, and gives up those
-// that have crashed too many.
+// that have crashed too many. Long-running tasks are restarted however they end, so that their starts are only
+// delayed.
 func (o *Owner) attributeCrash(n *node, now time.Duration) {
 	var tasks []*taskEntry
 	var runs []blame.Run
@@ -103,18 +109,35 @@
 	for _, i := range blamed {
 		t := tasks[i]
 		before := t.suspected()
-		t.rec.Crashes++
+		// The count stops at the largest value, since long-running tasks are never given up.
+		t.rec.Crashes = max(t.rec.Crashes, t.rec.Crashes+1)
 		if t.suspected() && !before {
 			n.suspects++
 		}
 		events.CrashAttributed.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", n.info.ID).
 			Dur("age", runs[i].Age).Uint16("crashes", t.rec.Crashes).Int("runs", len(runs)).Send()
-		if int(t.rec.Crashes) >= blame.MaxCrashes && !t.job.state.Final() {
+		switch {
+		case int(t.rec.Crashes) < blame.MaxCrashes || t.job.state.Final():
+		case t.step().LongRunning:
+			t.notBefore = t.firstOrderedAt + t.crashDelay()
+		default:
 			o.giveUp(t, now)
 		}
 	}
 }
 
+// crashDelay returns the least time from the start of a long-running task to the next one after its crashes.
+func (t *taskEntry) crashDelay() time.Duration {
+	delay := crashBackoff
+	for n := blame.MaxCrashes; n < int(t.rec.Crashes) && delay < maxCrashBackoff; n++ {
+		delay *= 2
+	}
+	return min(delay, maxCrashBackoff)
+}
+
+// delayed reports whether the start of the task is delayed since it crashes its executors.
+func (t *taskEntry) delayed(now time.Duration) bool { return now < t.notBefore }
+
 // massCrash reports whether many executors have crashed at about the same time.
 func (o *Owner) massCrash(now time.Duration) bool {
 	crashes, up := 0, 0
@@ -159,13 +182,16 @@
 
 // placeSuspect assigns a suspected task to an executor and holds that until the task has shown that it does not
 // crash it at once. It prefers trusted VMs, since the task may not be the cause of the crashes, and executors with
-// few other tasks; the last attempt needs a trusted VM. It returns the executor's position in the pool, -1 when
-// none can take the task now.
+// few other tasks; the last attempt, which long-running tasks do not have, needs a trusted VM. It returns the
+// executor's position in the pool, -1 when none can take the task now.
 func (o *Owner) placeSuspect(t *taskEntry, p *pool, fits func(i int) bool, now time.Duration) int {
+	if t.delayed(now) {
+		return -1
+	}
 	if float64(p.heldCount) >= maxHeldShare*float64(len(p.nodes)+p.heldCount) {
 		return -1
 	}
-	lastAttempt := int(t.rec.Crashes) == blame.MaxCrashes-1
+	lastAttempt := int(t.rec.Crashes) == blame.MaxCrashes-1 && !t.step().LongRunning
 	best, bestTrusted := -1, false
 	for i, n := range p.nodes {
 		trusted := o.trusted(n, now)
--- a/control/dispatch/crash_test.go
+++ b/control/dispatch/crash_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/chicorystand/chicorystand/control/blame"
 	"github.com/chicorystand/chicorystand/control/submission"
 	"github.com/chicorystand/chicorystand/vm/executor"
 	"github.com/chicorystand/chicorystand/wire"
@@ -251,3 +252,51 @@
 	}
 	assert.Assert(t, blamed <= tasks*(massCrashes-1)/size+size, "%d of %d tasks are blamed", blamed, tasks)
 }
+
+// Guards against giving up a long-running task, and against one that crashes executor after executor without a bound in time.
+func TestLongRunningTaskThatCrashesExecutorsIsRestartedWithDelay(t *testing.T) {
+	const duration = 60 * time.Second
+	for _, crashAge := range []time.Duration{20 * time.Millisecond, 300 * time.Millisecond, 2 * time.Second} {
+		t.Run(crashAge.String(), func(t *testing.T) {
+			c := newCrashingFleet(t, 11, crashAge)
+			s := testSubmission(testStep(1))
+			s.Steps[0].LongRunning = true
+			c.add(s)
+			task, startedAt := name(0, 0), []time.Duration{c.now}
+			for end := c.now + duration; c.now < end; {
+				before := c.startsOf[task]
+				c.step()
+				if c.startsOf[task] > before {
+					startedAt = append(startedAt, c.now)
+				}
+			}
+			assert.Equal(t, c.owner.jobs[testID].state, submission.Queued)
+			for i, at := range startedAt[1:] {
+				gap := at - startedAt[i]
+				assert.Check(t, i <= blame.MaxCrashes+3 || gap >= maxCrashBackoff, "start %d follows %v after the one before", i, gap)
+				assert.Check(t, gap <= maxCrashBackoff+time.Second, "start %d follows %v after the one before", i, gap)
+			}
+			assert.Check(t, c.now-startedAt[len(startedAt)-1] <= maxCrashBackoff+time.Second, "not started any more")
+		})
+	}
+}
+
+// Guards against giving up or delaying a long-running task whose only executor goes down at equal intervals.
+func TestLongRunningTaskOnFlappingExecutorIsRestarted(t *testing.T) {
+	const up, duration = 5 * time.Second, 60 * time.Second
+	c := newCrashingFleet(t, 1, up)
+	s := testSubmission(testStep(1))
+	s.Steps[0].LongRunning = true
+	c.add(s)
+	idle := time.Duration(0)
+	for end := c.now + duration; c.now < end; {
+		c.step()
+		if c.executors[0].downUntil == 0 && len(c.executors[0].runs) == 0 {
+			idle += 20 * time.Millisecond
+		} else {
+			idle = 0
+		}
+		assert.Assert(t, idle <= time.Second, "not started for %v after %d crashes", idle, c.crashesOf[name(0, 0)])
+	}
+	assert.Equal(t, c.owner.jobs[testID].state, submission.Queued)
+}
--- a/control/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -198,6 +198,9 @@
 
 // placeGang places all members of a gang or none. They share a run number and a checkpoint.
 func (o *Owner) placeGang(w *waitingStep, p *pool, now time.Duration) {
+	if slices.ContainsFunc(w.tasks, func(t *taskEntry) bool { return t.delayed(now) }) {
+		return
+	}
 	step := &w.job.sub.Steps[w.key.step]
 	trial := make([]*placement.Node, len(p.placementNodes))
 	for i, node := range p.placementNodes {
--- a/control/dispatch/preempt.go
+++ b/control/dispatch/preempt.go
@@ -38,7 +38,10 @@
 		}
 		p := o.pool(o.service(w.job.sub), now)
 		q := o.query(w, p, now)
-		for range w.tasks {
+		for _, waiting := range w.tasks {
+			if waiting.delayed(now) {
+				continue
+			}
 			n, runs := cheapestPreemption(q, p, w.job.sub.Priority, taken)
 			if n == nil || len(runs) > left {
 				break
--- a/control/dispatch/preempt_test.go
+++ b/control/dispatch/preempt_test.go
@@ -110,3 +110,27 @@
 	}
 	assert.Equal(t, len(f.stops()), 0, "%v", f.stops())
 }
+
+// Guards against stopping work for a long-running task whose start is delayed after crashes.
+func TestNothingIsPreemptedForDelayedTask(t *testing.T) {
+	f := preemptFixture(t, func(*submission.Step) {})
+	step := testStep(1)
+	step.LongRunning = true
+	s := testSubmission(step)
+	s.ID = highPriorityID
+	f.add(s)
+	delayed := f.owner.jobs[highPriorityID].tasks[0]
+	delayed.rec.Crashes, delayed.notBefore = 4, f.now+maxCrashBackoff
+	for i := 1; f.now+300*time.Millisecond < delayed.notBefore; i++ {
+		f.pass()
+		f.now += 300 * time.Millisecond
+		f.reportBatch(i)
+	}
+	assert.Equal(t, len(f.stops()), 0, "%v", f.stops())
+	for i := range 4 {
+		f.now += 300 * time.Millisecond
+		f.reportBatch(20 + i)
+		f.pass()
+	}
+	assert.Assert(t, len(f.stops()) > 0)
+}
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -47,6 +47,8 @@
 	// startCheckpoint is the checkpoint that all copies of the start carry. reportedCheckpoint is the last one
 	// that was reported for the run, or that of its start; in a gang, the record may hold that of another member.
 	startCheckpoint, reportedCheckpoint string
+	// notBefore is the time before which a long-running task that crashes its executors does not start again.
+	notBefore time.Duration
 	// startCopies counts the copies of the start that were sent.
 	startCopies uint32
 	// startedAt is when the executor confirmed the start, 0 before, and for runs that a previous owner started.
