coordinator: an owner that stops while it reads the tables resigns

Callers waited for another owner for 1.2 to 1.5 s after a planned stop of the owner's process, if that had just taken over and was still reading the tables.

Cause: the end of its context was reported as a lost ownership there, and an owner that has lost the ownership does not resign.

--- a/control/coordinator/coordinator_test.go
+++ b/control/coordinator/coordinator_test.go
@@ -240,6 +240,18 @@
 	assert.Equal(t, h.Owner, "")
 }
 
+// Guards against a takeover that waits, although the owner has stopped as planned, since it was reading the tables.
+func TestOwnerResignsWhileItReadsTheTables(t *testing.T) {
+	table := newTable()
+	first := startEntryWithStore(t, table, "entry-1", &slowTable{Follower: table, readDelay: testTimeout})
+	eventually(t, "first entry owns", first.candidate.Owning)
+	first.stop()
+	<-first.done
+	h, err := readOwnerRow(t.Context(), table)
+	assert.NilError(t, err)
+	assert.Equal(t, h.Owner, "")
+}
+
 // An entry on a slow network link takes over after the others, but it does take over
 // when no other entry can.
 func TestTakeoverDelayAppliesPerEntry(t *testing.T) {
--- a/control/coordinator/load.go
+++ b/control/coordinator/load.go
@@ -5,7 +5,6 @@
 	"strings"
 	"time"
 
-	"github.com/chicorystand/chicorystand/base/errkind"
 	"github.com/chicorystand/chicorystand/base/events"
 	"github.com/chicorystand/chicorystand/control/dispatch"
 	"github.com/chicorystand/chicorystand/control/submission"
@@ -47,7 +46,8 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return 0, errkind.Wrap(errkind.NotOwner, ctx.Err(), "load tables")
+			// A stopping owner resigns unless the ownership is lost.
+			return 0, ctx.Err()
 		case t := <-read:
 			o.applyTables(t)
 			return t.version, nil
