--- a/control/dispatch/reports.go
+++ b/control/dispatch/reports.go
@@ -209,10 +209,10 @@
 	o.queueStep(t.stepKey(), t.job, now)
 }
 
-// mayHaveEndedOn reports whether an end of the last run of a task counts that is reported by a node to which the
-// run is not assigned: the run was taken for refused or lost, or its order has reached the next incarnation
-// under the ID. The record of a pending task may reflect the end already, so only a completion counts then
-// unless this owner has seen the run lost.
+// mayHaveEndedOn reports whether the last run of a task may have ended on a node that it is not assigned to. Either
+// the run was taken for refused or lost, or its order has reached the next incarnation under the ID. The record
+// of a pending task may already count a failure, so without having seen the run lost, this owner accepts only
+// that it is done.
 func (t *taskEntry) mayHaveEndedOn(n *node, cause executor.EndCause) bool {
 	at := t.lostOn
 	switch t.rec.State {
--- a/verify/orderpaths/orderpaths_test.go
+++ b/verify/orderpaths/orderpaths_test.go
@@ -241,7 +241,7 @@
 		case history.TaskRunEnd:
 			lines = append(lines, traceLine{e.At, fmt.Sprintf("EXECUTOR %s ENDS RUN %d %s", e.VM, e.Attempt, e.Outcome)})
 		case history.TaskEndConfirmed:
-			lines = append(lines, traceLine{e.At, fmt.Sprintf("executor %s: end of run %d is taken note of", e.VM, e.Attempt)})
+			lines = append(lines, traceLine{e.At, fmt.Sprintf("executor %s: end of run %d is acknowledged", e.VM, e.Attempt)})
 		default:
 		}
 	}
--- a/vm/vmagent/orders.go
+++ b/vm/vmagent/orders.go
@@ -146,9 +146,9 @@
 	return ok && slices.ContainsFunc(snap.Running, k.names)
 }
 
-// preventRun makes the executor reject each later start of the run, and reports a snapshot without
-// it, so that the owner learns of an end of the run before the refusal of its start. The executor
-// keeps that state, so it outlasts this process.
+// preventRun stops the run if it has begun, makes the executor reject each later start of it, and
+// reports a snapshot without it, so that the owner learns of its end before the refusal of its start.
+// The executor keeps that state, so it outlasts this process.
 func (u *executorSession) preventRun(ctx context.Context, k runKey, epoch uint64) bool {
 	return u.stopUntilCertain(ctx, k, epoch) && u.reportUntilAbsent(ctx, k, epoch)
 }
