--- a/command/deployed/process.go
+++ b/command/deployed/process.go
@@ -164,7 +164,8 @@
 func (p *process) bounds() dispatch.Bounds {
 	b := p.settings.Bounds
 	return dispatch.Bounds{LeaseDuration: min(leaseDuration, b.MaxLease), MaxStoreOutage: maxStoreOutage, AckValidity: ackValidity, StopTimeout: b.StopTimeout,
-		Evacuation: b.Evacuation, MaxInterference: b.MaxInterference, Retention: 2 * b.StatusRetention}
+		Evacuation: b.Evacuation, MaxInterference: b.MaxInterference, Retention: 2 * b.StatusRetention,
+		MaxRowBytes: p.settings.MaxRowBytes}
 }
 
 // takeoverDelay returns how much longer than others this entry waits before it takes over the ownership.
--- a/control/coordinator/load.go
+++ b/control/coordinator/load.go
@@ -78,7 +78,7 @@
 func (o *owner) applyTables(t storedTables) {
 	records := make(map[string][]byte, len(t.progress))
 	for _, r := range t.progress {
-		records[strings.TrimPrefix(r.Key, dispatch.ProgressTable+"/")] = r.Value
+		records[r.Key] = r.Value
 	}
 	for _, r := range t.contentionModel {
 		if err := o.dispatcher.ImportContentionModel(r.Value); err != nil {
@@ -95,7 +95,8 @@
 	events.OwnershipLoaded.Log(o.cfg.Log).Uint64("epoch", o.dispatcher.Epoch()).Int("work", len(t.work)).Int("records", len(t.progress)).Send()
 }
 
-// applyWorkRow applies a row of the work table: a submission or a cancellation.
+// applyWorkRow applies a row of the work table: a submission or a cancellation. records are the values of the progress
+// table by key, as far as they are known.
 func (o *owner) applyWorkRow(r store.Row, records map[string][]byte, now time.Duration) {
 	id := strings.TrimPrefix(r.Key, dispatch.WorkTable+"/")
 	if cancelled, ok := strings.CutSuffix(id, dispatch.CancelSuffix); ok {
@@ -104,7 +105,7 @@
 	}
 	s, err := submission.Decode(r.Value)
 	if err == nil {
-		err = o.dispatcher.Add(s, records[id], now)
+		err = o.dispatcher.Add(s, records, now)
 	}
 	if err != nil {
 		events.RowInvalid.Log(o.cfg.Log).Str("key", r.Key).Err(err).Send()
--- a/control/dispatch/batch_test.go
+++ b/control/dispatch/batch_test.go
@@ -128,5 +128,6 @@
 		assert.Assert(t, size < 1_000_000, "a commit of %d bytes", size)
 		f.commit(b)
 	}
-	assert.Equal(t, len(written), submissions)
+	parts := (tasks + partTasks - 1) / partTasks
+	assert.Equal(t, len(written), submissions*parts)
 }
--- a/control/dispatch/commit.go
+++ b/control/dispatch/commit.go
@@ -19,7 +19,7 @@
 	// WorkTable holds a row for each submission, and one with the suffix CancelSuffix once it is
 	// cancelled.
 	WorkTable = "work"
-	// ProgressTable holds a record for each submission that has started.
+	// ProgressTable holds a record for each submission that has started, in one row or divided into parts.
 	ProgressTable = "progress"
 	// ContentionModelKey is the row of the exported contention model.
 	ContentionModelKey = "learnt/contention"
@@ -33,7 +33,7 @@
 // CancelKey returns the key of the row that cancels a submission.
 func CancelKey(id string) string { return WorkKey(id) + CancelSuffix }
 
-// ProgressKey returns the key of a submission's record.
+// ProgressKey returns the key of a submission's record, or of its first part, which holds the state.
 func ProgressKey(id string) string { return ProgressTable + "/" + id }
 
 // modelWriteInterval is the time between two writes of the contention model.
@@ -44,13 +44,13 @@
 	starts []*taskEntry
 	// acks are the executors with ends that are applied to the tables but not committed.
 	acks map[*node]uncommittedEnd
-	// removed are the submissions whose rows are to be deleted.
-	removed []string
+	// removed are the jobs whose rows are to be deleted.
+	removed []*job
 }
 
 func newEffects() effects { return effects{acks: make(map[*node]uncommittedEnd)} }
 
-// uncommittedEnd is an end that may be acknowledged once all records are committed that had become dirty
+// uncommittedEnd is an end that may be acknowledged once all parts of records are committed that had become dirty
 // by then, at positions up to dirtySequence.
 type uncommittedEnd struct {
 	number        int64
@@ -76,46 +76,38 @@
 	return len(o.dirty) > 0 || len(o.uncommitted.acks) > 0 || len(o.uncommitted.removed) > 0
 }
 
-// markDirty records that the job has changed since its record was last prepared for a commit.
-func (o *Owner) markDirty(j *job) {
-	if _, ok := o.dirty[j.sub.ID]; ok {
-		return
-	}
-	o.dirtySequence++
-	j.dirtySince = o.dirtySequence
-	o.dirty[j.sub.ID] = j
-}
-
-// changedJobs returns the dirty jobs, those that have waited longest first.
-func (o *Owner) changedJobs() []*job {
-	jobs := slices.Collect(maps.Values(o.dirty))
-	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(a.dirtySince, b.dirtySince) })
-	return jobs
+// changedParts returns the dirty parts of records, those that have waited longest first.
+func (o *Owner) changedParts() []*recordPart {
+	parts := slices.Collect(maps.Keys(o.dirty))
+	slices.SortFunc(parts, func(a, b *recordPart) int { return cmp.Compare(a.dirtySince, b.dirtySince) })
+	return parts
 }
 
 // Prepare returns the next commit. The caller commits one batch at a time.
 func (o *Owner) Prepare() (*Batch, error) {
 	b := &Batch{acks: make(map[*node]int64), states: make(map[*job]submission.State)}
-	changed := o.changedJobs()
+	changed := o.changedParts()
 	size := 0
-	for _, j := range changed[:min(len(changed), maxBatchWrites)] {
-		r := j.record()
-		value, err := r.Encode()
+	for _, p := range changed[:min(len(changed), maxBatchWrites)] {
+		r := p.record()
+		value, err := r.EncodeWithin(o.bounds.MaxRowBytes)
 		if err != nil {
 			return nil, err
 		}
 		if size += len(value); size > maxBatchBytes && len(b.Writes) > 0 {
 			break
 		}
-		b.Writes = append(b.Writes, store.Write{Key: ProgressKey(j.sub.ID), Value: value})
-		b.states[j] = j.state
-		delete(o.dirty, j.sub.ID)
+		b.Writes = append(b.Writes, store.Write{Key: p.key(), Value: value})
+		if p.number == 0 {
+			b.states[p.job] = p.job.state
+		}
+		delete(o.dirty, p)
 	}
 	o.addStarts(b)
 	if err := o.addContentionModel(b); err != nil {
 		return nil, err
 	}
-	later := changed[len(b.states):]
+	later := changed[len(changed)-len(o.dirty):]
 	o.addAcks(b, later)
 	if len(later) == 0 {
 		o.addRemovals(b)
@@ -124,8 +116,8 @@
 }
 
 // addAcks adds the ends that may be acknowledged: every record that reflects them is in this batch or an
-// earlier one. later are the dirty jobs that are not in the batch, those that have waited longest first.
-func (o *Owner) addAcks(b *Batch, later []*job) {
+// earlier one. later are the dirty parts that are not in the batch, those that have waited longest first.
+func (o *Owner) addAcks(b *Batch, later []*recordPart) {
 	for n, end := range o.uncommitted.acks {
 		if len(later) == 0 {
 			b.acks[n] = n.lastEnd
@@ -180,7 +172,7 @@
 		if t.phase != phaseCommitPending {
 			continue
 		}
-		if _, ok := b.states[t.job]; !ok {
+		if !o.startRecorded(t) {
 			later = append(later, t)
 			continue
 		}
@@ -189,19 +181,46 @@
 	o.uncommitted.starts = later
 }
 
-// rowsPerJob is the number of rows of an ended submission: its work, cancellation and progress.
-const rowsPerJob = 3
+// startRecorded reports whether the record of a start is in the batch that is being prepared or an earlier one. The
+// members of a gang start together, so the records of all of them are needed.
+func (o *Owner) startRecorded(t *taskEntry) bool {
+	first, last := t, t
+	if t.step().Gang {
+		members := t.job.stepTasks(t.stepKey())
+		first, last = members[0], members[len(members)-1]
+	}
+	for _, p := range t.job.parts[t.job.partOf(first).number : t.job.partOf(last).number+1] {
+		if _, dirty := o.dirty[p]; dirty {
+			return false
+		}
+	}
+	return true
+}
 
+// addRemovals adds the removal of ended submissions, of which each takes a few rows: its work, its cancellation and the
+// parts of its record, at most submission.MaxTasks/partTasks.
 func (o *Owner) addRemovals(b *Batch) {
-	for len(o.uncommitted.removed) > 0 && len(b.Writes)+rowsPerJob <= maxBatchWrites {
-		id := o.uncommitted.removed[0]
+	for len(o.uncommitted.removed) > 0 {
+		keys := rowsOf(o.uncommitted.removed[0])
+		if len(b.Writes)+len(keys) > maxBatchWrites {
+			return
+		}
 		o.uncommitted.removed = o.uncommitted.removed[1:]
-		for _, key := range []string{WorkKey(id), CancelKey(id), ProgressKey(id)} {
+		for _, key := range keys {
 			b.Writes = append(b.Writes, store.Write{Key: key, Delete: true})
 		}
 	}
 }
 
+// rowsOf returns the keys of all rows of a submission.
+func rowsOf(j *job) []string {
+	keys := []string{WorkKey(j.sub.ID), CancelKey(j.sub.ID)}
+	for _, p := range j.parts {
+		keys = append(keys, p.key())
+	}
+	return keys
+}
+
 // Committed applies the effects of a durable batch. sent is when its commit was sent.
 func (o *Owner) Committed(b *Batch, sent, now time.Duration) {
 	o.OwnershipConfirmed(sent)
--- a/control/dispatch/crash_test.go
+++ b/control/dispatch/crash_test.go
@@ -209,7 +209,7 @@
 	c.add(s)
 	for range 3000 {
 		c.step()
-		if c.crashesOf[name(0, 0)] > 0 && c.owner.jobs[testID].record().Tasks[0].Crashes == uint16(c.crashesOf[name(0, 0)]) {
+		if c.crashesOf[name(0, 0)] > 0 && c.owner.jobs[testID].tasks[0].rec.Crashes == uint16(c.crashesOf[name(0, 0)]) {
 			c.owner = c.newOwner(testEpoch)
 			c.add(s)
 		}
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -4,7 +4,7 @@
 // over them. Orders leave the package only after the records that they depend on are committed.
 //
 // The tables are in tables.go and neighbours.go; jobs.go and reports.go change them by submissions and
-// by reports. Each pass of Tick has a file: place.go, preempt.go, move.go, zones.go, stall.go and speed.go,
+// by reports. records.go divides the record of a job into rows. Each pass of Tick has a file: place.go, preempt.go, move.go, zones.go, stall.go and speed.go,
 // contention.go for speed limits. crash.go attributes crashes of executors to tasks. commit.go and orders.go
 // turn decisions into records and orders. What can be decided without the tables is in packages of its own:
 // ordering, placement, contention, speed, blame, eviction and advice.
@@ -49,6 +49,8 @@
 	StopTimeout time.Duration
 	// Retention is how long the record of an ended submission is kept.
 	Retention time.Duration
+	// MaxRowBytes is the size of the largest value that the store accepts, 0 for no limit.
+	MaxRowBytes int
 }
 
 const (
@@ -93,8 +95,8 @@
 	waiting map[stepKey]*waitingStep
 	// scheduled holds the jobs with occurrences that are not due yet.
 	scheduled map[string]*job
-	// dirty holds the jobs with changes that no prepared commit has; dirtySequence counts the additions.
-	dirty         map[string]*job
+	// dirty holds the parts of records with changes that no prepared commit has; dirtySequence counts the additions.
+	dirty         map[*recordPart]struct{}
 	dirtySequence uint64
 	// placementChanged is set when a placement that failed before may now succeed.
 	placementChanged bool
@@ -157,7 +159,7 @@
 	}
 	return &Owner{bounds: b, epoch: epoch, startedAt: now, now: now, modelWrittenAt: now, lastCommit: now, log: log, unixMillis: unix, jobs: make(map[string]*job),
 		executors: make(map[submission.Incarnation]*node), incarnations: make(map[string][]*node), waiting: make(map[stepKey]*waitingStep), scheduled: make(map[string]*job),
-		dirty: make(map[string]*job), outbox: make(map[submission.Incarnation]*outbox), uncommitted: newEffects(), estimates: make(map[string]*speed.EstimateAccuracy), contention: model,
+		dirty: make(map[*recordPart]struct{}), outbox: make(map[submission.Incarnation]*outbox), uncommitted: newEffects(), estimates: make(map[string]*speed.EstimateAccuracy), contention: model,
 		compatibility: make(map[string]float64), crashes: make(map[string]crash), pools: make(map[string]*pool), moveTargets: make(map[stepKey]*pool), advice: advice.NewTable()}
 }
 
--- a/control/dispatch/dispatch_test.go
+++ b/control/dispatch/dispatch_test.go
@@ -25,6 +25,9 @@
 
 const testEpoch = 3
 
+// testRowBytes is the size of the largest value that the store accepts.
+const testRowBytes = 64 << 10
+
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	f := &fixture{t: t, now: time.Hour, rows: make(map[string][]byte)}
@@ -34,7 +37,8 @@
 
 func testBounds() Bounds {
 	return Bounds{LeaseDuration: 4 * time.Second, AckValidity: 2 * time.Second, PreviousOwnerWindow: 2 * time.Second, MaxStoreOutage: 15 * time.Second,
-		MaxInterference: testMaxInterference, StopTimeout: 200 * time.Millisecond, Retention: time.Hour}
+		MaxInterference: testMaxInterference, StopTimeout: 200 * time.Millisecond, Retention: time.Hour,
+		MaxRowBytes: testRowBytes}
 }
 
 func (f *fixture) newOwner(epoch uint64) *Owner {
@@ -55,7 +59,7 @@
 func (f *fixture) add(s *submission.Submission) {
 	f.t.Helper()
 	assert.NilError(f.t, s.Validate())
-	assert.NilError(f.t, f.owner.Add(s, f.rows[ProgressKey(s.ID)], f.now))
+	assert.NilError(f.t, f.owner.Add(s, f.rows, f.now))
 }
 
 // pass runs one scheduling pass and commits.
@@ -70,7 +74,10 @@
 
 func (f *fixture) commit(b *Batch) {
 	for _, w := range b.Writes {
-		f.rows[w.Key] = w.Value
+		assert.Assert(f.t, len(w.Value) <= testRowBytes, "the value of %s has %d bytes", w.Key, len(w.Value))
+		if f.rows[w.Key] = w.Value; w.Delete {
+			delete(f.rows, w.Key)
+		}
 	}
 	f.owner.Committed(b, f.now, f.now)
 	f.messages = append(f.messages, f.owner.Flush(f.now, true)...)
--- a/control/dispatch/jobs.go
+++ b/control/dispatch/jobs.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chicorystand/chicorystand/base/errkind"
@@ -8,23 +9,24 @@
 	"github.com/chicorystand/chicorystand/control/submission"
 )
 
-// Add adds a durable submission, with its progress record when there is one. Adding it again has
-// no effect.
-func (o *Owner) Add(s *submission.Submission, encoded []byte, now time.Duration) error {
+// Add adds a durable submission. Its record, when there is one, is in rows, the values of the progress table by
+// key. Adding a submission again has no effect.
+func (o *Owner) Add(s *submission.Submission, rows map[string][]byte, now time.Duration) error {
 	if _, ok := o.jobs[s.ID]; ok {
 		return nil
 	}
 	j := newJob(s, o.arrivalTime(s, now))
-	if encoded != nil {
-		r, err := submission.DecodeRecord(encoded, len(j.tasks))
-		if err != nil {
-			return errkind.Wrap(errkind.InvalidArgument, err, "submission %s", s.ID)
-		}
+	r, err := decodeRecord(j, rows)
+	if err != nil {
+		return errkind.Wrap(errkind.InvalidArgument, err, "submission %s", s.ID)
+	}
+	if r != nil {
 		o.restore(j, r, now)
 	}
 	o.jobs[s.ID] = j
 	events.JobTaken.Log(o.log).Str("id", s.ID).Str("queue", s.Queue).Int("tasks", len(j.tasks)).
-		Str("state", j.state.String()).Bool("restored", encoded != nil).Send()
+		Str("state", j.state.String()).Bool("restored", r != nil).Send()
+	o.finishRestored(j, now)
 	if j.state.Final() {
 		return nil
 	}
@@ -46,8 +48,8 @@
 
 // restore loads the record of a previous owner into the tables. Assigned runs wait for the first
 // complete snapshot of their executor.
-func (o *Owner) restore(j *job, r submission.Record, now time.Duration) {
-	j.state, j.durableState, j.endedUnixMS, j.endedAt = r.State, r.State, r.Ended, now
+func (o *Owner) restore(j *job, r *storedRecord, now time.Duration) {
+	j.state, j.durableState, j.endedUnixMS, j.endedAt, j.recorded = r.State, r.State, r.Ended, now, true
 	for i, t := range j.tasks {
 		t.rec = r.Tasks[i]
 		t.startCheckpoint, t.reportedCheckpoint = t.rec.Checkpoint, t.rec.Checkpoint
@@ -66,6 +68,21 @@
 			n.reserve(t)
 		}
 	}
+	if r.undivided && !j.state.Final() {
+		o.divideRecord(j)
+	}
+}
+
+// finishRestored ends a job whose previous owner has committed the ends of its tasks, but not yet the part of the record
+// with its final state.
+func (o *Owner) finishRestored(j *job, now time.Duration) {
+	switch failed := func(t *taskEntry) bool { return t.rec.State == submission.TaskFailed }; {
+	case j.state.Final():
+	case slices.ContainsFunc(j.tasks, failed):
+		o.finishJob(j, submission.Failed, now)
+	case j.complete():
+		o.finishJob(j, submission.Completed, now)
+	}
 }
 
 // node returns the row of an executor, which may not have reported yet.
@@ -155,7 +172,7 @@
 // finishJob sets the job's final state and stops its remaining runs.
 func (o *Owner) finishJob(j *job, state submission.State, now time.Duration) {
 	j.state, j.endedUnixMS, j.endedAt = state, o.unixMillis(now), now
-	o.markDirty(j)
+	o.markPartDirty(j.parts[0])
 	delete(o.scheduled, j.sub.ID)
 	for k := range j.sub.OccurrenceCount() {
 		for step := range j.sub.Steps {
@@ -190,7 +207,7 @@
 	t.rec.State, t.rec.Executor, t.rec.Address = submission.TaskPending, submission.Incarnation{}, ""
 	t.phase, t.changedAt = phaseIdle, now
 	t.stopping, t.stopAcked, t.progressPercent, t.progressAt, t.missingSnapshots, t.speedBaseAt, t.fullRun = false, 0, 0, 0, 0, 0, false
-	o.markDirty(t.job)
+	o.markDirty(t)
 	o.placementChanged = true
 }
 
@@ -261,7 +278,7 @@
 	for id, j := range o.jobs {
 		if j.state.Final() && j.durableState == j.state && now-j.endedAt > o.bounds.Retention && j.idle() {
 			delete(o.jobs, id)
-			o.uncommitted.removed = append(o.uncommitted.removed, id)
+			o.uncommitted.removed = append(o.uncommitted.removed, j)
 		}
 	}
 }
--- a/control/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -247,7 +247,7 @@
 	t.node, t.phase, t.changedAt, t.progressPercent, t.speedLimit, t.throttledAt = n, phaseCommitPending, now, 0, fullSpeed, 0
 	t.firstOrderedAt, t.startCopies, t.startedAt, t.latencyInTargetAt, t.latencyOverSince = 0, 0, 0, 0, 0
 	n.reserve(t)
-	o.markDirty(t.job)
+	o.markDirty(t)
 	o.uncommitted.starts = append(o.uncommitted.starts, t)
 	events.TaskPlaced.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", n.info.ID).
 		Dur("waited", now-t.job.arrived).Int64("reserved_cpu", n.placementNode.Reserved.CPU).Int64("filling_cpu", n.placementNode.BestEffortCPU).
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -119,9 +119,9 @@
 	state submission.State
 	// durableState is the last committed state.
 	durableState submission.State
-	// dirtySince is the value of the owner's dirtySequence at the first change since the record was last
-	// prepared for a commit.
-	dirtySince  uint64
+	// parts are the rows of the record. recorded is set once the first one is written or waits to be.
+	parts       []*recordPart
+	recorded    bool
 	endedUnixMS int64
 	// endedAt is when the job reached its final state; it is removed after the retention time.
 	endedAt time.Duration
@@ -147,6 +147,7 @@
 		}
 		j.remaining = append(j.remaining, counts)
 	}
+	j.parts = newRecordParts(j)
 	return j
 }
 
@@ -174,15 +175,6 @@
 	return j.tasks[first : first+j.sub.Steps[k.step].Count]
 }
 
-// record returns the job's durable form.
-func (j *job) record() submission.Record {
-	r := submission.Record{State: j.state, Ended: j.endedUnixMS, Tasks: make([]submission.TaskRecord, len(j.tasks))}
-	for i, t := range j.tasks {
-		r.Tasks[i] = t.rec
-	}
-	return r
-}
-
 // idle reports whether no run of the job is assigned.
 func (j *job) idle() bool {
 	for _, t := range j.tasks {
--- a/control/submission/record.go
+++ b/control/submission/record.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -145,6 +147,31 @@
 	return b.Bytes(), errkind.Wrap(errkind.Internal, err, "encode progress record")
 }
 
+// EncodeWithin returns the stored form without as many checkpoints as needed to fit into limit bytes, the longest
+// first. A task without one starts from its beginning if its run is lost. The form may still be larger. A limit of 0
+// means none.
+func (r *Record) EncodeWithin(limit int) ([]byte, error) {
+	b, err := r.Encode()
+	if err != nil || limit <= 0 || len(b) <= limit {
+		return b, err
+	}
+	smaller := Record{State: r.State, Ended: r.Ended, Tasks: slices.Clone(r.Tasks)}
+	longestFirst := make([]*TaskRecord, len(smaller.Tasks))
+	for i := range smaller.Tasks {
+		longestFirst[i] = &smaller.Tasks[i]
+	}
+	slices.SortStableFunc(longestFirst, func(a, b *TaskRecord) int { return cmp.Compare(len(b.Checkpoint), len(a.Checkpoint)) })
+	excess := len(b) - limit
+	for _, t := range longestFirst {
+		if excess <= 0 {
+			break
+		}
+		excess -= len(t.Checkpoint)
+		t.Checkpoint = ""
+	}
+	return smaller.Encode()
+}
+
 func executorIndex(positions map[executorRef]uint16, list *[]executorRef, at executorRef) uint16 {
 	p, ok := positions[at]
 	if !ok {
--- a/control/submission/submission_test.go
+++ b/control/submission/submission_test.go
@@ -1,6 +1,7 @@
 package submission
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -109,3 +110,26 @@
 	assert.NilError(t, msgpack.Unmarshal(now, &old))
 	assert.Equal(t, old.Runs[0], uint32(4))
 }
+
+// Guards against checkpoints that make a record larger than the store accepts, and against leaving out more of it.
+func TestRecordLeavesOutTheLongestCheckpointsToFit(t *testing.T) {
+	r := Record{State: Running, Tasks: []TaskRecord{{Run: 1, Checkpoint: "short"}, {Run: 2, Checkpoint: strings.Repeat("x", 900)}, {Run: 3, Checkpoint: strings.Repeat("y", 500)}}}
+	whole, err := r.Encode()
+	assert.NilError(t, err)
+	for limit, kept := range map[int][]bool{0: {true, true, true}, len(whole): {true, true, true}, len(whole) - 1: {true, false, true}, 100: {true, false, false}, 1: {false, false, false}} {
+		b, err := r.EncodeWithin(limit)
+		assert.NilError(t, err)
+		if limit > 1 {
+			assert.Assert(t, len(b) <= limit)
+		}
+		back, err := DecodeRecord(b, len(r.Tasks))
+		assert.NilError(t, err)
+		for i, want := range r.Tasks {
+			if !kept[i] {
+				want.Checkpoint = ""
+			}
+			assert.DeepEqual(t, back.Tasks[i], want)
+		}
+	}
+	assert.Equal(t, len(r.Tasks[1].Checkpoint), 900)
+}
--- a/verify/standin/table.go
+++ b/verify/standin/table.go
@@ -64,6 +64,9 @@
 	DefaultReadsPerSecond  = 2000
 )
 
+// MaxRowBytes is the size of the largest value of a row.
+const MaxRowBytes = 64 << 10
+
 // NewTable returns an empty table limited to the given operations per second.
 func NewTable(writesPerSecond, readsPerSecond float64) *Table {
 	return &Table{
@@ -166,6 +169,11 @@
 	if len(txn.Writes) > store.MaxTxnRows+1 {
 		return nil, errkind.New(errkind.InvalidArgument, "transaction writes %d rows, at most %d", len(txn.Writes), store.MaxTxnRows+1)
 	}
+	for _, w := range txn.Writes {
+		if len(w.Value) > MaxRowBytes {
+			return nil, errkind.New(errkind.TooLarge, "the value of row %s has %d bytes, at most %d", w.Key, len(w.Value), MaxRowBytes)
+		}
+	}
 	if err := t.begin(ctx, t.writes); err != nil {
 		return nil, err
 	}
