--- a/base/events/dispatch.go
+++ b/base/events/dispatch.go
@@ -59,5 +59,7 @@
 	StartResent       = define(665, "start_resent", zerolog.InfoLevel, "The owner sends the start of a run again, since it was not answered in time or the connection to the agent is new. copy is the number of this copy, since_first the time since the first.")
 	StartNotConfirmed = define(667, "start_not_confirmed", zerolog.WarnLevel, "The agent answers a start that the executor has not confirmed. copies is the number of copies of the order that the answer covers; reason old_run tells that it is a copy of a start that had ended or was refused before. calls is the number of calls to the executor, uncertain is set if one of them got no reply.")
 	MessageTooLarge   = define(668, "message_too_large", zerolog.ErrorLevel, "A message between the owner and an agent exceeds the size limit and was not sent. The connection stays. Orders are sent again, and the next report replaces one that was not sent.")
+	CommitRefused     = define(669, "commit_refused", zerolog.WarnLevel, "The store refuses a commit for good. Its changes are committed in smaller groups until the one at fault is found. changes is their number.")
+	WriteRefused      = define(670, "write_refused", zerolog.ErrorLevel, "The store refuses the row key for good and has accepted a commit without it. The submission id, if the row is its record, has failed; a row of the contention model is not written again by this owner. All other work goes on.")
 	LogLinesDropped   = define(660, "log_lines_dropped", zerolog.WarnLevel, "Log lines were dropped because the log could not be written fast enough.")
 )
--- a/control/coordinator/head.go
+++ b/control/coordinator/head.go
@@ -82,16 +82,29 @@
 type committer struct {
 	table store.Table
 	row   ownerRow
+	// sequence is that of the last commit that was tried.
+	sequence uint64
 	// onRetry is called after each failed attempt.
 	onRetry func(err error)
 }
 
+// refusedForGood reports whether the store will refuse the same transaction again: a value is too large, for example. Nothing
+// was written.
+func refusedForGood(err error) bool {
+	switch errkind.Of(err) {
+	case errkind.InvalidArgument, errkind.TooLarge, errkind.PermissionDenied:
+		return true
+	}
+	return false
+}
+
 // commit returns when the writes are durable. An error means that the ownership
-// is lost or ctx has ended. sent is called at the start of each attempt.
+// is lost, ctx has ended, or the store has refused the writes for good. sent is called at the start of each attempt.
 func (c *committer) commit(ctx context.Context, writes []store.Write, entries []string, sent func()) error {
+	// A refused commit has a number of its own, so that the next one is not taken for it.
+	c.sequence = max(c.sequence, c.row.Sequence) + 1
 	to := c.row.OwnerRecord
-	to.Sequence++
-	to.Entries = entries
+	to.Sequence, to.Entries = c.sequence, entries
 	for {
 		sent()
 		next, err := writeOwnerRow(ctx, c.table, c.row, to, writes)
@@ -134,5 +147,7 @@
 	case now.Epoch != to.Epoch || now.Incarnation != to.Incarnation:
 		return false, errkind.New(errkind.NotOwner, "epoch %d is owned by %s", now.Epoch, now.Owner)
 	}
+	// An attempt without a reply of a commit before, which was refused later, has taken effect.
+	c.row = now
 	return false, nil
 }
--- a/control/coordinator/loop.go
+++ b/control/coordinator/loop.go
@@ -26,13 +26,9 @@
 			f(now)
 			o.drainInbox(now)
 		case r := <-o.commitResults:
-			if r.err != nil {
-				return r.err
+			if err := o.applyCommitResult(r); err != nil {
+				return err
 			}
-			o.pendingBatch = nil
-			o.ackEntries = r.entries
-			o.lastCommitSent.Store(int64(r.sent))
-			o.dispatcher.Committed(r.batch, r.sent, o.cfg.Clock.Now())
 		case <-timer.C:
 		}
 		if err := o.schedulingPass(ctx); err != nil {
@@ -42,6 +38,22 @@
 	}
 }
 
+// applyCommitResult passes the outcome of the commit in progress to the dispatcher. An error means that the ownership is
+// lost, or that the store refuses the owner's row itself.
+func (o *owner) applyCommitResult(r commitResult) error {
+	o.pendingBatch = nil
+	switch {
+	case r.err == nil:
+		o.ackEntries = r.entries
+		o.lastCommitSent.Store(int64(r.sent))
+		o.dispatcher.Committed(r.batch, r.sent, o.cfg.Clock.Now())
+		return nil
+	case refusedForGood(r.err):
+		return o.dispatcher.Refused(r.batch, r.err)
+	}
+	return r.err
+}
+
 // awaitCommit waits up to resignTimeout for the commit in progress, then cancels it.
 func (o *owner) awaitCommit() {
 	if o.pendingBatch == nil {
@@ -144,7 +156,7 @@
 		defer o.wg.Done()
 		defer cancel()
 		var sent time.Duration
-		err := o.committer.commit(ctx, batch.Writes, entries, func() { sent = o.cfg.Clock.Now() })
+		err := o.committer.commit(ctx, batch.Writes(), entries, func() { sent = o.cfg.Clock.Now() })
 		o.commitResults <- commitResult{batch, entries, sent, err}
 	}()
 	return nil
--- a/control/dispatch/batch_test.go
+++ b/control/dispatch/batch_test.go
@@ -121,7 +121,7 @@
 		b, err := f.owner.Prepare()
 		assert.NilError(t, err)
 		size := 0
-		for _, w := range b.Writes {
+		for _, w := range b.Writes() {
 			size += base64.StdEncoding.EncodedLen(len(w.Value))
 			written[w.Key] = true
 		}
--- a/control/dispatch/commit.go
+++ b/control/dispatch/commit.go
@@ -59,10 +59,31 @@
 
 // Batch is one commit and the actions that follow once it is durable.
 type Batch struct {
-	Writes []store.Write
-	starts []start
-	acks   map[*node]int64
-	states map[*job]submission.State
+	changes []change
+	starts  []start
+	acks    map[*node]int64
+	// refused is the change that the store has refused alone, in a commit without it.
+	refused *refusal
+}
+
+// change is what is written as a whole or not at all: a part of a record, the contention model, or the removal of a
+// submission.
+type change struct {
+	writes []store.Write
+	// part is nil for all but parts of records, dirtySince its value before the batch.
+	part       *recordPart
+	dirtySince uint64
+	// state is that of the part's job.
+	state submission.State
+}
+
+// Writes returns the writes of the commit.
+func (b *Batch) Writes() []store.Write {
+	var writes []store.Write
+	for i := range b.changes {
+		writes = append(writes, b.changes[i].writes...)
+	}
+	return writes
 }
 
 // start is a run whose start is recorded in a batch.
@@ -73,7 +94,7 @@
 
 // Dirty reports whether a commit is needed.
 func (o *Owner) Dirty() bool {
-	return len(o.dirty) > 0 || len(o.uncommitted.acks) > 0 || len(o.uncommitted.removed) > 0
+	return len(o.dirty) > 0 || len(o.uncommitted.acks) > 0 || len(o.uncommitted.removed) > 0 || len(o.retries) > 0
 }
 
 // changedParts returns the dirty parts of records, those that have waited longest first.
@@ -83,31 +104,20 @@
 	return parts
 }
 
-// Prepare returns the next commit. The caller commits one batch at a time.
+// Prepare returns the next commit. The caller commits one batch at a time, and calls Committed or Refused.
 func (o *Owner) Prepare() (*Batch, error) {
-	b := &Batch{acks: make(map[*node]int64), states: make(map[*job]submission.State)}
-	changed := o.changedParts()
-	size := 0
-	for _, p := range changed[:min(len(changed), maxBatchWrites)] {
-		r := p.record()
-		value, err := r.EncodeWithin(o.bounds.MaxRowBytes)
-		if err != nil {
-			return nil, err
-		}
-		if size += len(value); size > maxBatchBytes && len(b.Writes) > 0 {
-			break
-		}
-		b.Writes = append(b.Writes, store.Write{Key: p.key(), Value: value})
-		if p.number == 0 {
-			b.states[p.job] = p.job.state
-		}
-		delete(o.dirty, p)
+	if len(o.retries) > 0 {
+		return o.nextRetry(), nil
+	}
+	b := &Batch{acks: make(map[*node]int64)}
+	if err := o.addParts(b); err != nil {
+		return nil, err
 	}
 	o.addStarts(b)
 	if err := o.addContentionModel(b); err != nil {
 		return nil, err
 	}
-	later := changed[len(changed)-len(o.dirty):]
+	later := o.changedParts()
 	o.addAcks(b, later)
 	if len(later) == 0 {
 		o.addRemovals(b)
@@ -115,6 +125,45 @@
 	return b, nil
 }
 
+// addParts adds the dirty parts that fit into the batch, those that have waited longest first. A part that the store has
+// refused before is alone in its batch.
+func (o *Owner) addParts(b *Batch) error {
+	if p := o.dueRefused(); p != nil {
+		_, err := o.addPart(b, p, 0)
+		return err
+	}
+	size := 0
+	for _, p := range o.changedParts() {
+		if p.refusals > 0 || p.blocked() {
+			continue
+		}
+		added, err := o.addPart(b, p, size)
+		if err != nil {
+			return err
+		}
+		if added == 0 || len(b.changes) == maxBatchWrites {
+			return nil
+		}
+		size += added
+	}
+	return nil
+}
+
+// addPart adds a part to a batch of size bytes and returns the size of its row, 0 if that does not fit.
+func (o *Owner) addPart(b *Batch, p *recordPart, size int) (int, error) {
+	r := p.record()
+	value, err := r.EncodeWithin(o.bounds.MaxRowBytes)
+	if err != nil {
+		return 0, err
+	}
+	if size > 0 && size+len(value) > maxBatchBytes {
+		return 0, nil
+	}
+	b.changes = append(b.changes, change{writes: []store.Write{{Key: p.key(), Value: value}}, part: p, dirtySince: p.dirtySince, state: p.job.state})
+	delete(o.dirty, p)
+	return len(value), nil
+}
+
 // addAcks adds the ends that may be acknowledged: every record that reflects them is in this batch or an
 // earlier one. later are the dirty parts that are not in the batch, those that have waited longest first.
 func (o *Owner) addAcks(b *Batch, later []*recordPart) {
@@ -144,7 +193,7 @@
 
 // addContentionModel adds the contention model to the batch once every modelWriteInterval.
 func (o *Owner) addContentionModel(b *Batch) error {
-	if o.now-o.modelWrittenAt < modelWriteInterval {
+	if o.modelRefused || o.now-o.modelWrittenAt < modelWriteInterval {
 		return nil
 	}
 	o.modelWrittenAt = o.now
@@ -152,7 +201,7 @@
 	if err != nil {
 		return errkind.Wrap(errkind.Internal, err, "encode contention model")
 	}
-	b.Writes = append(b.Writes, store.Write{Key: ContentionModelKey, Value: value})
+	b.changes = append(b.changes, change{writes: []store.Write{{Key: ContentionModelKey, Value: value}}})
 	return nil
 }
 
@@ -200,23 +249,26 @@
 // addRemovals adds the removal of ended submissions, of which each takes a few rows: its work, its cancellation and the
 // parts of its record, at most submission.MaxTasks/partTasks.
 func (o *Owner) addRemovals(b *Batch) {
+	rows := len(b.Writes())
 	for len(o.uncommitted.removed) > 0 {
 		keys := rowsOf(o.uncommitted.removed[0])
-		if len(b.Writes)+len(keys) > maxBatchWrites {
+		if rows += len(keys); rows > maxBatchWrites {
 			return
 		}
 		o.uncommitted.removed = o.uncommitted.removed[1:]
+		var removal change
 		for _, key := range keys {
-			b.Writes = append(b.Writes, store.Write{Key: key, Delete: true})
+			removal.writes = append(removal.writes, store.Write{Key: key, Delete: true})
 		}
+		b.changes = append(b.changes, removal)
 	}
 }
 
 // rowsOf returns the keys of all rows of a submission.
 func rowsOf(j *job) []string {
 	keys := []string{WorkKey(j.sub.ID), CancelKey(j.sub.ID)}
-	for _, p := range j.parts {
-		keys = append(keys, p.key())
+	for number := range partCount(len(j.tasks)) {
+		keys = append(keys, partKey(j.sub.ID, number))
 	}
 	return keys
 }
@@ -224,8 +276,18 @@
 // Committed applies the effects of a durable batch. sent is when its commit was sent.
 func (o *Owner) Committed(b *Batch, sent, now time.Duration) {
 	o.OwnershipConfirmed(sent)
-	for j, state := range b.states {
-		j.durableState = state
+	if b.refused != nil {
+		o.applyRefusal(b, now)
+	}
+	for i := range b.changes {
+		p := b.changes[i].part
+		if p == nil {
+			continue
+		}
+		p.refusals = 0
+		if p.number == 0 {
+			p.job.durableState = b.changes[i].state
+		}
 	}
 	for n, end := range b.acks {
 		n.durableEnd = max(n.durableEnd, end)
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -6,7 +6,7 @@
 // The tables are in tables.go and neighbours.go; jobs.go and reports.go change them by submissions and
 // by reports. records.go divides the record of a job into rows. Each pass of Tick has a file: place.go, preempt.go, move.go, zones.go, stall.go and speed.go,
 // contention.go for speed limits. crash.go attributes crashes of executors to tasks. commit.go and orders.go
-// turn decisions into records and orders. What can be decided without the tables is in packages of its own:
+// turn decisions into records and orders, and refusal.go handles commits that the store refuses. What can be decided without the tables is in packages of its own:
 // ordering, placement, contention, speed, blame, eviction and advice.
 //
 // The package uses no network and no clock of its own. An Owner is not safe for concurrent use.
@@ -118,7 +118,11 @@
 	acknowledgedAt time.Duration
 	outbox         map[submission.Incarnation]*outbox
 	uncommitted    effects
-	contention     *contention.Model
+	// retries are the parts of a batch that the store has refused.
+	retries []*Batch
+	// modelRefused is set once the store has refused the contention model, which this owner then writes no more.
+	modelRefused bool
+	contention   *contention.Model
 	// compatibility is the share of best-effort work that is compatible with a set of
 	// latency-critical images, by the key of the set. It was computed at compatibleAt.
 	compatibility map[string]float64
@@ -142,12 +146,14 @@
 	GivenUp uint64
 	// Resent counts the copies of starts after the first.
 	Resent uint64
+	// RefusedWrites counts the changes that the store has refused for good.
+	RefusedWrites uint64
 }
 
 func (c Counters) Add(d Counters) Counters {
 	return Counters{Starts: c.Starts + d.Starts, Ends: c.Ends + d.Ends, Failures: c.Failures + d.Failures,
 		Lost: c.Lost + d.Lost, Rejected: c.Rejected + d.Rejected, Withdrawn: c.Withdrawn + d.Withdrawn, ZoneWaits: c.ZoneWaits + d.ZoneWaits,
-		GivenUp: c.GivenUp + d.GivenUp, Resent: c.Resent + d.Resent}
+		GivenUp: c.GivenUp + d.GivenUp, Resent: c.Resent + d.Resent, RefusedWrites: c.RefusedWrites + d.RefusedWrites}
 }
 
 // New returns an owner without work. now is the owner's clock, which includes time in suspension;
--- a/control/dispatch/dispatch_test.go
+++ b/control/dispatch/dispatch_test.go
@@ -73,7 +73,7 @@
 }
 
 func (f *fixture) commit(b *Batch) {
-	for _, w := range b.Writes {
+	for _, w := range b.Writes() {
 		assert.Assert(f.t, len(w.Value) <= testRowBytes, "the value of %s has %d bytes", w.Key, len(w.Value))
 		if f.rows[w.Key] = w.Value; w.Delete {
 			delete(f.rows, w.Key)
--- a/control/dispatch/records.go
+++ b/control/dispatch/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/chicorystand/chicorystand/base/errkind"
 	"github.com/chicorystand/chicorystand/control/submission"
@@ -20,17 +21,24 @@
 	// dirtySince is the value of the owner's dirtySequence at the first change since the part was last prepared
 	// for a commit.
 	dirtySince uint64
+	// refusals counts how often the store has refused the part alone since it last accepted it. The part is written
+	// again at retryAt.
+	refusals int
+	retryAt  time.Duration
 }
 
 // newRecordParts returns the parts of the record of a job whose tasks are set.
 func newRecordParts(j *job) []*recordPart {
-	parts := make([]*recordPart, (len(j.tasks)+partTasks-1)/partTasks)
+	parts := make([]*recordPart, partCount(len(j.tasks)))
 	for i := range parts {
 		parts[i] = &recordPart{job: j, number: i}
 	}
 	return parts
 }
 
+// partCount returns the number of parts of a record.
+func partCount(tasks int) int { return (tasks + partTasks - 1) / partTasks }
+
 // key returns the key of the part's row.
 func (p *recordPart) key() string { return partKey(p.job.sub.ID, p.number) }
 
@@ -53,13 +61,22 @@
 	return r
 }
 
+// tasks returns the tasks in the part, none if the store has refused the record.
 func (p *recordPart) tasks() []*taskEntry {
+	if p.job.recordRefused {
+		return nil
+	}
 	first := p.number * partTasks
 	return p.job.tasks[first:min(first+partTasks, len(p.job.tasks))]
 }
 
 // partOf returns the part of the record that holds a task.
-func (j *job) partOf(t *taskEntry) *recordPart { return j.parts[j.offset(t.id)/partTasks] }
+func (j *job) partOf(t *taskEntry) *recordPart {
+	if j.recordRefused {
+		return j.parts[0]
+	}
+	return j.parts[j.offset(t.id)/partTasks]
+}
 
 // storedRecord is the record of a submission as a previous owner has left it.
 type storedRecord struct {
@@ -93,8 +110,14 @@
 	return r, nil
 }
 
-// decodeFirstRow reads the first part of a record, or one that is not divided.
+// decodeFirstRow reads the first part of a record, one that is not divided, or one with the final state alone, which
+// replaces a record that the store has refused.
 func decodeFirstRow(row []byte, j *job) (*storedRecord, error) {
+	if r, err := submission.DecodeRecord(row, 0); err == nil && r.State.Final() {
+		j.refuseRecord()
+		r.Tasks = make([]submission.TaskRecord, len(j.tasks))
+		return &storedRecord{Record: r}, nil
+	}
 	r, err := submission.DecodeRecord(row, len(j.parts[0].tasks()))
 	undivided := false
 	if err != nil && len(j.parts) > 1 {
--- a/control/dispatch/records_test.go
+++ b/control/dispatch/records_test.go
@@ -99,8 +99,8 @@
 	f.largeExecutor("e1", nil, executor.End{Number: 1, Task: name(0, partTasks), Run: 1, Cause: executor.Done})
 	b, err := f.owner.Prepare()
 	assert.NilError(t, err)
-	assert.Equal(t, len(b.Writes), 1)
-	assert.Equal(t, b.Writes[0].Key, ProgressKey(testID)+"/1")
+	assert.Equal(t, len(b.Writes()), 1)
+	assert.Equal(t, b.Writes()[0].Key, ProgressKey(testID)+"/1")
 }
 
 // Guards against a later part without the first one, which a reader takes for a submission that has not started.
@@ -111,8 +111,8 @@
 	f.owner.markDirty(j.tasks[2*partTasks])
 	b, err := f.owner.Prepare()
 	assert.NilError(t, err)
-	assert.Equal(t, len(b.Writes), 2)
-	assert.Equal(t, b.Writes[0].Key, ProgressKey(testID))
+	assert.Equal(t, len(b.Writes()), 2)
+	assert.Equal(t, b.Writes()[0].Key, ProgressKey(testID))
 }
 
 // Guards against a record of an earlier build, in one row, that is lost or read in part while it is divided.
@@ -132,12 +132,12 @@
 	assert.Equal(t, len(done), (tasks+9)/10)
 	b, err := f.owner.Prepare()
 	assert.NilError(t, err)
-	assert.Equal(t, len(b.Writes), 3)
+	assert.Equal(t, len(b.Writes()), 3)
 
-	for written := range len(b.Writes) + 1 {
+	for written := range len(b.Writes()) + 1 {
 		next := newFixture(t)
 		next.rows = maps.Clone(f.rows)
-		for _, w := range b.Writes[:written] {
+		for _, w := range b.Writes()[:written] {
 			next.rows[w.Key] = w.Value
 		}
 		next.add(s)
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -120,9 +120,11 @@
 	// durableState is the last committed state.
 	durableState submission.State
 	// parts are the rows of the record. recorded is set once the first one is written or waits to be.
-	parts       []*recordPart
-	recorded    bool
-	endedUnixMS int64
+	parts    []*recordPart
+	recorded bool
+	// recordRefused is set once the store has refused the record: a single part then holds only the final state.
+	recordRefused bool
+	endedUnixMS   int64
 	// endedAt is when the job reached its final state; it is removed after the retention time.
 	endedAt time.Duration
 	arrived time.Duration
--- a/verify/standin/table.go
+++ b/verify/standin/table.go
@@ -28,6 +28,8 @@
 	// are applied after CommitDelay if their conditions hold then.
 	DelayCommits int
 	CommitDelay  time.Duration
+	// Refuse, if not nil, selects the rows that no commit may write.
+	Refuse func(key string) bool
 }
 
 // Counts holds the numbers of operations served so far; Refused counts those that failed while the store was down.
@@ -182,6 +184,11 @@
 	if err := t.checkUp(); err != nil {
 		return nil, err
 	}
+	for _, w := range txn.Writes {
+		if t.faults.Refuse != nil && t.faults.Refuse(w.Key) {
+			return nil, errkind.New(errkind.InvalidArgument, "row %s is refused", w.Key)
+		}
+	}
 	if t.faults.DelayCommits > 0 {
 		t.faults.DelayCommits--
 		time.AfterFunc(t.faults.CommitDelay, func() { t.applyDelayed(txn) })
