--- a/control/contention/contention.go
+++ b/control/contention/contention.go
@@ -14,6 +14,7 @@
 package contention
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -333,21 +334,70 @@
 // maxImportedWeight bounds the weight of imported state, so that new samples soon outweigh it.
 const maxImportedWeight = 0.06
 
-// Export returns the state of the model, ordered by latency-critical image.
-func (m *Model) Export() []ImageModel {
+// Upper bounds of what an image and a pair take in the stored model, without their names, in bytes.
+const (
+	storedImageBytes = 100
+	storedPairBytes  = 24
+)
+
+// Export returns the state of the model, ordered by latency-critical image. limit bounds the size of its stored form in
+// bytes, 0 for none: pairs with the least weight are left out, so that the number of images in use does not matter.
+func (m *Model) Export(limit int) []ImageModel {
+	if limit <= 0 {
+		limit = math.MaxInt
+	}
 	var out []ImageModel
+	size := 0
 	for _, image := range slices.Sorted(maps.Keys(m.estimators)) {
-		e := m.estimators[image]
-		k := ImageModel{Image: image, MeanBase: m.meanBase[image], LowestBase: m.lowestBase[image].latency, BestEffort: slices.Clone(e.images)}
-		for i, name := range k.BestEffort {
-			k.Interference = append(k.Interference, e.interference(name))
-			k.Weight = append(k.Weight, e.gram[i][i])
+		added := storedImageBytes + len(image)
+		if size+added > limit {
+			continue
 		}
-		out = append(out, k)
+		size += added
+		out = append(out, ImageModel{Image: image, MeanBase: m.meanBase[image], LowestBase: m.lowestBase[image].latency})
+	}
+	for _, p := range m.heaviestPairs(out, limit-size) {
+		k, e := &out[p.image], m.estimators[out[p.image].Image]
+		name := e.images[p.bestEffort]
+		k.BestEffort = append(k.BestEffort, name)
+		k.Interference = append(k.Interference, e.interference(name))
+		k.Weight = append(k.Weight, p.weight)
 	}
 	return out
 }
 
+// weightedPair is a pair of images by their positions in an exported list and in the estimator. weight is that of its samples.
+type weightedPair struct {
+	image, bestEffort int
+	weight            float64
+}
+
+// heaviestPairs returns the pairs of the listed images with the most weight that fit into limit bytes, in the order of the
+// list.
+func (m *Model) heaviestPairs(list []ImageModel, limit int) []weightedPair {
+	var pairs []weightedPair
+	for i := range list {
+		e := m.estimators[list[i].Image]
+		for p := range e.images {
+			pairs = append(pairs, weightedPair{i, p, e.gram[p][p]})
+		}
+	}
+	slices.SortStableFunc(pairs, func(a, b weightedPair) int { return cmp.Compare(b.weight, a.weight) })
+	size := 0
+	pairs = slices.DeleteFunc(pairs, func(p weightedPair) bool {
+		added := storedPairBytes + len(m.estimators[list[p.image].Image].images[p.bestEffort])
+		if size+added > limit {
+			return true
+		}
+		size += added
+		return false
+	})
+	slices.SortFunc(pairs, func(a, b weightedPair) int {
+		return cmp.Or(cmp.Compare(a.image, b.image), cmp.Compare(a.bestEffort, b.bestEffort))
+	})
+	return pairs
+}
+
 // Import restores the state that the previous owner exported. It is called on an empty model.
 func (m *Model) Import(list []ImageModel, now time.Duration) {
 	for _, k := range list {
--- a/control/contention/contention_test.go
+++ b/control/contention/contention_test.go
@@ -1,11 +1,14 @@
 package contention
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 )
 
@@ -140,7 +143,7 @@
 		w.observe("busy", "s", []ImageUsage{{"heavy", 2 * processorShare}})
 	}
 	next := New()
-	next.Import(w.model.Export(), w.now)
+	next.Import(w.model.Export(0), w.now)
 	pair := Pair{"s", "heavy"}
 	assert.Assert(t, math.Abs(next.Interference(pair)-w.model.Interference(pair))*processorShare < 0.0125)
 }
@@ -233,3 +236,37 @@
 	}
 	assert.Assert(t, done >= minShare*possible, "%.0f of %.0f", done, possible)
 }
+
+// Guards against a stored model that grows with the images that were ever seen until the store refuses it, and against leaving
+// out the pairs that matter most.
+func TestExportedModelHasABound(t *testing.T) {
+	const limit = 64 << 10
+	w := newSimulation(nil)
+	for i := range 60 {
+		e := w.model.estimator(fmt.Sprintf("serving-%04d", i))
+		for k := range 60 {
+			p := e.indexOf(fmt.Sprintf("filling-%04d", k))
+			e.gram[p][p] = float64(i*100 + k)
+		}
+	}
+	whole := w.model.Export(0)
+	assert.Equal(t, len(whole), 60)
+	all, err := msgpack.Marshal(whole)
+	assert.NilError(t, err)
+	assert.Assert(t, len(all) > limit)
+
+	list := w.model.Export(limit)
+	b, err := msgpack.Marshal(list)
+	assert.NilError(t, err)
+	assert.Assert(t, len(b) <= limit && len(b) > limit*3/4, "the model has %d bytes", len(b))
+	assert.DeepEqual(t, list[59], whole[59])
+	assert.Equal(t, len(list[0].BestEffort), 0)
+
+	e := w.model.estimator(strings.Repeat("a", limit))
+	e.indexOf("b")
+	list = w.model.Export(limit)
+	b, err = msgpack.Marshal(list)
+	assert.NilError(t, err)
+	assert.Assert(t, len(b) <= limit)
+	assert.DeepEqual(t, list[len(list)-1], whole[59])
+}
--- a/control/dispatch/commit.go
+++ b/control/dispatch/commit.go
@@ -197,7 +197,7 @@
 		return nil
 	}
 	o.modelWrittenAt = o.now
-	value, err := msgpack.Marshal(o.contention.Export())
+	value, err := msgpack.Marshal(o.contention.Export(o.bounds.MaxRowBytes))
 	if err != nil {
 		return errkind.Wrap(errkind.Internal, err, "encode contention model")
 	}
