--- a/ingress/gateway/gateway.go
+++ b/ingress/gateway/gateway.go
@@ -57,6 +57,7 @@
 	observe        func(method string, status int, took time.Duration, err error)
 	// observeForward records the outcome of a write through the owner.
 	observeForward func(err error)
+	maxRowBytes    int
 	breaker        breaker
 
 	mu          sync.Mutex
@@ -74,6 +75,8 @@
 	ManifestAge func() time.Duration
 	// MaxManifestAge is how long after its confirmation a manifest has to be in force.
 	MaxManifestAge time.Duration
+	// MaxRowBytes is the size of the largest value that the store accepts, 0 for no limit.
+	MaxRowBytes int
 	// StoreLastResponse returns the clock's time of the store's last response, 0 before the first.
 	StoreLastResponse func() time.Duration
 	// Observe records each response in the metrics.
@@ -85,7 +88,7 @@
 // New returns a gateway.
 func New(c Config) *Gateway {
 	return &Gateway{store: c.Store, clock: c.Clock, log: c.Log, owner: c.Owner, manifest: c.Manifest, manifestAge: c.ManifestAge, maxManifestAge: c.MaxManifestAge,
-		observe: c.Observe, observeForward: c.ObserveForward,
+		observe: c.Observe, observeForward: c.ObserveForward, maxRowBytes: c.MaxRowBytes,
 		breaker: breaker{clock: c.Clock, lastResponse: c.StoreLastResponse}, finalStates: make(map[string]submission.State)}
 }
 
@@ -109,6 +112,9 @@
 	if err != nil {
 		return err
 	}
+	if g.maxRowBytes > 0 && len(value) > g.maxRowBytes {
+		return errkind.New(errkind.TooLarge, "the submission takes %d bytes in the store, which accepts at most %d; nothing was stored", len(value), g.maxRowBytes)
+	}
 	return g.create(ctx, dispatch.WorkKey(s.ID), value)
 }
 
--- a/ingress/gateway/gateway_test.go
+++ b/ingress/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -26,7 +27,7 @@
 	c := clock.Boottime{}
 	return New(Config{Store: table, Clock: c, Log: zerolog.Nop(), Owner: member.NewOwnerLink(c, zerolog.Nop()),
 		Manifest: func() *manifest.Manifest { return nil }, ManifestAge: func() time.Duration { return 0 }, StoreLastResponse: lastResponse,
-		Observe: func(string, int, time.Duration, error) {}, ObserveForward: func(error) {}})
+		MaxRowBytes: standin.MaxRowBytes, Observe: func(string, int, time.Duration, error) {}, ObserveForward: func(error) {}})
 }
 
 func noResponse() time.Duration { return 0 }
@@ -239,3 +240,20 @@
 	assert.Assert(t, writes > 1)
 	assert.Assert(t, errkind.Of(err).Attributes().Execution != errkind.ExecutionNotRun, "%v", err)
 }
+
+// Guards against a submission that can never be stored and is tried again and again, through the store or its owner, until its
+// requester gives up without having learnt why.
+func TestSubmissionThatCannotBeStoredIsRefusedAtOnce(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		table := newTable()
+		table.SetFaults(standin.Faults{Down: down})
+		g := newGateway(table, noResponse)
+		s := testSubmission()
+		s.Steps[0].Image = strings.Repeat("x", standin.MaxRowBytes)
+		err := g.Submit(t.Context(), &manifest.Route{Name: "q"}, s)
+		assert.Equal(t, errkind.Of(err), errkind.TooLarge)
+		assert.Equal(t, errkind.Of(err).Attributes().Execution, errkind.ExecutionNotRun)
+		assert.ErrorContains(t, err, "at most 65536")
+		assert.Equal(t, table.Counts().Commits+table.Counts().Refused, int64(0))
+	}
+}
