--- a/control/dispatch/records.go
+++ b/control/dispatch/records.go
@@ -8,9 +8,10 @@
 	"github.com/chicorystand/chicorystand/control/submission"
 )
 
-// partTasks is the number of tasks in one part of a record. A row of the store holds 64 KiB, which is 256
-// bytes for each of them: about 30 for its counters, the others for the executor and the checkpoint.
-const partTasks = 256
+// partTasks is the number of tasks in one part of a record. A row of the store holds 64 KiB, which is 128 bytes for each
+// of them: about 30 for its counters, the others for the executor and the checkpoint. With fewer tasks, more
+// submissions would have records that builds before the division can't read.
+const partTasks = 512
 
 // recordPart is a row of a job's record: up to partTasks tasks and, in the first one, the state of the job. A
 // record is divided, since a row is limited in size and a submission may have thousands of tasks. Each part is
