--- a/control/coordinator/links.go
+++ b/control/coordinator/links.go
@@ -25,6 +25,8 @@
 	// minRedialDelay and maxRedialDelay bound the backoff between two connection attempts.
 	minRedialDelay = 100 * time.Millisecond
 	maxRedialDelay = time.Second
+	// absentEntryAge is the time without an acknowledgement after which an entry counts as gone. Its row stays in the store.
+	absentEntryAge = 30 * time.Second
 )
 
 // memberConns are the owner's connections to all members.
@@ -46,6 +48,8 @@
 	members map[string]member.Member
 	// versions are those of the members' rows.
 	versions map[string]uint64
+	// registeredAt is when this owner learnt of each member.
+	registeredAt map[string]time.Duration
 	// lastAcked holds the send time of the last heartbeat that each member answered.
 	lastAcked map[string]time.Duration
 	wg        sync.WaitGroup
@@ -65,6 +69,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	previous, ended := l.ended[m.Name], make(chan struct{})
 	l.members[m.Name], l.cancels[m.Name], l.ended[m.Name] = m, cancel, ended
+	l.registeredAt[m.Name] = l.clock.Now()
 	l.wg.Add(1)
 	go func() {
 		defer l.wg.Done()
@@ -215,13 +220,15 @@
 	return earliest
 }
 
-// names returns the sorted names of the members with a role.
-func (l *memberConns) names(role member.Role) []string {
+// presentEntries returns the sorted names of the entries that have acknowledged this owner or registered within
+// absentEntryAge. An entry that is not in the owner's row and takes over assumes the longest leases, so that leaving it
+// out is safe.
+func (l *memberConns) presentEntries(now time.Duration) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var names []string
 	for name, m := range l.members {
-		if m.Role == role {
+		if m.Role == member.Entry && now-max(l.lastAcked[name], l.registeredAt[name]) < absentEntryAge {
 			names = append(names, name)
 		}
 	}
--- a/control/coordinator/links_test.go
+++ b/control/coordinator/links_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -25,7 +27,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := clock.Boottime{}
 			link := member.NewOwnerLink(c, zerolog.Nop())
-			l := &memberConns{leadMessage: func() *wire.Lead { return &wire.Lead{Epoch: 1} }, clock: c, log: zerolog.Nop(), lastAcked: make(map[string]time.Duration),
+			l := &memberConns{leadMessage: func() *wire.Lead { return &wire.Lead{Epoch: 1} }, clock: c, log: zerolog.Nop(), registeredAt: make(map[string]time.Duration), lastAcked: make(map[string]time.Duration),
 				onDisconnect: func(member.Member) {}, peers: make(map[string]*wire.Peer), cancels: make(map[string]context.CancelFunc), ended: make(map[string]chan struct{}), members: make(map[string]member.Member),
 				versions: make(map[string]uint64)}
 			l.dial = func(context.Context, string) (net.Conn, error) {
@@ -38,7 +40,7 @@
 				l.setMember(ctx, m, versions[m.Name])
 			}
 			eventually(t, "connection to the successor", func() bool { return l.send(successor.Name, &wire.Ack{}) == nil })
-			assert.DeepEqual(t, l.names(member.Agent), []string{successor.Name})
+			assert.DeepEqual(t, slices.Collect(maps.Keys(l.members)), []string{successor.Name})
 			assert.Assert(t, l.send(removed.Name, &wire.Ack{}) != nil, "the removed VM is connected")
 			cancel()
 			l.wg.Wait()
@@ -52,7 +54,7 @@
 	c := clock.Boottime{}
 	link := member.NewOwnerLink(c, zerolog.Nop())
 	events := make(chan string, 10)
-	l := &memberConns{leadMessage: func() *wire.Lead { return &wire.Lead{Epoch: 1} }, clock: c, log: zerolog.Nop(), lastAcked: make(map[string]time.Duration),
+	l := &memberConns{leadMessage: func() *wire.Lead { return &wire.Lead{Epoch: 1} }, clock: c, log: zerolog.Nop(), registeredAt: make(map[string]time.Duration), lastAcked: make(map[string]time.Duration),
 		handler: func(*wire.Peer, wire.Message, wire.Reply) { events <- "message" },
 		peers:   make(map[string]*wire.Peer), cancels: make(map[string]context.CancelFunc), ended: make(map[string]chan struct{}), members: make(map[string]member.Member),
 		versions: make(map[string]uint64)}
@@ -78,3 +80,17 @@
 	cancel()
 	l.wg.Wait()
 }
+
+// Guards against a list of entries in the owner's row that grows with each replaced VM, and against leases that end while the
+// store is down since an entry that has left can't acknowledge the owner.
+func TestEntryThatHasLeftIsNotListed(t *testing.T) {
+	now := time.Hour
+	l := &memberConns{members: make(map[string]member.Member), registeredAt: map[string]time.Duration{"left": now - 2*absentEntryAge, "present": now - 2*absentEntryAge, "new": now - time.Second},
+		lastAcked: map[string]time.Duration{"left": now - absentEntryAge, "present": now - time.Second}}
+	for name := range l.registeredAt {
+		l.members[name] = member.Member{Name: name, Role: member.Entry}
+	}
+	l.members["agent"] = member.Member{Name: "agent", Role: member.Agent}
+	l.registeredAt["agent"] = now
+	assert.DeepEqual(t, l.presentEntries(now), []string{"new", "present"})
+}
--- a/control/coordinator/loop.go
+++ b/control/coordinator/loop.go
@@ -146,7 +146,7 @@
 		return err
 	}
 	o.pendingBatch, o.lastCommit = batch, now
-	entries := o.conns.names(member.Entry)
+	entries := o.conns.presentEntries(now)
 	o.ackEntries = union(o.ackEntries, entries)
 	// A stopping owner waits for the outcome, since it needs the row's version to resign.
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/control/coordinator/owner.go
+++ b/control/coordinator/owner.go
@@ -122,7 +122,7 @@
 		dial = dialTCP
 	}
 	o.conns = &memberConns{leadMessage: o.leadMessage, clock: cfg.Clock, log: cfg.Log, dial: dial, handler: o.receive,
-		lastAcked:    make(map[string]time.Duration),
+		registeredAt: make(map[string]time.Duration), lastAcked: make(map[string]time.Duration),
 		onDisconnect: o.memberDisconnected,
 		peers:        make(map[string]*wire.Peer), cancels: make(map[string]context.CancelFunc), ended: make(map[string]chan struct{}), members: make(map[string]member.Member),
 		versions: make(map[string]uint64)}
