--- a/control/dispatch/gang_owner_test.go
+++ b/control/dispatch/gang_owner_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chicorystand/chicorystand/vm/executor"
+	"github.com/chicorystand/chicorystand/wire"
 )
 
 // A new owner that found some members of a gang without a run used to start these alone beside the others.
@@ -45,3 +46,37 @@
 	f.pass()
 	assert.Equal(t, len(f.starts()), 2, "the gang is not started although all members are idle")
 }
+
+// Guards against members that wait for one whose start was refused until they end alone.
+func TestMembersOfGangAreStoppedWhenOneIsRefused(t *testing.T) {
+	g := newGangFixture(t)
+	refused, other := g.member(0), g.member(1)
+	g.run(1, "")
+	at := other.node.info.ID
+	g.messages = nil
+	g.answerStart(refused.node.info.ID, refused.name(), 1, executor.Rejected, executor.ReasonCapacity)
+	g.pass()
+	assert.DeepEqual(t, g.stops(), []string{other.name() + "#1@" + at})
+	assert.Equal(t, len(g.starts()), 0, "a member is started beside one of the run before")
+
+	g.end(1, executor.Stopped, "")
+	g.place()
+	assert.Equal(t, g.member(0).rec.Run, g.member(1).rec.Run)
+	assert.Equal(t, g.member(0).rec.Run, uint32(2))
+}
+
+// Guards against members that are ordered although the start of another one has been taken back before its commit.
+func TestMembersOfGangAreNotOrderedWhenOneIsLost(t *testing.T) {
+	f := newFixture(t)
+	step := testStep(2)
+	step.Gang, step.Request.CPU = true, 3000
+	f.executor("e1", nil)
+	f.executor("e2", nil)
+	f.add(testSubmission(step))
+	f.owner.Tick(f.now)
+	b, err := f.owner.Prepare()
+	assert.NilError(t, err)
+	f.owner.ApplyReport(&wire.Report{Epoch: testEpoch, Agent: "agent-e1", Info: testInfo("e1", f.now), ExecutorEnded: true}, f.now)
+	f.commit(b)
+	assert.Equal(t, len(f.starts()), 0, "%v", f.starts())
+}
--- a/control/dispatch/jobs.go
+++ b/control/dispatch/jobs.go
@@ -211,15 +211,33 @@
 	o.placementChanged = true
 }
 
-// requeue unassigns the task and queues it for another start.
+// requeue unassigns the task and queues it for another start. A gang is queued once none of its members has a run.
 func (o *Owner) requeue(t *taskEntry, now time.Duration) {
 	o.unassign(t, now)
 	if t.job.state.Final() {
 		return
 	}
+	if t.step().Gang {
+		o.stopGang(t, now)
+	}
 	o.queueStep(t.stepKey(), t.job, now)
 }
 
+// stopGang stops the other members of a gang of which one has no run. Those that wait for that one would only end after
+// the platform's timeout; those at work end with it anyway.
+func (o *Owner) stopGang(t *taskEntry, now time.Duration) {
+	for _, member := range t.job.stepTasks(t.stepKey()) {
+		switch {
+		case member.rec.State != submission.TaskAssigned || member.stopping:
+		case member.phase == phaseCommitPending:
+			// No order was sent yet.
+			o.unassign(member, now)
+		default:
+			o.stop(member, now)
+		}
+	}
+}
+
 // gangIdle reports whether no member of a gang has a run.
 func (o *Owner) gangIdle(j *job, k stepKey) bool {
 	for _, t := range j.stepTasks(k) {
