--- a/control/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -67,8 +67,13 @@
 
 // interferenceDelay is how long a submission without any run waits for an executor on which its
 // best-effort tasks interfere with no other. After that, one task runs with a speed limit. This is
-// the last resort: the task slows its co-located tasks for long and makes little progress.
-const interferenceDelay = 15 * time.Second
+// the last resort: the task slows its co-located tasks for long and makes little progress. Where less than idleShare of
+// the pool's processors are reserved, work that waits has no other reason to, and idleInterferenceDelay holds.
+const (
+	interferenceDelay     = 15 * time.Second
+	idleInterferenceDelay = 2 * time.Second
+	idleShare             = 0.55
+)
 
 // noDeadline is later than any deadline.
 const noDeadline = time.Duration(math.MaxInt64)
@@ -168,7 +173,7 @@
 		w.onNode = make(map[string]int)
 	}
 	v := o.view(step)
-	return placement.Query{Step: step, Allowed: w.allowed, AllowInterference: now-w.since > interferenceDelay && w.job.idle(),
+	return placement.Query{Step: step, Allowed: w.allowed, AllowInterference: now-w.since > p.interferenceDelay() && w.job.idle(),
 		ExpectedLatency:   func(i int) float64 { return v.expectedLatency(p.nodes[i]) },
 		Compatible:        func(i int) float64 { return o.compatibleShare(p.nodes[i].key, p.nodes[i].images) },
 		CompatibilityLoss: func(i int) float64 { return v.compatibilityLoss(p.nodes[i]) },
@@ -176,6 +181,19 @@
 		OnNode:            func(id string) int { return w.onNode[id] }}
 }
 
+// interferenceDelay returns how long a submission without any run waits for an executor on which it does not interfere.
+func (p *pool) interferenceDelay() time.Duration {
+	var used, capacity int64
+	for _, n := range p.placementNodes {
+		used += n.Reserved.CPU
+		capacity += n.Capacity.CPU
+	}
+	if float64(used) < idleShare*float64(capacity) {
+		return idleInterferenceDelay
+	}
+	return interferenceDelay
+}
+
 // avoidFilter returns a filter for executors on which a run of the task has failed, nil when there
 // are none.
 func (t *taskEntry) avoidFilter() func(id string) bool {
