--- a/control/dispatch/contention.go
+++ b/control/dispatch/contention.go
@@ -123,13 +123,13 @@
 }
 
 // updateOverTarget records whether a latency-critical task on the node is over its target, and
-// whether best-effort tasks run beside it.
+// whether best-effort tasks ran beside it when that began.
 func (n *node) updateOverTarget(overTarget, bestEffort bool, now time.Duration) {
 	switch {
 	case !overTarget:
 		n.overTargetSince = 0
 	case n.overTargetSince == 0:
-		n.overTargetSince = now
+		n.overTargetSince, n.overByOwnLoad = now, !bestEffort
 	}
 	if overTarget && bestEffort {
 		n.interferedAt = now
--- a/control/dispatch/interference_test.go
+++ b/control/dispatch/interference_test.go
@@ -73,6 +73,22 @@
 	return len(e.starts())
 }
 
+// Guards against best-effort work that never starts, since the tasks on all executors are over their target by their own load.
+func TestBestEffortWorkStartsBesideTasksThatAreOverTheirTargetAlone(t *testing.T) {
+	e := newServedExecutor(t, 1, 200, 0)
+	assert.Equal(t, e.startsWithin(idleInterferenceDelay+time.Second), 1)
+}
+
+// Guards against more best-effort work where such work keeps a task over its target.
+func TestNoBestEffortWorkStartsWhereOtherSuchWorkInterferes(t *testing.T) {
+	e := newServedExecutor(t, 1, 20, 1000)
+	e.load = 200
+	for range 4 {
+		e.step()
+	}
+	assert.Equal(t, e.startsWithin(idleInterferenceDelay+time.Second), 0)
+}
+
 // Guards against work that waits on an idle pool since it may interfere: after 3 s with nothing running it counts as lost. On
 // a pool in use it has to wait, as it takes from others.
 func TestWorkThatMayInterfereWaitsForLessOnAnIdlePool(t *testing.T) {
--- a/control/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -178,6 +178,7 @@
 		Compatible:        func(i int) float64 { return o.compatibleShare(p.nodes[i].key, p.nodes[i].images) },
 		CompatibilityLoss: func(i int) float64 { return v.compatibilityLoss(p.nodes[i]) },
 		OverTargetFor:     func(i int) time.Duration { return p.nodes[i].overTargetFor(now) },
+		OverByOwnLoad:     func(i int) bool { return p.nodes[i].overByOwnLoad },
 		OnNode:            func(id string) int { return w.onNode[id] }}
 }
 
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -258,6 +258,8 @@
 	// overTargetSince is since when every snapshot showed a latency-critical task over its target,
 	// 0 while none is.
 	overTargetSince time.Duration
+	// overByOwnLoad is set if no best-effort task ran beside it at that time.
+	overByOwnLoad bool
 	// usageSamples are the shares in the snapshots of the last latencyWindow.
 	usageSamples []usageSample
 	colocatedImages
--- a/control/placement/placement.go
+++ b/control/placement/placement.go
@@ -48,6 +48,8 @@
 	// OverTargetFor returns for how long a latency-critical task on the node has continuously been
 	// over its target.
 	OverTargetFor func(position int) time.Duration
+	// OverByOwnLoad reports whether that began while no best-effort task ran beside it: more of those are not the cause.
+	OverByOwnLoad func(position int) bool
 	// AllowInterference places a best-effort task even where it would interfere; it is throttled
 	// there.
 	AllowInterference bool
@@ -63,6 +65,9 @@
 	rackPenalty = 10.0
 	// failurePenalty weighs the share of failed runs against load.
 	failurePenalty = 20.0
+	// overTargetPenalty makes a node where a latency-critical task is over its target by its own load the choice after
+	// those where none is.
+	overTargetPenalty = 30.0
 	// unconstrainedLatency is the expected latency, as a share of the target, up to which a node
 	// is chosen by which other images could use it.
 	unconstrainedLatency = 0.45
@@ -153,8 +158,12 @@
 // cost returns the cost of a node with enough capacity, infinite where the task would interfere
 // too much.
 func (q *Query) cost(i int, n *Node) float64 {
+	overTarget := 0.0
 	if q.Step.BestEffort && q.OverTargetFor != nil && q.OverTargetFor(i) >= MaxOverTarget {
-		return math.Inf(1)
+		if !q.AllowInterference || q.OverByOwnLoad == nil || !q.OverByOwnLoad(i) {
+			return math.Inf(1)
+		}
+		overTarget = overTargetPenalty
 	}
 	latency := 0.0
 	if q.ExpectedLatency != nil {
@@ -163,7 +172,7 @@
 	if latency > MaxExpectedLatency && q.Step.BestEffort && !q.AllowInterference {
 		return math.Inf(1)
 	}
-	return cost(*q, n) + q.colocationCost(i, latency)
+	return cost(*q, n) + q.colocationCost(i, latency) + overTarget
 }
 
 // colocationCost reserves nodes that much best-effort work can use for that work.
--- a/control/placement/placement_test.go
+++ b/control/placement/placement_test.go
@@ -100,6 +100,23 @@
 	assert.Equal(t, Choose(q, []*Node{testNode("a")}), 0)
 }
 
+// Where a task is over its target by its own load, a best-effort task that has waited too long is not the cause. Other nodes
+// go first.
+func TestBestEffortTaskBesideTaskOverTargetByItsOwnLoad(t *testing.T) {
+	s := testStep()
+	s.BestEffort = true
+	q := Query{Step: s, OverTargetFor: func(int) time.Duration { return MaxOverTarget }, OverByOwnLoad: func(int) bool { return true }}
+	nodes := []*Node{testNode("a"), testNode("b")}
+	assert.Equal(t, Choose(q, nodes), -1)
+	q.AllowInterference = true
+	assert.Equal(t, Choose(q, nodes), 0)
+	q.OverTargetFor = func(i int) time.Duration { return time.Duration(1-i) * MaxOverTarget }
+	assert.Equal(t, Choose(q, nodes), 1)
+	q.OverTargetFor = func(int) time.Duration { return MaxOverTarget }
+	q.OverByOwnLoad = func(int) bool { return false }
+	assert.Equal(t, Choose(q, nodes), -1)
+}
+
 // A ranking must reflect the placements made from it, or a node would be overcommitted.
 func TestRankingFollowsChanges(t *testing.T) {
 	nodes := []*Node{testNode("a"), testNode("b")}
