--- a/control/coordinator/head.go
+++ b/control/coordinator/head.go
@@ -92,7 +92,7 @@
 // was written.
 func refusedForGood(err error) bool {
 	switch errkind.Of(err) {
-	case errkind.InvalidArgument, errkind.TooLarge, errkind.PermissionDenied:
+	case errkind.InvalidArgument, errkind.TooLarge, errkind.PermissionDenied, errkind.NotFound:
 		return true
 	}
 	return false
--- a/control/coordinator/refusal_test.go
+++ b/control/coordinator/refusal_test.go
@@ -28,6 +28,14 @@
 	assert.Equal(t, row.Epoch, uint64(1))
 }
 
+// Guards against a reason of a refusal that ends the ownership, and against one that may pass and fails a submission.
+func TestRefusalsForGood(t *testing.T) {
+	for kind, forGood := range map[errkind.Kind]bool{errkind.InvalidArgument: true, errkind.TooLarge: true, errkind.PermissionDenied: true, errkind.NotFound: true,
+		errkind.StoreUnavailable: false, errkind.StoreAmbiguous: false, errkind.Conflict: false, errkind.NotOwner: false, errkind.Internal: false} {
+		assert.Equal(t, refusedForGood(errkind.New(kind, "refused")), forGood, kind.String())
+	}
+}
+
 // lostReplyTable applies the first commit without a reply and refuses the second one.
 type lostReplyTable struct {
 	store.Table
