--- a/control/dispatch/commit.go
+++ b/control/dispatch/commit.go
@@ -126,12 +126,14 @@
 }
 
 // addParts adds the dirty parts that fit into the batch, those that have waited longest first. A part that the store has
-// refused before is alone in its batch.
+// refused before is alone in its batch; the next one is for the others.
 func (o *Owner) addParts(b *Batch) error {
-	if p := o.dueRefused(); p != nil {
+	if p := o.dueRefused(); p != nil && !o.refusedTried {
+		o.refusedTried = true
 		_, err := o.addPart(b, p, 0)
 		return err
 	}
+	o.refusedTried = false
 	size := 0
 	for _, p := range o.changedParts() {
 		if p.refusals > 0 || p.blocked() {
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -118,8 +118,10 @@
 	acknowledgedAt time.Duration
 	outbox         map[submission.Incarnation]*outbox
 	uncommitted    effects
-	// retries are the parts of a batch that the store has refused.
-	retries []*Batch
+	// retries are the parts of a batch that the store has refused. refusedTried is set if the last other batch was an attempt
+	// to write a part that was refused before.
+	retries      []*Batch
+	refusedTried bool
 	// modelRefused is set once the store has refused the contention model, which this owner then writes no more.
 	modelRefused bool
 	contention   *contention.Model
--- a/control/dispatch/refusal.go
+++ b/control/dispatch/refusal.go
@@ -115,7 +115,7 @@
 // dueRefused returns a part that was refused before and is to be tried again, nil when there is none.
 func (o *Owner) dueRefused() *recordPart {
 	for p := range o.dirty {
-		if p.refusals > 0 && o.now >= p.retryAt {
+		if p.refusals > 0 && o.now >= p.retryAt && !p.blocked() {
 			return p
 		}
 	}
--- a/control/dispatch/refusal_test.go
+++ b/control/dispatch/refusal_test.go
@@ -227,3 +227,27 @@
 	f.pass()
 	assert.Equal(t, len(f.starts()), 3*partTasks)
 }
+
+// Guards against many refused records, of which one is due at any time, that leave no commit for other submissions.
+func TestManyRefusedRecordsLeaveCommitsForOthers(t *testing.T) {
+	f := newFixture(t)
+	f.largeExecutor("e1", nil)
+	const refused = 60
+	for i := range refused {
+		s := testSubmission(testStep(1))
+		s.ID = fmt.Sprintf("%016x", i+1)
+		f.add(s)
+	}
+	refuses := func(w store.Write) bool { return w.Key != ProgressKey(testID) && w.Key != ContentionModelKey }
+	for range 5 * refused {
+		f.owner.Tick(f.now)
+		f.commitUnless(refuses)
+	}
+	f.now += refusalRetryInterval
+	f.add(testSubmission(testStep(1)))
+	for range 6 {
+		f.owner.Tick(f.now)
+		f.commitUnless(refuses)
+	}
+	assert.Equal(t, len(f.starts()), 1)
+}
