--- a/verify/histories/histories_test.go
+++ b/verify/histories/histories_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -254,6 +255,15 @@
 		storeFaults.LoseResponses = 3 * f.amount
 	case storeDelaysCommits:
 		storeFaults.DelayCommits, storeFaults.CommitDelay = 3*f.amount, delay
+	case storeRefusesRows:
+		writes := 0
+		storeFaults.Refuse = func(key string) bool {
+			if !strings.HasPrefix(key, dispatch.ProgressTable+"/") {
+				return false
+			}
+			writes++
+			return writes%f.amount == 0
+		}
 	case storeCompacts:
 		c.table.Compact()
 		return
--- a/verify/histories/plan_test.go
+++ b/verify/histories/plan_test.go
@@ -38,6 +38,8 @@
 	drainExecutors       faultKind = "executor drains and is replaced"
 	evacuateZone         faultKind = "operator evacuates a zone"
 	evacuateAllZones     faultKind = "operator evacuates all zones"
+	// storeRefusesRows is not drawn, so that the plans of earlier seeds stay the same.
+	storeRefusesRows faultKind = "store refuses rows of records"
 )
 
 var faultKinds = []faultKind{killEntry, killAll, cutEntryStore, cutEntry, killAgent, cutAgent, crashExecutor, restartSameID, unresponsiveExecutor,
--- a/verify/standin/table.go
+++ b/verify/standin/table.go
@@ -28,7 +28,7 @@
 	// are applied after CommitDelay if their conditions hold then.
 	DelayCommits int
 	CommitDelay  time.Duration
-	// Refuse, if not nil, selects the rows that no commit may write.
+	// Refuse, if not nil, is called for the key of each write and reports whether its commit is refused.
 	Refuse func(key string) bool
 }
 
