--- a/base/events/dispatch.go
+++ b/base/events/dispatch.go
@@ -61,5 +61,6 @@
 	MessageTooLarge   = define(668, "message_too_large", zerolog.ErrorLevel, "A message between the owner and an agent exceeds the size limit and was not sent. The connection stays. Orders are sent again, and the next report replaces one that was not sent.")
 	CommitRefused     = define(669, "commit_refused", zerolog.WarnLevel, "The store refuses a commit for good. Its changes are committed in smaller groups until the one at fault is found. changes is their number.")
 	WriteRefused      = define(670, "write_refused", zerolog.ErrorLevel, "The store refuses the row key for good and has accepted a commit without it. The submission id, if the row is its record, has failed; a row of the contention model is not written again by this owner. All other work goes on.")
+	MemberDeleted     = define(671, "member_deleted", zerolog.InfoLevel, "The owner deletes the row of a process that it has not heard of for ten minutes. error tells why the row stays.")
 	LogLinesDropped   = define(660, "log_lines_dropped", zerolog.WarnLevel, "Log lines were dropped because the log could not be written fast enough.")
 )
--- a/control/coordinator/links.go
+++ b/control/coordinator/links.go
@@ -13,6 +13,7 @@
 	"github.com/chicorystand/chicorystand/base/errkind"
 	"github.com/chicorystand/chicorystand/base/events"
 	"github.com/chicorystand/chicorystand/state/member"
+	"github.com/chicorystand/chicorystand/state/store"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
@@ -25,8 +26,13 @@
 	// minRedialDelay and maxRedialDelay bound the backoff between two connection attempts.
 	minRedialDelay = 100 * time.Millisecond
 	maxRedialDelay = time.Second
-	// absentEntryAge is the time without an acknowledgement after which an entry counts as gone. Its row stays in the store.
+	// absentEntryAge is the time without an acknowledgement after which an entry counts as gone.
 	absentEntryAge = 30 * time.Second
+	// absentMemberAge is the time after which the row of a member is deleted that has neither acknowledged this owner nor
+	// written its row. A member that is only cut off from the owner writes its row every few seconds.
+	absentMemberAge = 10 * time.Minute
+	// memberCleanupInterval is the time between two searches for such rows.
+	memberCleanupInterval = time.Minute
 )
 
 // memberConns are the owner's connections to all members.
@@ -48,7 +54,7 @@
 	members map[string]member.Member
 	// versions are those of the members' rows.
 	versions map[string]uint64
-	// registeredAt is when this owner learnt of each member.
+	// registeredAt is when this owner last received each member's row.
 	registeredAt map[string]time.Duration
 	// lastAcked holds the send time of the last heartbeat that each member answered.
 	lastAcked map[string]time.Duration
@@ -59,7 +65,7 @@
 func (l *memberConns) setMember(ctx context.Context, m member.Member, version uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.versions[m.Name] = version
+	l.versions[m.Name], l.registeredAt[m.Name] = version, l.clock.Now()
 	if l.members[m.Name] == m || !l.claimAddressLocked(m) {
 		return
 	}
@@ -69,7 +75,6 @@
 	ctx, cancel := context.WithCancel(ctx)
 	previous, ended := l.ended[m.Name], make(chan struct{})
 	l.members[m.Name], l.cancels[m.Name], l.ended[m.Name] = m, cancel, ended
-	l.registeredAt[m.Name] = l.clock.Now()
 	l.wg.Add(1)
 	go func() {
 		defer l.wg.Done()
@@ -98,13 +103,7 @@
 	return true
 }
 
-// removeMember closes the connection to a member and stops reconnecting.
-func (l *memberConns) removeMember(name string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.removeMemberLocked(name)
-}
-
+// removeMemberLocked closes the connection to a member and stops reconnecting. The caller holds mu.
 func (l *memberConns) removeMemberLocked(name string) {
 	if stop := l.cancels[name]; stop != nil {
 		stop()
@@ -113,6 +112,16 @@
 	delete(l.cancels, name)
 }
 
+// forgetMember closes the connection to a member whose row was deleted.
+func (l *memberConns) forgetMember(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.removeMemberLocked(name)
+	delete(l.versions, name)
+	delete(l.registeredAt, name)
+	delete(l.lastAcked, name)
+}
+
 // maintain keeps a member connected, reconnecting with backoff until ctx ends.
 func (l *memberConns) maintain(ctx context.Context, m member.Member) {
 	delay := minRedialDelay
@@ -220,6 +229,24 @@
 	return earliest
 }
 
+// silentFor returns how long nothing was heard of a member, neither from it nor by its row. The caller holds mu.
+func (l *memberConns) silentFor(name string, now time.Duration) time.Duration {
+	return now - max(l.lastAcked[name], l.registeredAt[name])
+}
+
+// absentMembers returns the keys and versions of the rows of members that have left for good.
+func (l *memberConns) absentMembers(now time.Duration) []store.Cond {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var rows []store.Cond
+	for name, version := range l.versions {
+		if l.silentFor(name, now) >= absentMemberAge {
+			rows = append(rows, store.Cond{Key: member.Table + "/" + name, Version: version})
+		}
+	}
+	return rows
+}
+
 // presentEntries returns the sorted names of the entries that have acknowledged this owner or registered within
 // absentEntryAge. An entry that is not in the owner's row and takes over assumes the longest leases, so that leaving it
 // out is safe.
@@ -228,7 +255,7 @@
 	defer l.mu.Unlock()
 	var names []string
 	for name, m := range l.members {
-		if m.Role == member.Entry && now-max(l.lastAcked[name], l.registeredAt[name]) < absentEntryAge {
+		if m.Role == member.Entry && l.silentFor(name, now) < absentEntryAge {
 			names = append(names, name)
 		}
 	}
--- a/control/coordinator/links_test.go
+++ b/control/coordinator/links_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"github.com/chicorystand/chicorystand/base/clock"
 	"github.com/chicorystand/chicorystand/state/member"
+	"github.com/chicorystand/chicorystand/state/store"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
@@ -94,3 +96,41 @@
 	l.registeredAt["agent"] = now
 	assert.DeepEqual(t, l.presentEntries(now), []string{"new", "present"})
 }
+
+// Guards against rows of replaced VMs that stay for ever, to each of which the owner tries to connect, and against deleting that of
+// a process that is only cut off from the owner.
+func TestRowsOfMembersThatHaveLeftAreDeleted(t *testing.T) {
+	table := newTable()
+	for _, name := range []string{"left", "cut-off", "new", "present"} {
+		assert.NilError(t, member.Register(t.Context(), table, member.Member{Name: name, Role: member.Entry}))
+	}
+	rows, _, err := store.ReadAll(t.Context(), table, member.Table)
+	assert.NilError(t, err)
+	o := newOwner(Config{Store: table, Clock: clock.Boottime{}, Log: zerolog.Nop()}, ownerRow{}, 0)
+	now := time.Hour
+	for _, r := range rows {
+		name := strings.TrimPrefix(r.Key, member.Table+"/")
+		o.conns.versions[name], o.conns.registeredAt[name] = r.Version, now-absentMemberAge
+	}
+	o.conns.registeredAt["new"] = now - absentMemberAge + time.Second
+	o.conns.lastAcked["present"] = now - time.Second
+	// The row that the process writes now is not known to the owner yet.
+	assert.NilError(t, member.Register(t.Context(), table, member.Member{Name: "cut-off", Role: member.Entry}))
+	// An owner that was suspended has heard of nobody, and another one may own the work.
+	o.lastCommitSent.Store(int64(now - time.Minute))
+	o.deleteAbsentMembers(t.Context(), now)
+	o.wg.Wait()
+	left, _, err := store.ReadAll(t.Context(), table, member.Table)
+	assert.NilError(t, err)
+	assert.Equal(t, len(left), 4)
+
+	o.lastCommitSent.Store(int64(now))
+	o.deleteAbsentMembers(t.Context(), now)
+	o.wg.Wait()
+	left, _, err = store.ReadAll(t.Context(), table, member.Table)
+	assert.NilError(t, err)
+	assert.Equal(t, len(left), 3)
+	for _, r := range left {
+		assert.Assert(t, r.Key != member.Table+"/left")
+	}
+}
--- a/control/coordinator/load.go
+++ b/control/coordinator/load.go
@@ -170,7 +170,7 @@
 func (s memberSink) Row(c store.Change) {
 	name := strings.TrimPrefix(c.Key, member.Table+"/")
 	if c.Deleted {
-		s.o.conns.removeMember(name)
+		s.o.conns.forgetMember(name)
 		return
 	}
 	m, err := member.Decode(c.Value)
--- a/control/coordinator/loop.go
+++ b/control/coordinator/loop.go
@@ -119,6 +119,10 @@
 		o.lastQueueCounts = now
 		o.conns.broadcast(member.Entry, &wire.QueueCounts{Epoch: o.dispatcher.Epoch(), Counts: o.dispatcher.Pending()})
 	}
+	if now-o.lastMemberCleanup >= memberCleanupInterval {
+		o.lastMemberCleanup = now
+		o.deleteAbsentMembers(ctx, now)
+	}
 	if now-o.lastStatus >= statusInterval {
 		o.lastStatus = now
 		o.dispatcher.LogStatus(now)
--- a/control/coordinator/owner.go
+++ b/control/coordinator/owner.go
@@ -96,6 +96,7 @@
 	lastCommit         time.Duration
 	lastLeaseExtension time.Duration
 	lastQueueCounts    time.Duration
+	lastMemberCleanup  time.Duration
 	lastStatus         time.Duration
 	wg                 sync.WaitGroup
 }
@@ -113,6 +114,7 @@
 	bounds := cfg.Bounds
 	bounds.PreviousOwnerWindow = previousOwnerWindow
 	o.lastCommitSent.Store(int64(cfg.Clock.Now()))
+	o.lastMemberCleanup = cfg.Clock.Now()
 	o.dispatcher = dispatch.New(bounds, row.Epoch, cfg.Clock.Now(), unix, cfg.Log)
 	o.committer = committer{table: cfg.Store, row: row, onRetry: func(err error) {
 		events.CommitRetried.Log(cfg.Log).Err(err).Uint64("epoch", row.Epoch).Send()
@@ -159,6 +161,27 @@
 	}
 }
 
+// deleteAbsentMembers deletes the rows of members that have left for good, so that their number does not grow with each
+// VM that is replaced. A row that is written meanwhile stays; one that can't be deleted now is tried again later. An owner that
+// has not committed lately may have been suspended, and then has heard of nobody.
+func (o *owner) deleteAbsentMembers(ctx context.Context, now time.Duration) {
+	if now-time.Duration(o.lastCommitSent.Load()) > 2*maxCommitInterval {
+		return
+	}
+	rows := o.conns.absentMembers(now)
+	if len(rows) == 0 {
+		return
+	}
+	o.wg.Add(1)
+	go func() {
+		defer o.wg.Done()
+		for _, row := range rows {
+			_, err := o.cfg.Store.Commit(ctx, store.Txn{Conds: []store.Cond{row}, Writes: []store.Write{{Key: row.Key, Delete: true}}})
+			events.MemberDeleted.Log(o.cfg.Log).Str("member", row.Key).AnErr("error", err).Send()
+		}
+	}()
+}
+
 // receive handles a message from a member.
 func (o *owner) receive(_ *wire.Peer, msg wire.Message, reply wire.Reply) {
 	switch m := msg.(type) {
