--- a/control/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -173,7 +173,7 @@
 		w.onNode = make(map[string]int)
 	}
 	v := o.view(step)
-	return placement.Query{Step: step, Allowed: w.allowed, AllowInterference: now-w.since > p.interferenceDelay() && w.job.idle(),
+	return placement.Query{Step: step, Allowed: w.allowed, AllowInterference: w.allowsInterference(p, now),
 		ExpectedLatency:   func(i int) float64 { return v.expectedLatency(p.nodes[i]) },
 		Compatible:        func(i int) float64 { return o.compatibleShare(p.nodes[i].key, p.nodes[i].images) },
 		CompatibilityLoss: func(i int) float64 { return v.compatibilityLoss(p.nodes[i]) },
@@ -182,17 +182,23 @@
 		OnNode:            func(id string) int { return w.onNode[id] }}
 }
 
-// interferenceDelay returns how long a submission without any run waits for an executor on which it does not interfere.
-func (p *pool) interferenceDelay() time.Duration {
-	var used, capacity int64
+// allowsInterference reports whether a step has waited long enough for an executor where it interferes with no other.
+func (w *waitingStep) allowsInterference(p *pool, now time.Duration) bool {
+	waited := now - w.since
+	if waited <= idleInterferenceDelay || !w.job.idle() {
+		return false
+	}
+	return waited > interferenceDelay || p.reservedShare() < idleShare
+}
+
+// reservedShare returns the share of the pool's processors that is reserved.
+func (p *pool) reservedShare() float64 {
+	var reserved, capacity int64
 	for _, n := range p.placementNodes {
-		used += n.Reserved.CPU
+		reserved += n.Reserved.CPU
 		capacity += n.Capacity.CPU
 	}
-	if float64(used) < idleShare*float64(capacity) {
-		return idleInterferenceDelay
-	}
-	return interferenceDelay
+	return float64(reserved) / float64(max(1, capacity))
 }
 
 // avoidFilter returns a filter for executors on which a run of the task has failed, nil when there
