--- a/control/dispatch/interference_test.go
+++ b/control/dispatch/interference_test.go
@@ -15,7 +15,6 @@
 	*fixture
 	// load is the latency that the tasks report in milliseconds, besideLoad the processors of a best-effort task beside them.
 	load, besideLoad int
-	critical         []executor.Run
 }
 
 const waitingID = "00000000000000ab"
