--- a/ingress/gateway/gateway_test.go
+++ b/ingress/gateway/gateway_test.go
@@ -257,3 +257,18 @@
 		assert.Equal(t, table.Counts().Commits+table.Counts().Refused, int64(0))
 	}
 }
+
+// Guards against a submission that is shown as queued, while there is no owner, although its record was refused and it has failed.
+func TestStateOfSubmissionWithRefusedRecordComesFromStore(t *testing.T) {
+	table := newTable()
+	g := newGateway(table, noResponse)
+	assert.NilError(t, g.Submit(t.Context(), &manifest.Route{Name: "q"}, testSubmission()))
+	r := submission.Record{State: submission.Failed}
+	value, err := r.Encode()
+	assert.NilError(t, err)
+	_, err = table.Commit(t.Context(), store.Txn{Writes: []store.Write{{Key: dispatch.ProgressKey(testID), Value: value}}})
+	assert.NilError(t, err)
+	state, err := g.State(t.Context(), nil, testID)
+	assert.NilError(t, err)
+	assert.Equal(t, state, submission.Failed)
+}
