--- a/control/dispatch/records_test.go
+++ b/control/dispatch/records_test.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"fmt"
 	"maps"
 	"strings"
 	"testing"
@@ -152,11 +151,7 @@
 	for others := maxBatchWrites - 2; others <= maxBatchWrites; others++ {
 		f := newFixture(t)
 		f.largeExecutor("e1", nil)
-		for i := range others {
-			s := testSubmission(testStep(1))
-			s.ID = fmt.Sprintf("%016x", i+1)
-			f.add(s)
-		}
+		f.addMany(others)
 		f.owner.Tick(f.now)
 		step := testStep(2 * partTasks)
 		step.Gang = true
--- a/control/dispatch/refusal_test.go
+++ b/control/dispatch/refusal_test.go
@@ -62,6 +62,15 @@
 	}
 }
 
+// addMany adds submissions of one task.
+func (f *fixture) addMany(n int) {
+	for i := range n {
+		s := testSubmission(testStep(1))
+		s.ID = fmt.Sprintf("%016x", i+1)
+		f.add(s)
+	}
+}
+
 func (f *fixture) assertState(id string, want submission.State) {
 	f.t.Helper()
 	state, known := f.owner.State(id)
@@ -75,11 +84,7 @@
 		f := newFixture(t)
 		f.largeExecutor("e1", nil)
 		const others = 40
-		for i := range others {
-			s := testSubmission(testStep(1))
-			s.ID = fmt.Sprintf("%016x", i+1)
-			f.add(s)
-		}
+		f.addMany(others)
 		s := testSubmission(testStep(2))
 		f.add(s)
 		f.passes(refuseRecordOf(testID, finalStateToo))
@@ -233,11 +238,7 @@
 	f := newFixture(t)
 	f.largeExecutor("e1", nil)
 	const refused = 60
-	for i := range refused {
-		s := testSubmission(testStep(1))
-		s.ID = fmt.Sprintf("%016x", i+1)
-		f.add(s)
-	}
+	f.addMany(refused)
 	refuses := func(w store.Write) bool { return w.Key != ProgressKey(testID) && w.Key != ContentionModelKey }
 	for range 5 * refused {
 		f.owner.Tick(f.now)
--- a/verify/histories/evacuation_test.go
+++ b/verify/histories/evacuation_test.go
@@ -13,7 +13,7 @@
 // falls into an outage, is hidden by a dropped history, or arrives while the owner is cut off.
 func TestEvacuationBesideFaults(t *testing.T) {
 	const s, ms = time.Second, time.Millisecond
-	for name, faults := range map[string][]fault{
+	runEach(t, map[string][]fault{
 		"owner dies after the write": {
 			{at: 5 * s, duration: 8 * s, kind: evacuateZone}, {at: 5200 * ms, kind: killEntry, target: 0}, {at: 5200 * ms, kind: killEntry, target: 1},
 			{at: 5200 * ms, kind: killEntry, target: 2}},
@@ -39,7 +39,13 @@
 			{at: 6 * s, duration: s, kind: restartSameID, target: 2}},
 		"two zones, one after the other": {
 			{at: 4 * s, duration: 6 * s, kind: evacuateZone}, {at: 6 * s, duration: 8 * s, kind: evacuateZone, target: 1}, {at: 7 * s, kind: killEntry}},
-	} {
+	})
+}
+
+// runEach plays each list of faults beside three draws of work.
+func runEach(t *testing.T, cases map[string][]fault) {
+	t.Helper()
+	for name, faults := range cases {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(3) {
 				work := workload.Generate(rand.New(rand.NewPCG(seed, 2)),
