--- a/control/dispatch/records.go
+++ b/control/dispatch/records.go
@@ -111,16 +111,17 @@
 	return r, nil
 }
 
-// decodeFirstRow reads the first part of a record, one that is not divided, or one with the final state alone, which
-// replaces a record that the store has refused.
+// decodeFirstRow reads the first part of a record. Instead, the row may hold a record that is not divided, or the final state alone,
+// which replaces a record that the store has refused.
 func decodeFirstRow(row []byte, j *job) (*storedRecord, error) {
-	if r, err := submission.DecodeRecord(row, 0); err == nil && r.State.Final() {
-		j.refuseRecord()
-		r.Tasks = make([]submission.TaskRecord, len(j.tasks))
-		return &storedRecord{Record: r}, nil
-	}
 	r, err := submission.DecodeRecord(row, len(j.parts[0].tasks()))
 	undivided := false
+	if err != nil {
+		if final, finalErr := submission.DecodeRecord(row, 0); finalErr == nil && final.State.Final() {
+			j.refuseRecord()
+			r, err = final, nil
+		}
+	}
 	if err != nil && len(j.parts) > 1 {
 		r, err = submission.DecodeRecord(row, len(j.tasks))
 		undivided = true
