--- a/control/contention/contention_test.go
+++ b/control/contention/contention_test.go
@@ -243,9 +243,9 @@
 	const limit = 64 << 10
 	w := newSimulation(nil)
 	for i := range 60 {
-		e := w.model.estimator(fmt.Sprintf("serving-%04d", i))
+		e := w.model.estimator(fmt.Sprintf("critical-%04d", i))
 		for k := range 60 {
-			p := e.indexOf(fmt.Sprintf("filling-%04d", k))
+			p := e.indexOf(fmt.Sprintf("best-effort-%04d", k))
 			e.gram[p][p] = float64(i*100 + k)
 		}
 	}
--- a/control/dispatch/commit.go
+++ b/control/dispatch/commit.go
@@ -62,7 +62,7 @@
 	changes []change
 	starts  []start
 	acks    map[*node]int64
-	// refused is the change that the store has refused alone, in a commit without it.
+	// refused is set for the empty commit after a change was refused alone: if the store accepts it, the change is at fault.
 	refused *refusal
 }
 
@@ -70,7 +70,7 @@
 // submission.
 type change struct {
 	writes []store.Write
-	// part is nil for all but parts of records, dirtySince its value before the batch.
+	// part is set for a part of a record. dirtySince is its position among the dirty parts before the batch.
 	part       *recordPart
 	dirtySince uint64
 	// state is that of the part's job.
--- a/control/dispatch/records.go
+++ b/control/dispatch/records.go
@@ -9,8 +9,8 @@
 )
 
 // partTasks is the number of tasks in one part of a record. A row of the store holds 64 KiB, which is 128 bytes for each
-// of them: about 30 for its counters, the others for the executor and the checkpoint. With fewer tasks, more
-// submissions would have records that builds before the division can't read.
+// of them: about 30 for its counters, the others for the executor and the checkpoint. Earlier builds can't read a
+// divided record, so that common submissions should need only one part.
 const partTasks = 512
 
 // recordPart is a row of a job's record: up to partTasks tasks and, in the first one, the state of the job. A
--- a/control/placement/placement.go
+++ b/control/placement/placement.go
@@ -48,7 +48,7 @@
 	// OverTargetFor returns for how long a latency-critical task on the node has continuously been
 	// over its target.
 	OverTargetFor func(position int) time.Duration
-	// OverByOwnLoad reports whether that began while no best-effort task ran beside it: more of those are not the cause.
+	// OverByOwnLoad reports whether no best-effort task ran on the node when that task came over its target.
 	OverByOwnLoad func(position int) bool
 	// AllowInterference places a best-effort task even where it would interfere; it is throttled
 	// there.
