--- /dev/null
+++ b/base/settings/deployment.go
@@ -0,0 +1,21 @@
+package settings
+
+// Deployment holds the settings of the processes on the users' platform that the platform's own settings file lacks. They
+// are read from the environment.
+type Deployment struct {
+	PoolPlan struct {
+		Enabled bool `koanf:"enabled" default:"true" doc:"Keep latency-critical and best-effort tasks on separate VMs where the pool has room for both."`
+	} `koanf:"pool_plan"`
+	Overload struct {
+		Enabled bool `koanf:"enabled" default:"true" doc:"Reject submissions that cannot be completed while they are still useful."`
+	} `koanf:"overload"`
+	Copies struct {
+		Enabled bool `koanf:"enabled" default:"true" doc:"Start speculative copies of runs for steps that allow them."`
+	} `koanf:"copies"`
+	PlaceWait struct {
+		Enabled bool `koanf:"enabled" default:"true" doc:"Let tasks wait for their preferred rack as long as that is expected to pay."`
+	} `koanf:"place_wait"`
+	Succession struct {
+		Enabled bool `koanf:"enabled" default:"true" doc:"Prefer VMs with more processor, memory and bandwidth as the owner of the work."`
+	} `koanf:"succession"`
+}
--- a/base/settings/document.go
+++ b/base/settings/document.go
@@ -17,7 +17,7 @@
 	for _, d := range []struct {
 		name   string
 		target any
-	}{{"chicory-entry", &Entry{}}, {"chicory-agent", &Agent{}}} {
+	}{{"chicory-entry", &Entry{}}, {"chicory-agent", &Agent{}}, {"Processes on the users' platform (environment only)", &Deployment{}}} {
 		if _, err := fmt.Fprintf(w, "\n## %s\n\n| Field | Default | Allowed | Meaning | Environment |\n| --- | --- | --- | --- | --- |\n", d.name); err != nil {
 			return err
 		}
--- a/base/settings/load.go
+++ b/base/settings/load.go
@@ -22,7 +22,7 @@
 // maxFileBytes is the largest accepted settings file.
 const maxFileBytes = 1 << 20
 
-// Load fills target, a pointer to Entry or Agent, from the file, the environment
+// Load fills target, a pointer to Entry, Agent or Deployment, from the file, the environment
 // and the flags that were set. The error has kind errkind.InvalidArgument and
 // lists each problem on its own line, or kind errkind.NotFound if the file is missing.
 func Load(target any, file string, flags *pflag.FlagSet) error {
--- a/base/settings/settings_test.go
+++ b/base/settings/settings_test.go
@@ -74,3 +74,13 @@
 func TestMissingFile(t *testing.T) {
 	assert.Equal(t, errkind.Of(settings.Load(&settings.Entry{}, "/nonexistent.yaml", nil)), errkind.NotFound)
 }
+
+// Guards against a process on the platform that ignores a switch in its environment, or accepts an undefined value.
+func TestDeploymentFromEnvironment(t *testing.T) {
+	t.Setenv("CHICORY_COPIES_ENABLED", "false")
+	var s settings.Deployment
+	assert.NilError(t, settings.Load(&s, "", nil))
+	assert.Assert(t, !s.Copies.Enabled && s.PlaceWait.Enabled)
+	t.Setenv("CHICORY_PLACE__WAIT_ENABLED", "later")
+	assert.ErrorContains(t, settings.Load(&s, "", nil), `environment CHICORY_PLACE__WAIT_ENABLED: place_wait.enabled: "later" is not allowed`)
+}
--- a/command/deployed/process.go
+++ b/command/deployed/process.go
@@ -25,6 +25,7 @@
 
 	"github.com/chicorystand/chicorystand/base/clock"
 	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/base/settings"
 	"github.com/chicorystand/chicorystand/command/run"
 	"github.com/chicorystand/chicorystand/control/dispatch"
 	"github.com/chicorystand/chicorystand/platform"
@@ -57,6 +58,8 @@
 // process holds what the entry and the agent process have in common.
 type process struct {
 	settings platform.Settings
+	// options are the settings from the environment.
+	options  settings.Deployment
 	log      zerolog.Logger
 	store    *platform.StoreClient
 	clock    clock.Clock
@@ -73,11 +76,17 @@
 		return nil, err
 	}
 	log = log.With().Str("node", s.Node).Logger()
+	var options settings.Deployment
+	if err := settings.Load(&options, "", nil); err != nil {
+		events.SettingsInvalid.Log(log).Err(err).Send()
+		closeLog()
+		return nil, err
+	}
 	debug.SetGCPercent(gcPercent)
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * memoryLimitPercent / 100)
 	}
-	p := &process{settings: s, log: log, clock: clock.Boottime{}, store: platform.NewStoreClient(s.StoreAddress), closeLog: closeLog}
+	p := &process{settings: s, options: options, log: log, clock: clock.Boottime{}, store: platform.NewStoreClient(s.StoreAddress), closeLog: closeLog}
 	p.link = member.NewOwnerLink(p.clock, log)
 	return p, nil
 }
@@ -162,10 +171,11 @@
 
 // bounds returns the owner's time limits, derived from the platform's settings.
 func (p *process) bounds() dispatch.Bounds {
-	b := p.settings.Bounds
+	b, o := p.settings.Bounds, p.options
 	return dispatch.Bounds{LeaseDuration: min(leaseDuration, b.MaxLease), MaxStoreOutage: maxStoreOutage, AckValidity: ackValidity, StopTimeout: b.StopTimeout,
 		Evacuation: b.Evacuation, MaxInterference: b.MaxInterference, Retention: 2 * b.StatusRetention,
-		MaxRowBytes: p.settings.MaxRowBytes}
+		MaxRowBytes: p.settings.MaxRowBytes,
+		Features:    dispatch.Features{PoolPlan: o.PoolPlan.Enabled, Backlog: o.Overload.Enabled, Copies: o.Copies.Enabled, PlaceWait: o.PlaceWait.Enabled}}
 }
 
 // takeoverDelay returns how much longer than others this entry waits before it takes over the ownership.
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -51,6 +51,19 @@
 	Retention time.Duration
 	// MaxRowBytes is the size of the largest value that the store accepts, 0 for no limit.
 	MaxRowBytes int
+	Features    Features
+}
+
+// Features are the optional decisions. Each takes effect only on work and pools that call for it.
+type Features struct {
+	// PoolPlan separates latency-critical and best-effort tasks where the pool has room for both.
+	PoolPlan bool
+	// Backlog estimates how long the accepted work of each queue takes.
+	Backlog bool
+	// Copies starts speculative copies for steps that allow them.
+	Copies bool
+	// PlaceWait lets tasks wait for their preferred rack.
+	PlaceWait bool
 }
 
 const (
