dispatch: latency-critical images gather, best-effort runs leave tasks over their target

Work beside a task over its target was throttled where it stood, and placed up to 0.58 of the target although load rises during a run.

Ruled out: executors for each kind of work (no room); keeping an unknown pair to one executor at a time, and ordering new steps by image (no difference); a bound of 0.35 (as 0.42).

Change: poolplan computes moves and exchanges of latency-critical tasks that leave executors to fewer images; relocation chooses best-effort runs with checkpoints that leave an executor with a task over its target; a step with slack is placed up to 0.42 of the target. All three are on with pool_plan.enabled.

--- a/base/events/dispatch.go
+++ b/base/events/dispatch.go
@@ -62,5 +62,7 @@
 	CommitRefused     = define(669, "commit_refused", zerolog.WarnLevel, "The store refuses a commit for good. Its changes are committed in smaller groups until the one at fault is found. changes is their number.")
 	WriteRefused      = define(670, "write_refused", zerolog.ErrorLevel, "The store refuses the row key for good and has accepted a commit without it. The submission id, if the row is its record, has failed; a row of the contention model is not written again by this owner. All other work goes on.")
 	MemberDeleted     = define(671, "member_deleted", zerolog.InfoLevel, "The owner deletes the row of a process that it has not heard of for ten minutes. error tells why the row stays.")
+	PoolPlanned       = define(672, "pool_planned", zerolog.InfoLevel, "A latency-critical task is stopped to run on the executor to, so that tasks of one image gather and other executors are open to more best-effort images.")
+	RunRelocated      = define(673, "run_relocated", zerolog.InfoLevel, "A best-effort run is stopped to resume elsewhere, since a latency-critical task on its executor is over its target. over is for how long. added_utilization is what the run is expected to add, excess_utilization what is too much.")
 	LogLinesDropped   = define(660, "log_lines_dropped", zerolog.WarnLevel, "Log lines were dropped because the log could not be written fast enough.")
 )
--- a/base/metrics/deployment.go
+++ b/base/metrics/deployment.go
@@ -88,6 +88,8 @@
 		{"chicory_owner_given_up_tasks_total", "Tasks that were given up since they crash their executors.", func(c dispatch.Counters) uint64 { return c.GivenUp }},
 		{"chicory_owner_resent_starts_total", "Copies of starts that were sent after the first.", func(c dispatch.Counters) uint64 { return c.Resent }},
 		{"chicory_owner_refused_writes_total", "Changes that the store has refused for good, such as a record that is too large. The submission of a refused record has failed.", func(c dispatch.Counters) uint64 { return c.RefusedWrites }},
+		{"chicory_owner_planned_moves_total", "Latency-critical tasks that the pool plan has moved to another executor.", func(c dispatch.Counters) uint64 { return c.PlannedMoves }},
+		{"chicory_owner_relocated_runs_total", "Best-effort runs that have left an executor with a latency-critical task over its target.", func(c dispatch.Counters) uint64 { return c.Relocated }},
 		{"chicory_owner_refused_starts_total", "Starts that were rejected.", func(c dispatch.Counters) uint64 { return c.Rejected }},
 	} {
 		m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: c.name, Help: c.help},
--- a/base/settings/deployment.go
+++ b/base/settings/deployment.go
@@ -4,7 +4,7 @@
 // are read from the environment.
 type Deployment struct {
 	PoolPlan struct {
-		Enabled bool `koanf:"enabled" default:"true" doc:"Keep latency-critical and best-effort tasks on separate VMs where the pool has room for both."`
+		Enabled bool `koanf:"enabled" default:"true" doc:"Gather latency-critical tasks by image, and move best-effort runs with checkpoints off VMs where a task is over its target."`
 	} `koanf:"pool_plan"`
 	Overload struct {
 		Enabled bool `koanf:"enabled" default:"true" doc:"Reject submissions that cannot be completed while they are still useful."`
--- a/control/contention/pace.go
+++ b/control/contention/pace.go
@@ -60,6 +60,21 @@
 	return false
 }
 
+// ExcessUtilization returns how far the highest utilization among the tasks, as their latencies show it, is above that at
+// their targets. It is 0 while all are below.
+func (m *Model) ExcessUtilization(tasks []TaskLatency) float64 {
+	excess := 0.0
+	for i := range tasks {
+		s := &tasks[i]
+		if s.Latency <= s.Target || s.Target <= 0 {
+			continue
+		}
+		idle := m.idleLatency(s.Image, s.Target)
+		excess = max(excess, idle/(targetShare*float64(s.Target))-idle/float64(s.Latency))
+	}
+	return excess
+}
+
 // PauseAt returns the time from which all best-effort work beside the tasks has to be paused, whatever
 // the model predicts, and 0 while no latency is above its target because of that work.
 func (m *Model) PauseAt(tasks []TaskLatency) time.Duration {
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -4,10 +4,10 @@
 // over them. Orders leave the package only after the records that they depend on are committed.
 //
 // The tables are in tables.go and neighbours.go; jobs.go and reports.go change them by submissions and
-// by reports. records.go divides the record of a job into rows. Each pass of Tick has a file: place.go, preempt.go, move.go, zones.go, stall.go and speed.go,
+// by reports. records.go divides the record of a job into rows. Each pass of Tick has a file: place.go, poolplan.go, preempt.go, move.go, relocation.go, zones.go, stall.go and speed.go,
 // contention.go for speed limits. crash.go attributes crashes of executors to tasks. commit.go and orders.go
 // turn decisions into records and orders, and refusal.go handles commits that the store refuses. What can be decided without the tables is in packages of its own:
-// ordering, placement, contention, speed, blame, eviction and advice.
+// ordering, placement, poolplan, relocation, contention, speed, blame, eviction and advice.
 //
 // The package uses no network and no clock of its own. An Owner is not safe for concurrent use.
 package dispatch
@@ -47,6 +47,8 @@
 	MaxInterference time.Duration
 	// StopTimeout is the longest time that a task takes to stop.
 	StopTimeout time.Duration
+	// Restore is the time that a run takes to resume from a checkpoint.
+	Restore time.Duration
 	// Retention is how long the record of an ended submission is kept.
 	Retention time.Duration
 	// MaxRowBytes is the size of the largest value that the store accepts, 0 for no limit.
@@ -56,7 +58,7 @@
 
 // Features are the optional decisions. Each takes effect only on work and pools that call for it.
 type Features struct {
-	// PoolPlan separates latency-critical and best-effort tasks where the pool has room for both.
+	// PoolPlan gathers latency-critical tasks by image, and moves best-effort runs off executors with a task over its target.
 	PoolPlan bool
 	// Backlog estimates how long the accepted work of each queue takes.
 	Backlog bool
@@ -114,6 +116,7 @@
 	// placementChanged is set when a placement that failed before may now succeed.
 	placementChanged bool
 	placedAt         time.Duration
+	plannedAt        time.Duration
 	movedAt          time.Duration
 	// preemptedAt is when runs to preempt were last searched for.
 	preemptedAt time.Duration
@@ -161,6 +164,9 @@
 	GivenUp uint64
 	// Resent counts the copies of starts after the first.
 	Resent uint64
+	// PlannedMoves counts the latency-critical tasks that the pool plan has moved, Relocated the best-effort runs that have left
+	// executors with a task over its target.
+	PlannedMoves, Relocated uint64
 	// RefusedWrites counts the changes that the store has refused for good.
 	RefusedWrites uint64
 }
@@ -168,7 +174,8 @@
 func (c Counters) Add(d Counters) Counters {
 	return Counters{Starts: c.Starts + d.Starts, Ends: c.Ends + d.Ends, Failures: c.Failures + d.Failures,
 		Lost: c.Lost + d.Lost, Rejected: c.Rejected + d.Rejected, Withdrawn: c.Withdrawn + d.Withdrawn, ZoneWaits: c.ZoneWaits + d.ZoneWaits,
-		GivenUp: c.GivenUp + d.GivenUp, Resent: c.Resent + d.Resent, RefusedWrites: c.RefusedWrites + d.RefusedWrites}
+		GivenUp: c.GivenUp + d.GivenUp, Resent: c.Resent + d.Resent, RefusedWrites: c.RefusedWrites + d.RefusedWrites,
+		PlannedMoves: c.PlannedMoves + d.PlannedMoves, Relocated: c.Relocated + d.Relocated}
 }
 
 // New returns an owner without work. now is the owner's clock, which includes time in suspension;
@@ -207,6 +214,7 @@
 	known := o.knowsEvacuations(now)
 	o.holdPlacement(!known, now)
 	if known {
+		o.planPools(now)
 		o.moveRuns(now)
 		o.placeWaiting(now)
 		o.preempt(now)
--- a/control/dispatch/move.go
+++ b/control/dispatch/move.go
@@ -27,6 +27,7 @@
 		if n.gone || !n.connected {
 			continue
 		}
+		o.relocateRuns(n, now)
 		if n.throttled() {
 			o.moveFrom(n, math.Inf(1), now, func(t *taskEntry) bool { return t.cheapToMove(now) }, func(t *taskEntry) {
 				events.TaskMoved.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", n.info.ID).
@@ -82,7 +83,7 @@
 	q := o.query(w, all, now)
 	free := new(pool)
 	for i, n := range all.nodes {
-		if placement.Fits(q, all.placementNodes[i]) && q.ExpectedLatency(i) <= placement.MaxExpectedLatency {
+		if placement.Fits(q, all.placementNodes[i]) && q.ExpectedLatency(i) <= q.MaxLatency {
 			free.nodes = append(free.nodes, n)
 		}
 	}
--- a/control/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -125,6 +125,14 @@
 			ranking.Update(at)
 			continue
 		}
+		if at, held := o.placeAsPlanned(t, p, ranking.Fits, now); at >= 0 {
+			w.onNode[p.placementNodes[at].ID]++
+			ranking.Update(at)
+			continue
+		} else if held {
+			left = append(left, t)
+			continue
+		}
 		best := ranking.Best(t.avoidFilter())
 		if best < 0 {
 			left = append(left, tasks[i:]...)
@@ -173,7 +181,7 @@
 		w.onNode = make(map[string]int)
 	}
 	v := o.view(step)
-	return placement.Query{Step: step, Allowed: w.allowed, AllowInterference: w.allowsInterference(p, now),
+	return placement.Query{Step: step, Allowed: w.allowed, AllowInterference: w.allowsInterference(p, now), MaxLatency: o.latencyBound(w, now),
 		ExpectedLatency:   func(i int) float64 { return v.expectedLatency(p.nodes[i]) },
 		Compatible:        func(i int) float64 { return o.compatibleShare(p.nodes[i].key, p.nodes[i].images) },
 		CompatibilityLoss: func(i int) float64 { return v.compatibilityLoss(p.nodes[i]) },
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -74,6 +74,9 @@
 	fullRun bool
 	// moves counts the runs that were moved off a slow executor.
 	moves int
+	// relocations counts the runs that were moved off a node with a task over its target.
+	relocations int
+	planned     plannedMove
 	// preemptions counts the runs that were stopped in favor of a queue with higher priority.
 	preemptions int
 	// latencyInTargetAt is when a latency below the task's target was last reported, latencyOverSince when the
@@ -260,6 +263,10 @@
 	overTargetSince time.Duration
 	// overByOwnLoad is set if no best-effort task ran beside it at that time.
 	overByOwnLoad bool
+	// excessUtilization is how far the utilization of a latency-critical task on the node was above that at its target in the
+	// last snapshot. relocatedAt is when best-effort runs last left the node for it.
+	excessUtilization float64
+	relocatedAt       time.Duration
 	// usageSamples are the shares in the snapshots of the last latencyWindow.
 	usageSamples []usageSample
 	colocatedImages
--- a/control/placement/placement.go
+++ b/control/placement/placement.go
@@ -40,6 +40,8 @@
 	// ExpectedLatency returns the highest latency that a latency-critical task on the node would
 	// reach with the task placed there, as a share of its target.
 	ExpectedLatency func(position int) float64
+	// MaxLatency is the highest such latency at which a best-effort task is placed.
+	MaxLatency float64
 	// Compatible returns the share, 0 to 1, of best-effort work that is compatible with the
 	// latency-critical tasks on the node.
 	Compatible func(position int) float64
@@ -99,6 +101,10 @@
 // latency-critical task may reach because of a best-effort task placed beside it.
 const MaxExpectedLatency = 0.58
 
+// RelaxedExpectedLatency replaces it for tasks that can wait. The margin is for changes of load within a run, and for
+// interference that is higher than what was learnt.
+const RelaxedExpectedLatency = 0.42
+
 // MaxOverTarget is how long a latency-critical task may continuously be over its target before its
 // node accepts no more best-effort tasks: each new one would interfere until it is throttled.
 const MaxOverTarget = time.Second
@@ -169,7 +175,7 @@
 	if q.ExpectedLatency != nil {
 		latency = q.ExpectedLatency(i)
 	}
-	if latency > MaxExpectedLatency && q.Step.BestEffort && !q.AllowInterference {
+	if latency > q.MaxLatency && q.Step.BestEffort && !q.AllowInterference {
 		return math.Inf(1)
 	}
 	return cost(*q, n) + q.colocationCost(i, latency) + overTarget
