--- a/control/contention/contention_test.go
+++ b/control/contention/contention_test.go
@@ -270,3 +270,14 @@
 	assert.Assert(t, len(b) <= limit)
 	assert.DeepEqual(t, list[len(list)-1], whole[59])
 }
+
+// Guards against moving best-effort runs off an executor where all tasks are within their targets, or too few where one is not.
+func TestExcessUtilization(t *testing.T) {
+	m := New()
+	task := TaskLatency{Task: "t", Group: "g", Image: "s", Target: 50 * time.Millisecond, Latency: 50 * time.Millisecond}
+	assert.Equal(t, m.ExcessUtilization([]TaskLatency{task}), 0.0)
+	task.Latency = 100 * time.Millisecond
+	slight := m.ExcessUtilization([]TaskLatency{task})
+	task.Latency = time.Second
+	assert.Assert(t, slight > 0 && m.ExcessUtilization([]TaskLatency{task}) > slight)
+}
--- a/control/dispatch/poolplan_test.go
+++ b/control/dispatch/poolplan_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/chicorystand/chicorystand/control/placement"
 	"github.com/chicorystand/chicorystand/control/submission"
 	"github.com/chicorystand/chicorystand/control/task"
 	"github.com/chicorystand/chicorystand/vm/executor"
@@ -149,3 +150,20 @@
 	assert.Assert(t, slices.Contains(c.starts(), name(1, 0)+"#2@e3"), "%v", c.starts())
 	assert.Equal(t, len(relocationFixture(t, false).stops()), 0)
 }
+
+// Guards against a step that waits for an executor with more margin although it would be late, and against one with slack that is
+// placed close to a target.
+func TestMarginDependsOnSlack(t *testing.T) {
+	f := newFixture(t)
+	f.owner.bounds.Features.PoolPlan = true
+	step := testStep(1)
+	step.BestEffort, step.Image, step.Estimate = true, "f", 10*time.Second
+	s := testSubmission(step)
+	s.Stretch = 2
+	f.add(s)
+	w := f.owner.waiting[stepKey{testID, 0, 0}]
+	assert.Equal(t, f.owner.latencyBound(w, f.now), placement.RelaxedExpectedLatency)
+	assert.Equal(t, f.owner.latencyBound(w, f.now+8*time.Second), placement.MaxExpectedLatency)
+	f.owner.bounds.Features.PoolPlan = false
+	assert.Equal(t, f.owner.latencyBound(w, f.now), placement.MaxExpectedLatency)
+}
