poolplan, relocation: findings of a review

Cause: a review of the part by one who had not written it. A long-running best-effort step got the larger margin for ever, since it has no deadline. One plan could move a task twice, and counted on room of runs that last for minutes. Sets of images were found by a scan. A relocation could choose runs that no executor has room for, and executors that placement excludes. A stale target was used after its time.

Change: as above; executors on which runs fail get no planned task, tasks that need advice or have failed stay; the time for a target follows from the stop timeout. The property test asserts the promised gain of 750 for each move and no task twice; TestMovedTaskStartsElsewhereWhenItsExecutorEnds names the task whose executor has ended.

--- a/control/dispatch/contention.go
+++ b/control/dispatch/contention.go
@@ -77,7 +77,9 @@
 	o.contention.Observe(n.info.ID, latencies, imageUsages(n.peakUsage(usage, now)), now)
 	n.updateBaseLatencies(latencies)
 	n.updateOverTarget(contention.AnyOverTarget(latencies), len(used) > 0, now)
-	n.excessUtilization = o.contention.ExcessUtilization(latencies)
+	if o.bounds.Features.PoolPlan {
+		n.excessUtilization = o.contention.ExcessUtilization(latencies)
+	}
 	for i, t := range reporting {
 		o.logLatency(t, &latencies[i], now)
 	}
--- a/control/dispatch/move.go
+++ b/control/dispatch/move.go
@@ -82,8 +82,9 @@
 	w := &waitingStep{key: t.stepKey(), job: t.job, since: now}
 	q := o.query(w, all, now)
 	free := new(pool)
+	ranking := placement.Rank(q, all.placementNodes)
 	for i, n := range all.nodes {
-		if placement.Fits(q, all.placementNodes[i]) && q.ExpectedLatency(i) <= q.MaxLatency {
+		if ranking.Fits(i) && q.ExpectedLatency(i) <= q.MaxLatency {
 			free.nodes = append(free.nodes, n)
 		}
 	}
--- a/control/dispatch/poolplan.go
+++ b/control/dispatch/poolplan.go
@@ -14,15 +14,23 @@
 const (
 	// planInterval is the time between two plans of the pools.
 	planInterval = time.Second
-	// maxPlannedMoves is the largest number of latency-critical tasks that a plan moves.
+	// maxPlannedMoves is the largest number of latency-critical tasks that a plan moves, and that are not at work for it at the
+	// same time.
 	maxPlannedMoves = 6
-	// plannedMoveInterval is the least time between two planned moves of a task.
+	// plannedMoveInterval is the least time between two planned moves of a task. It is many times what a move costs.
 	plannedMoveInterval = 15 * time.Second
-	// plannedTargetTimeout is how long a moved task waits for room on its executor: until the task that leaves it has
-	// ended. Then it goes anywhere.
-	plannedTargetTimeout = 1500 * time.Millisecond
+	// plannedStartMargin is the time from the end of a stopped task until its room is known to be free: a report and a commit.
+	plannedStartMargin = time.Second
+	// maxFailureRate is the share of failed runs up to which the plan moves tasks to an executor.
+	maxFailureRate = 0.1
 )
 
+// plannedTargetTimeout is how long a moved task waits for room on its executor: until the task that leaves it has ended. Then it
+// goes anywhere.
+func (o *Owner) plannedTargetTimeout() time.Duration {
+	return o.bounds.StopTimeout + plannedStartMargin
+}
+
 // plannedMove is the move of a task by the pool plan. It is advice to placement and lost with the owner.
 type plannedMove struct {
 	// to is the ID of the executor, empty for none.
@@ -67,9 +75,9 @@
 		if n.latencyCriticalChanges() {
 			return
 		}
-		executors[i] = planExecutor(n, now)
+		executors[i] = o.planExecutor(n, now)
 	}
-	for _, m := range poolplan.Improve(executors, o.contention.Compatibility, maxPlannedMoves) {
+	for _, m := range poolplan.Improve(executors, o.compatibleShareOf, maxPlannedMoves) {
 		t := o.find(m.Task)
 		t.planned = plannedMove{to: m.To, at: now}
 		o.counters.PlannedMoves++
@@ -90,16 +98,17 @@
 }
 
 // planExecutor describes a node for the plan.
-func planExecutor(n *node, now time.Duration) poolplan.Executor {
-	e := poolplan.Executor{ID: n.info.ID, Kind: n.info.Kind, Rack: n.info.Rack, Capacity: n.placementNode.Capacity, Reserved: n.placementNode.Reserved}
+func (o *Owner) planExecutor(n *node, now time.Duration) poolplan.Executor {
+	e := poolplan.Executor{ID: n.info.ID, Kind: n.info.Kind, Rack: n.info.Rack, Capacity: n.placementNode.Capacity, Reserved: n.placementNode.Reserved,
+		Closed: n.placementNode.FailureRate > maxFailureRate}
 	for t := range n.tasks {
 		s := t.step()
 		switch {
 		case s.LatencyCritical():
 			e.Tasks = append(e.Tasks, poolplan.Task{Name: t.name(), Image: s.Image, Request: s.Request, Step: stepName(t.stepKey()),
-				MaxPerExecutor: s.MaxPerExecutor, Label: s.Label, Pinned: t.pinned(s, now)})
-		case !s.LongRunning:
-			// The task ends, and its room is free by the time that a moved task needs it.
+				MaxPerExecutor: s.MaxPerExecutor, Label: s.Label, Pinned: o.pinned(t, s, now)})
+		case !s.LongRunning && o.remainingTime(t) < o.plannedTargetTimeout():
+			// Its room is free by the time that a moved task needs it.
 			e.Reserved = e.Reserved.Sub(t.reserved())
 		}
 	}
@@ -109,9 +118,16 @@
 
 // pinned reports whether the plan leaves a latency-critical task where it is: a stop would count against a disruption
 // budget or end a gang, or the task was just moved.
-func (t *taskEntry) pinned(s *submission.Step, now time.Duration) bool {
+func (o *Owner) pinned(t *taskEntry, s *submission.Step, now time.Duration) bool {
 	recent := t.planned.at != 0 && now-t.planned.at < plannedMoveInterval
-	return recent || s.MaxUnavailable > 0 || s.Gang || !s.LongRunning || s.DataRack != "" || s.SameRack || t.suspected() || t.job.state.Final()
+	constrained := s.MaxUnavailable > 0 || s.Gang || !s.LongRunning || s.DataRack != "" || s.SameRack || o.needsAdvice(t.job.sub)
+	return recent || constrained || t.suspected() || len(t.failedOn) > 0 || t.job.state.Final()
+}
+
+// compatibleShareOf returns the share of best-effort work that is compatible with a set of latency-critical images.
+func (o *Owner) compatibleShareOf(images []string) float64 {
+	slices.Sort(images)
+	return o.compatibleShare(strings.Join(images, "\x00"), func() []string { return images })
 }
 
 // placeAsPlanned assigns a task to the executor that the plan names and returns its position in the pool, -1 for none.
@@ -122,13 +138,13 @@
 	}
 	at = slices.IndexFunc(p.nodes, func(n *node) bool { return n.info.ID == t.planned.to })
 	switch {
-	case at >= 0 && fits(at):
+	case at < 0 || now-t.planned.at >= o.plannedTargetTimeout():
+		t.planned.to = ""
+		return -1, false
+	case fits(at):
 		t.planned.to = ""
 		o.assign(t, p.nodes[at], now)
 		return at, false
-	case at < 0 || now-t.planned.at >= plannedTargetTimeout:
-		t.planned.to = ""
-		return -1, false
 	}
 	return -1, true
 }
--- a/control/dispatch/poolplan_test.go
+++ b/control/dispatch/poolplan_test.go
@@ -106,7 +106,7 @@
 	p.owner.markGone(submission.Incarnation{ID: "e2", StartedAt: 1}, p.now)
 	p.report("e1")
 	p.pass()
-	assert.Assert(t, slices.Contains(p.starts(), name(1, 0)+"#2@e1") || slices.Contains(p.starts(), name(0, 3)+"#2@e1"), "%v", p.starts())
+	assert.Assert(t, slices.Contains(p.starts(), name(1, 0)+"#2@e1"), "%v", p.starts())
 }
 
 // relocationFixture runs a best-effort task beside a latency-critical one on e1, while e3 is idle.
@@ -164,6 +164,9 @@
 	w := f.owner.waiting[stepKey{testID, 0, 0}]
 	assert.Equal(t, f.owner.latencyBound(w, f.now), placement.RelaxedExpectedLatency)
 	assert.Equal(t, f.owner.latencyBound(w, f.now+8*time.Second), placement.MaxExpectedLatency)
+	s.Steps[0].LongRunning = true
+	assert.Equal(t, f.owner.latencyBound(w, f.now), placement.MaxExpectedLatency, "a step without a deadline would wait for ever")
+	s.Steps[0].LongRunning = false
 	f.owner.bounds.Features.PoolPlan = false
 	assert.Equal(t, f.owner.latencyBound(w, f.now), placement.MaxExpectedLatency)
 }
--- a/control/dispatch/relocation.go
+++ b/control/dispatch/relocation.go
@@ -16,7 +16,7 @@
 	relocationDelay = 350 * time.Millisecond
 	// relocationInterval is the time until the effect of a move on an executor is reported.
 	relocationInterval = 700 * time.Millisecond
-	// slackFactor is the multiple of its remaining path that a step has until its soft deadline while it can wait for an
+	// slackFactor allows for estimates that are too short, and for the start of the tasks that are left. It is the multiple of its remaining path that a step has until its soft deadline while it can wait for an
 	// executor with more margin.
 	slackFactor = 1.25
 )
@@ -24,7 +24,9 @@
 // latencyBound returns the highest latency, as a share of the target, to which a best-effort task of the step may raise a
 // latency-critical one. A step with slack leaves room for changes of load, since it can wait.
 func (o *Owner) latencyBound(w *waitingStep, now time.Duration) float64 {
-	if !o.bounds.Features.PoolPlan || !w.job.sub.Steps[w.key.step].BestEffort {
+	step := &w.job.sub.Steps[w.key.step]
+	if !o.bounds.Features.PoolPlan || !step.BestEffort || step.LongRunning {
+		// A long-running step has no deadline, and would wait for ever.
 		return placement.MaxExpectedLatency
 	}
 	key := w.orderingKey()
@@ -37,14 +39,14 @@
 // relocateRuns moves best-effort runs with checkpoints off a node on which they keep a latency-critical task over its
 // target.
 func (o *Owner) relocateRuns(n *node, now time.Duration) {
-	if !o.bounds.Features.PoolPlan || n.overByOwnLoad || n.overTargetFor(now) < relocationDelay || now-n.relocatedAt < relocationInterval {
+	if !o.bounds.Features.PoolPlan || o.bounds.Restore == 0 || n.overByOwnLoad || n.overTargetFor(now) < relocationDelay || now-n.relocatedAt < relocationInterval {
 		return
 	}
 	cost := moveCost + o.bounds.Restore
 	var runs []relocation.Run
 	var tasks []*taskEntry
 	for t := range n.tasks {
-		if !t.relocatable() {
+		if !t.relocatable() || !o.hasBetterNode(t, math.Inf(1), now) {
 			continue
 		}
 		runs = append(runs, relocation.Run{Utilization: o.addedUtilization(t), Remaining: o.remainingTime(t), Age: now - t.changedAt, Moves: t.relocations})
@@ -52,9 +54,6 @@
 	}
 	for _, i := range relocation.Choose(runs, n.excessUtilization, cost) {
 		t := tasks[i]
-		if !o.hasBetterNode(t, math.Inf(1), now) {
-			continue
-		}
 		n.relocatedAt = now
 		t.relocations++
 		o.counters.Relocated++
--- a/control/poolplan/poolplan.go
+++ b/control/poolplan/poolplan.go
@@ -12,11 +12,14 @@
 )
 
 const (
-	// latencyCriticalUse is the share of its processors that a latency-critical task is assumed to use.
+	// latencyCriticalUse is the share of its processors that a latency-critical task is assumed to use. Placement assumes the
+	// same; the use of a single task is not reported.
 	latencyCriticalUse = 0.5
-	// minGainPerMove is the least gain in usable processors, in thousandths, for which a task is moved.
+	// minGainPerMove is the least gain in usable processors, in thousandths, for which a task is moved. A move keeps the task
+	// from work for a second or two, so that smaller gains take long to repay it.
 	minGainPerMove = 750.0
-	// maxSources is the number of images on executors that are tried as sources of moves.
+	// maxSources is the number of images on executors that are tried as sources of moves. It bounds the time of a plan in large
+	// pools; what is left is found by the next plans.
 	maxSources = 24
 )
 
@@ -39,7 +42,9 @@
 	Capacity       task.Resources
 	// Reserved includes the requests of Tasks.
 	Reserved task.Resources
-	Tasks    []Task
+	// Closed executors take no task.
+	Closed bool
+	Tasks  []Task
 }
 
 // Compatibility returns the share, 0 to 1, of best-effort work that interferes with none of a set of latency-critical images.
@@ -80,6 +85,8 @@
 type item struct {
 	*Task
 	image int
+	// moved items have a move already, and get no second one.
+	moved bool
 }
 
 // node is an executor during the search.
@@ -109,7 +116,7 @@
 			n.reserved = n.reserved.Sub(e.Tasks[k].Request)
 		}
 		for k := range e.Tasks {
-			n = p.with(n, item{&e.Tasks[k], p.image(e.Tasks[k].Image)})
+			n = p.with(n, item{Task: &e.Tasks[k], image: p.image(e.Tasks[k].Image)})
 		}
 		p.nodes[i] = n
 	}
@@ -195,7 +202,7 @@
 		if x.image != s.image {
 			continue
 		}
-		if x.Pinned || !p.place(d, x) || len(d.moves) > budget {
+		if x.Pinned || x.moved || !p.place(d, x) || len(d.moves) > budget {
 			return
 		}
 	}
@@ -217,13 +224,10 @@
 	from := p.without(*d.node(p, d.source.node), x)
 	best, bestCost, swapped := -1, 0.0, item{}
 	for i := range p.nodes {
-		if i == d.source.node {
+		if i == d.source.node || p.nodes[i].Closed {
 			continue
 		}
 		to := d.node(p, i)
-		if !to.allows(&x, nil) {
-			continue
-		}
 		cost, other, ok := p.arrivalCost(to, &from, &x, d.image)
 		if ok && (best < 0 || cost < bestCost) {
 			best, bestCost, swapped = i, cost, other
@@ -233,6 +237,7 @@
 		return false
 	}
 	to := *d.node(p, best)
+	x.moved, swapped.moved = true, true
 	d.moves = append(d.moves, Move{x.Name, to.ID})
 	if swapped.Task != nil {
 		to = p.without(to, swapped)
@@ -247,12 +252,12 @@
 // is no room for both.
 func (p *planner) arrivalCost(to, from *node, x *item, departing int) (cost float64, swapped item, ok bool) {
 	before := p.value(to)
-	if to.reserved.Add(x.Request).Fits(to.Capacity) {
+	if to.allows(x, nil) && to.reserved.Add(x.Request).Fits(to.Capacity) {
 		free := to.Capacity.CPU - to.reserved.CPU - x.Request.CPU
 		return before - usable(free, to.latencyCriticalCPU+x.Request.CPU, p.sets.share(p.sets.add(to.set, x.image))), item{}, true
 	}
 	for _, other := range to.items {
-		if other.Pinned || other.image == x.image || other.image == departing || !p.sets.contains(from.set, other.image) {
+		if other.Pinned || other.moved || other.image == x.image || other.image == departing || !p.sets.contains(from.set, other.image) {
 			continue
 		}
 		reserved := to.reserved.Sub(other.Request).Add(x.Request)
--- a/control/poolplan/poolplan_test.go
+++ b/control/poolplan/poolplan_test.go
@@ -40,6 +40,8 @@
 	t.Helper()
 	to := make(map[string]string, len(moves))
 	for _, m := range moves {
+		_, twice := to[m.Task]
+		assert.Assert(t, !twice, "%s is moved twice", m.Task)
 		to[m.Task] = m.To
 	}
 	byID := make(map[string]*poolplan.Executor)
@@ -139,7 +141,7 @@
 				break
 			}
 			left -= cpu
-			x := latencyCritical(fmt.Sprintf("t%d-%d", i, len(tasks)), fmt.Sprintf("image%d", rng.IntN(10)), cpu)
+			x := latencyCritical(fmt.Sprintf("t%d-%d", i, len(tasks)), fmt.Sprintf("image%d", rng.IntN(max(10, count/5))), cpu)
 			x.Pinned = rng.IntN(10) == 0
 			if rng.IntN(3) == 0 {
 				x.Step, x.MaxPerExecutor = x.Image, 2
@@ -172,7 +174,7 @@
 		moves := poolplan.Improve(executors, halved, budget)
 		assert.Assert(t, len(moves) <= budget)
 		before, after := poolplan.Usable(executors, halved), poolplan.Usable(apply(t, executors, moves), halved)
-		assert.Assert(t, len(moves) == 0 && before == after || after-before >= 500*float64(len(moves)), "seed %d: %d moves, %f to %f", seed, len(moves), before, after)
+		assert.Assert(t, len(moves) == 0 && before == after || after-before >= 750*float64(len(moves)), "seed %d: %d moves, %f to %f", seed, len(moves), before, after)
 	}
 }
 
--- a/control/poolplan/sets.go
+++ b/control/poolplan/sets.go
@@ -1,6 +1,9 @@
 package poolplan
 
-import "slices"
+import (
+	"encoding/binary"
+	"slices"
+)
 
 // imageSets numbers sets of images, so that the compatibility of each is computed once. Set 0 is empty.
 type imageSets struct {
@@ -11,6 +14,8 @@
 	images [][]int
 	// shares are the compatibilities of the sets, unknownShare before they are computed.
 	shares []float64
+	// numbers are the sets by their images.
+	numbers map[string]int
 	// added and removed are the results of adding an image to a set and of removing it.
 	added, removed map[setImage]int
 }
@@ -22,7 +27,7 @@
 
 func newImageSets(compatible Compatibility) imageSets {
 	return imageSets{compatible: compatible, images: [][]int{nil}, shares: []float64{unknownShare},
-		added: make(map[setImage]int), removed: make(map[setImage]int)}
+		numbers: map[string]int{"": 0}, added: make(map[setImage]int), removed: make(map[setImage]int)}
 }
 
 // share returns the compatibility of a set.
@@ -70,12 +75,16 @@
 
 // find returns the index of a set, which is numbered on first use.
 func (s *imageSets) find(images []int) int {
-	for i := range s.images {
-		if slices.Equal(s.images[i], images) {
-			return i
-		}
+	var key []byte
+	for _, image := range images {
+		key = binary.AppendUvarint(key, uint64(image))
+	}
+	number, ok := s.numbers[string(key)]
+	if !ok {
+		number = len(s.images)
+		s.numbers[string(key)] = number
+		s.images = append(s.images, images)
+		s.shares = append(s.shares, unknownShare)
 	}
-	s.images = append(s.images, images)
-	s.shares = append(s.shares, unknownShare)
-	return len(s.images) - 1
+	return number
 }
