--- a/control/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -59,10 +59,9 @@
 	if due := s.ScheduledStart(w.key.occurrence); due > 0 {
 		arrived += time.Duration(due-s.Accepted) * time.Millisecond
 	}
-	allowed := time.Duration(float64(criticalPath(s, 0)) * max(1, s.Stretch))
-	objective := allowed + s.TargetLatency
-	return ordering.PendingStep{Priority: s.Priority, SoftDeadline: arrived + objective, HardDeadline: arrived + hardDeadlineFactor*objective,
-		Work: w.job.remainingWork(w.key.occurrence), RemainingPath: criticalPath(s, w.key.step), Arrived: arrived, ID: s.ID}
+	objective := s.Objective()
+	return ordering.PendingStep{Priority: s.Priority, SoftDeadline: arrived + objective, HardDeadline: arrived + ordering.HardDeadlineFactor*objective,
+		Work: w.job.remainingWork(w.key.occurrence), RemainingPath: s.CriticalPath(w.key.step), Arrived: arrived, ID: s.ID}
 }
 
 // interferenceDelay is how long a submission without any run waits for an executor on which its
@@ -78,28 +77,6 @@
 // noDeadline is later than any deadline.
 const noDeadline = time.Duration(math.MaxInt64)
 
-// hardDeadlineFactor is the multiple of its objective up to which a late submission is still
-// useful.
-const hardDeadlineFactor = 3
-
-// criticalPath returns the estimated run time of the longest chain of dependent steps from the
-// given step to the end. For step 0 it is that of the whole submission.
-func criticalPath(s *submission.Submission, from int) time.Duration {
-	longest := make([]time.Duration, len(s.Steps))
-	var all time.Duration
-	for i := len(s.Steps) - 1; i >= 0; i-- {
-		longest[i] += s.Steps[i].Estimate
-		for _, d := range s.Steps[i].DependsOn {
-			longest[d] = max(longest[d], longest[i])
-		}
-		all = max(all, longest[i])
-	}
-	if from == 0 {
-		return all
-	}
-	return longest[from]
-}
-
 func (o *Owner) placeStep(w *waitingStep, now time.Duration) {
 	p := o.pool(o.service(w.job.sub), now)
 	if len(p.nodes) == 0 {
--- a/control/ordering/ordering.go
+++ b/control/ordering/ordering.go
@@ -19,24 +19,28 @@
 	ID      string
 }
 
-// timeliness is the best outcome that a submission can still reach.
-type timeliness uint8
+// Timeliness is the best outcome that a submission can still reach.
+type Timeliness uint8
 
+// Timeliness values, in the order in which steps of one priority are assigned executors.
 const (
-	onTime timeliness = iota
-	late
-	expired
+	OnTime Timeliness = iota
+	Late
+	Expired
 )
 
-// timeliness returns the outcome that can be reached, and the slack for it.
-func (w *PendingStep) timeliness(now time.Duration) (timeliness, time.Duration) {
+// HardDeadlineFactor is the multiple of its objective up to which a late submission is still useful.
+const HardDeadlineFactor = 3
+
+// Timeliness returns the outcome that can be reached, and the slack for it.
+func (w *PendingStep) Timeliness(now time.Duration) (Timeliness, time.Duration) {
 	if slack := w.SoftDeadline - w.RemainingPath - now; slack >= 0 {
-		return onTime, slack
+		return OnTime, slack
 	}
 	if slack := w.HardDeadline - w.RemainingPath - now; slack >= 0 {
-		return late, slack
+		return Late, slack
 	}
-	return expired, 0
+	return Expired, 0
 }
 
 // Less reports whether a is assigned executors before b. Within a priority, steps that can still
@@ -48,12 +52,12 @@
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
-	ap, as := a.timeliness(now)
-	bp, bs := b.timeliness(now)
+	ap, as := a.Timeliness(now)
+	bp, bs := b.Timeliness(now)
 	if ap != bp {
 		return ap < bp
 	}
-	if ap == onTime && a.Work != b.Work {
+	if ap == OnTime && a.Work != b.Work {
 		return a.Work < b.Work
 	}
 	if as != bs {
--- a/control/speed/speed.go
+++ b/control/speed/speed.go
@@ -109,3 +109,12 @@
 	}
 	return time.Duration(float64(estimate) * math.Exp(e.mean)), true
 }
+
+// MeanFactor returns the typical run time as a multiple of the estimate; ok is false while too few run times are known.
+// Unlike ExpectedDuration, it also holds where single estimates are inaccurate.
+func (e *EstimateAccuracy) MeanFactor() (factor float64, ok bool) {
+	if e.count < minEstimates {
+		return 0, false
+	}
+	return math.Exp(e.mean), true
+}
--- a/control/submission/submission.go
+++ b/control/submission/submission.go
@@ -137,6 +137,41 @@
 	return false
 }
 
+// CriticalPath returns the estimated run time of the longest chain of dependent steps from the given step to the end.
+// For step 0 it is that of the whole submission.
+func (s *Submission) CriticalPath(from int) time.Duration {
+	longest := make([]time.Duration, len(s.Steps))
+	var all time.Duration
+	for i := len(s.Steps) - 1; i >= 0; i-- {
+		longest[i] += s.Steps[i].Estimate
+		for _, d := range s.Steps[i].DependsOn {
+			longest[d] = max(longest[d], longest[i])
+		}
+		all = max(all, longest[i])
+	}
+	if from == 0 {
+		return all
+	}
+	return longest[from]
+}
+
+// Objective returns the response time up to which the submission is on time.
+func (s *Submission) Objective() time.Duration {
+	return time.Duration(float64(s.CriticalPath(0))*max(1, s.Stretch)) + s.TargetLatency
+}
+
+// Work returns the estimated work of one occurrence in processor seconds.
+func (s *Submission) Work() float64 {
+	work := 0.0
+	for i := range s.Steps {
+		work += float64(s.Steps[i].Count) * s.Steps[i].Work()
+	}
+	return work
+}
+
+// Work returns the estimated work of one task in processor seconds.
+func (s *Step) Work() float64 { return s.Estimate.Seconds() * float64(s.Request.CPU) / 1000 }
+
 // ScheduledStart returns when occurrence k may start, in Unix milliseconds; 0 means immediately.
 func (s *Submission) ScheduledStart(k int) int64 {
 	if s.Occurrences == 0 || s.FirstStart == 0 {
