dispatch, wire: the owner sends its backlog estimates to the entries

Cause: entries have to know how long new work of a queue would wait.

The message Backlog goes to the entries with the queue counts; OwnerLink keeps it with its arrival time and drops it when the owner changes.

A member of an earlier build closes the connection at a type of message that it lacks. The row of a member therefore states the highest type that it decodes (map key lm), and a broadcast leaves out members that lack the type. Ruled out: ignoring unknown types in the receiver, which does not help members of earlier builds.

--- a/base/events/dispatch.go
+++ b/base/events/dispatch.go
@@ -62,5 +62,6 @@
 	CommitRefused     = define(669, "commit_refused", zerolog.WarnLevel, "The store refuses a commit for good. Its changes are committed in smaller groups until the one at fault is found. changes is their number.")
 	WriteRefused      = define(670, "write_refused", zerolog.ErrorLevel, "The store refuses the row key for good and has accepted a commit without it. The submission id, if the row is its record, has failed; a row of the contention model is not written again by this owner. All other work goes on.")
 	MemberDeleted     = define(671, "member_deleted", zerolog.InfoLevel, "The owner deletes the row of a process that it has not heard of for ten minutes. error tells why the row stays.")
+	BacklogEstimated  = define(674, "backlog_estimated", zerolog.InfoLevel, "Work waits for processors. queue names the queue with the longest expected delay of a new submission (delay), least is the lower bound of that delay, queues the number of queues with a considerable backlog, waiting_steps that of all steps that wait.")
 	LogLinesDropped   = define(660, "log_lines_dropped", zerolog.WarnLevel, "Log lines were dropped because the log could not be written fast enough.")
 )
--- a/control/backlog/backlog.go
+++ b/control/backlog/backlog.go
@@ -138,6 +138,10 @@
 	if !w.waits {
 		return nil
 	}
+	if k.bestEffort {
+		// Best-effort work also waits beside free processors, where it would interfere; other images may begin there.
+		w.smallestTask = math.MaxInt64
+	}
 	c := capacityOf(in, k, w.smallestTask)
 	if c.cpu <= 0 {
 		return nil
--- a/control/coordinator/links.go
+++ b/control/coordinator/links.go
@@ -274,12 +274,12 @@
 	return p.Notify(m)
 }
 
-// broadcast sends a message to all connected members of a role.
+// broadcast sends a message to all connected members of a role that can decode it.
 func (l *memberConns) broadcast(role member.Role, m wire.Message) {
 	l.mu.Lock()
 	var peers []*wire.Peer
 	for name, p := range l.peers {
-		if l.members[name].Role == role {
+		if recipient := l.members[name]; recipient.Role == role && recipient.Understands(m.Type()) {
 			peers = append(peers, p)
 		}
 	}
--- a/control/coordinator/links_test.go
+++ b/control/coordinator/links_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net"
 	"slices"
@@ -134,3 +135,23 @@
 		assert.Assert(t, r.Key != member.Table+"/left")
 	}
 }
+
+// Guards against ending the connection to a member of an earlier build, which does not decode a new type of message.
+func TestMessagesGoOnlyToMembersThatDecodeThem(t *testing.T) {
+	l := &memberConns{peers: make(map[string]*wire.Peer), members: make(map[string]member.Member)}
+	received := make(chan string, 4)
+	for name, last := range map[string]wire.Type{"earlier": 0, "current": wire.LastDispatchType} {
+		near, far := net.Pipe()
+		l.members[name] = member.Member{Name: name, Role: member.Entry, LastMessage: uint8(last)}
+		l.peers[name] = wire.NewPeer(near, nil)
+		p := wire.NewPeer(far, func(_ *wire.Peer, m wire.Message, _ wire.Reply) { received <- fmt.Sprintf("%s %d", name, m.Type()) })
+		defer l.peers[name].Close()
+		defer p.Close()
+	}
+	l.broadcast(member.Entry, &wire.Backlog{})
+	assert.Equal(t, <-received, fmt.Sprintf("current %d", wire.TypeBacklog))
+	l.broadcast(member.Entry, &wire.QueueCounts{})
+	both := []string{<-received, <-received}
+	slices.Sort(both)
+	assert.DeepEqual(t, both, []string{fmt.Sprintf("current %d", wire.TypeQueueCounts), fmt.Sprintf("earlier %d", wire.TypeQueueCounts)})
+}
--- a/control/coordinator/loop.go
+++ b/control/coordinator/loop.go
@@ -118,6 +118,10 @@
 	if now-o.lastQueueCounts >= queueCountInterval {
 		o.lastQueueCounts = now
 		o.conns.broadcast(member.Entry, &wire.QueueCounts{Epoch: o.dispatcher.Epoch(), Counts: o.dispatcher.Pending()})
+		if b := o.dispatcher.Backlog(now); b != nil {
+			b.Entries = len(o.conns.presentEntries(now))
+			o.conns.broadcast(member.Entry, b)
+		}
 	}
 	if now-o.lastMemberCleanup >= memberCleanupInterval {
 		o.lastMemberCleanup = now
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -148,6 +148,8 @@
 	pools    map[string]*pool
 	advice   *advice.Table
 	counters Counters
+	// backlogLoggedAt is when a backlog was last logged.
+	backlogLoggedAt time.Duration
 }
 
 // Counters are totals since the owner started.
--- a/control/dispatch/preempt.go
+++ b/control/dispatch/preempt.go
@@ -129,8 +129,7 @@
 	var candidates []eviction.Candidate
 	var tasks []*taskEntry
 	for t := range n.tasks {
-		s := t.step()
-		if t.job.sub.Priority <= priority || t.phase != phaseRunning || t.stopping || s.LongRunning || s.Gang || t.preemptions >= maxPreemptionsPerTask {
+		if t.job.sub.Priority <= priority || !t.preemptible() {
 			continue
 		}
 		candidates = append(candidates, eviction.Candidate{ID: t.name(), Reserved: t.reserved(), Loss: t.evictionLoss()})
@@ -139,6 +138,12 @@
 	return candidates, tasks
 }
 
+// preemptible reports whether a queue of higher priority may stop the run.
+func (t *taskEntry) preemptible() bool {
+	s := t.step()
+	return t.phase == phaseRunning && !t.stopping && !s.LongRunning && !s.Gang && t.preemptions < maxPreemptionsPerTask
+}
+
 // evictionLoss returns the run time that is lost when the task is stopped.
 func (t *taskEntry) evictionLoss() time.Duration {
 	s := t.step()
--- a/control/placement/placement.go
+++ b/control/placement/placement.go
@@ -74,9 +74,6 @@
 	// mixPenalty is the cost of placing best-effort and latency-critical tasks on one node, where
 	// the former may interfere with the latter.
 	mixPenalty = 1.0
-	// latencyCriticalUse is the share of its processors that a latency-critical task is assumed to
-	// use.
-	latencyCriticalUse = 0.5
 	// colocationPenalty weighs the best-effort work that a latency-critical task excludes from a
 	// node. The first other image on a node costs more than the next, so that mixed co-locations
 	// are concentrated on few nodes.
@@ -90,9 +87,12 @@
 	displacementPenalty = 0.5
 )
 
+// LatencyCriticalUse is the share of its processors that a latency-critical task is assumed to use.
+const LatencyCriticalUse = 0.5
+
 // expectedUse returns the processors that the node's tasks are expected to use, in thousandths.
 func (n *Node) expectedUse() int64 {
-	return n.Reserved.CPU - n.LatencyCriticalCPU + int64(latencyCriticalUse*float64(n.LatencyCriticalCPU)) + n.BestEffortCPU
+	return n.Reserved.CPU - n.LatencyCriticalCPU + int64(LatencyCriticalUse*float64(n.LatencyCriticalCPU)) + n.BestEffortCPU
 }
 
 // MaxExpectedLatency is the highest expected latency, as a share of its target, that a
--- a/state/member/link.go
+++ b/state/member/link.go
@@ -68,6 +68,8 @@
 	connection    uint64
 	queueCounts   map[string]int
 	queueCountsAt time.Duration
+	backlog       *wire.Backlog
+	backlogAt     time.Duration
 }
 
 // NewOwnerLink returns a link without a connection.
@@ -123,6 +125,17 @@
 	return l.queueCounts, l.clock.Now() - l.queueCountsAt
 }
 
+// Backlog returns the last backlog estimate of the current owner and the time since its arrival, nil when there is none. It
+// must not be changed.
+func (l *OwnerLink) Backlog() (*wire.Backlog, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.backlog == nil || l.backlog.Epoch != l.epoch {
+		return nil, unknownAge
+	}
+	return l.backlog, l.clock.Now() - l.backlogAt
+}
+
 // connectionNumber returns the position of a connection in the order of acceptance, 0 when Serve has not accepted it.
 func connectionNumber(p *wire.Peer) uint64 {
 	number, _ := p.Value.Load().(uint64)
@@ -201,6 +214,12 @@
 			l.queueCounts, l.queueCountsAt = m.Counts, l.clock.Now()
 			l.mu.Unlock()
 		}
+	case *wire.Backlog:
+		if l.RecordMessage(p) {
+			l.mu.Lock()
+			l.backlog, l.backlogAt = m, l.clock.Now()
+			l.mu.Unlock()
+		}
 	default:
 		reply(wire.ErrorReply(errkind.New(errkind.InvalidArgument, "unexpected message type %d", msg.Type())))
 	}
--- a/state/member/link_test.go
+++ b/state/member/link_test.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
 	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/verify/standin"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
@@ -87,3 +89,41 @@
 	assert.NilError(t, l.Close())
 	<-ended
 }
+
+// Guards against refusals by the estimate of an owner that was replaced: the next one may know of other work.
+func TestBacklogOfAReplacedOwnerIsNotUsed(t *testing.T) {
+	link := NewOwnerLink(clock.Boottime{}, zerolog.Nop())
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	p := wire.NewPeer(near, nil)
+	defer p.Close()
+	reply := func(wire.Message) {}
+	link.Handle(p, &wire.Backlog{Epoch: 1}, reply)
+	m, _ := link.Backlog()
+	assert.Assert(t, m == nil, "an estimate of a process that is not the owner is used")
+	link.Handle(p, &wire.Lead{Epoch: 1}, reply)
+	link.Handle(p, &wire.Backlog{Epoch: 1, Entries: 3}, reply)
+	m, age := link.Backlog()
+	assert.Assert(t, m != nil && m.Entries == 3 && age < time.Minute)
+	link.Handle(p, &wire.Lead{Epoch: 2}, reply)
+	m, _ = link.Backlog()
+	assert.Assert(t, m == nil, "the estimate of the previous owner is used")
+}
+
+// Guards against a member that never gets the newer messages, and against a row that an earlier build cannot read.
+func TestRowStatesWhichMessagesAreDecoded(t *testing.T) {
+	table := standin.NewTable(1000, 1000)
+	assert.NilError(t, Register(t.Context(), table, Member{Name: "m", Zone: "z"}))
+	rows, err := table.Get(t.Context(), Table+"/m")
+	assert.NilError(t, err)
+	m, err := Decode(rows[0].Value)
+	assert.NilError(t, err)
+	assert.Assert(t, m.Understands(wire.TypeBacklog))
+	assert.Assert(t, !Member{}.Understands(wire.TypeBacklog) && Member{}.Understands(wire.TypeCreateRow))
+	var earlier struct {
+		Name string `msgpack:"n"`
+		Zone string `msgpack:"z"`
+	}
+	assert.NilError(t, msgpack.Unmarshal(rows[0].Value, &earlier))
+	assert.Equal(t, earlier.Zone, "z")
+}
--- a/state/member/member.go
+++ b/state/member/member.go
@@ -10,6 +10,7 @@
 
 	"github.com/chicorystand/chicorystand/base/errkind"
 	"github.com/chicorystand/chicorystand/state/store"
+	"github.com/chicorystand/chicorystand/wire"
 )
 
 // Table is the store table of the processes that the owner connects to.
@@ -32,10 +33,19 @@
 	Zone    string `msgpack:"z"`
 	// Incarnation distinguishes successive starts of the process.
 	Incarnation uint64 `msgpack:"i"`
+	// LastMessage is the highest type of the owner's messages that the process decodes, 0 where its build does not state it.
+	LastMessage uint8 `msgpack:"lm,omitempty"`
+}
+
+// Understands reports whether the member decodes messages of a type. Types up to wire.TypeCreateRow are older than the
+// statement in its row.
+func (m Member) Understands(t wire.Type) bool {
+	return t <= wire.TypeCreateRow || t <= wire.Type(m.LastMessage)
 }
 
 // Register writes the member's row.
 func Register(ctx context.Context, t store.Table, m Member) error {
+	m.LastMessage = uint8(wire.LastDispatchType)
 	value, err := msgpack.Marshal(&m)
 	if err != nil {
 		return errkind.Wrap(errkind.Internal, err, "encode member")
--- a/wire/dispatch.go
+++ b/wire/dispatch.go
@@ -16,6 +16,7 @@
 	TypeStateReply
 	TypeQueueCounts
 	TypeCreateRow
+	TypeBacklog
 )
 
 // Lead announces the current owner to a member. A member replies with Ack when the
@@ -176,6 +177,8 @@
 		return new(QueueCounts)
 	case TypeCreateRow:
 		return new(CreateRow)
+	case TypeBacklog:
+		return new(Backlog)
 	}
 	return nil
 }
--- a/wire/dispatch_test.go
+++ b/wire/dispatch_test.go
@@ -12,7 +12,7 @@
 // Guards against a message type that the receiver can't decode, which closes the
 // connection. It comes about when two ranges of type values overlap.
 func TestAllMessageTypesAreKnown(t *testing.T) {
-	for _, m := range []Message{&Lead{}, &Report{}, &Orders{}, &OrderResults{}, &StateQuery{}, &StateReply{}, &QueueCounts{},
+	for _, m := range []Message{&Lead{}, &Report{}, &Orders{}, &OrderResults{}, &StateQuery{}, &StateReply{}, &QueueCounts{}, &CreateRow{}, &Backlog{},
 		&Explain{}, &ShardStatus{}, &EntryStatus{}, &ExplainRequest{}, &AgentStatus{}, &AgentStatusReply{}, &Lookup{}, &Drain{}} {
 		known := newMessage(m.Type())
 		assert.Assert(t, known != nil, "type %d", m.Type())
--- a/wire/fields_test.go
+++ b/wire/fields_test.go
@@ -19,7 +19,7 @@
 		fields int
 	}{
 		{Lead{}, 3}, {Report{}, 7}, {StartOrder{}, 6}, {StopOrder{}, 2}, {Orders{}, 8}, {ThrottleOrder{}, 3}, {OrderResult{}, 5},
-		{OrderResults{}, 4}, {StateQuery{}, 1}, {StateReply{}, 2}, {QueueCounts{}, 2}, {CreateRow{}, 2},
+		{OrderResults{}, 4}, {StateQuery{}, 1}, {StateReply{}, 2}, {QueueCounts{}, 2}, {CreateRow{}, 2}, {Backlog{}, 3}, {QueueBacklog{}, 7},
 		{executor.Info{}, 11}, {executor.Run{}, 5}, {executor.End{}, 5}, {submission.Incarnation{}, 2}, {task.Resources{}, 3},
 	} {
 		typ := reflect.TypeOf(c.value)
