overload: an entry refuses submissions that cannot end while they are useful

Cause: under overload no submission is refused, work ends late or never, and Retry-After is a constant of 1 s.

A submission is refused (503, capacity_exceeded, nothing stored) when the lower bound of the delay and the shortest run time of its chain exceed three times its objective. Retry-After is when it would be on time, spaced by the time that the capacity needs for one such submission, with a random part; callers keep their place until 2 s after that, and later ones of the same queue and size wait for them unless all are on time. Not refused: long-running and scheduled submissions, estimates that are missing or older than 2 s, ids with an attempt in progress or of unknown outcome, rows that exist, and those whose row cannot be read.

Failed tries: counting late work of the same priority in the lower bound. Now it counts only for Retry-After.

--- a/base/errkind/document.go
+++ b/base/errkind/document.go
@@ -31,7 +31,7 @@
 	StoreUnavailable:   "The platform's table service does not respond. Nothing was written.",
 	StoreAmbiguous:     "The table service's reply was lost. Retry the operation; it takes effect once.",
 	Infeasible:         "The task can never run: it exceeds the capacity of every VM or the limits of its plan.",
-	CapacityExceeded:   "The VM has too little free capacity at present.",
+	CapacityExceeded:   "The VM, or the pool of a queue, has too little free capacity at present.",
 	TooLarge:           "The body, header or list exceeds its size limit.",
 	UpstreamFailed:     "The work ran and failed.",
 	OutcomeUnknown:     "The work may or may not have run. Retry it only if it is idempotent.",
--- a/base/events/dispatch.go
+++ b/base/events/dispatch.go
@@ -65,3 +65,8 @@
 	BacklogEstimated  = define(674, "backlog_estimated", zerolog.InfoLevel, "Work waits for processors. queue names the queue with the longest expected delay of a new submission (delay), least is the lower bound of that delay, queues the number of queues with a considerable backlog, waiting_steps that of all steps that wait.")
 	LogLinesDropped   = define(660, "log_lines_dropped", zerolog.WarnLevel, "Log lines were dropped because the log could not be written fast enough.")
 )
+
+// Events of admission control.
+var (
+	SubmissionDeclined = define(675, "submission_declined", zerolog.InfoLevel, "An entry refuses a submission on arrival, and nothing is stored. reason too_late tells that it would have lost all value before its end, out_of_turn that others of its queue and size were refused before and told to return. delay is the expected time until it would begin, least the lower bound, objective the response time up to which it is on time, retry_after when the caller is told to return.")
+)
--- a/base/metrics/deployment.go
+++ b/base/metrics/deployment.go
@@ -20,6 +20,8 @@
 	Duration *prometheus.HistogramVec
 	// Refusals counts rejected requests by error kind.
 	Refusals *prometheus.CounterVec
+	// Declined counts the submissions that were refused on arrival by queue, size class and reason.
+	Declined *prometheus.CounterVec
 	// Forwards counts the writes through the owner by error kind.
 	Forwards *prometheus.CounterVec
 	// Orders counts the replies of executors by order, outcome and reason.
@@ -53,6 +55,7 @@
 		Registry:  prometheus.NewRegistry(),
 		Responses: counter("chicory_requester_answers_total", "Responses to requesters.", "method", "status"),
 		Refusals:  counter("chicory_refusals_total", "Rejected work by error kind.", "kind"),
+		Declined:  counter("chicory_declined_submissions_total", "Submissions that were refused on arrival since they could not have been completed while useful.", "queue", "size", "reason"),
 		Forwards:  counter("chicory_forwarded_writes_total", "Writes through the owner of the work, while the store did not serve this process, by error kind.", "kind"),
 		Orders:    counter("chicory_executor_orders_total", "Replies of executors to orders.", "order", "outcome", "reason"),
 		Duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -93,7 +96,7 @@
 		m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: c.name, Help: c.help},
 			func() float64 { return float64(c.value(s.OwnerCounters())) }))
 	}
-	m.Registry.MustRegister(m.Responses, m.Refusals, m.Forwards, m.Orders, m.Duration, m.Owning, m.ManifestVersion, m.ManifestAge, m.EvacuatedZones, m.OwnerSilence)
+	m.Registry.MustRegister(m.Responses, m.Refusals, m.Declined, m.Forwards, m.Orders, m.Duration, m.Owning, m.ManifestVersion, m.ManifestAge, m.EvacuatedZones, m.OwnerSilence)
 	return m
 }
 
@@ -106,6 +109,11 @@
 	}
 }
 
+// ObserveDeclined records a submission that was refused on arrival.
+func (m *Deployment) ObserveDeclined(queue, size, reason string) {
+	m.Declined.WithLabelValues(queue, size, reason).Inc()
+}
+
 // ObserveForward records the outcome of a write through the owner.
 func (m *Deployment) ObserveForward(err error) {
 	m.Forwards.WithLabelValues(errkind.Of(err).String()).Inc()
--- a/control/backlog/backlog.go
+++ b/control/backlog/backlog.go
@@ -99,7 +99,7 @@
 	CPU int64
 	// Delay is the expected delay by size class, Least its lower bound. Both are for a submission that is on time.
 	Delay, Least [Classes]time.Duration
-	// Late is how long the late work of each range of slack takes at least. It goes before a submission that becomes
+	// Late is how long the late work of each range of slack is expected to take. It goes before a submission that becomes
 	// late itself and has more slack.
 	Late [SlackBuckets]time.Duration
 }
@@ -150,14 +150,14 @@
 	ahead := w.before
 	for i := range Classes {
 		ahead.add(&w.onTime[i])
-		q.Delay[i] = c.expected.reach(ahead.expected, w.permanent) - ahead.meanDuration()/2
-		q.Delay[i] = max(0, q.Delay[i])
-		q.Least[i] = max(0, c.least.reach(ahead.least(), 0)-ahead.meanDuration())
+		inFlight := ahead.inFlight()
+		q.Delay[i] = max(0, c.expected.reach(ahead.expected, w.permanent)-inFlight)
+		q.Least[i] = max(0, c.least.reach(ahead.least(), 0)-inFlight)
 		q.Least[i] = min(q.Least[i], q.Delay[i])
 	}
 	worst := q.Delay[Classes-1]
 	for i := range SlackBuckets {
-		q.Late[i] = min(MaxDelay, seconds(w.late[i].least()*1000/float64(c.cpu)))
+		q.Late[i] = min(MaxDelay, seconds(w.late[i].expected*1000/float64(c.cpu)))
 		worst += q.Late[i]
 	}
 	if worst < minBacklog {
@@ -269,12 +269,13 @@
 	return max(leastShare, 1-deviations*RelativeSpread/math.Sqrt(n))
 }
 
-// meanDuration is how long a task of the work typically runs. All of the work has begun about that long before its end.
-func (s *sum) meanDuration() time.Duration {
+// inFlight is how long the processors are still busy with the work when all of it has begun: the mean time that is left of
+// runs seen at a random moment, with run times spread evenly over the range.
+func (s *sum) inFlight() time.Duration {
 	if s.expected == 0 {
 		return 0
 	}
-	return seconds(s.weighted / s.expected)
+	return seconds(s.weighted / s.expected * (1 + RelativeSpread*RelativeSpread/3) / 2)
 }
 
 func seconds(s float64) time.Duration {
--- a/control/backlog/class.go
+++ b/control/backlog/class.go
@@ -13,38 +13,40 @@
 	smallestClass = 0.5
 
 	// SlackBuckets is the number of ranges of slack in which late work is counted.
-	SlackBuckets = 9
-	// smallestSlack is the bound of the first range. Each range reaches to twice the bound of the one before.
-	smallestSlack = time.Second
+	SlackBuckets = 20
+	// smallestSlack is the bound of the first range. Each range reaches to slackGrowth times the bound of the one before.
+	smallestSlack = time.Second / 2
+	slackGrowth   = math.Sqrt2
 )
 
 // ClassOf returns the size class of a submission by its estimated work in processor seconds.
 func ClassOf(work float64) int {
-	return doublings(work/smallestClass, Classes)
+	i := 0
+	for bound := smallestClass; i < Classes-1 && work > bound; bound *= 2 {
+		i++
+	}
+	return i
 }
 
 // SlackBucket returns the range of a slack.
 func SlackBucket(slack time.Duration) int {
-	return doublings(float64(slack)/float64(smallestSlack), SlackBuckets)
-}
-
-// SlackRange returns the bounds of a range of slack.
-func SlackRange(bucket int) (from, to time.Duration) {
-	if bucket > 0 {
-		from = smallestSlack << (bucket - 1)
-	}
-	if bucket == SlackBuckets-1 {
-		return from, math.MaxInt64
-	}
-	return from, smallestSlack << bucket
-}
-
-// doublings returns how often 1 has to be doubled to reach the ratio, less than n.
-func doublings(ratio float64, n int) int {
 	i := 0
-	for i < n-1 && ratio > 1 {
-		ratio /= 2
+	for i < SlackBuckets-1 && slack > slackBounds[i] {
 		i++
 	}
 	return i
 }
+
+// SlackBound returns the upper bound of a range of slack.
+func SlackBound(bucket int) time.Duration { return slackBounds[bucket] }
+
+// slackBounds are the upper bounds of the ranges of slack.
+var slackBounds = func() (b [SlackBuckets]time.Duration) {
+	bound := float64(smallestSlack)
+	for i := range b {
+		b[i] = time.Duration(bound)
+		bound *= slackGrowth
+	}
+	b[SlackBuckets-1] = math.MaxInt64
+	return b
+}()
--- a/ingress/gateway/gateway.go
+++ b/ingress/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/chicorystand/chicorystand/base/clock"
@@ -39,7 +40,7 @@
 	countsMaxAge = 5 * time.Second
 	// maxCachedStates bounds the cache of final states.
 	maxCachedStates = 20_000
-	// retryAfter is the delay after which a rejected requester may retry.
+	// retryAfter is the delay after which a rejected requester may retry, unless the error has its own.
 	retryAfter = time.Second
 )
 
@@ -59,6 +60,7 @@
 	observeForward func(err error)
 	maxRowBytes    int
 	breaker        breaker
+	admission      Admission
 
 	mu          sync.Mutex
 	finalStates map[string]submission.State
@@ -83,13 +85,23 @@
 	Observe func(method string, status int, took time.Duration, err error)
 	// ObserveForward records the outcome of each write through the owner in the metrics.
 	ObserveForward func(err error)
+	// Admission decides which submissions are refused on arrival, nil for none.
+	Admission Admission
+}
+
+// Admission refuses submissions that cannot be completed while they are useful.
+type Admission interface {
+	// Admit returns an error for a submission that is refused. The error may have a method RetryAfter.
+	Admit(ctx context.Context, s *submission.Submission) error
+	// Settled is called with the outcome of storing a submission that was admitted.
+	Settled(id string, err error)
 }
 
 // New returns a gateway.
 func New(c Config) *Gateway {
 	return &Gateway{store: c.Store, clock: c.Clock, log: c.Log, owner: c.Owner, manifest: c.Manifest, manifestAge: c.ManifestAge, maxManifestAge: c.MaxManifestAge,
 		observe: c.Observe, observeForward: c.ObserveForward, maxRowBytes: c.MaxRowBytes,
-		breaker: breaker{clock: c.Clock, lastResponse: c.StoreLastResponse}, finalStates: make(map[string]submission.State)}
+		breaker: breaker{clock: c.Clock, lastResponse: c.StoreLastResponse}, admission: c.Admission, finalStates: make(map[string]submission.State)}
 }
 
 // Manifest returns the current manifest, nil before the first is received.
@@ -115,7 +127,15 @@
 	if g.maxRowBytes > 0 && len(value) > g.maxRowBytes {
 		return errkind.New(errkind.TooLarge, "the submission takes %d bytes in the store, which accepts at most %d; nothing was stored", len(value), g.maxRowBytes)
 	}
-	return g.create(ctx, dispatch.WorkKey(s.ID), value)
+	if g.admission == nil {
+		return g.create(ctx, dispatch.WorkKey(s.ID), value)
+	}
+	if err := g.admission.Admit(ctx, s); err != nil {
+		return err
+	}
+	err = g.create(ctx, dispatch.WorkKey(s.ID), value)
+	g.admission.Settled(s.ID, err)
+	return err
 }
 
 // create creates a row, with retries. It succeeds too when the row exists: an earlier request with
@@ -312,7 +332,13 @@
 }
 
 // RetryAfter implements platform.SubmissionService.
-func (g *Gateway) RetryAfter(error) time.Duration { return retryAfter }
+func (g *Gateway) RetryAfter(err error) time.Duration {
+	var own interface{ RetryAfter() time.Duration }
+	if errors.As(err, &own) {
+		return own.RetryAfter()
+	}
+	return retryAfter
+}
 
 // ObserveResponse implements platform.SubmissionService.
 func (g *Gateway) ObserveResponse(r *manifest.Route, method, id string, status int, took time.Duration, err error) {
--- a/wire/backlog.go
+++ b/wire/backlog.go
@@ -22,7 +22,7 @@
 	// processor.
 	FreeCPU, CPU int64
 	// DelayMS is the expected delay until a new submission can begin, LeastMS its lower bound, by size class. LateMS is how
-	// long late work takes at least, by its slack. All are in milliseconds.
+	// long late work takes, by its slack. All are in milliseconds.
 	DelayMS, LeastMS, LateMS []int64
 }
 
