ordering: max-min fair shares among the queues of one priority, off by default

Cause: least remaining work first lets a burst of small submissions of one queue starve the larger ones of another queue of the same priority.

Change: ordering.Share, applied to placement while the work that waits asks for more processors than are free, and where overload.fair_shares is set. It is off by default: its effect on the known deployments has not been measured. With it, other queues' work of the same priority does not count in the lower bound of the delay, since a submission may pass it.

Ruled out: deficit round robin (credit is lost at a takeover), dominant resource fairness, a cap of the loss by late work; docs/design/overload.md.

--- a/base/settings/deployment.go
+++ b/base/settings/deployment.go
@@ -8,6 +8,8 @@
 	} `koanf:"pool_plan"`
 	Overload struct {
 		Enabled bool `koanf:"enabled" default:"true" doc:"Reject submissions that cannot be completed while they are still useful."`
+		// FairShares is off by default: on the known deployments its effect has not been measured.
+		FairShares bool `koanf:"fair_shares" default:"false" doc:"Divide the capacity equally among the queues of one priority while more work waits than there is room for."`
 	} `koanf:"overload"`
 	Copies struct {
 		Enabled bool `koanf:"enabled" default:"true" doc:"Start speculative copies of runs for steps that allow them."`
--- a/command/deployed/process.go
+++ b/command/deployed/process.go
@@ -175,7 +175,7 @@
 	return dispatch.Bounds{LeaseDuration: min(leaseDuration, b.MaxLease), MaxStoreOutage: maxStoreOutage, AckValidity: ackValidity, StopTimeout: b.StopTimeout,
 		Evacuation: b.Evacuation, MaxInterference: b.MaxInterference, Retention: 2 * b.StatusRetention,
 		MaxRowBytes: p.settings.MaxRowBytes,
-		Features:    dispatch.Features{PoolPlan: o.PoolPlan.Enabled, Backlog: o.Overload.Enabled, Copies: o.Copies.Enabled, PlaceWait: o.PlaceWait.Enabled}}
+		Features:    dispatch.Features{PoolPlan: o.PoolPlan.Enabled, Backlog: o.Overload.Enabled, FairShares: o.Overload.FairShares, Copies: o.Copies.Enabled, PlaceWait: o.PlaceWait.Enabled}}
 }
 
 // takeoverDelay returns how much longer than others this entry waits before it takes over the ownership.
--- a/control/backlog/backlog.go
+++ b/control/backlog/backlog.go
@@ -45,6 +45,8 @@
 	Queues  []Policy
 	Nodes   []Node
 	Waiting []Work
+	// FairShares is set if the queues of one priority share the capacity, so that a submission may pass the work of other queues.
+	FairShares bool
 }
 
 // Node is an executor.
@@ -73,8 +75,8 @@
 
 // Work is the unfinished work of one occurrence of a submission, without what its current runs do.
 type Work struct {
-	Service string
-	Order   ordering.PendingStep
+	Queue, Service string
+	Order          ordering.PendingStep
 	// Reserved and BestEffort are the estimated work in processor seconds, by the kind of capacity that it needs.
 	Reserved, BestEffort float64
 	// Duration is the typical run time of its tasks by the estimates.
@@ -111,7 +113,10 @@
 	for i := range in.Queues {
 		p := &in.Queues[i]
 		for _, bestEffort := range []bool{false, true} {
-			k := viewKey{p.Service, p.Priority, bestEffort}
+			k := viewKey{service: p.Service, priority: p.Priority, bestEffort: bestEffort}
+			if in.FairShares {
+				k.queue = p.Queue
+			}
 			q, ok := views[k]
 			if !ok {
 				q = estimateView(in, k)
@@ -130,6 +135,8 @@
 	service    string
 	priority   int
 	bestEffort bool
+	// queue is set where the queues of one priority share the capacity.
+	queue string
 }
 
 // estimateView returns nil when nothing considerable waits, or nothing is known of the executors.
@@ -192,7 +199,8 @@
 			// Work that waits for reserved processors cannot use all that is idle, so that best-effort work may pass it.
 			work, certain = work+x.BestEffort, x.BestEffort
 		}
-		if x.Restricted {
+		otherShare := k.queue != "" && x.Queue != k.queue && x.Order.Priority == k.priority
+		if x.Restricted || otherShare {
 			certain = 0
 		}
 		w.permanent += x.PermanentCPU
--- a/control/backlog/backlog_test.go
+++ b/control/backlog/backlog_test.go
@@ -89,6 +89,13 @@
 	reserved := Estimate(&Input{Now: testNow, Queues: policies(), Nodes: nodes, Waiting: repeat(500, work(0, 1, 2*time.Second))})
 	assert.Assert(t, reserved[Key{Queue: "usual"}].Least[0] > 15*time.Second)
 	assert.Assert(t, reserved[Key{Queue: "usual", BestEffort: true}].Least[0] < time.Second, "reserved work holds up best-effort work for certain")
+	same := work(1, 1, 2*time.Second)
+	same.Queue = "other"
+	for queue, most := range map[string]time.Duration{"usual": time.Second, "other": time.Minute} {
+		in := Input{Now: testNow, Queues: []Policy{{Queue: queue, Service: "pool", Priority: 1}}, Nodes: nodes, Waiting: repeat(500, same), FairShares: true}
+		q := Estimate(&in)[Key{Queue: queue}]
+		assert.Assert(t, q.Least[ClassOf(2)] <= most && q.Delay[ClassOf(2)] > 15*time.Second, "another share: %s", q.Least[ClassOf(2)])
+	}
 	for name, w := range map[string]Work{"restricted": gang, "expired": expired, "late": late, "larger": large} {
 		q := Estimate(&Input{Now: testNow, Queues: policies(), Nodes: nodes, Waiting: repeat(500, w)})[Key{Queue: "usual"}]
 		assert.Assert(t, q.Least[ClassOf(2)] < time.Second, "%s: %s", name, q.Least[ClassOf(2)])
--- a/control/dispatch/backlog.go
+++ b/control/dispatch/backlog.go
@@ -71,7 +71,7 @@
 
 // backlogInput builds the input of the estimate from the tables.
 func (o *Owner) backlogInput(now time.Duration) *backlog.Input {
-	in := &backlog.Input{Now: now, Nodes: make([]backlog.Node, 0, len(o.executors)), Waiting: make([]backlog.Work, 0, 2*len(o.waiting))}
+	in := &backlog.Input{Now: now, FairShares: o.bounds.Features.FairShares, Nodes: make([]backlog.Node, 0, len(o.executors)), Waiting: make([]backlog.Work, 0, 2*len(o.waiting))}
 	for i := range o.manifest.Routes {
 		r := &o.manifest.Routes[i]
 		in.Queues = append(in.Queues, backlog.Policy{Queue: r.Name, Service: r.Service, Priority: r.Priority, Accuracy: o.accuracy(r.Name)})
@@ -135,7 +135,7 @@
 // waitingWork returns the work of the tasks of a step that wait. total is the capacity of the pool.
 func (o *Owner) waitingWork(w *waitingStep, total task.Resources) backlog.Work {
 	s := &w.job.sub.Steps[w.key.step]
-	out := backlog.Work{Service: o.service(w.job.sub), Order: w.orderingKey(), Duration: s.Estimate, TaskCPU: s.Request.CPU,
+	out := backlog.Work{Queue: w.job.sub.Queue, Service: o.service(w.job.sub), Order: w.orderingKey(), Duration: s.Estimate, TaskCPU: s.Request.CPU,
 		Accuracy: o.accuracy(w.job.sub.Queue), Restricted: o.restricted(w.job.sub, s, total)}
 	work := float64(len(w.tasks)) * s.Work()
 	switch {
@@ -195,7 +195,7 @@
 // Others may begin before that.
 func (o *Owner) laterWork(k occurrenceKey, active activeTasks) (backlog.Work, bool) {
 	sub := k.job.sub
-	out := backlog.Work{Service: o.service(sub), Accuracy: o.accuracy(sub.Queue), Restricted: true}
+	out := backlog.Work{Queue: sub.Queue, Service: o.service(sub), Accuracy: o.accuracy(sub.Queue), Restricted: true}
 	first := math.MaxInt
 	for i, remaining := range k.job.remaining[k.occurrence] {
 		s := &sub.Steps[i]
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -60,6 +60,8 @@
 	PoolPlan bool
 	// Backlog estimates how long the accepted work of each queue takes.
 	Backlog bool
+	// FairShares divides the capacity among the queues of one priority while they ask for more than there is.
+	FairShares bool
 	// Copies starts speculative copies for steps that allow them.
 	Copies bool
 	// PlaceWait lets tasks wait for their preferred rack.
--- a/control/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -20,7 +20,7 @@
 		return
 	}
 	o.placementChanged, o.placedAt = false, now
-	for _, w := range o.orderedSteps(now) {
+	for _, w := range o.shareAmongQueues(o.orderedSteps(now), now) {
 		o.placeStep(w, now)
 	}
 }
