--- a/control/backlog/backlog_test.go
+++ b/control/backlog/backlog_test.go
@@ -1,9 +1,9 @@
 package backlog
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -105,19 +105,6 @@
 	}
 }
 
-type ends []time.Duration
-
-func (e ends) Len() int           { return len(e) }
-func (e ends) Less(i, j int) bool { return e[i] < e[j] }
-func (e ends) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *ends) Push(x any)        { *e = append(*e, x.(time.Duration)) }
-func (e *ends) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 // Guards against a lower bound above the true delay: run times are drawn from 0.1 to 1.9 times their estimates, and the
 // work is played in order on the processors.
 func TestLowerBoundHoldsWithInaccurateEstimates(t *testing.T) {
@@ -128,15 +115,15 @@
 			return time.Duration(float64(d) * (leastShare + 2*RelativeSpread*r.Float64()))
 		}
 		processors, tasks, d := 4+r.IntN(60), r.IntN(600), time.Duration(100+r.IntN(5000))*time.Millisecond
-		running := &ends{}
+		running := make([]time.Duration, processors)
 		nodes := pool(1, processors, Run{Priority: 1, Remaining: d / 2, Accuracy: 1})
-		for range processors {
-			heap.Push(running, actual(d/2))
+		for i := range running {
+			running[i] = actual(d / 2)
 		}
 		for range tasks {
-			heap.Push(running, heap.Pop(running).(time.Duration)+actual(d))
+			running[slices.Index(running, slices.Min(running))] += actual(d)
 		}
-		begins := heap.Pop(running).(time.Duration)
+		begins := slices.Min(running)
 		q := Estimate(&Input{Now: testNow, Queues: policies(), Nodes: nodes, Waiting: repeat(tasks, work(1, 1, d))})[Key{Queue: "usual"}]
 		assert.Assert(t, q.Least[Classes-1] <= begins, "seed %d: bound %s, begins after %s", seed, q.Least[Classes-1], begins)
 		if q.Least[Classes-1] > begins/2 {
