--- a/base/events/dispatch.go
+++ b/base/events/dispatch.go
@@ -64,5 +64,11 @@
 	MemberDeleted     = define(671, "member_deleted", zerolog.InfoLevel, "The owner deletes the row of a process that it has not heard of for ten minutes. error tells why the row stays.")
 	PoolPlanned       = define(672, "pool_planned", zerolog.InfoLevel, "A latency-critical task is stopped to run on the executor to, so that tasks of one image gather and other executors are open to more best-effort images.")
 	RunRelocated      = define(673, "run_relocated", zerolog.InfoLevel, "A best-effort run is stopped to resume elsewhere, since a latency-critical task on its executor is over its target. over is for how long. added_utilization is what the run is expected to add, excess_utilization what is too much.")
+	BacklogEstimated  = define(674, "backlog_estimated", zerolog.InfoLevel, "Work waits for processors. queue names the queue with the longest expected delay of a new submission (delay), least is the lower bound of that delay, queues the number of queues with a considerable backlog, waiting_steps that of all steps that wait.")
 	LogLinesDropped   = define(660, "log_lines_dropped", zerolog.WarnLevel, "Log lines were dropped because the log could not be written fast enough.")
 )
+
+// Events of admission control.
+var (
+	SubmissionDeclined = define(675, "submission_declined", zerolog.InfoLevel, "An entry refuses a submission on arrival, and nothing is stored. reason too_late tells that it would have lost all value before its end, out_of_turn that others of its queue and size were refused before and told to return. delay is the expected time until it would begin, least the lower bound, objective the response time up to which it is on time, retry_after when the caller is told to return.")
+)
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -62,6 +62,8 @@
 	PoolPlan bool
 	// Backlog estimates how long the accepted work of each queue takes.
 	Backlog bool
+	// FairShares divides the capacity among the queues of one priority while they ask for more than there is.
+	FairShares bool
 	// Copies starts speculative copies for steps that allow them.
 	Copies bool
 	// PlaceWait lets tasks wait for their preferred rack.
@@ -151,6 +153,8 @@
 	pools    map[string]*pool
 	advice   *advice.Table
 	counters Counters
+	// backlogLoggedAt is when a backlog was last logged.
+	backlogLoggedAt time.Duration
 }
 
 // Counters are totals since the owner started.
