dispatch: speculative copies of runs on unresponsive and slow executors

A run on an executor that does not answer waited for the executor's lease to end, up to maxHoldMs, also where its step allows copies.

control/speculation decides; control/dispatch/copies.go applies. The copy gets the next run number and replaces the run in the record before it is ordered. Only runs that the executor has confirmed are copied, and an end of the older run waits while the start of the newer one may still be carried out: otherwise a run could begin after the end done of its task is durable. No copy is made beside the last permitted attempt.

--- a/base/events/dispatch.go
+++ b/base/events/dispatch.go
@@ -62,5 +62,7 @@
 	CommitRefused     = define(669, "commit_refused", zerolog.WarnLevel, "The store refuses a commit for good. Its changes are committed in smaller groups until the one at fault is found. changes is their number.")
 	WriteRefused      = define(670, "write_refused", zerolog.ErrorLevel, "The store refuses the row key for good and has accepted a commit without it. The submission id, if the row is its record, has failed; a row of the contention model is not written again by this owner. All other work goes on.")
 	MemberDeleted     = define(671, "member_deleted", zerolog.InfoLevel, "The owner deletes the row of a process that it has not heard of for ten minutes. error tells why the row stays.")
+	CopyStarted       = define(676, "copy_started", zerolog.InfoLevel, "A second run of a task is started beside the older one, as its step allows. reason is silent if nothing was heard of the executor of the older run for the time silent or the connection to its agent has ended, slow if the older run makes much less progress than similar ones.")
+	CopyEnded         = define(677, "copy_ended", zerolog.InfoLevel, "It is decided which of two runs of a task counts. winner is copy if the second run was done first, older if the run beside which it was started was, none if the copy was lost or has failed, or its submission has ended.")
 	LogLinesDropped   = define(660, "log_lines_dropped", zerolog.WarnLevel, "Log lines were dropped because the log could not be written fast enough.")
 )
--- a/base/metrics/deployment.go
+++ b/base/metrics/deployment.go
@@ -88,6 +88,9 @@
 		{"chicory_owner_given_up_tasks_total", "Tasks that were given up since they crash their executors.", func(c dispatch.Counters) uint64 { return c.GivenUp }},
 		{"chicory_owner_resent_starts_total", "Copies of starts that were sent after the first.", func(c dispatch.Counters) uint64 { return c.Resent }},
 		{"chicory_owner_refused_writes_total", "Changes that the store has refused for good, such as a record that is too large. The submission of a refused record has failed.", func(c dispatch.Counters) uint64 { return c.RefusedWrites }},
+		{"chicory_owner_copies_started_total", "Speculative copies of runs that were started.", func(c dispatch.Counters) uint64 { return c.CopiesStarted }},
+		{"chicory_owner_copies_won_total", "Speculative copies that were done before the run beside which they were started.", func(c dispatch.Counters) uint64 { return c.CopiesWon }},
+		{"chicory_owner_copies_lost_total", "Speculative copies that were not done first: the older run was, the copy was lost or has failed, or its submission has ended.", func(c dispatch.Counters) uint64 { return c.CopiesLost }},
 		{"chicory_owner_refused_starts_total", "Starts that were rejected.", func(c dispatch.Counters) uint64 { return c.Rejected }},
 	} {
 		m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: c.name, Help: c.help},
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -4,7 +4,7 @@
 // over them. Orders leave the package only after the records that they depend on are committed.
 //
 // The tables are in tables.go and neighbours.go; jobs.go and reports.go change them by submissions and
-// by reports. records.go divides the record of a job into rows. Each pass of Tick has a file: place.go, preempt.go, move.go, zones.go, stall.go and speed.go,
+// by reports. records.go divides the record of a job into rows. Each pass of Tick has a file: place.go, preempt.go, move.go, copies.go, zones.go, stall.go and speed.go,
 // contention.go for speed limits. crash.go attributes crashes of executors to tasks. commit.go and orders.go
 // turn decisions into records and orders, and refusal.go handles commits that the store refuses. What can be decided without the tables is in packages of its own:
 // ordering, placement, contention, speed, blame, eviction and advice.
@@ -148,6 +148,10 @@
 	pools    map[string]*pool
 	advice   *advice.Table
 	counters Counters
+	// heldEnds are the ends of older runs that wait until it is known whether the start of the newer one was carried out.
+	heldEnds []heldEnd
+	// passedAt is when this process last made a pass, inContactSince since when it has made them without interruption.
+	passedAt, inContactSince time.Duration
 }
 
 // Counters are totals since the owner started.
@@ -163,12 +167,16 @@
 	Resent uint64
 	// RefusedWrites counts the changes that the store has refused for good.
 	RefusedWrites uint64
+	// CopiesStarted counts the speculative copies, CopiesWon those that were done first, CopiesLost those that were not, since the
+	// older run was done first, the copy was lost or failed, or its submission has ended.
+	CopiesStarted, CopiesWon, CopiesLost uint64
 }
 
 func (c Counters) Add(d Counters) Counters {
 	return Counters{Starts: c.Starts + d.Starts, Ends: c.Ends + d.Ends, Failures: c.Failures + d.Failures,
 		Lost: c.Lost + d.Lost, Rejected: c.Rejected + d.Rejected, Withdrawn: c.Withdrawn + d.Withdrawn, ZoneWaits: c.ZoneWaits + d.ZoneWaits,
-		GivenUp: c.GivenUp + d.GivenUp, Resent: c.Resent + d.Resent, RefusedWrites: c.RefusedWrites + d.RefusedWrites}
+		GivenUp: c.GivenUp + d.GivenUp, Resent: c.Resent + d.Resent, RefusedWrites: c.RefusedWrites + d.RefusedWrites,
+		CopiesStarted: c.CopiesStarted + d.CopiesStarted, CopiesWon: c.CopiesWon + d.CopiesWon, CopiesLost: c.CopiesLost + d.CopiesLost}
 }
 
 // New returns an owner without work. now is the owner's clock, which includes time in suspension;
@@ -200,7 +208,9 @@
 func (o *Owner) Tick(now time.Duration) {
 	o.now = now
 	clear(o.pools)
+	o.observePass(now)
 	o.expireLeases(now)
+	o.settleHeldEnds(now)
 	o.releaseDueOccurrences(now)
 	o.saveDrainingRuns(now)
 	o.withdrawStarts(now)
@@ -210,6 +220,7 @@
 		o.moveRuns(now)
 		o.placeWaiting(now)
 		o.preempt(now)
+		o.startCopies(now)
 	}
 	o.retryOrders(now)
 	o.removeExpired(now)
--- a/control/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -217,6 +217,9 @@
 		if t.node != nil {
 			counts[t.node.info.ID]++
 		}
+		if t.alternate != nil {
+			counts[t.alternate.node.info.ID]++
+		}
 	}
 	return counts
 }
--- a/control/dispatch/preempt.go
+++ b/control/dispatch/preempt.go
@@ -139,10 +139,10 @@
 	return candidates, tasks
 }
 
-// evictionLoss returns the run time that is lost when the task is stopped.
+// evictionLoss returns the run time that is lost when the task is stopped. The other run of a task goes on.
 func (t *taskEntry) evictionLoss() time.Duration {
 	s := t.step()
-	if s.Checkpoints {
+	if s.Checkpoints || t.paired() {
 		return moveCost
 	}
 	return moveCost + s.Estimate*time.Duration(t.progressPercent)/100
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -85,6 +85,12 @@
 	failedOn []string
 	// lostOn is the incarnation with which the last run was lost.
 	lostOn submission.Incarnation
+	copyState
+}
+
+// clearRun forgets what belongs to the last run.
+func (t *taskEntry) clearRun() {
+	t.stopping, t.stopAcked, t.progressPercent, t.progressAt, t.missingSnapshots, t.speedBaseAt, t.fullRun = false, 0, 0, 0, 0, 0, false
 }
 
 func (t *taskEntry) step() *submission.Step { return &t.job.sub.Steps[t.id.Step] }
@@ -180,7 +186,7 @@
 // idle reports whether no run of the job is assigned.
 func (j *job) idle() bool {
 	for _, t := range j.tasks {
-		if t.rec.State == submission.TaskAssigned {
+		if t.rec.State == submission.TaskAssigned || t.alternate != nil {
 			return false
 		}
 	}
@@ -218,8 +224,10 @@
 	adopted bool
 	// connected reports whether the connection to the agent is up.
 	connected bool
-	gone      bool
-	goneAt    time.Duration
+	// disconnectedAt is when the connection was found to be down.
+	disconnectedAt time.Duration
+	gone           bool
+	goneAt         time.Duration
 	// leaseExpired is set when the lease has expired without contact.
 	leaseExpired bool
 	// clock is the executor's clock in milliseconds at the owner's time clockAt.
