--- a/control/dispatch/dispatch_test.go
+++ b/control/dispatch/dispatch_test.go
@@ -21,6 +21,8 @@
 	now      time.Duration
 	messages []AgentMessage
 	rows     map[string][]byte
+	// features are those of new owners.
+	features Features
 }
 
 const testEpoch = 3
@@ -42,7 +44,9 @@
 }
 
 func (f *fixture) newOwner(epoch uint64) *Owner {
-	return New(testBounds(), epoch, f.now, func(now time.Duration) int64 { return now.Milliseconds() }, zerolog.Nop())
+	b := testBounds()
+	b.Features = f.features
+	return New(b, epoch, f.now, func(now time.Duration) int64 { return now.Milliseconds() }, zerolog.Nop())
 }
 
 // executor reports an executor with its running and ended runs.
