--- a/verify/histories/copies_test.go
+++ b/verify/histories/copies_test.go
@@ -21,6 +21,7 @@
 	for seed := *firstSeed; seed < *firstSeed+*seedCount; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			p := planGenerator.Example(seed)
+			p.unguarded = seed%2 == 0
 			events, violations := playPlan(t, p)
 			copies += countCopies(events)
 			for _, v := range violations {
--- a/verify/histories/histories_test.go
+++ b/verify/histories/histories_test.go
@@ -67,7 +67,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		c := newCluster(ctx, p.work.TaskWork)
+		c := newCluster(ctx, p)
 		done := make(chan struct{}, len(p.work.Requests)+len(p.faults))
 		for i := range p.work.Requests {
 			go func() {
--- a/verify/histories/plan_test.go
+++ b/verify/histories/plan_test.go
@@ -46,6 +46,9 @@
 	rejectingExecutor, lostOrderReplies, delayedOrders, failingRuns, storeDown, storeSlow, storeLosesReplies, storeDelaysCommits, storeCompacts, drainExecutors,
 	evacuateZone, evacuateAllZones}
 
+// copyFaultKinds are those that lead to copies, or meet them halfway.
+var copyFaultKinds = []faultKind{unresponsiveExecutor, unresponsiveExecutor, cutAgent, lostOrderReplies, delayedOrders, failingRuns, killEntry}
+
 // fault is one fault of a plan. The meaning of amount depends on the kind.
 type fault struct {
 	at, duration time.Duration
@@ -62,6 +65,8 @@
 type plan struct {
 	work   workload.Plan
 	faults []fault
+	// unguarded is set if the executors don't guard their capacity.
+	unguarded bool
 }
 
 func milliseconds(t *rapid.T, label string, from, to time.Duration) time.Duration {
@@ -78,9 +83,18 @@
 	p := plan{work: workload.Generate(rand.New(rand.NewPCG(seed, 1)),
 		workload.Config{MinSubmissions: 4, MaxSubmissions: 12, ArrivalWindow: arrivalWindow, Executors: executorCount, Copies: copies})}
 	for range rapid.IntRange(1, 6).Draw(t, "faults") {
-		p.faults = append(p.faults, fault{at: milliseconds(t, "at", time.Second, arrivalWindow), duration: milliseconds(t, "lasts", 200*time.Millisecond, 7*time.Second),
-			kind: rapid.SampledFrom(faultKinds).Draw(t, "kind"), target: rapid.IntRange(0, executorCount-1).Draw(t, "target"),
-			amount: rapid.IntRange(1, 5).Draw(t, "amount")})
+		p.faults = append(p.faults, drawFault(t, faultKinds))
+	}
+	if copies {
+		for range rapid.IntRange(2, 5).Draw(t, "faults around copies") {
+			p.faults = append(p.faults, drawFault(t, copyFaultKinds))
+		}
 	}
 	return p
 }
+
+func drawFault(t *rapid.T, kinds []faultKind) fault {
+	return fault{at: milliseconds(t, "at", time.Second, arrivalWindow), duration: milliseconds(t, "lasts", 200*time.Millisecond, 7*time.Second),
+		kind: rapid.SampledFrom(kinds).Draw(t, "kind"), target: rapid.IntRange(0, executorCount-1).Draw(t, "target"),
+		amount: rapid.IntRange(1, 5).Draw(t, "amount")}
+}
