dispatch: slow runs are copied rather than moved where there is room

A move of a slow run stopped it before its copy was due. Runs on executors known to be slow are copied by the same criterion; they are moved as before where the last search has found no room for the step. Searches are 0.1 s apart and end after 16 steps without room, as each costs a look at all executors.

--- a/control/dispatch/copies.go
+++ b/control/dispatch/copies.go
@@ -14,8 +14,12 @@
 )
 
 const (
-	// maxCopiesPerPass is the largest number of copies that are started in one scheduling pass, so that they fit into few commits.
-	maxCopiesPerPass = 16
+	// copyInterval is the time between two searches for runs to copy.
+	copyInterval = 100 * time.Millisecond
+	// maxCopiesPerSearch is the largest number of copies that are started in one search, so that they fit into few commits.
+	maxCopiesPerSearch = 16
+	// maxFullSteps is the number of steps without room for a copy after which a search ends: each costs a look at all executors.
+	maxFullSteps = 16
 	// maxPassGap is the time between two passes from which this process counts as having been suspended.
 	maxPassGap = time.Second
 	// maxRecordedRuns is the number of runs of which the record tells whether they failed.
@@ -106,13 +110,39 @@
 
 // startCopies starts second runs of tasks whose executor is unresponsive or that are slow.
 func (o *Owner) startCopies(now time.Duration) {
-	if !o.bounds.Features.Copies || !o.mayExtendLeases(now) {
+	if !o.bounds.Features.Copies || !o.mayExtendLeases(now) || now-o.copiedAt < copyInterval {
 		return
 	}
-	candidates := o.copyCandidates(now)
-	if len(candidates) == 0 {
-		return
+	o.copiedAt = now
+	contact := o.contact(now)
+	clear(o.fullForCopies)
+	left := maxCopiesPerSearch
+	for _, t := range o.copyCandidates(contact, now) {
+		if o.fullForCopies[t.stepKey()] {
+			continue
+		}
+		target, room := o.copyRoom(t, contact, now)
+		verdict := speculation.Decide(o.speculationRun(t, now), room)
+		if verdict == speculation.None {
+			o.fullForCopies[t.stepKey()] = true
+		} else {
+			o.startCopy(t, target, verdict, now)
+			left--
+		}
+		if left == 0 || len(o.fullForCopies) == maxFullSteps {
+			return
+		}
 	}
+}
+
+// copyDue reports whether a slow run is about to be copied rather than moved.
+func (o *Owner) copyDue(t *taskEntry, now time.Duration) bool {
+	return o.mayBeCopied(t, now) && !o.fullForCopies[t.stepKey()] &&
+		speculation.Decide(o.speculationRun(t, now), speculation.Room{Free: true}) == speculation.Slow
+}
+
+// contact returns how far the owner is in contact with the executors.
+func (o *Owner) contact(now time.Duration) speculation.Room {
 	room := speculation.Room{Settled: now - o.inContactSince}
 	for _, n := range o.executors {
 		if n.gone || n.agent == "" {
@@ -123,30 +153,19 @@
 			room.Silent++
 		}
 	}
-	left := maxCopiesPerPass
-	for _, t := range candidates {
-		target, free := o.copyRoom(t, room, now)
-		verdict := speculation.Decide(o.speculationRun(t, now), free)
-		if verdict == speculation.None {
-			continue
-		}
-		o.startCopy(t, target, verdict, now)
-		if left--; left == 0 {
-			return
-		}
-	}
+	return room
 }
 
 // copyCandidates returns the runs that would be copied if there were room, ordered by name.
-func (o *Owner) copyCandidates(now time.Duration) []*taskEntry {
-	anyRoom := speculation.Room{Free: true, Executors: 1, Settled: speculation.SettleTime}
+func (o *Owner) copyCandidates(contact speculation.Room, now time.Duration) []*taskEntry {
+	contact.Free = true
 	var list []*taskEntry
 	for _, n := range o.executors {
 		if n.gone || n.leaseExpired {
 			continue
 		}
 		for t := range n.tasks {
-			if o.mayBeCopied(t, now) && speculation.Decide(o.speculationRun(t, now), anyRoom) != speculation.None {
+			if o.mayBeCopied(t, now) && speculation.Decide(o.speculationRun(t, now), contact) != speculation.None {
 				list = append(list, t)
 			}
 		}
@@ -172,9 +191,12 @@
 	r := speculation.Run{Begun: t.phase == phaseRunning, Stopping: t.stopping, Suspected: task.suspected(), Failures: int(task.rec.Failures),
 		MaxAttempts: t.job.sub.MaxAttempts, Percent: t.progressPercent}
 	r.Silence, r.Disconnected = o.silence(t.node, now)
-	if t.fullRun && !t.restoring && t.speedLimit == fullSpeed && t.startedAt != 0 && t.progressAt > t.startedAt {
-		r.Elapsed = t.progressAt - t.startedAt
+	if t.speedLimit == fullSpeed && !t.restoring {
 		r.Expected, _ = o.expectedDuration(t)
+		r.Slowdown = t.node.speed.Slowdown(now)
+	}
+	if t.fullRun && t.startedAt != 0 && t.progressAt > t.startedAt {
+		r.Elapsed = t.progressAt - t.startedAt
 	}
 	if task.rec.Checkpoint != "" {
 		r.CopyPercent = task.checkpointPercent
--- a/control/dispatch/copies_test.go
+++ b/control/dispatch/copies_test.go
@@ -135,6 +135,29 @@
 	assert.Assert(t, slices.Contains(f.starts(), name(0, 0)+"#2@e2"))
 }
 
+// Guards against a slow run that is stopped, or goes on alone, although its step allows a copy that would be done much sooner; and
+// against a third run when the lease of the older one ends.
+func TestSlowRunIsCopied(t *testing.T) {
+	f := newSingle(t, testSubmission(speculativeStep()), Features{Copies: true})
+	task := f.owner.find(name(0, 0))
+	for range 2 {
+		f.owner.jobs[testID].stepDurations(task.stepKey()).Observe("e2", time.Second)
+	}
+	f.now += copyStep
+	f.executor("e1", f.runs(1, 38))
+	f.quiet(1)
+	assert.DeepEqual(t, f.starts()[1:], []string{name(0, 0) + "#2@e2"})
+	f.accept()
+	for range 14 {
+		f.now += copyStep
+		f.executor("e2", f.runs(2, int(f.now/copyStep)%100))
+		f.pass()
+	}
+	assert.Equal(t, len(f.starts()), 2)
+	assert.Equal(t, len(f.stops()), 0)
+	assert.Equal(t, f.owner.incarnations["e1"][0].placementNode.Reserved.CPU, int64(0))
+}
+
 // Guards against a second result, against runs that go on after the first, and against room that is given away while a run
 // that is being stopped still has it.
 func TestFirstEndOfTwoRunsCounts(t *testing.T) {
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -152,6 +152,10 @@
 	heldEnds []heldEnd
 	// passedAt is when this process last made a pass, inContactSince since when it has made them without interruption.
 	passedAt, inContactSince time.Duration
+	// copiedAt is when runs to copy were last searched for.
+	copiedAt time.Duration
+	// fullForCopies holds the steps for which the last search found no room.
+	fullForCopies map[stepKey]bool
 }
 
 // Counters are totals since the owner started.
@@ -189,7 +193,7 @@
 	return &Owner{bounds: b, epoch: epoch, startedAt: now, now: now, modelWrittenAt: now, lastCommit: now, log: log, unixMillis: unix, jobs: make(map[string]*job),
 		executors: make(map[submission.Incarnation]*node), incarnations: make(map[string][]*node), waiting: make(map[stepKey]*waitingStep), scheduled: make(map[string]*job),
 		dirty: make(map[*recordPart]struct{}), outbox: make(map[submission.Incarnation]*outbox), uncommitted: newEffects(), estimates: make(map[string]*speed.EstimateAccuracy), contention: model,
-		compatibility: make(map[string]float64), crashes: make(map[string]crash), pools: make(map[string]*pool), moveTargets: make(map[stepKey]*pool), advice: advice.NewTable()}
+		compatibility: make(map[string]float64), crashes: make(map[string]crash), pools: make(map[string]*pool), moveTargets: make(map[stepKey]*pool), fullForCopies: make(map[stepKey]bool), advice: advice.NewTable()}
 }
 
 func (o *Owner) Epoch() uint64 { return o.epoch }
--- a/control/speculation/speculation.go
+++ b/control/speculation/speculation.go
@@ -46,11 +46,13 @@
 	// connection, 0 while it has one.
 	Silence, Disconnected time.Duration
 	// Elapsed is the time from the start of the run to its last reported progress, Percent that progress. Elapsed is 0 where they
-	// don't give the pace of the run: it restores a checkpoint, began from one, is held below full speed, or was started by another owner.
+	// don't give the pace of the run: it began from a checkpoint, was held below full speed, or was started by another owner.
 	Elapsed time.Duration
 	Percent int
-	// Expected is the run time of similar runs, 0 if it is not known.
+	// Expected is the run time of similar runs, 0 if it is not known, or if the run restores a checkpoint or is held below full speed.
 	Expected time.Duration
+	// Slowdown is the run time on its executor relative to others, as measured on all of its runs, 1 if that is not known.
+	Slowdown float64
 	// CopyPercent is the progress from which the copy would start: that of the last checkpoint.
 	CopyPercent int
 }
@@ -123,11 +125,14 @@
 
 // slow reports whether the run is far behind similar ones, and its copy would be done clearly sooner.
 func (r *Run) slow() bool {
-	if r.Stopping || r.Elapsed < minElapsed || r.Expected == 0 || r.Percent >= maxPercent {
+	if r.Stopping || r.Expected == 0 || r.Percent >= maxPercent {
 		return false
 	}
-	// Progress below one percent counts as half a percent.
-	total := float64(r.Elapsed) * maxPercent / max(float64(r.Percent), 0.5)
+	total := float64(r.Expected) * r.Slowdown
+	if r.Elapsed >= minElapsed {
+		// Progress below one percent counts as half a percent.
+		total = float64(r.Elapsed) * maxPercent / max(float64(r.Percent), 0.5)
+	}
 	if total < minSlowdown*float64(r.Expected) {
 		return false
 	}
--- a/control/speculation/speculation_test.go
+++ b/control/speculation/speculation_test.go
@@ -48,6 +48,7 @@
 		"owner was suspended":           {silentRun(), func(_ *Run, m *Room) { m.Settled = SettleTime - ms }, None},
 		"slow":                          {slowRun(), func(*Run, *Room) {}, Slow},
 		"slow while others are silent":  {slowRun(), func(_ *Run, m *Room) { m.Silent = 4 }, Slow},
+		"its executor is slow":          {slowRun(), func(r *Run, _ *Room) { r.Elapsed, r.Slowdown = 0, 2.5 }, Slow},
 		"pace is not known":             {slowRun(), func(r *Run, _ *Room) { r.Elapsed = 0 }, None},
 		"nothing to compare with":       {slowRun(), func(r *Run, _ *Room) { r.Expected = 0 }, None},
 		"has only just begun":           {slowRun(), func(r *Run, _ *Room) { r.Elapsed, r.Percent, r.Expected = minElapsed-ms, 0, 100*ms }, None},
