--- a/control/dispatch/copies.go
+++ b/control/dispatch/copies.go
@@ -110,7 +110,11 @@
 
 // startCopies starts second runs of tasks whose executor is unresponsive or that are slow.
 func (o *Owner) startCopies(now time.Duration) {
-	if !o.bounds.Features.Copies || !o.mayExtendLeases(now) || now-o.copiedAt < copyInterval {
+	if !o.mayExtendLeases(now) {
+		clear(o.unresponsiveIDs)
+		return
+	}
+	if !o.bounds.Features.Copies || now-o.copiedAt < copyInterval {
 		return
 	}
 	o.copiedAt = now
@@ -141,9 +145,10 @@
 		speculation.Decide(o.speculationRun(t, now), speculation.Room{Free: true}) == speculation.Slow
 }
 
-// contact returns how far the owner is in contact with the executors.
+// contact returns how far the owner is in contact with the executors, and notes those that are unresponsive.
 func (o *Owner) contact(now time.Duration) speculation.Room {
 	room := speculation.Room{Settled: now - o.inContactSince}
+	clear(o.unresponsiveIDs)
 	for _, n := range o.executors {
 		if n.gone || n.agent == "" {
 			continue
@@ -151,11 +156,24 @@
 		room.Executors++
 		if o.unresponsive(n, now) {
 			room.Silent++
+			o.unresponsiveIDs[n.info.ID] = true
 		}
 	}
+	if room.ContactLost() {
+		clear(o.unresponsiveIDs)
+	}
 	return room
 }
 
+// responsive restricts an executor filter to those that are not known to be unresponsive, for steps that allow copies: a run that begins on
+// one of the others can't be copied until its start is confirmed.
+func (o *Owner) responsive(s *submission.Step, allowed func(id string) bool) func(id string) bool {
+	if len(o.unresponsiveIDs) == 0 || !o.mayCopy(s) {
+		return allowed
+	}
+	return func(id string) bool { return !o.unresponsiveIDs[id] && (allowed == nil || allowed(id)) }
+}
+
 // copyCandidates returns the runs that would be copied if there were room, ordered by name.
 func (o *Owner) copyCandidates(contact speculation.Room, now time.Duration) []*taskEntry {
 	contact.Free = true
--- a/control/dispatch/copies_test.go
+++ b/control/dispatch/copies_test.go
@@ -158,6 +158,22 @@
 	assert.Equal(t, f.owner.incarnations["e1"][0].placementNode.Reserved.CPU, int64(0))
 }
 
+// Guards against a start on an executor that does not respond: as it is not confirmed, the run could not be copied.
+func TestTaskThatAllowsCopiesAvoidsUnresponsiveExecutor(t *testing.T) {
+	for allowed, runs := range map[bool]int{true: 4, false: 6} {
+		s := testSubmission(speculativeStep())
+		f := newSingle(t, s, Features{Copies: true})
+		f.end("e1", 1, executor.Done)
+		f.quiet(4)
+		s = testSubmission(testStep(6))
+		s.ID, s.Steps[0].Speculative = "00000000000000bb", allowed
+		f.add(s)
+		before := len(f.starts())
+		f.pass()
+		assert.Equal(t, len(f.starts())-before, runs, "%v", f.starts())
+	}
+}
+
 // Guards against a second result, against runs that go on after the first, and against room that is given away while a run
 // that is being stopped still has it.
 func TestFirstEndOfTwoRunsCounts(t *testing.T) {
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -156,6 +156,8 @@
 	copiedAt time.Duration
 	// fullForCopies holds the steps for which the last search found no room.
 	fullForCopies map[stepKey]bool
+	// unresponsiveIDs are the IDs of the executors that did not respond in the last search, empty if the owner itself may have been cut off.
+	unresponsiveIDs map[string]bool
 }
 
 // Counters are totals since the owner started.
@@ -193,7 +195,7 @@
 	return &Owner{bounds: b, epoch: epoch, startedAt: now, now: now, modelWrittenAt: now, lastCommit: now, log: log, unixMillis: unix, jobs: make(map[string]*job),
 		executors: make(map[submission.Incarnation]*node), incarnations: make(map[string][]*node), waiting: make(map[stepKey]*waitingStep), scheduled: make(map[string]*job),
 		dirty: make(map[*recordPart]struct{}), outbox: make(map[submission.Incarnation]*outbox), uncommitted: newEffects(), estimates: make(map[string]*speed.EstimateAccuracy), contention: model,
-		compatibility: make(map[string]float64), crashes: make(map[string]crash), pools: make(map[string]*pool), moveTargets: make(map[stepKey]*pool), fullForCopies: make(map[stepKey]bool), advice: advice.NewTable()}
+		compatibility: make(map[string]float64), crashes: make(map[string]crash), pools: make(map[string]*pool), moveTargets: make(map[stepKey]*pool), fullForCopies: make(map[stepKey]bool), unresponsiveIDs: make(map[string]bool), advice: advice.NewTable()}
 }
 
 func (o *Owner) Epoch() uint64 { return o.epoch }
--- a/control/speculation/speculation.go
+++ b/control/speculation/speculation.go
@@ -99,7 +99,7 @@
 	}
 	switch {
 	case Unresponsive(r.Silence, r.Disconnected):
-		if room.contactLost() {
+		if room.ContactLost() {
 			return None
 		}
 		return Silent
@@ -118,8 +118,8 @@
 // idle reports whether a copy would use only capacity that nothing else needs.
 func (r *Room) idle() bool { return r.Free && !r.WorkWaits && r.ReservedShare <= maxReservedShare }
 
-// contactLost reports whether the owner rather than the executors may be the reason for the silence.
-func (r *Room) contactLost() bool {
+// ContactLost reports whether the owner rather than the executors may be the reason for the silence.
+func (r *Room) ContactLost() bool {
 	return r.Settled < SettleTime || float64(r.Silent) > maxSilentShare*float64(r.Executors)
 }
 
