--- a/base/events/dispatch.go
+++ b/base/events/dispatch.go
@@ -65,6 +65,8 @@
 	PoolPlanned       = define(672, "pool_planned", zerolog.InfoLevel, "A latency-critical task is stopped to run on the executor to, so that tasks of one image gather and other executors are open to more best-effort images.")
 	RunRelocated      = define(673, "run_relocated", zerolog.InfoLevel, "A best-effort run is stopped to resume elsewhere, since a latency-critical task on its executor is over its target. over is for how long. added_utilization is what the run is expected to add, excess_utilization what is too much.")
 	BacklogEstimated  = define(674, "backlog_estimated", zerolog.InfoLevel, "Work waits for processors. queue names the queue with the longest expected delay of a new submission (delay), least is the lower bound of that delay, queues the number of queues with a considerable backlog, waiting_steps that of all steps that wait.")
+	CopyStarted       = define(676, "copy_started", zerolog.InfoLevel, "A second run of a task is started beside the older one, as its step allows. reason is silent if nothing was heard of the executor of the older run for the time silent or the connection to its agent has ended, slow if the older run makes much less progress than similar ones.")
+	CopyEnded         = define(677, "copy_ended", zerolog.InfoLevel, "It is decided which of two runs of a task counts. winner is copy if the second run was done first, older if the run beside which it was started was, none if the copy was lost or has failed, or its submission has ended.")
 	LogLinesDropped   = define(660, "log_lines_dropped", zerolog.WarnLevel, "Log lines were dropped because the log could not be written fast enough.")
 )
 
--- a/control/dispatch/preempt.go
+++ b/control/dispatch/preempt.go
@@ -144,10 +144,10 @@
 	return t.phase == phaseRunning && !t.stopping && !s.LongRunning && !s.Gang && t.preemptions < maxPreemptionsPerTask
 }
 
-// evictionLoss returns the run time that is lost when the task is stopped.
+// evictionLoss returns the run time that is lost when the task is stopped. The other run of a task goes on.
 func (t *taskEntry) evictionLoss() time.Duration {
 	s := t.step()
-	if s.Checkpoints {
+	if s.Checkpoints || t.paired() {
 		return moveCost
 	}
 	return moveCost + s.Estimate*time.Duration(t.progressPercent)/100
