speculation: room in pools that are mostly reserved

Cause: latency-critical tasks reserve 83 to 99% of the processors of the deployments with speculative steps, and best-effort work waits there most of the time, so that no copy would have been made.

Change: best-effort work that waits does not count against a copy with a reservation, and a run on an unresponsive executor is copied however much of the pool is reserved, since the alternative is to wait for the lease. Slow runs keep the bound. The case "pool is nearly full" is now one case for each reason.

--- a/control/dispatch/copies.go
+++ b/control/dispatch/copies.go
@@ -242,7 +242,13 @@
 	target := usable.nodes[best]
 	room.Free = true
 	for _, w := range o.waiting {
-		if o.service(w.job.sub) == service && placement.FitsWhenEmpty(&w.job.sub.Steps[w.key.step], &target.placementNode) {
+		step := &w.job.sub.Steps[w.key.step]
+		// Best-effort work waits for idle processors, or for an executor where it interferes with no other; neither is what a
+		// copy with a reservation takes.
+		if step.BestEffort && !t.step().BestEffort {
+			continue
+		}
+		if o.service(w.job.sub) == service && placement.FitsWhenEmpty(step, &target.placementNode) {
 			room.WorkWaits = true
 		}
 	}
--- a/control/speculation/speculation.go
+++ b/control/speculation/speculation.go
@@ -16,7 +16,8 @@
 	SettleTime = 2 * time.Second
 	// maxSilentShare is the share of the executors that may be unresponsive. If more are, the owner itself may be cut off.
 	maxSilentShare = 0.5
-	// maxReservedShare is the share of the pool's processors above which no copy is made: the rest is for work that arrives.
+	// maxReservedShare is the share of the pool's processors above which a slow run gets no copy: the rest is for work that
+	// arrives. One on an unresponsive executor does, since it would hold up its submission until the lease ends.
 	maxReservedShare = 0.85
 	// minElapsed is the run time before which the progress of a run proves nothing.
 	minElapsed = time.Second
@@ -61,7 +62,7 @@
 type Room struct {
 	// Free is set if an executor other than that of the run can take the copy now without displacing or slowing other work.
 	Free bool
-	// WorkWaits is set if other tasks wait for room in the same pool.
+	// WorkWaits is set if other tasks wait for the room that the copy would take.
 	WorkWaits bool
 	// ReservedShare is the share of the pool's processors that is reserved.
 	ReservedShare float64
@@ -94,7 +95,7 @@
 
 // Decide returns whether to start a copy of a run.
 func Decide(r Run, room Room) Verdict {
-	if !r.mayBeCopied() || !room.idle() {
+	if !r.mayBeCopied() || !room.Free || room.WorkWaits {
 		return None
 	}
 	switch {
@@ -103,7 +104,7 @@
 			return None
 		}
 		return Silent
-	case r.slow():
+	case r.slow() && room.ReservedShare <= maxReservedShare:
 		return Slow
 	}
 	return None
@@ -115,9 +116,6 @@
 	return r.Begun && !r.Suspected && (r.MaxAttempts == 0 || r.Failures+1 < r.MaxAttempts)
 }
 
-// idle reports whether a copy would use only capacity that nothing else needs.
-func (r *Room) idle() bool { return r.Free && !r.WorkWaits && r.ReservedShare <= maxReservedShare }
-
 // ContactLost reports whether the owner rather than the executors may be the reason for the silence.
 func (r *Room) ContactLost() bool {
 	return r.Settled < SettleTime || float64(r.Silent) > maxSilentShare*float64(r.Executors)
