placewait: tasks and gangs wait for their rack while that is expected to pay

Cause: a step that names a data rack, and a gang that wants one rack, started elsewhere at once when the rack had no room, and took remoteFactor times as long. A gang preferred the rack of its first member, chosen by cost, also where that rack could not hold all members and another one could.

Change: package placewait compares the expected end at the rack with that elsewhere, and says until when to wait. dispatch holds such tasks back in placeStep and placeGang; nothing is reserved. A gang looks for a rack that holds all of it first. A held step preempts only at its rack, and its wait by choice does not count for the thresholds of interference and preemption. Run times of remote runs are divided by the factor before they count for the speed of an executor and the accuracy of estimates. All of it takes effect only with remoteFactor above 1 and place_wait.enabled, and on steps that name a location.

Ruled out: charging a gang's Taken share to each released slot; with one slot missing the sum never reached the width, and no gang waited.

--- a/command/deployed/process.go
+++ b/command/deployed/process.go
@@ -174,8 +174,8 @@
 	b, o := p.settings.Bounds, p.options
 	return dispatch.Bounds{LeaseDuration: min(leaseDuration, b.MaxLease), MaxStoreOutage: maxStoreOutage, AckValidity: ackValidity, StopTimeout: b.StopTimeout,
 		Evacuation: b.Evacuation, MaxInterference: b.MaxInterference, Retention: 2 * b.StatusRetention,
-		MaxRowBytes: p.settings.MaxRowBytes,
-		Features:    dispatch.Features{PoolPlan: o.PoolPlan.Enabled, Backlog: o.Overload.Enabled, Copies: o.Copies.Enabled, PlaceWait: o.PlaceWait.Enabled}}
+		MaxRowBytes: p.settings.MaxRowBytes, RemoteFactor: b.RemoteFactor,
+		Features: dispatch.Features{PoolPlan: o.PoolPlan.Enabled, Backlog: o.Overload.Enabled, Copies: o.Copies.Enabled, PlaceWait: o.PlaceWait.Enabled}}
 }
 
 // takeoverDelay returns how much longer than others this entry waits before it takes over the ownership.
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -51,7 +51,9 @@
 	Retention time.Duration
 	// MaxRowBytes is the size of the largest value that the store accepts, 0 for no limit.
 	MaxRowBytes int
-	Features    Features
+	// RemoteFactor is the ratio of a task's run time away from its preferred rack to that there, 0 if unknown.
+	RemoteFactor float64
+	Features     Features
 }
 
 // Features are the optional decisions. Each takes effect only on work and pools that call for it.
@@ -145,9 +147,10 @@
 	// crashes holds the last crash on each VM, by the name of its agent.
 	crashes map[string]crash
 	// pools are the executors that can take tasks in this scheduling pass, by service.
-	pools    map[string]*pool
-	advice   *advice.Table
-	counters Counters
+	pools      map[string]*pool
+	placeWaits placeWaits
+	advice     *advice.Table
+	counters   Counters
 }
 
 // Counters are totals since the owner started.
@@ -163,12 +166,17 @@
 	Resent uint64
 	// RefusedWrites counts the changes that the store has refused for good.
 	RefusedWrites uint64
+	// PlaceWaits counts the waits of tasks and gangs for their rack, PlaceWaitsPaid those that ended there, PlaceWaitsInVain
+	// those that ended elsewhere. RemoteStarts counts the runs that started away from their data or split over racks.
+	PlaceWaits, PlaceWaitsPaid, PlaceWaitsInVain, RemoteStarts uint64
 }
 
 func (c Counters) Add(d Counters) Counters {
 	return Counters{Starts: c.Starts + d.Starts, Ends: c.Ends + d.Ends, Failures: c.Failures + d.Failures,
 		Lost: c.Lost + d.Lost, Rejected: c.Rejected + d.Rejected, Withdrawn: c.Withdrawn + d.Withdrawn, ZoneWaits: c.ZoneWaits + d.ZoneWaits,
-		GivenUp: c.GivenUp + d.GivenUp, Resent: c.Resent + d.Resent, RefusedWrites: c.RefusedWrites + d.RefusedWrites}
+		GivenUp: c.GivenUp + d.GivenUp, Resent: c.Resent + d.Resent, RefusedWrites: c.RefusedWrites + d.RefusedWrites,
+		PlaceWaits: c.PlaceWaits + d.PlaceWaits, PlaceWaitsPaid: c.PlaceWaitsPaid + d.PlaceWaitsPaid,
+		PlaceWaitsInVain: c.PlaceWaitsInVain + d.PlaceWaitsInVain, RemoteStarts: c.RemoteStarts + d.RemoteStarts}
 }
 
 // New returns an owner without work. now is the owner's clock, which includes time in suspension;
--- a/control/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -16,13 +16,15 @@
 
 // placeWaiting assigns waiting tasks to executors, in the order of package ordering.
 func (o *Owner) placeWaiting(now time.Duration) {
-	if len(o.waiting) == 0 || (!o.placementChanged && now-o.placedAt < placeInterval) {
+	if len(o.waiting) == 0 || (!o.placementChanged && !o.placeWaitDue(now) && now-o.placedAt < placeInterval) {
 		return
 	}
 	o.placementChanged, o.placedAt = false, now
+	o.beginPlaceWaits(now)
 	for _, w := range o.orderedSteps(now) {
 		o.placeStep(w, now)
 	}
+	o.endPlaceWaits(now)
 }
 
 // orderedSteps returns the waiting steps in the order in which they are placed.
@@ -112,8 +114,9 @@
 	}
 	q := o.query(w, p, now)
 	ranking := placement.Rank(q, p.placementNodes)
+	wait := o.rackWait(w, p, q, now)
 	tasks := w.tasks
-	left := tasks[:0]
+	left, stuck := tasks[:0], false
 	for i, t := range tasks {
 		if t.suspected() {
 			at := o.placeSuspect(t, p, ranking.Fits, now)
@@ -128,9 +131,14 @@
 		best := ranking.Best(t.avoidFilter())
 		if best < 0 {
 			left = append(left, tasks[i:]...)
+			stuck = true
 			o.reportZoneWait(w)
 			break
 		}
+		if wait.holds(t, best, ranking, now) {
+			left = append(left, t)
+			continue
+		}
 		w.onNode[p.placementNodes[best].ID]++
 		o.assign(t, p.nodes[best], now)
 		if q.AllowInterference {
@@ -141,6 +149,7 @@
 		}
 		ranking.Update(best)
 	}
+	wait.finish(left, stuck, now)
 	o.setWaiting(w, left)
 }
 
@@ -184,7 +193,7 @@
 
 // allowsInterference reports whether a step has waited long enough for an executor where it interferes with no other.
 func (w *waitingStep) allowsInterference(p *pool, now time.Duration) bool {
-	waited := now - w.since
+	waited := w.waited(now)
 	if waited <= idleInterferenceDelay || !w.job.idle() {
 		return false
 	}
@@ -226,40 +235,20 @@
 	if slices.ContainsFunc(w.tasks, func(t *taskEntry) bool { return t.delayed(now) }) {
 		return
 	}
-	step := &w.job.sub.Steps[w.key.step]
-	trial := make([]*placement.Node, len(p.placementNodes))
-	for i, node := range p.placementNodes {
-		c := *node
-		trial[i] = &c
+	chosen, ok := o.placesForGang(w, p, o.query(w, p, now), now)
+	if !ok {
+		return
 	}
-	q := o.query(w, p, now)
-	ranking := placement.Rank(q, trial)
-	chosen := make([]int, 0, len(w.tasks))
 	run := uint32(0)
 	for _, t := range w.tasks {
-		best := ranking.Best(t.avoidFilter())
-		if best < 0 {
-			return
-		}
-		trial[best].Reserved = trial[best].Reserved.Add(t.reserved())
-		if step.BestEffort {
-			trial[best].BestEffortCPU += step.Request.CPU
-		}
-		w.onNode[trial[best].ID]++
-		chosen = append(chosen, best)
 		run = max(run, t.rec.Run)
-		if len(chosen) == 1 {
-			q.Rack = trial[best].Rack
-			ranking = placement.Rank(q, trial)
-			continue
-		}
-		ranking.Update(best)
 	}
 	unifyCheckpoints(w.tasks)
 	for i, t := range w.tasks {
 		t.rec.Run = run
 		o.assign(t, p.nodes[chosen[i]], now)
 	}
+	o.endGangHold(w, now)
 	o.setWaiting(w, nil)
 }
 
@@ -272,6 +261,7 @@
 	t.node, t.phase, t.changedAt, t.progressPercent, t.speedLimit, t.throttledAt = n, phaseCommitPending, now, 0, fullSpeed, 0
 	t.firstOrderedAt, t.startCopies, t.startedAt, t.latencyInTargetAt, t.latencyOverSince = 0, 0, 0, 0, 0
 	n.reserve(t)
+	o.endTaskHold(t, now)
 	o.markDirty(t)
 	o.uncommitted.starts = append(o.uncommitted.starts, t)
 	events.TaskPlaced.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", n.info.ID).
--- /dev/null
+++ b/control/dispatch/placewait.go
@@ -0,0 +1,626 @@
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/control/placement"
+	"github.com/chicorystand/chicorystand/control/placewait"
+	"github.com/chicorystand/chicorystand/control/task"
+)
+
+const (
+	// demandHalfLife is the time in which the counts of a rack's arrivals and starts lose half of their weight.
+	demandHalfLife = 3 * time.Second
+	// demandPause is the time without a task that wants a rack after which its demand no longer exceeds its room.
+	demandPause = 2 * time.Second
+	// maxCountedSlots bounds the tasks of one step that are counted as room on one executor.
+	maxCountedSlots = 64
+	// minProjectedPercent is the progress from which the end of a run is projected from it: at one percent the
+	// resolution alone makes the projection wrong by up to a factor of two.
+	minProjectedPercent = 5
+	// minRemaining is the shortest time to the expected end of a run: its report has to arrive.
+	minRemaining = 100 * time.Millisecond
+	// overdueShare is the share of its age that a run without known progress is expected to take beyond its estimate.
+	overdueShare = 0.1
+	// resumedShare is the share of its run time that a task with a checkpoint is expected to need.
+	resumedShare = 0.5
+)
+
+// placeHold is the wait of a task for its preferred rack.
+type placeHold struct {
+	// since is when the wait began, 0 for none.
+	since time.Duration
+	// active is set while the last pass held the task back, although it fits elsewhere.
+	active bool
+	// rack is the awaited rack, gain the time that a run elsewhere loses.
+	rack string
+	gain time.Duration
+	// counted is set once the task counts as an arrival of its rack.
+	counted bool
+	reason  placewait.Reason
+}
+
+// rackKey identifies a rack of the executors of a service.
+type rackKey struct{ service, rack string }
+
+// claim is work that waits for a rack, as found earlier in the same pass.
+type claim struct {
+	need task.Resources
+	run  time.Duration
+}
+
+// rackDemand is what is known of the tasks that want a rack. It is advisory and starts empty after a takeover.
+type rackDemand struct {
+	arrivals, starts float64
+	wantedAt         time.Duration
+	exceededSince    time.Duration
+	// unmet and met count tasks of the current pass.
+	unmet, met int
+	ahead      []claim
+}
+
+// placeWaits is the state of all waits for racks.
+type placeWaits struct {
+	demand map[rackKey]*rackDemand
+	// decayedAt is when the counts were last decayed.
+	decayedAt time.Duration
+	// endings are the runs of nodes by their expected ends, computed once in each pass.
+	endings map[*node][]ending
+	// nextTurn is the earliest time at which a decision to wait reverses, 0 for none.
+	nextTurn time.Duration
+}
+
+func (o *Owner) placeWaitsOn() bool { return o.bounds.Features.PlaceWait && o.bounds.RemoteFactor > 1 }
+
+// placeWaitDue reports whether a decision to wait reverses.
+func (o *Owner) placeWaitDue(now time.Duration) bool {
+	return o.placeWaits.nextTurn != 0 && now >= o.placeWaits.nextTurn
+}
+
+// beginPlaceWaits prepares the demand of all racks for a placement pass.
+func (o *Owner) beginPlaceWaits(now time.Duration) {
+	s := &o.placeWaits
+	s.nextTurn = 0
+	clear(s.endings)
+	weight := math.Exp2(-float64(now-s.decayedAt) / float64(demandHalfLife))
+	s.decayedAt = now
+	for _, d := range s.demand {
+		d.arrivals *= weight
+		d.starts *= weight
+		d.unmet, d.met, d.ahead = 0, 0, d.ahead[:0]
+	}
+}
+
+// endPlaceWaits records for which racks the demand exceeded the room in the pass.
+func (o *Owner) endPlaceWaits(now time.Duration) {
+	for key, d := range o.placeWaits.demand {
+		switch {
+		case d.unmet > 0:
+			if d.exceededSince == 0 {
+				d.exceededSince = now
+			}
+		case d.met > 0:
+			d.exceededSince = 0
+		case now-d.wantedAt > demandPause:
+			delete(o.placeWaits.demand, key)
+		}
+	}
+}
+
+func (o *Owner) rackDemand(key rackKey) *rackDemand {
+	d := o.placeWaits.demand[key]
+	if d == nil {
+		if o.placeWaits.demand == nil {
+			o.placeWaits.demand = make(map[rackKey]*rackDemand)
+		}
+		d = new(rackDemand)
+		o.placeWaits.demand[key] = d
+	}
+	return d
+}
+
+func (d *rackDemand) exceededFor(now time.Duration) time.Duration {
+	if d.exceededSince == 0 {
+		return 0
+	}
+	return now - d.exceededSince
+}
+
+// count records that a task wants the rack and whether it starts there now.
+func (d *rackDemand) count(h *placeHold, met bool, now time.Duration) {
+	d.wantedAt = now
+	if !h.counted {
+		h.counted = true
+		d.arrivals++
+	}
+	if met {
+		d.starts++
+		d.met++
+		return
+	}
+	d.unmet++
+}
+
+// claim records that a waiting task wants room before those that follow in the pass.
+func (d *rackDemand) claim(need task.Resources, run time.Duration) {
+	d.ahead = append(d.ahead, claim{need, run})
+}
+
+// rackWait decides for the tasks of one step in one pass.
+type rackWait struct {
+	owner  *Owner
+	step   *waitingStep
+	pool   *pool
+	query  placement.Query
+	demand *rackDemand
+	task   placewait.Task
+	place  placewait.Place
+	// sized is set once the place is known, declined once the rest of the step starts elsewhere for the same reason.
+	sized, declined bool
+	reason          placewait.Reason
+}
+
+// rackWait returns the decision for a step whose tasks want a rack, nil for other steps.
+func (o *Owner) rackWait(w *waitingStep, p *pool, q placement.Query, now time.Duration) *rackWait {
+	w.countHeldTime(now)
+	step := &w.job.sub.Steps[w.key.step]
+	if !o.placeWaitsOn() || step.DataRack == "" || step.LongRunning {
+		return nil
+	}
+	for _, t := range w.tasks {
+		t.hold.active = false
+	}
+	key := rackKey{o.service(w.job.sub), step.DataRack}
+	return &rackWait{owner: o, step: w, pool: p, query: q, demand: o.rackDemand(key)}
+}
+
+// holds reports whether a task waits for its rack, given the best executor for it now.
+func (r *rackWait) holds(t *taskEntry, best int, ranking *placement.Ranking, now time.Duration) bool {
+	if r == nil {
+		return false
+	}
+	rack := t.step().DataRack
+	there := r.pool.placementNodes[best].Rack == rack
+	r.demand.count(&t.hold, there, now)
+	if there || r.declined {
+		t.hold.reason = r.reason
+		return false
+	}
+	if !r.sized {
+		r.size(rack, best, ranking, now)
+	}
+	if r.declined {
+		t.hold.reason = r.reason
+		return false
+	}
+	return r.decide(t, best, now)
+}
+
+// size evaluates the rack once for the step. Nothing of the step starts there in this pass anymore, since it has no room.
+func (r *rackWait) size(rack string, best int, ranking *placement.Ranking, now time.Duration) {
+	r.sized = true
+	o := r.owner
+	r.task = o.waitTask(r.step, now)
+	inRack := func(i int) bool { return r.pool.placementNodes[i].Rack == rack }
+	for i := range r.pool.nodes {
+		if inRack(i) && ranking.Fits(i) {
+			// The rack has room, and the better choice is another for a reason such as a fault there.
+			r.decline(placewait.RoomNow)
+			return
+		}
+	}
+	r.task.ElsewhereSlowdown = r.pool.nodes[best].speed.Slowdown(now)
+	var holdable bool
+	r.place, holdable = o.waitPlace(r.step, r.pool, r.query, ranking, rack, r.task, now)
+	if !holdable {
+		r.decline(placewait.NoRack)
+	}
+}
+
+func (r *rackWait) decline(reason placewait.Reason) { r.declined, r.reason = true, reason }
+
+func (r *rackWait) decide(t *taskEntry, best int, now time.Duration) bool {
+	o, step := r.owner, t.step()
+	r.place.Ahead = r.demand.claims(step.Request)
+	r.task.Displaced = o.displaced(rackKey{o.service(t.job.sub), r.pool.placementNodes[best].Rack})
+	r.task.Waited = t.hold.waited(now)
+	d := placewait.Decide(r.task, r.place, now)
+	t.hold.reason = d.Reason
+	if !d.Wait {
+		if d.Reason != placewait.GainUsedUp && d.Reason != placewait.DeadlineReached {
+			r.decline(d.Reason)
+		}
+		return false
+	}
+	r.demand.claim(step.Request, r.task.Run)
+	o.hold([]*taskEntry{t}, step.DataRack, placewait.Gain(r.task, r.place), d, now)
+	return true
+}
+
+// finish records what is left of a step after its tasks were placed. stuck is set if a task fits no executor.
+func (r *rackWait) finish(left []*taskEntry, stuck bool, now time.Duration) {
+	if r == nil || len(left) == 0 {
+		return
+	}
+	if !stuck {
+		if slices.ContainsFunc(left, func(t *taskEntry) bool { return t.hold.active }) {
+			r.step.heldAt = now
+		}
+		return
+	}
+	run, _ := r.owner.expectedRun(r.step)
+	for _, t := range left {
+		if !t.hold.active {
+			r.demand.count(&t.hold, false, now)
+			r.demand.claim(t.step().Request, run)
+		}
+	}
+}
+
+// claims returns the work that waits before a task, in slots of its size.
+func (d *rackDemand) claims(slot task.Resources) []placewait.Claim {
+	out := make([]placewait.Claim, len(d.ahead))
+	for i, c := range d.ahead {
+		out[i] = placewait.Claim{Slots: slotsOf(c.need, slot), Run: c.run}
+	}
+	return out
+}
+
+// slotsOf returns how many slots of a size an amount takes.
+func slotsOf(need, slot task.Resources) float64 {
+	n := 0.0
+	for _, x := range [][2]int64{{need.CPU, slot.CPU}, {need.Memory, slot.Memory}, {need.Accelerators, slot.Accelerators}} {
+		if x[1] > 0 {
+			n = max(n, float64(x[0])/float64(x[1]))
+		}
+	}
+	return n
+}
+
+// displaced returns the share of a rack's room for which tasks that want that rack compete.
+func (o *Owner) displaced(key rackKey) float64 {
+	d := o.placeWaits.demand[key]
+	if d == nil || d.exceededSince == 0 || d.arrivals <= d.starts {
+		return 0
+	}
+	return 1 - d.starts/d.arrivals
+}
+
+func (h *placeHold) waited(now time.Duration) time.Duration {
+	if h.since == 0 {
+		return 0
+	}
+	return now - h.since
+}
+
+// hold marks tasks as waiting for a rack.
+func (o *Owner) hold(tasks []*taskEntry, rack string, gain time.Duration, d placewait.Decision, now time.Duration) {
+	if o.placeWaits.nextTurn == 0 || d.Until < o.placeWaits.nextTurn {
+		o.placeWaits.nextTurn = d.Until
+	}
+	begun := tasks[0].hold.since == 0
+	for _, t := range tasks {
+		t.hold.active, t.hold.rack, t.hold.gain, t.hold.reason = true, rack, gain, d.Reason
+		if t.hold.since == 0 {
+			t.hold.since = now
+		}
+	}
+	if begun {
+		o.counters.PlaceWaits++
+		events.PlaceWaitBegun.Log(o.log).Str("task", tasks[0].name()).Int("tasks", len(tasks)).Str("rack", rack).Dur("until", d.Until-now).
+			Dur("there", d.There).Dur("elsewhere", d.Elsewhere).Str("reason", d.Reason.String()).Send()
+	}
+}
+
+// endHold records the start of a task or a gang that prefers a rack, and the end of its wait if it has waited.
+func (o *Owner) endHold(tasks []*taskEntry, there bool, now time.Duration) {
+	if !there {
+		o.counters.RemoteStarts += uint64(len(tasks))
+	}
+	h := tasks[0].hold
+	for _, t := range tasks {
+		t.hold = placeHold{}
+	}
+	if h.since == 0 {
+		return
+	}
+	reason := h.reason
+	if there {
+		o.counters.PlaceWaitsPaid++
+		reason = placewait.RoomNow
+	} else {
+		o.counters.PlaceWaitsInVain++
+	}
+	events.PlaceWaitEnded.Log(o.log).Str("task", tasks[0].name()).Int("tasks", len(tasks)).Str("rack", h.rack).Bool("paid", there).
+		Dur("waited", now-h.since).Str("reason", reason.String()).Send()
+}
+
+// endTaskHold records the start of a task that is not a member of a gang. Remote starts are counted also while no task waits.
+func (o *Owner) endTaskHold(t *taskEntry, now time.Duration) {
+	if s := t.step(); o.bounds.RemoteFactor > 1 && !s.Gang && s.DataRack != "" && !s.LongRunning {
+		o.endHold([]*taskEntry{t}, t.node.info.Rack == s.DataRack, now)
+	}
+}
+
+// countHeldTime adds the time since the last pass if the step was held then.
+func (w *waitingStep) countHeldTime(now time.Duration) {
+	if w.heldAt != 0 {
+		w.heldTime += now - w.heldAt
+		w.heldAt = 0
+	}
+}
+
+// waited returns how long the step has waited for want of an executor. The time for which it waits for a rack by choice
+// does not count.
+func (w *waitingStep) waited(now time.Duration) time.Duration {
+	waited := now - w.since - w.heldTime
+	if w.heldAt != 0 {
+		waited -= now - w.heldAt
+	}
+	return waited
+}
+
+// waitTask returns what a decision needs to know of the tasks of a step.
+func (o *Owner) waitTask(w *waitingStep, now time.Duration) placewait.Task {
+	run, spread := o.expectedRun(w)
+	key := w.orderingKey()
+	ratio := 1.0
+	if e := o.estimates[w.job.sub.Queue]; e != nil {
+		if x, _, ok := e.Accuracy(); ok {
+			ratio = x
+		}
+	}
+	path := time.Duration(float64(key.RemainingPath) * ratio * o.bounds.RemoteFactor)
+	return placewait.Task{Width: 1, Run: run, Spread: spread, RemoteFactor: o.bounds.RemoteFactor, ElsewhereSlowdown: 1, LatestElsewhere: key.SoftDeadline - path}
+}
+
+// expectedRun returns the expected run time of a step's tasks at full speed near their data, and the spread of the
+// queue's estimates.
+func (o *Owner) expectedRun(w *waitingStep) (time.Duration, float64) {
+	spread := placewait.MaxSpread
+	run := w.job.sub.Steps[w.key.step].Estimate
+	if e := o.estimates[w.job.sub.Queue]; e != nil {
+		if ratio, deviation, ok := e.Accuracy(); ok {
+			spread = deviation
+			run = time.Duration(float64(run) * ratio)
+		}
+	}
+	if samples := w.job.durations[w.key]; samples != nil {
+		if d, ok := samples.MedianElsewhere(""); ok {
+			run = d
+		}
+	}
+	for _, t := range w.tasks {
+		if t.rec.Checkpoint != "" {
+			return time.Duration(float64(run) * resumedShare), spread
+		}
+	}
+	return run, spread
+}
+
+// waitPlace evaluates the room of a rack for a step. ok is false if no executor there could hold a task of it.
+func (o *Owner) waitPlace(w *waitingStep, p *pool, q placement.Query, ranking *placement.Ranking, rack string, t placewait.Task, now time.Duration) (placewait.Place, bool) {
+	var place placewait.Place
+	gain := placewait.Gain(t, place)
+	nodes, empty, slowdown := 0, 0, 0.0
+	for i, n := range p.nodes {
+		c := p.placementNodes[i]
+		if c.Rack != rack || !placement.FitsWhenEmpty(q.Step, c) || (q.Allowed != nil && !q.Allowed(c.ID)) {
+			continue
+		}
+		bare := *c
+		bare.Reserved, bare.BestEffortCPU, bare.LatencyCriticalCPU = task.Resources{}, 0, 0
+		empty += newRoom(q, bare).slots
+		r := newRoom(q, *c)
+		if r.slots > 0 && !ranking.Fits(i) {
+			// The task would interfere with others there.
+			continue
+		}
+		nodes++
+		slowdown += n.speed.Slowdown(now)
+		place.Free += float64(r.slots)
+		place.Releases = append(place.Releases, o.releases(w, n, r, gain, now)...)
+	}
+	if nodes == 0 || empty < t.Width {
+		return place, false
+	}
+	slices.SortStableFunc(place.Releases, func(a, b placewait.Release) int { return cmp.Compare(a.At, b.At) })
+	d := o.rackDemand(rackKey{o.service(w.job.sub), rack})
+	place.Slowdown = slowdown / float64(nodes)
+	place.Taken, place.Arrivals, place.Starts, place.ExceededFor = p.reservedShare(), d.arrivals, d.starts, d.exceededFor(now)
+	return place, true
+}
+
+// room counts how many tasks of a step a copy of a node can take.
+type room struct {
+	query       placement.Query
+	node        placement.Node
+	slots, most int
+}
+
+func newRoom(q placement.Query, n placement.Node) *room {
+	r := &room{query: q, node: n, most: maxCountedSlots}
+	if s := q.Step; s.MaxPerExecutor > 0 {
+		r.most = min(r.most, max(0, s.MaxPerExecutor-q.OnNode(n.ID)))
+	}
+	r.fill()
+	return r
+}
+
+// fill adds tasks as long as the node can take more, and returns how many it has added.
+func (r *room) fill() int {
+	before := r.slots
+	for r.slots < r.most && placement.Fits(r.query, &r.node) {
+		addTask(&r.node, r.query.Step.Request, r.query.Step.BestEffort)
+		r.slots++
+	}
+	return r.slots - before
+}
+
+// release takes a run off the node.
+func (r *room) release(t *taskEntry) {
+	r.node.Reserved = r.node.Reserved.Sub(t.reserved())
+	if t.step().BestEffort {
+		r.node.BestEffortCPU -= t.bestEffortCPU(t.speedLimit)
+	}
+}
+
+// addTask adds a task to a copy of a node.
+func addTask(n *placement.Node, request task.Resources, bestEffort bool) {
+	if bestEffort {
+		n.BestEffortCPU += request.CPU
+		request.CPU = 0
+	}
+	n.Reserved = n.Reserved.Add(request)
+}
+
+// ending is a run with the time to its expected end, which never comes for a run without end.
+type ending struct {
+	task *taskEntry
+	left time.Duration
+}
+
+const never = time.Duration(math.MaxInt64)
+
+// endings returns the runs of a node in the order of their expected ends.
+func (o *Owner) endings(n *node, now time.Duration) []ending {
+	if ends, ok := o.placeWaits.endings[n]; ok {
+		return ends
+	}
+	ends := make([]ending, 0, len(n.tasks))
+	for t := range n.tasks {
+		ends = append(ends, ending{t, o.expectedRemaining(t, now)})
+	}
+	sortEndings(ends)
+	if o.placeWaits.endings == nil {
+		o.placeWaits.endings = make(map[*node][]ending)
+	}
+	o.placeWaits.endings[n] = ends
+	return ends
+}
+
+func sortEndings(ends []ending) {
+	slices.SortFunc(ends, func(a, b ending) int { return cmp.Compare(a.left, b.left) })
+}
+
+// releases returns when slots for a step come free on a node within the time that a run elsewhere loses.
+func (o *Owner) releases(w *waitingStep, n *node, r *room, gain, now time.Duration) []placewait.Release {
+	var out []placewait.Release
+	for _, e := range o.withPreemptions(w, o.endings(n, now), gain) {
+		if e.left >= gain {
+			break
+		}
+		r.release(e.task)
+		if added := r.fill(); added > 0 {
+			out = append(out, placewait.Release{At: now + e.left, Slots: float64(added)})
+		}
+	}
+	return out
+}
+
+// withPreemptions returns the ends of runs if those that the step may preempt, and that lose less than it gains, are
+// preempted.
+func (o *Owner) withPreemptions(w *waitingStep, ends []ending, gain time.Duration) []ending {
+	step := &w.job.sub.Steps[w.key.step]
+	if step.BestEffort || step.Gang {
+		return ends
+	}
+	after := preemptInterval + o.bounds.StopTimeout + placeInterval
+	var changed []ending
+	for i, e := range ends {
+		if e.left <= after || !e.task.preemptible(w.job.sub.Priority) || e.task.evictionLoss() >= gain {
+			continue
+		}
+		if changed == nil {
+			changed = slices.Clone(ends)
+		}
+		changed[i].left = after
+	}
+	if changed == nil {
+		return ends
+	}
+	sortEndings(changed)
+	return changed
+}
+
+// expectedRemaining returns the expected time to the end of a run.
+func (o *Owner) expectedRemaining(t *taskEntry, now time.Duration) time.Duration {
+	if t.stopping {
+		return o.bounds.StopTimeout
+	}
+	if t.step().LongRunning {
+		return never
+	}
+	age, percent := now-t.changedAt, min(t.progressPercent, 100)
+	if t.fullRun && t.phase == phaseRunning && percent >= minProjectedPercent && t.speedLimit == fullSpeed && t.progressAt > t.changedAt {
+		whole := time.Duration(float64(t.progressAt-t.changedAt) * 100 / float64(percent))
+		return max(whole-age, minRemaining)
+	}
+	run, _ := o.expectedRun(&waitingStep{key: t.stepKey(), job: t.job})
+	whole := float64(run) * o.remoteFactorOf(t) * t.node.speed.Slowdown(now)
+	left := time.Duration(whole * float64(100-percent) / 100)
+	if percent == 0 {
+		left = max(left-age, time.Duration(overdueShare*float64(age)))
+	}
+	return max(left, minRemaining)
+}
+
+// remoteFactorOf returns by which factor a run takes longer since it is away from its data or its gang is split.
+func (o *Owner) remoteFactorOf(t *taskEntry) float64 {
+	if !o.placeWaitsOn() || t.node == nil || !t.remote() {
+		return 1
+	}
+	return o.bounds.RemoteFactor
+}
+
+// remote reports whether the run is away from its data, or its gang is split over racks.
+func (t *taskEntry) remote() bool {
+	s := t.step()
+	if s.DataRack != "" && t.node.info.Rack != s.DataRack {
+		return true
+	}
+	if !s.Gang {
+		return false
+	}
+	for _, member := range t.job.stepTasks(t.stepKey()) {
+		if member.node == nil {
+			continue
+		}
+		if s.DataRack != "" && member.node.info.Rack != s.DataRack || s.SameRack && member.node.info.Rack != t.node.info.Rack {
+			return true
+		}
+	}
+	return false
+}
+
+// preemptionPool returns the executors on which runs may be preempted for a waiting task, and the loss up to which that
+// is worth it, 0 for any. A task that waits for its rack by choice preempts only there.
+func (o *Owner) preemptionPool(w *waitingStep, t *taskEntry, p *pool, now time.Duration) (*pool, time.Duration) {
+	if !t.hold.active {
+		if w.waited(now) < preemptDelay {
+			return new(pool), 0
+		}
+		return p, 0
+	}
+	rack := new(pool)
+	for i, n := range p.nodes {
+		if n.info.Rack == t.hold.rack {
+			rack.nodes = append(rack.nodes, n)
+			rack.placementNodes = append(rack.placementNodes, p.placementNodes[i])
+		}
+	}
+	return rack, t.hold.gain
+}
+
+// totalLoss returns the run time that is lost when the runs are stopped.
+func totalLoss(runs []*taskEntry) time.Duration {
+	var sum time.Duration
+	for _, t := range runs {
+		sum += t.evictionLoss()
+	}
+	return sum
+}
--- a/control/dispatch/preempt.go
+++ b/control/dispatch/preempt.go
@@ -42,8 +42,9 @@
 			if waiting.delayed(now) {
 				continue
 			}
-			n, runs := cheapestPreemption(q, p, w.job.sub.Priority, taken)
-			if n == nil || len(runs) > left {
+			targets, maxLoss := o.preemptionPool(w, waiting, p, now)
+			n, runs := cheapestPreemption(q, targets, w.job.sub.Priority, taken)
+			if n == nil || len(runs) > left || maxLoss > 0 && totalLoss(runs) >= maxLoss {
 				break
 			}
 			// An executor takes one waiting task in each search, even where the capacity comes
@@ -129,8 +130,7 @@
 	var candidates []eviction.Candidate
 	var tasks []*taskEntry
 	for t := range n.tasks {
-		s := t.step()
-		if t.job.sub.Priority <= priority || t.phase != phaseRunning || t.stopping || s.LongRunning || s.Gang || t.preemptions >= maxPreemptionsPerTask {
+		if !t.preemptible(priority) {
 			continue
 		}
 		candidates = append(candidates, eviction.Candidate{ID: t.name(), Reserved: t.reserved(), Loss: t.evictionLoss()})
@@ -139,6 +139,12 @@
 	return candidates, tasks
 }
 
+// preemptible reports whether a queue of the priority may preempt the run.
+func (t *taskEntry) preemptible(priority int) bool {
+	s := t.step()
+	return t.job.sub.Priority > priority && t.phase == phaseRunning && !t.stopping && !s.LongRunning && !s.Gang && t.preemptions < maxPreemptionsPerTask
+}
+
 // evictionLoss returns the run time that is lost when the task is stopped.
 func (t *taskEntry) evictionLoss() time.Duration {
 	s := t.step()
--- a/control/dispatch/speed.go
+++ b/control/dispatch/speed.go
@@ -53,7 +53,7 @@
 	}
 	// Progress below one percent counts as half a percent.
 	worked := max(float64(percent-t.speedBasePercent), 0.5)
-	projected := time.Duration(float64(elapsed) * 100 / worked)
+	projected := time.Duration(float64(elapsed) * 100 / (worked * o.remoteFactorOf(t)))
 	t.speedBaseAt, t.speedBasePercent = readAt, percent
 	o.observeDuration(t, projected, now)
 }
@@ -63,7 +63,7 @@
 	if !t.fullRun || t.step().LongRunning {
 		return
 	}
-	elapsed := now - t.changedAt
+	elapsed := time.Duration(float64(now-t.changedAt) / o.remoteFactorOf(t))
 	e := o.estimates[t.job.sub.Queue]
 	if e == nil {
 		e = new(speed.EstimateAccuracy)
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -83,6 +83,8 @@
 	missingSnapshots int
 	// failedOn lists the executors on which a run has failed.
 	failedOn []string
+	// hold is the wait for the preferred rack.
+	hold placeHold
 	// lostOn is the incarnation with which the last run was lost.
 	lostOn submission.Incarnation
 }
@@ -205,6 +207,8 @@
 	onNode map[string]int
 	// since is when the step became ready.
 	since time.Duration
+	// heldTime is how long the step waited by choice for its rack, heldAt the last pass that held it, 0 if it did not.
+	heldTime, heldAt time.Duration
 	// awaitsZone is set once it was logged that only evacuated zones could run the step.
 	awaitsZone bool
 }
--- a/control/placement/placement.go
+++ b/control/placement/placement.go
@@ -137,6 +137,9 @@
 // Fits reports whether the node at an index can run a task.
 func (r *Ranking) Fits(i int) bool { return !math.IsInf(r.costs[i], 1) }
 
+// Cost returns the cost of the node at an index, infinite if it cannot run a task.
+func (r *Ranking) Cost(i int) float64 { return r.costs[i] }
+
 // Best returns the index of the best node, or -1 when none can run a task now. avoid reports nodes
 // that are the last choice; nil reports none.
 func (r *Ranking) Best(avoid func(id string) bool) int {
--- /dev/null
+++ b/control/placewait/placewait.go
@@ -0,0 +1,217 @@
+// Package placewait decides whether a task or a gang waits for its preferred rack or starts elsewhere at once. It compares
+// the expected end there, after the wait for room, with the expected end elsewhere, where the run takes longer. It has no
+// state, no clock and no network: the caller asks again whenever room may have changed, and at Decision.Until.
+package placewait
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// MaxSpread is the highest relative spread of run time estimates that is assumed, also while a queue's is unknown.
+	MaxSpread = 0.9
+	// spreadWeight is the share of the spread by which the expected gain of a wait is lowered.
+	spreadWeight = 0.5
+	// drainTime is how long demand for a rack may exceed its room before the queue counts as one that does not drain.
+	drainTime = 6 * time.Second
+	// drainShare is the share of the arriving tasks that have to start at the rack for its queue to drain.
+	drainShare = 0.9
+	// maxTaken bounds the share of released slots that count as lost for a gang.
+	maxTaken = 0.95
+)
+
+// Task is a task that is ready to start, or a whole gang.
+type Task struct {
+	// Width is the number of slots that have to be free at the same time: 1 for a task, the members of a gang.
+	Width int
+	// Run is the expected run time at the preferred rack on an executor of full speed.
+	Run time.Duration
+	// Spread is the relative spread of the run times of the queue around their estimates, at most MaxSpread.
+	Spread float64
+	// RemoteFactor is the ratio of the run time elsewhere to that at the preferred rack.
+	RemoteFactor float64
+	// ElsewhereSlowdown is the slowdown of the best executor elsewhere, 1 for full speed.
+	ElsewhereSlowdown float64
+	// Displaced is the share, 0 to 1, of the capacity elsewhere for which other work would have a better use.
+	Displaced float64
+	// LatestElsewhere is the last time from which the work can be on time when started elsewhere.
+	LatestElsewhere time.Duration
+	// Waited is how long the task has waited for the rack already.
+	Waited time.Duration
+}
+
+// Release is a number of slots that are expected to come free.
+type Release struct {
+	At    time.Duration
+	Slots float64
+}
+
+// Claim is work of the same or a higher priority that waits before the task for the same rack.
+type Claim struct {
+	Slots float64
+	Run   time.Duration
+}
+
+// Place is the preferred rack. A slot is room for one task of the asking step.
+type Place struct {
+	// Free is the number of slots that are free now.
+	Free float64
+	// Releases are in the order of their times.
+	Releases []Release
+	// Ahead are in the order in which they are served.
+	Ahead []Claim
+	// Taken is the share, 0 to 1, of the released slots that other work is expected to take while a gang waits for the
+	// last of its slots, since a wait reserves nothing. It lengthens the expected delay of gangs.
+	Taken float64
+	// Slowdown is the slowdown of the rack's executors, 1 for full speed.
+	Slowdown float64
+	// Arrivals is the recent number of tasks that wanted the rack, Starts that of those that started there.
+	Arrivals, Starts float64
+	// ExceededFor is how long the demand for the rack has continuously been higher than its room.
+	ExceededFor time.Duration
+}
+
+// Decision tells whether to wait. There and Elsewhere are the compared times from now to the expected end.
+type Decision struct {
+	Wait bool
+	// Until is the time at which the task starts elsewhere if the rack still has no room.
+	Until            time.Duration
+	There, Elsewhere time.Duration
+	Reason           Reason
+}
+
+// Reason is why a task waits or does not.
+type Reason uint8
+
+// The reasons.
+const (
+	// WaitPays: the end at the rack is expected before that elsewhere.
+	WaitPays Reason = iota
+	// RoomNow: the rack has room now.
+	RoomNow
+	// NoGain: a run elsewhere takes no longer.
+	NoGain
+	// ElsewhereSooner: the end elsewhere is expected before that at the rack.
+	ElsewhereSooner
+	// GainUsedUp: the wait has taken as long as a run elsewhere would lose.
+	GainUsedUp
+	// DeadlineReached: with a later start elsewhere the work would be late.
+	DeadlineReached
+	// NeverDrains: more tasks want the rack than it can take, for long already.
+	NeverDrains
+	// NoRack: no executor of the rack could take the task even if it were empty.
+	NoRack
+)
+
+var reasonNames = [...]string{"wait_pays", "room_now", "no_gain", "elsewhere_sooner", "gain_used_up", "deadline_reached", "never_drains", "no_rack"}
+
+func (r Reason) String() string { return reasonNames[r] }
+
+// Gain returns by how much a run elsewhere is expected to take longer than one at the rack. No wait is longer, so this is
+// also the bound on what a wait in vain costs.
+func Gain(t Task, p Place) time.Duration {
+	return scale(t.Run, t.RemoteFactor*max(1, t.ElsewhereSlowdown)) - scale(t.Run, max(1, p.Slowdown))
+}
+
+// Decide compares the expected ends.
+func Decide(t Task, p Place, now time.Duration) Decision {
+	gain := Gain(t, p)
+	if gain <= 0 {
+		return Decision{Reason: NoGain}
+	}
+	delay, reached := p.delay(t.Width, now, now+gain)
+	local := scale(t.Run, max(1, p.Slowdown))
+	d := Decision{There: delay + local, Elsewhere: local + gain + scale(gain, t.Displaced)}
+	until, limit := t.limit(gain, now)
+	switch {
+	case reached && delay == 0:
+		d.Reason = RoomNow
+	case until <= now:
+		d.Reason = limit
+	case p.neverDrains():
+		d.Reason = NeverDrains
+	case !reached || delay >= t.worth(gain):
+		d.Reason = ElsewhereSooner
+	case now+delay > until:
+		// The room would come after the decision has reversed, so that the wait can only be in vain.
+		d.Reason = limit
+	default:
+		d.Wait, d.Until = true, until
+	}
+	return d
+}
+
+// limit returns the time at which the decision reverses whatever the expected room, and why it does.
+func (t Task) limit(gain, now time.Duration) (time.Duration, Reason) {
+	began := now - t.Waited
+	until, reason := began+gain, GainUsedUp
+	// Work that could not be on time elsewhere when it became ready loses nothing at that point.
+	if t.LatestElsewhere > began && t.LatestElsewhere < until {
+		until, reason = t.LatestElsewhere, DeadlineReached
+	}
+	return until, reason
+}
+
+// worth returns the longest expected delay for which the task waits: the gain, less with uncertain estimates, and more
+// where the run elsewhere takes capacity from other work, but never above the gain.
+func (t Task) worth(gain time.Duration) time.Duration {
+	confidence := 1 - spreadWeight*min(max(t.Spread, 0), MaxSpread)
+	return scale(gain, min(1, confidence*(1+t.Displaced)))
+}
+
+func (p Place) neverDrains() bool {
+	return p.ExceededFor >= drainTime && p.Starts < drainShare*p.Arrivals
+}
+
+// delay returns the time until width slots are free after the work ahead was served, and whether that is before the
+// horizon. The work ahead gives its slots back after its run time.
+func (p Place) delay(width int, now, horizon time.Duration) (time.Duration, bool) {
+	free, at := p.Free, now
+	releases := slices.Clone(p.Releases)
+	advance := func(need float64) bool {
+		for free+slotEpsilon < need {
+			if len(releases) == 0 || releases[0].At >= horizon {
+				return false
+			}
+			free += releases[0].Slots
+			at = max(at, releases[0].At)
+			releases = releases[1:]
+		}
+		return true
+	}
+	for _, c := range p.Ahead {
+		if !advance(c.Slots) {
+			return horizon - now, false
+		}
+		free -= c.Slots
+		releases = insert(releases, Release{at + c.Run, c.Slots})
+	}
+	if !advance(float64(width)) {
+		return horizon - now, false
+	}
+	wait := at - now
+	if width > 1 && wait > 0 {
+		wait = scale(wait, 1/(1-min(max(p.Taken, 0), maxTaken)))
+	}
+	return min(wait, horizon-now), wait < horizon-now
+}
+
+// slotEpsilon absorbs the rounding of fractions of slots.
+const slotEpsilon = 1e-6
+
+// insert adds a release in the order of times.
+func insert(releases []Release, r Release) []Release {
+	i, _ := slices.BinarySearchFunc(releases, r.At, func(x Release, at time.Duration) int {
+		if x.At <= at {
+			return -1
+		}
+		return 1
+	})
+	return slices.Insert(releases, i, r)
+}
+
+func scale(d time.Duration, f float64) time.Duration {
+	return time.Duration(min(float64(d)*f, math.MaxInt64/4))
+}
--- a/control/speed/speed.go
+++ b/control/speed/speed.go
@@ -101,6 +101,12 @@
 	e.mean += (x - e.mean) * weight
 }
 
+// Accuracy returns the typical ratio of run time to estimate, and the mean deviation of the logarithm from it; ok is false while
+// there are too few run times.
+func (e *EstimateAccuracy) Accuracy() (ratio, deviation float64, ok bool) {
+	return math.Exp(e.mean), e.deviation, e.count >= minEstimates
+}
+
 // ExpectedDuration returns the run time to expect for an estimate; ok is false while estimates are
 // too few or too inaccurate.
 func (e *EstimateAccuracy) ExpectedDuration(estimate time.Duration) (d time.Duration, ok bool) {
