placewait: demand of a rack at local run times, waits up to what a remote run takes from others

Cause: "the queue never drains" compared arrivals with starts at the rack. In a play of four racks at 0.6 of their slots, where every task wants one of them, no waits end in a state in which remote runs fill all racks and 0.7 of the tasks run away from theirs, so that every rack looks hot and no task waits. Now the demand is the work that arrived for the rack, at the run time there, over its room.

A wait may last as long as the remote run loses and what it takes from work that wants the other rack: at most twice the gain.

--- a/control/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -24,7 +24,6 @@
 	for _, w := range o.orderedSteps(now) {
 		o.placeStep(w, now)
 	}
-	o.endPlaceWaits(now)
 }
 
 // orderedSteps returns the waiting steps in the order in which they are placed.
--- a/control/dispatch/placewait.go
+++ b/control/dispatch/placewait.go
@@ -13,10 +13,12 @@
 )
 
 const (
-	// demandHalfLife is the time in which the counts of a rack's arrivals and starts lose half of their weight.
-	demandHalfLife = 3 * time.Second
-	// demandPause is the time without a task that wants a rack after which its demand no longer exceeds its room.
-	demandPause = 2 * time.Second
+	// demandWindow is the time constant by which the demand for a rack is averaged. Bursts of a few times the rack's room
+	// are not taken for a lasting demand. A run counts with at most this time, so that a single long run is no demand beyond
+	// the processors that it holds.
+	demandWindow = 20 * time.Second
+	// minDemand is the work in processor seconds below which the demand for a rack is forgotten.
+	minDemand = 0.1
 	// maxCountedSlots bounds the tasks of one step that are counted as room on one executor.
 	maxCountedSlots = 64
 	// minProjectedPercent is the progress from which the end of a run is projected from it: at one percent the
@@ -34,6 +36,8 @@
 type placeHold struct {
 	// since is when the wait began, 0 for none.
 	since time.Duration
+	// until is when the decision reverses, decideAt when it is taken again at the latest.
+	until, decideAt time.Duration
 	// active is set while the last pass held the task back, although it fits elsewhere.
 	active bool
 	// rack is the awaited rack, gain the time that a run elsewhere loses.
@@ -55,12 +59,10 @@
 
 // rackDemand is what is known of the tasks that want a rack. It is advisory and starts empty after a takeover.
 type rackDemand struct {
-	arrivals, starts float64
-	wantedAt         time.Duration
-	exceededSince    time.Duration
-	// unmet and met count tasks of the current pass.
-	unmet, met int
-	ahead      []claim
+	// work is the weighted sum of the work that arrived recently, in processor seconds, by the priority of its queue.
+	work map[int]float64
+	// ahead is the work that waits for the rack, as found so far in the current pass.
+	ahead []claim
 }
 
 // placeWaits is the state of all waits for racks.
@@ -86,27 +88,17 @@
 	s := &o.placeWaits
 	s.nextTurn = 0
 	clear(s.endings)
-	weight := math.Exp2(-float64(now-s.decayedAt) / float64(demandHalfLife))
+	weight := math.Exp(-float64(now-s.decayedAt) / float64(demandWindow))
 	s.decayedAt = now
-	for _, d := range s.demand {
-		d.arrivals *= weight
-		d.starts *= weight
-		d.unmet, d.met, d.ahead = 0, 0, d.ahead[:0]
-	}
-}
-
-// endPlaceWaits records for which racks the demand exceeded the room in the pass.
-func (o *Owner) endPlaceWaits(now time.Duration) {
-	for key, d := range o.placeWaits.demand {
-		switch {
-		case d.unmet > 0:
-			if d.exceededSince == 0 {
-				d.exceededSince = now
+	for key, d := range s.demand {
+		d.ahead = d.ahead[:0]
+		for priority := range d.work {
+			if d.work[priority] *= weight; d.work[priority] < minDemand {
+				delete(d.work, priority)
 			}
-		case d.met > 0:
-			d.exceededSince = 0
-		case now-d.wantedAt > demandPause:
-			delete(o.placeWaits.demand, key)
+		}
+		if len(d.work) == 0 {
+			delete(s.demand, key)
 		}
 	}
 }
@@ -117,32 +109,49 @@
 		if o.placeWaits.demand == nil {
 			o.placeWaits.demand = make(map[rackKey]*rackDemand)
 		}
-		d = new(rackDemand)
+		d = &rackDemand{work: make(map[int]float64)}
 		o.placeWaits.demand[key] = d
 	}
 	return d
 }
 
-func (d *rackDemand) exceededFor(now time.Duration) time.Duration {
-	if d.exceededSince == 0 {
-		return 0
+// count adds the work of a task that wants the rack, once while it waits.
+func (d *rackDemand) count(t *taskEntry, run time.Duration) {
+	if !t.hold.counted {
+		t.hold.counted = true
+		d.work[t.job.sub.Priority] += min(run, demandWindow).Seconds() * float64(t.step().Request.CPU) / 1000
 	}
-	return now - d.exceededSince
 }
 
-// count records that a task wants the rack and whether it starts there now.
-func (d *rackDemand) count(h *placeHold, met bool, now time.Duration) {
-	d.wantedAt = now
-	if !h.counted {
-		h.counted = true
-		d.arrivals++
+// demand returns the share of the processors of a rack that is taken by the tasks of a priority or a higher one that want
+// it. Processors of runs without end do not count.
+func (o *Owner) demand(key rackKey, priority int, p *pool, now time.Duration) float64 {
+	d := o.placeWaits.demand[key]
+	if d == nil {
+		return 0
 	}
-	if met {
-		d.starts++
-		d.met++
-		return
+	capacity := int64(0)
+	for _, n := range p.nodes {
+		if n.info.Rack == key.rack {
+			capacity += n.placementNode.Capacity.CPU - o.endless(n, now)
+		}
+	}
+	work := 0.0
+	for other, x := range d.work {
+		if other <= priority {
+			work += x
+		}
+	}
+	return work / demandWindow.Seconds() * 1000 / float64(max(1, capacity))
+}
+
+// endless returns the processors of the runs without end on a node, in thousandths.
+func (o *Owner) endless(n *node, now time.Duration) int64 {
+	sum, ends := int64(0), o.endings(n, now)
+	for i := len(ends) - 1; i >= 0 && ends[i].left == never; i-- {
+		sum += ends[i].task.reserved().CPU
 	}
-	d.unmet++
+	return sum
 }
 
 // claim records that a waiting task wants room before those that follow in the pass.
@@ -175,7 +184,11 @@
 		t.hold.active = false
 	}
 	key := rackKey{o.service(w.job.sub), step.DataRack}
-	return &rackWait{owner: o, step: w, pool: p, query: q, demand: o.rackDemand(key)}
+	r := &rackWait{owner: o, step: w, pool: p, query: q, demand: o.rackDemand(key), task: o.waitTask(w)}
+	for _, t := range w.tasks {
+		r.demand.count(t, r.task.Run)
+	}
+	return r
 }
 
 // holds reports whether a task waits for its rack, given the best executor for it now.
@@ -185,11 +198,16 @@
 	}
 	rack := t.step().DataRack
 	there := r.pool.placementNodes[best].Rack == rack
-	r.demand.count(&t.hold, there, now)
 	if there || r.declined {
 		t.hold.reason = r.reason
 		return false
 	}
+	if now < t.hold.decideAt {
+		t.hold.active = true
+		r.demand.claim(t.step().Request, r.task.Run)
+		r.owner.turnAt(t.hold.until)
+		return true
+	}
 	if !r.sized {
 		r.size(rack, best, ranking, now)
 	}
@@ -204,7 +222,6 @@
 func (r *rackWait) size(rack string, best int, ranking *placement.Ranking, now time.Duration) {
 	r.sized = true
 	o := r.owner
-	r.task = o.waitTask(r.step, now)
 	inRack := func(i int) bool { return r.pool.placementNodes[i].Rack == rack }
 	for i := range r.pool.nodes {
 		if inRack(i) && ranking.Fits(i) {
@@ -226,7 +243,7 @@
 func (r *rackWait) decide(t *taskEntry, best int, now time.Duration) bool {
 	o, step := r.owner, t.step()
 	r.place.Ahead = r.demand.claims(step.Request)
-	r.task.Displaced = o.displaced(rackKey{o.service(t.job.sub), r.pool.placementNodes[best].Rack})
+	r.task.Displaced = min(1, o.demand(rackKey{o.service(t.job.sub), r.pool.placementNodes[best].Rack}, t.job.sub.Priority, r.pool, now))
 	r.task.Waited = t.hold.waited(now)
 	d := placewait.Decide(r.task, r.place, now)
 	t.hold.reason = d.Reason
@@ -243,20 +260,15 @@
 
 // finish records what is left of a step after its tasks were placed. stuck is set if a task fits no executor.
 func (r *rackWait) finish(left []*taskEntry, stuck bool, now time.Duration) {
-	if r == nil || len(left) == 0 {
-		return
-	}
-	if !stuck {
-		if slices.ContainsFunc(left, func(t *taskEntry) bool { return t.hold.active }) {
-			r.step.heldAt = now
-		}
+	if r == nil {
 		return
 	}
-	run, _ := r.owner.expectedRun(r.step)
 	for _, t := range left {
-		if !t.hold.active {
-			r.demand.count(&t.hold, false, now)
-			r.demand.claim(t.step().Request, run)
+		switch {
+		case stuck && !t.hold.active:
+			r.demand.claim(t.step().Request, r.task.Run)
+		case !stuck && t.hold.active:
+			r.step.heldAt = now
 		}
 	}
 }
@@ -281,15 +293,6 @@
 	return n
 }
 
-// displaced returns the share of a rack's room for which tasks that want that rack compete.
-func (o *Owner) displaced(key rackKey) float64 {
-	d := o.placeWaits.demand[key]
-	if d == nil || d.exceededSince == 0 || d.arrivals <= d.starts {
-		return 0
-	}
-	return 1 - d.starts/d.arrivals
-}
-
 func (h *placeHold) waited(now time.Duration) time.Duration {
 	if h.since == 0 {
 		return 0
@@ -297,14 +300,20 @@
 	return now - h.since
 }
 
+// turnAt plans a placement pass for the time at which a decision reverses.
+func (o *Owner) turnAt(until time.Duration) {
+	if o.placeWaits.nextTurn == 0 || until < o.placeWaits.nextTurn {
+		o.placeWaits.nextTurn = until
+	}
+}
+
 // hold marks tasks as waiting for a rack.
 func (o *Owner) hold(tasks []*taskEntry, rack string, gain time.Duration, d placewait.Decision, now time.Duration) {
-	if o.placeWaits.nextTurn == 0 || d.Until < o.placeWaits.nextTurn {
-		o.placeWaits.nextTurn = d.Until
-	}
+	o.turnAt(d.Until)
 	begun := tasks[0].hold.since == 0
 	for _, t := range tasks {
 		t.hold.active, t.hold.rack, t.hold.gain, t.hold.reason = true, rack, gain, d.Reason
+		t.hold.until, t.hold.decideAt = d.Until, min(d.Until, now+placeInterval)
 		if t.hold.since == 0 {
 			t.hold.since = now
 		}
@@ -365,7 +374,7 @@
 }
 
 // waitTask returns what a decision needs to know of the tasks of a step.
-func (o *Owner) waitTask(w *waitingStep, now time.Duration) placewait.Task {
+func (o *Owner) waitTask(w *waitingStep) placewait.Task {
 	run, spread := o.expectedRun(w)
 	key := w.orderingKey()
 	ratio := 1.0
@@ -405,16 +414,19 @@
 // waitPlace evaluates the room of a rack for a step. ok is false if no executor there could hold a task of it.
 func (o *Owner) waitPlace(w *waitingStep, p *pool, q placement.Query, ranking *placement.Ranking, rack string, t placewait.Task, now time.Duration) (placewait.Place, bool) {
 	var place placewait.Place
-	gain := placewait.Gain(t, place)
+	longest := 2 * placewait.Gain(t, place)
 	nodes, empty, slowdown := 0, 0, 0.0
 	for i, n := range p.nodes {
 		c := p.placementNodes[i]
 		if c.Rack != rack || !placement.FitsWhenEmpty(q.Step, c) || (q.Allowed != nil && !q.Allowed(c.ID)) {
 			continue
 		}
-		bare := *c
-		bare.Reserved, bare.BestEffortCPU, bare.LatencyCriticalCPU = task.Resources{}, 0, 0
-		empty += newRoom(q, bare).slots
+		empty++
+		if t.Width > 1 {
+			bare := *c
+			bare.Reserved, bare.BestEffortCPU, bare.LatencyCriticalCPU = task.Resources{}, 0, 0
+			empty += newRoom(q, bare).slots - 1
+		}
 		r := newRoom(q, *c)
 		if r.slots > 0 && !ranking.Fits(i) {
 			// The task would interfere with others there.
@@ -423,15 +435,14 @@
 		nodes++
 		slowdown += n.speed.Slowdown(now)
 		place.Free += float64(r.slots)
-		place.Releases = append(place.Releases, o.releases(w, n, r, gain, now)...)
+		place.Releases = append(place.Releases, o.releases(w, n, r, longest, now)...)
 	}
 	if nodes == 0 || empty < t.Width {
 		return place, false
 	}
 	slices.SortStableFunc(place.Releases, func(a, b placewait.Release) int { return cmp.Compare(a.At, b.At) })
-	d := o.rackDemand(rackKey{o.service(w.job.sub), rack})
-	place.Slowdown = slowdown / float64(nodes)
-	place.Taken, place.Arrivals, place.Starts, place.ExceededFor = p.reservedShare(), d.arrivals, d.starts, d.exceededFor(now)
+	place.Slowdown, place.Taken = slowdown/float64(nodes), p.reservedShare()
+	place.Demand = o.demand(rackKey{o.service(w.job.sub), rack}, w.job.sub.Priority, p, now)
 	return place, true
 }
 
@@ -507,11 +518,11 @@
 	slices.SortFunc(ends, func(a, b ending) int { return cmp.Compare(a.left, b.left) })
 }
 
-// releases returns when slots for a step come free on a node within the time that a run elsewhere loses.
-func (o *Owner) releases(w *waitingStep, n *node, r *room, gain, now time.Duration) []placewait.Release {
+// releases returns when slots for a step come free on a node within the longest wait.
+func (o *Owner) releases(w *waitingStep, n *node, r *room, longest, now time.Duration) []placewait.Release {
 	var out []placewait.Release
-	for _, e := range o.withPreemptions(w, o.endings(n, now), gain) {
-		if e.left >= gain {
+	for _, e := range o.withPreemptions(w, o.endings(n, now), longest/2) {
+		if e.left >= longest {
 			break
 		}
 		r.release(e.task)
--- a/control/dispatch/placewait_gang.go
+++ b/control/dispatch/placewait_gang.go
@@ -124,7 +124,7 @@
 	whole, rack := o.wholeGang(w, p, q, now)
 	wanted := q.Step.DataRack
 	if whole != nil && (wanted == "" || rack == wanted) {
-		o.countGang(w, rack, true, now)
+		o.countGang(w, rack)
 		return whole, true
 	}
 	if chosen, ok = whole, whole != nil; !ok {
@@ -148,19 +148,23 @@
 	}
 }
 
-func (o *Owner) countGang(w *waitingStep, rack string, met bool, now time.Duration) {
+// countGang counts the work of a gang for a rack and returns the rack's demand.
+func (o *Owner) countGang(w *waitingStep, rack string) *rackDemand {
 	d := o.rackDemand(rackKey{o.service(w.job.sub), rack})
+	run, _ := o.expectedRun(w)
 	for _, t := range w.tasks {
-		d.count(&t.hold, met, now)
+		d.count(t, run)
 	}
+	return d
 }
 
 // gangHolds reports whether a gang waits for one rack, given where it could start now.
 func (o *Owner) gangHolds(w *waitingStep, p *pool, q placement.Query, elsewhere []int, now time.Duration) bool {
-	t := o.waitTask(w, now)
+	t := o.waitTask(w)
 	t.Width, t.Waited = len(w.tasks), w.tasks[0].hold.waited(now)
 	for _, i := range elsewhere {
 		t.ElsewhereSlowdown = max(t.ElsewhereSlowdown, p.nodes[i].speed.Slowdown(now))
+		t.Displaced = max(t.Displaced, min(1, o.demand(rackKey{o.service(w.job.sub), p.nodes[i].info.Rack}, w.job.sub.Priority, p, now)))
 	}
 	ranking := placement.Rank(q, p.placementNodes)
 	best, bestRack, bestGain := placewait.Decision{Reason: placewait.NoRack}, "", time.Duration(0)
@@ -178,15 +182,15 @@
 			best, bestRack, bestGain = d, r.rack, placewait.Gain(t, place)
 		}
 	}
+	if bestRack == "" {
+		o.releaseGang(w, best.Reason)
+		return false
+	}
+	d := o.countGang(w, bestRack)
 	if !best.Wait {
 		o.releaseGang(w, best.Reason)
-		if bestRack != "" {
-			o.countGang(w, bestRack, false, now)
-		}
 		return false
 	}
-	o.countGang(w, bestRack, false, now)
-	d := o.rackDemand(rackKey{o.service(w.job.sub), bestRack})
 	for range w.tasks {
 		d.claim(q.Step.Request, t.Run)
 	}
--- a/control/placewait/placewait.go
+++ b/control/placewait/placewait.go
@@ -14,10 +14,9 @@
 	MaxSpread = 0.9
 	// spreadWeight is the share of the spread by which the expected gain of a wait is lowered.
 	spreadWeight = 0.5
-	// drainTime is how long demand for a rack may exceed its room before the queue counts as one that does not drain.
-	drainTime = 6 * time.Second
-	// drainShare is the share of the arriving tasks that have to start at the rack for its queue to drain.
-	drainShare = 0.9
+	// maxDemand is the demand for a rack, as a share of its room, from which its queue counts as one that does not drain.
+	// It is above 1 since a demand that was observed over some seconds varies.
+	maxDemand = 1.1
 	// maxTaken bounds the share of released slots that count as lost for a gang.
 	maxTaken = 0.95
 )
@@ -67,10 +66,9 @@
 	Taken float64
 	// Slowdown is the slowdown of the rack's executors, 1 for full speed.
 	Slowdown float64
-	// Arrivals is the recent number of tasks that wanted the rack, Starts that of those that started there.
-	Arrivals, Starts float64
-	// ExceededFor is how long the demand for the rack has continuously been higher than its room.
-	ExceededFor time.Duration
+	// Demand is the share of the rack's room that the tasks that want it take if all of them run there, by those that
+	// arrived recently. What runs there now does not count: remote runs also fill racks that could take all of their own.
+	Demand float64
 }
 
 // Decision tells whether to wait. There and Elsewhere are the compared times from now to the expected end.
@@ -95,7 +93,7 @@
 	NoGain
 	// ElsewhereSooner: the end elsewhere is expected before that at the rack.
 	ElsewhereSooner
-	// GainUsedUp: the wait has taken as long as a run elsewhere would lose.
+	// GainUsedUp: the wait has taken as long as a run elsewhere would lose and take from other work.
 	GainUsedUp
 	// DeadlineReached: with a later start elsewhere the work would be late.
 	DeadlineReached
@@ -109,30 +107,35 @@
 
 func (r Reason) String() string { return reasonNames[r] }
 
-// Gain returns by how much a run elsewhere is expected to take longer than one at the rack. No wait is longer, so this is
-// also the bound on what a wait in vain costs.
+// Gain returns by how much a run elsewhere is expected to take longer than one at the rack.
 func Gain(t Task, p Place) time.Duration {
 	return scale(t.Run, t.RemoteFactor*max(1, t.ElsewhereSlowdown)) - scale(t.Run, max(1, p.Slowdown))
 }
 
+// MaxWait returns the longest wait for the rack: what the run elsewhere loses itself, and what it takes from other work by
+// that. It is at most twice the gain, which is the bound on what a wait in vain costs.
+func MaxWait(t Task, p Place) time.Duration {
+	return scale(Gain(t, p), 1+min(max(t.Displaced, 0), 1))
+}
+
 // Decide compares the expected ends.
 func Decide(t Task, p Place, now time.Duration) Decision {
-	gain := Gain(t, p)
-	if gain <= 0 {
+	longest := MaxWait(t, p)
+	if longest <= 0 {
 		return Decision{Reason: NoGain}
 	}
-	delay, reached := p.delay(t.Width, now, now+gain)
+	delay, reached := p.delay(t.Width, now, now+longest)
 	local := scale(t.Run, max(1, p.Slowdown))
-	d := Decision{There: delay + local, Elsewhere: local + gain + scale(gain, t.Displaced)}
-	until, limit := t.limit(gain, now)
+	d := Decision{There: delay + local, Elsewhere: local + longest}
+	until, limit := t.limit(longest, now)
 	switch {
 	case reached && delay == 0:
 		d.Reason = RoomNow
 	case until <= now:
 		d.Reason = limit
-	case p.neverDrains():
+	case p.Demand >= maxDemand:
 		d.Reason = NeverDrains
-	case !reached || delay >= t.worth(gain):
+	case !reached || delay >= scale(longest, t.confidence()):
 		d.Reason = ElsewhereSooner
 	case now+delay > until:
 		// The room would come after the decision has reversed, so that the wait can only be in vain.
@@ -144,9 +147,9 @@
 }
 
 // limit returns the time at which the decision reverses whatever the expected room, and why it does.
-func (t Task) limit(gain, now time.Duration) (time.Duration, Reason) {
+func (t Task) limit(longest, now time.Duration) (time.Duration, Reason) {
 	began := now - t.Waited
-	until, reason := began+gain, GainUsedUp
+	until, reason := began+longest, GainUsedUp
 	// Work that could not be on time elsewhere when it became ready loses nothing at that point.
 	if t.LatestElsewhere > began && t.LatestElsewhere < until {
 		until, reason = t.LatestElsewhere, DeadlineReached
@@ -154,15 +157,10 @@
 	return until, reason
 }
 
-// worth returns the longest expected delay for which the task waits: the gain, less with uncertain estimates, and more
-// where the run elsewhere takes capacity from other work, but never above the gain.
-func (t Task) worth(gain time.Duration) time.Duration {
-	confidence := 1 - spreadWeight*min(max(t.Spread, 0), MaxSpread)
-	return scale(gain, min(1, confidence*(1+t.Displaced)))
-}
-
-func (p Place) neverDrains() bool {
-	return p.ExceededFor >= drainTime && p.Starts < drainShare*p.Arrivals
+// confidence returns the share of the longest wait that the expected delay may have. The expected loss elsewhere and the
+// expected room both depend on the estimates.
+func (t Task) confidence() float64 {
+	return 1 - spreadWeight*min(max(t.Spread, 0), MaxSpread)
 }
 
 // delay returns the time until width slots are free after the work ahead was served, and whether that is before the
