--- a/control/dispatch/placewait_test.go
+++ b/control/dispatch/placewait_test.go
@@ -285,3 +285,24 @@
 	}
 	assert.Equal(t, f.owner.Counters().RemoteStarts, uint64(4))
 }
+
+// Guards against steps without a preferred rack that are served differently while others wait for theirs.
+func TestStepsWithoutRackAreServedAsBefore(t *testing.T) {
+	served := make(map[bool][]string)
+	for _, on := range []bool{true, false} {
+		f := newRackFixture(t, map[string]string{"a1": "ra", "a2": "ra", "b1": "rb", "b2": "rb"}, func(b *Bounds) { b.Features.PlaceWait = on })
+		for i := range 30 {
+			step := dataStep(int64(500+100*(i%20)), time.Duration(1+i%4)*time.Second, "")
+			step.Count, step.Gang, step.BestEffort = 1+i%3, i%5 == 0, i%7 == 0
+			f.submit(i%3, step)
+			f.run(200 * time.Millisecond)
+			if i%4 == 3 {
+				f.end([]string{"a1", "a2", "b1", "b2"}[i%16/4])
+			}
+		}
+		served[on] = f.starts()
+		// The messages to executors have no fixed order.
+		slices.Sort(served[on])
+	}
+	assert.DeepEqual(t, served[true], served[false])
+}
