placewait: room by preemption counts for one task on each executor

Cause: each run of lower priority that loses less than the gain counted as room within 1.1 s. The pass that preempts makes room for one task on each executor at a time, and a task that needs several runs stopped loses the sum. Such a task could wait in vain up to its longest wait.

Change: the runs that lose the least count until they make room for one task, and only while their sum is less than the gain.

--- a/control/dispatch/placewait.go
+++ b/control/dispatch/placewait.go
@@ -533,26 +533,30 @@
 	return out
 }
 
-// withPreemptions returns the ends of runs if those that the step may preempt, and that lose less than it gains, are
-// preempted.
+// withPreemptions returns the ends of a node's runs as they are if the step preempts what makes room for one of its tasks
+// and loses less than that gains. The pass that preempts makes room for one task on each executor at a time.
 func (o *Owner) withPreemptions(w *waitingStep, ends []ending, gain time.Duration) []ending {
 	step := &w.job.sub.Steps[w.key.step]
-	if step.BestEffort || step.Gang {
+	if step.BestEffort || step.Gang || !slices.ContainsFunc(ends, func(e ending) bool { return e.task.preemptible(w.job.sub.Priority) }) {
 		return ends
 	}
 	after := preemptInterval + o.bounds.StopTimeout + placeInterval
-	var changed []ending
-	for i, e := range ends {
-		if e.left <= after || !e.task.preemptible(w.job.sub.Priority) || e.task.evictionLoss() >= gain {
+	changed := slices.Clone(ends)
+	slices.SortStableFunc(changed, func(a, b ending) int { return cmp.Compare(a.task.evictionLoss(), b.task.evictionLoss()) })
+	var loss time.Duration
+	freed := int64(0)
+	for i, e := range changed {
+		if freed >= step.Request.CPU {
+			break
+		}
+		if !e.task.preemptible(w.job.sub.Priority) {
 			continue
 		}
-		if changed == nil {
-			changed = slices.Clone(ends)
+		if loss += e.task.evictionLoss(); loss >= gain {
+			return ends
 		}
-		changed[i].left = after
-	}
-	if changed == nil {
-		return ends
+		freed += e.task.reserved().CPU
+		changed[i].left = min(e.left, after)
 	}
 	sortEndings(changed)
 	return changed
