placewait: bound of the slowdown in the comparison

Cause: one run of a tenth of the expected speed raises the estimate of its executor to 2.5 at once, and a task would wait up to four of its run times for its rack because of that. Runs are moved off executors of a slowdown of 2 or more anyway. Change: at most 2 counts.

--- a/control/placewait/placewait.go
+++ b/control/placewait/placewait.go
@@ -17,6 +17,9 @@
 	// maxDemand is the demand for a rack, as a share of its room, from which its queue counts as one that does not drain.
 	// It is above 1 since a demand that was observed over some seconds varies.
 	maxDemand = 1.1
+	// maxSlowdown bounds the slowdown of an executor in the comparison. Runs are moved off executors that are slower, and
+	// the estimate of one that ran a single task varies.
+	maxSlowdown = 2.0
 	// maxTaken bounds the share of released slots that count as lost for a gang.
 	maxTaken = 0.95
 )
@@ -109,7 +112,7 @@
 
 // Gain returns by how much a run elsewhere is expected to take longer than one at the rack.
 func Gain(t Task, p Place) time.Duration {
-	return scale(t.Run, t.RemoteFactor*max(1, t.ElsewhereSlowdown)) - scale(t.Run, max(1, p.Slowdown))
+	return scale(t.Run, t.RemoteFactor*slowdown(t.ElsewhereSlowdown)) - scale(t.Run, slowdown(p.Slowdown))
 }
 
 // MaxWait returns the longest wait for the rack: what the run elsewhere loses itself, and what it takes from other work by
@@ -125,7 +128,7 @@
 		return Decision{Reason: NoGain}
 	}
 	delay, reached := p.delay(t.Width, now, now+longest)
-	local := scale(t.Run, max(1, p.Slowdown))
+	local := scale(t.Run, slowdown(p.Slowdown))
 	d := Decision{There: delay + local, Elsewhere: local + longest}
 	until, limit := t.limit(longest, now)
 	switch {
@@ -210,6 +213,8 @@
 	return slices.Insert(releases, i, r)
 }
 
+func slowdown(s float64) float64 { return min(max(1, s), maxSlowdown) }
+
 func scale(d time.Duration, f float64) time.Duration {
 	return time.Duration(min(float64(d)*f, math.MaxInt64/4))
 }
