placewait: demand of split gangs, waits after a task that avoids the rack, state of a pass

- A sameRack gang that started split was counted as demand for the first rack of the pool.
Such gangs alone took that rack over the demand from which no task waits for it.
It now counts for a rack only if it waits for it or names it as its data rack.
- A task that avoided the only executor with room at its rack made the rest of its step start elsewhere without a decision.
That reason now holds for this task only.
- With waits switched off no state of them is kept or prepared.
The expected ends of a pass, which hold pointers to nodes, are dropped at its end.
- Each progress report of a gang's member looped over all members.
Whether a gang runs split is stored once the racks of all its runs are known; a new owner knows a rack only after the first report of its executor.

--- a/control/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -24,6 +24,7 @@
 	for _, w := range o.orderedSteps(now) {
 		o.placeStep(w, now)
 	}
+	o.finishPlaceWaits()
 }
 
 // orderedSteps returns the waiting steps in the order in which they are placed.
--- a/control/dispatch/placewait.go
+++ b/control/dispatch/placewait.go
@@ -85,9 +85,12 @@
 
 // beginPlaceWaits prepares the demand of all racks for a placement pass.
 func (o *Owner) beginPlaceWaits(now time.Duration) {
+	if !o.placeWaitsOn() {
+		o.placeWaits = placeWaits{}
+		return
+	}
 	s := &o.placeWaits
 	s.nextTurn = 0
-	clear(s.endings)
 	weight := math.Exp(-float64(now-s.decayedAt) / float64(demandWindow))
 	s.decayedAt = now
 	for key, d := range s.demand {
@@ -103,6 +106,9 @@
 	}
 }
 
+// finishPlaceWaits drops what holds for one placement pass only.
+func (o *Owner) finishPlaceWaits() { clear(o.placeWaits.endings) }
+
 func (o *Owner) rackDemand(key rackKey) *rackDemand {
 	d := o.placeWaits.demand[key]
 	if d == nil {
@@ -208,6 +214,12 @@
 		r.owner.turnAt(t.hold.until)
 		return true
 	}
+	if !r.sized && r.hasRoom(rack, ranking) {
+		// The better choice for this task is another for a reason such as a fault there. The tasks that follow may take
+		// the room.
+		t.hold.reason = placewait.RoomNow
+		return false
+	}
 	if !r.sized {
 		r.size(rack, best, ranking, now)
 	}
@@ -218,18 +230,20 @@
 	return r.decide(t, best, now)
 }
 
+// hasRoom reports whether an executor of the rack can take a task of the step now.
+func (r *rackWait) hasRoom(rack string, ranking *placement.Ranking) bool {
+	for i, n := range r.pool.placementNodes {
+		if n.Rack == rack && ranking.Fits(i) {
+			return true
+		}
+	}
+	return false
+}
+
 // size evaluates the rack once for the step. Nothing of the step starts there in this pass anymore, since it has no room.
 func (r *rackWait) size(rack string, best int, ranking *placement.Ranking, now time.Duration) {
 	r.sized = true
 	o := r.owner
-	inRack := func(i int) bool { return r.pool.placementNodes[i].Rack == rack }
-	for i := range r.pool.nodes {
-		if inRack(i) && ranking.Fits(i) {
-			// The rack has room, and the better choice is another for a reason such as a fault there.
-			r.decline(placewait.RoomNow)
-			return
-		}
-	}
 	r.task.ElsewhereSlowdown = r.pool.nodes[best].speed.Slowdown(now)
 	var holdable bool
 	r.place, holdable = o.waitPlace(r.step, r.pool, r.query, ranking, rack, r.task, now)
@@ -248,7 +262,7 @@
 	d := placewait.Decide(r.task, r.place, now)
 	t.hold.reason = d.Reason
 	if !d.Wait {
-		if d.Reason != placewait.GainUsedUp && d.Reason != placewait.DeadlineReached {
+		if !ofOneTask(d.Reason) {
 			r.decline(d.Reason)
 		}
 		return false
@@ -258,6 +272,11 @@
 	return true
 }
 
+// ofOneTask reports whether a reason against a wait holds for one task and not for those that follow in its step.
+func ofOneTask(reason placewait.Reason) bool {
+	return reason == placewait.RoomNow || reason == placewait.GainUsedUp || reason == placewait.DeadlineReached
+}
+
 // finish records what is left of a step after its tasks were placed. stuck is set if a task fits no executor.
 func (r *rackWait) finish(left []*taskEntry, stuck bool, now time.Duration) {
 	if r == nil {
@@ -586,30 +605,58 @@
 
 // remoteFactorOf returns by which factor a run takes longer since it is away from its data or its gang is split.
 func (o *Owner) remoteFactorOf(t *taskEntry) float64 {
-	if !o.placeWaitsOn() || t.node == nil || !t.remote() {
+	if !o.placeWaitsOn() || t.node == nil || !t.isRemote() {
 		return 1
 	}
 	return o.bounds.RemoteFactor
 }
 
-// remote reports whether the run is away from its data, or its gang is split over racks.
-func (t *taskEntry) remote() bool {
+// runLocation tells where a run is.
+type runLocation uint8
+
+const (
+	// locationUnknown: the racks of the gang's runs are not determined yet.
+	locationUnknown runLocation = iota
+	// locationLocal: the run is at its data, and its gang on one rack if it prefers that.
+	locationLocal
+	// locationRemote: the run is away from its data, or its gang is split over racks.
+	locationRemote
+)
+
+// isRemote reports whether the run is away from its data, or its gang is split over racks.
+func (t *taskEntry) isRemote() bool {
 	s := t.step()
-	if s.DataRack != "" && t.node.info.Rack != s.DataRack {
-		return true
-	}
 	if !s.Gang {
-		return false
+		return s.DataRack != "" && t.node.info.Rack != s.DataRack
 	}
-	for _, member := range t.job.stepTasks(t.stepKey()) {
+	if t.location == locationUnknown {
+		return t.locateGang()
+	}
+	return t.location == locationRemote
+}
+
+// locateGang reports whether a member of the gang is away from its data or on another rack, and stores that once the
+// racks of all runs are known.
+func (t *taskEntry) locateGang() bool {
+	s, members := t.step(), t.job.stepTasks(t.stepKey())
+	location, complete := locationLocal, true
+	for _, member := range members {
 		if member.node == nil {
+			complete = false
 			continue
 		}
+		// The rack is not known before the first report of an executor that a new owner knows from the records only.
+		complete = complete && member.node.info.Rack != ""
 		if s.DataRack != "" && member.node.info.Rack != s.DataRack || s.SameRack && member.node.info.Rack != t.node.info.Rack {
-			return true
+			location = locationRemote
 		}
 	}
-	return false
+	if complete {
+		for _, member := range members {
+			member.location = location
+		}
+	}
+	return location == locationRemote
 }
 
 // preemptionPool returns the executors on which runs may be preempted for a waiting task, and the loss up to which that
--- a/control/dispatch/placewait_gang.go
+++ b/control/dispatch/placewait_gang.go
@@ -186,11 +186,15 @@
 		o.releaseGang(w, best.Reason)
 		return false
 	}
-	d := o.countGang(w, bestRack)
 	if !best.Wait {
+		// A gang without a data rack that does not wait wants none of the racks more than another.
+		if q.Step.DataRack != "" {
+			o.countGang(w, bestRack)
+		}
 		o.releaseGang(w, best.Reason)
 		return false
 	}
+	d := o.countGang(w, bestRack)
 	for range w.tasks {
 		d.claim(q.Step.Request, t.Run)
 	}
@@ -201,6 +205,6 @@
 // endGangHold records the start of a gang that wants one rack.
 func (o *Owner) endGangHold(w *waitingStep, now time.Duration) {
 	if o.bounds.RemoteFactor > 1 && w.wantsRack() {
-		o.endHold(w.tasks, !w.tasks[0].remote(), now)
+		o.endHold(w.tasks, !w.tasks[0].isRemote(), now)
 	}
 }
--- a/control/dispatch/placewait_test.go
+++ b/control/dispatch/placewait_test.go
@@ -306,3 +306,35 @@
 	}
 	assert.DeepEqual(t, served[true], served[false])
 }
+
+// Guards against gangs that start split at once, and count as demand for a rack that they don't want more than others.
+func TestSplitGangsAreNoDemandForARack(t *testing.T) {
+	f := newRackFixture(t, twoRacks(), nil)
+	f.run(100 * time.Millisecond)
+	f.submit(0, dataStep(2000, 10*time.Minute, "ra"))
+	f.submit(0, dataStep(2000, 10*time.Minute, "rb"))
+	f.run(200 * time.Millisecond)
+	id := f.submit(0, gangStep(4, 1000, 10*time.Second))
+	f.run(200 * time.Millisecond)
+	assert.Equal(t, len(f.on(id)), 4)
+	for key, d := range f.owner.placeWaits.demand {
+		work := d.work[0]
+		assert.Assert(t, work <= 40, "%v has a demand of %.0f processor seconds", key, work)
+	}
+}
+
+// Guards against a task that avoids the only executor with room at its rack, and makes the rest of its step start elsewhere
+// without a decision.
+func TestTaskThatAvoidsItsRackDoesNotReleaseOthers(t *testing.T) {
+	f := newRackFixture(t, twoRacks(), nil)
+	f.run(100 * time.Millisecond)
+	f.submit(0, dataStep(2000, time.Second, "ra"))
+	f.run(200 * time.Millisecond)
+	step := dataStep(1000, 4*time.Second, "ra")
+	step.Count = 4
+	id := f.submit(0, step)
+	f.owner.jobs[id].tasks[0].failedOn = []string{"a1"}
+	f.run(200 * time.Millisecond)
+	assert.DeepEqual(t, f.on(id), []string{"a1", "a1", "b1"})
+	assert.Equal(t, f.owner.Counters().PlaceWaits, uint64(1))
+}
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -85,6 +85,8 @@
 	failedOn []string
 	// hold is the wait for the preferred rack.
 	hold placeHold
+	// location tells whether the run of a gang's member is away from its rack.
+	location runLocation
 	// lostOn is the incarnation with which the last run was lost.
 	lostOn submission.Incarnation
 }
