placewait: cost of a pass with many waiting tasks

Each decision copied one claim for each task before it, cloned the releases of the rack, inserted one release for each claim, and looped over all executors for the demand. Equal claims in a row are now one with a number, served as many at a time as there is room for; releases are read in place; the capacity of a rack is computed once in each pass.

Not done: to stop copying once the slots ahead exceed the free ones and all releases. Work ahead gives its slots back after its run time, so that a task can be served within the longest wait behind more work than that.

--- a/control/dispatch/placewait.go
+++ b/control/dispatch/placewait.go
@@ -55,6 +55,8 @@
 type claim struct {
 	need task.Resources
 	run  time.Duration
+	// count is the number of equal tasks in a row.
+	count int
 }
 
 // rackDemand is what is known of the tasks that want a rack. It is advisory and starts empty after a takeover.
@@ -63,6 +65,9 @@
 	work map[int]float64
 	// ahead is the work that waits for the rack, as found so far in the current pass.
 	ahead []claim
+	// capacity is that of the rack without runs that have no end, in thousandths of a processor, 0 until it is needed in the
+	// current pass.
+	capacity int64
 }
 
 // placeWaits is the state of all waits for racks.
@@ -94,7 +99,7 @@
 	weight := math.Exp(-float64(now-s.decayedAt) / float64(demandWindow))
 	s.decayedAt = now
 	for key, d := range s.demand {
-		d.ahead = d.ahead[:0]
+		d.ahead, d.capacity = d.ahead[:0], 0
 		for priority := range d.work {
 			if d.work[priority] *= weight; d.work[priority] < minDemand {
 				delete(d.work, priority)
@@ -136,11 +141,8 @@
 	if d == nil {
 		return 0
 	}
-	capacity := int64(0)
-	for _, n := range p.nodes {
-		if n.info.Rack == key.rack {
-			capacity += n.placementNode.Capacity.CPU - o.endless(n, now)
-		}
+	if d.capacity == 0 {
+		d.capacity = o.rackCapacity(key.rack, p, now)
 	}
 	work := 0.0
 	for other, x := range d.work {
@@ -148,7 +150,18 @@
 			work += x
 		}
 	}
-	return work / demandWindow.Seconds() * 1000 / float64(max(1, capacity))
+	return work / demandWindow.Seconds() * 1000 / float64(d.capacity)
+}
+
+// rackCapacity returns the processors of a rack that runs without end leave, in thousandths, at least 1.
+func (o *Owner) rackCapacity(rack string, p *pool, now time.Duration) int64 {
+	capacity := int64(0)
+	for _, n := range p.nodes {
+		if n.info.Rack == rack {
+			capacity += n.placementNode.Capacity.CPU - o.endless(n, now)
+		}
+	}
+	return max(1, capacity)
 }
 
 // endless returns the processors of the runs without end on a node, in thousandths.
@@ -160,9 +173,13 @@
 	return sum
 }
 
-// claim records that a waiting task wants room before those that follow in the pass.
-func (d *rackDemand) claim(need task.Resources, run time.Duration) {
-	d.ahead = append(d.ahead, claim{need, run})
+// claim records that a number of waiting tasks want room before those that follow in the pass.
+func (d *rackDemand) claim(need task.Resources, run time.Duration, count int) {
+	if last := len(d.ahead) - 1; last >= 0 && d.ahead[last].need == need && d.ahead[last].run == run {
+		d.ahead[last].count += count
+		return
+	}
+	d.ahead = append(d.ahead, claim{need, run, count})
 }
 
 // rackWait decides for the tasks of one step in one pass.
@@ -210,7 +227,7 @@
 	}
 	if now < t.hold.decideAt {
 		t.hold.active = true
-		r.demand.claim(t.step().Request, r.task.Run)
+		r.demand.claim(t.step().Request, r.task.Run, 1)
 		r.owner.turnAt(t.hold.until)
 		return true
 	}
@@ -256,7 +273,7 @@
 
 func (r *rackWait) decide(t *taskEntry, best int, now time.Duration) bool {
 	o, step := r.owner, t.step()
-	r.place.Ahead = r.demand.claims(step.Request)
+	r.place.Ahead = r.demand.claims(step.Request, r.place.Ahead[:0])
 	r.task.Displaced = min(1, o.demand(rackKey{o.service(t.job.sub), r.pool.placementNodes[best].Rack}, t.job.sub.Priority, r.pool, now))
 	r.task.Waited = t.hold.waited(now)
 	d := placewait.Decide(r.task, r.place, now)
@@ -267,7 +284,7 @@
 		}
 		return false
 	}
-	r.demand.claim(step.Request, r.task.Run)
+	r.demand.claim(step.Request, r.task.Run, 1)
 	o.hold([]*taskEntry{t}, step.DataRack, placewait.Gain(r.task, r.place), d, now)
 	return true
 }
@@ -285,18 +302,17 @@
 	for _, t := range left {
 		switch {
 		case stuck && !t.hold.active:
-			r.demand.claim(t.step().Request, r.task.Run)
+			r.demand.claim(t.step().Request, r.task.Run, 1)
 		case !stuck && t.hold.active:
 			r.step.heldAt = now
 		}
 	}
 }
 
-// claims returns the work that waits before a task, in slots of its size.
-func (d *rackDemand) claims(slot task.Resources) []placewait.Claim {
-	out := make([]placewait.Claim, len(d.ahead))
-	for i, c := range d.ahead {
-		out[i] = placewait.Claim{Slots: slotsOf(c.need, slot), Run: c.run}
+// claims appends the work that waits before a task, in slots of its size.
+func (d *rackDemand) claims(slot task.Resources, out []placewait.Claim) []placewait.Claim {
+	for _, c := range d.ahead {
+		out = append(out, placewait.Claim{Slots: slotsOf(c.need, slot), Run: c.run, Count: c.count})
 	}
 	return out
 }
--- a/control/dispatch/placewait_gang.go
+++ b/control/dispatch/placewait_gang.go
@@ -176,7 +176,7 @@
 		if !ok {
 			continue
 		}
-		place.Ahead = o.rackDemand(rackKey{o.service(w.job.sub), r.rack}).claims(q.Step.Request)
+		place.Ahead = o.rackDemand(rackKey{o.service(w.job.sub), r.rack}).claims(q.Step.Request, nil)
 		d := placewait.Decide(t, place, now)
 		if bestRack == "" || d.Wait && (!best.Wait || d.There < best.There) {
 			best, bestRack, bestGain = d, r.rack, placewait.Gain(t, place)
@@ -195,9 +195,7 @@
 		return false
 	}
 	d := o.countGang(w, bestRack)
-	for range w.tasks {
-		d.claim(q.Step.Request, t.Run)
-	}
+	d.claim(q.Step.Request, t.Run, len(w.tasks))
 	o.hold(w.tasks, bestRack, bestGain, best, now)
 	return true
 }
--- a/control/placewait/placewait.go
+++ b/control/placewait/placewait.go
@@ -52,8 +52,11 @@
 
 // Claim is work of the same or a higher priority that waits before the task for the same rack.
 type Claim struct {
+	// Slots and Run are those of one task.
 	Slots float64
 	Run   time.Duration
+	// Count is the number of equal tasks in a row. 0 counts as 1.
+	Count int
 }
 
 // Place is the preferred rack. A slot is room for one task of the asking step.
@@ -169,36 +172,66 @@
 // delay returns the time until width slots are free after the work ahead was served, and whether that is before the
 // horizon. The work ahead gives its slots back after its run time.
 func (p Place) delay(width int, now, horizon time.Duration) (time.Duration, bool) {
-	free, at := p.Free, now
-	releases := slices.Clone(p.Releases)
-	advance := func(need float64) bool {
-		for free+slotEpsilon < need {
-			if len(releases) == 0 || releases[0].At >= horizon {
-				return false
-			}
-			free += releases[0].Slots
-			at = max(at, releases[0].At)
-			releases = releases[1:]
-		}
-		return true
-	}
+	r := room{free: p.Free, at: now, horizon: horizon, releases: p.Releases}
 	for _, c := range p.Ahead {
-		if !advance(c.Slots) {
+		if !r.serve(c) {
 			return horizon - now, false
 		}
-		free -= c.Slots
-		releases = insert(releases, Release{at + c.Run, c.Slots})
 	}
-	if !advance(float64(width)) {
+	if !r.advance(float64(width)) {
 		return horizon - now, false
 	}
-	wait := at - now
+	wait := r.at - now
 	if width > 1 && wait > 0 {
 		wait = scale(wait, 1/(1-min(max(p.Taken, 0), maxTaken)))
 	}
 	return min(wait, horizon-now), wait < horizon-now
 }
 
+// room follows the free slots of a rack up to a horizon.
+type room struct {
+	free        float64
+	at, horizon time.Duration
+	// releases are those of the rack, returned those of the work that was served since.
+	releases, returned []Release
+}
+
+// advance goes on to the time from which a number of slots is free, and reports whether that is before the horizon.
+func (r *room) advance(need float64) bool {
+	for r.free+slotEpsilon < need {
+		from := &r.releases
+		if len(r.returned) > 0 && (len(r.releases) == 0 || r.returned[0].At < r.releases[0].At) {
+			from = &r.returned
+		}
+		if len(*from) == 0 || (*from)[0].At >= r.horizon {
+			return false
+		}
+		next := (*from)[0]
+		*from = (*from)[1:]
+		r.free += next.Slots
+		r.at = max(r.at, next.At)
+	}
+	return true
+}
+
+// serve starts the tasks of a claim, as many at a time as there is room for.
+func (r *room) serve(c Claim) bool {
+	for left := max(1, c.Count); left > 0; {
+		if !r.advance(c.Slots) {
+			return false
+		}
+		n := left
+		if c.Slots > 0 {
+			n = int(min(float64(left), max(1, (r.free+slotEpsilon)/c.Slots)))
+		}
+		taken := float64(n) * c.Slots
+		r.free -= taken
+		r.returned = insert(r.returned, Release{r.at + c.Run, taken})
+		left -= n
+	}
+	return true
+}
+
 // slotEpsilon absorbs the rounding of fractions of slots.
 const slotEpsilon = 1e-6
 
--- a/control/placewait/placewait_test.go
+++ b/control/placewait/placewait_test.go
@@ -227,3 +227,30 @@
 		}
 	}
 }
+
+// Guards against equal claims that count differently when they are given as one with their number.
+func TestClaimsCountAsTheirNumber(t *testing.T) {
+	rng := rand.New(rand.NewPCG(8, 8))
+	waits := 0
+	for range 20_000 {
+		single := placewait.Place{Free: 4 * rng.Float64(), Slowdown: 1}
+		for at := time.Duration(0); rng.IntN(8) > 0; at += time.Duration(rng.Int64N(int64(time.Second))) {
+			single.Releases = append(single.Releases, placewait.Release{At: at, Slots: 4 * rng.Float64()})
+		}
+		merged := single
+		for rng.IntN(4) > 0 {
+			c := placewait.Claim{Slots: 2 * rng.Float64(), Run: time.Duration(rng.Int64N(int64(time.Second)))}
+			n := 1 + rng.IntN(6)
+			single.Ahead = append(single.Ahead, slices.Repeat([]placewait.Claim{c}, n)...)
+			c.Count = n
+			merged.Ahead = append(merged.Ahead, c)
+		}
+		task := placewait.Task{Width: 1 + rng.IntN(4), Run: time.Duration(rng.Int64N(int64(10 * time.Second))), RemoteFactor: 2, ElsewhereSlowdown: 1}
+		want := placewait.Decide(task, single, 0)
+		assert.DeepEqual(t, placewait.Decide(task, merged, 0), want)
+		if want.Wait && len(single.Ahead) > len(merged.Ahead) {
+			waits++
+		}
+	}
+	assert.Assert(t, waits > 1000, "%d waits behind merged claims", waits)
+}
