placewait: stricter tests of speeds, of steps without a rack, of preemption and gangs

- TestRemoteRunDoesNotMakeExecutorSlow looked at no slowdown, had fewer runs than the queue's accuracy needs, and passed without any estimate.
It now runs 12 local and 12 remote runs with a factor of 3, and checks the queue's accuracy and each executor's slowdown.
- TestStepsWithoutRackAreServedAsBefore had no step that waits for a rack.
Such steps now run beside, on executors of another kind, and the test checks that they wait in one variant only.
- New: preemption with waits switched off, a gang with a data rack.
- The order of reports in the fixture is fixed.

--- a/control/dispatch/placewait_test.go
+++ b/control/dispatch/placewait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -19,8 +20,10 @@
 // rackFixture is a fixture with executors of four processors in named racks, which keep their runs until they are ended.
 type rackFixture struct {
 	*fixture
-	bounds  Bounds
-	racks   map[string]string
+	bounds Bounds
+	racks  map[string]string
+	// kinds are the labels of executors, none by default.
+	kinds   map[string]string
 	running map[string][]executor.Run
 	ends    map[string]int64
 	seen    int
@@ -44,14 +47,14 @@
 
 func (f *rackFixture) report(id string, ended ...executor.End) {
 	info := testInfo(id, f.now)
-	info.Rack = f.racks[id]
+	info.Rack, info.Kind = f.racks[id], f.kinds[id]
 	f.owner.ApplyReport(&wire.Report{Epoch: f.owner.Epoch(), Agent: "agent-" + id, Info: info, FullSnapshot: true, Running: f.running[id], Ended: ended}, f.now)
 }
 
 // run advances the time in passes of 100 ms. Ordered starts begin to run.
 func (f *rackFixture) run(d time.Duration) {
 	for end := f.now + d; f.now < end; f.now += 100 * time.Millisecond {
-		for id := range f.racks {
+		for _, id := range slices.Sorted(maps.Keys(f.racks)) {
 			f.report(id)
 		}
 		f.pass()
@@ -270,40 +273,71 @@
 
 // Guards against remote runs that make their executor look slow, from which its runs are then moved.
 func TestRemoteRunDoesNotMakeExecutorSlow(t *testing.T) {
-	f := newRackFixture(t, twoRacks(), nil)
+	const rounds, perRound, factor = 3, 4, 3
+	f := newRackFixture(t, twoRacks(), func(b *Bounds) { b.RemoteFactor = factor })
 	f.run(100 * time.Millisecond)
+	step := dataStep(1000, 400*time.Millisecond, "ra")
+	step.Count = perRound
+	round := func(on string, d time.Duration) {
+		f.submit(0, step)
+		f.run(200 * time.Millisecond)
+		assert.Equal(t, len(f.running[on]), perRound)
+		f.run(d - 200*time.Millisecond)
+		f.end(on)
+	}
+	for range rounds {
+		round("a1", 400*time.Millisecond)
+	}
 	f.submit(0, dataStep(4000, time.Minute, "ra"))
 	f.run(200 * time.Millisecond)
-	step := dataStep(1000, 400*time.Millisecond, "ra")
-	step.Count = 4
-	f.submit(0, step)
-	f.run(800 * time.Millisecond)
-	f.end("b1")
+	for range rounds {
+		round("b1", factor*400*time.Millisecond)
+	}
+	assert.Equal(t, len(f.owner.estimates), 1)
 	for _, e := range f.owner.estimates {
-		ratio, _, _ := e.Accuracy()
+		ratio, _, ok := e.Accuracy()
+		assert.Assert(t, ok, "too few run times")
 		assert.Assert(t, ratio < 1.3, "run times are %.2f of the estimates", ratio)
 	}
-	assert.Equal(t, f.owner.Counters().RemoteStarts, uint64(4))
+	for _, n := range f.owner.executors {
+		slowdown := n.speed.Slowdown(f.now)
+		assert.Assert(t, slowdown < suspectSlowdown, "%s is slower by %.2f", n.info.ID, slowdown)
+	}
+	assert.Equal(t, f.owner.Counters().RemoteStarts, uint64(rounds*perRound))
 }
 
 // Guards against steps without a preferred rack that are served differently while others wait for theirs.
 func TestStepsWithoutRackAreServedAsBefore(t *testing.T) {
 	served := make(map[bool][]string)
 	for _, on := range []bool{true, false} {
-		f := newRackFixture(t, map[string]string{"a1": "ra", "a2": "ra", "b1": "rb", "b2": "rb"}, func(b *Bounds) { b.Features.PlaceWait = on })
+		f := newRackFixture(t, map[string]string{"a1": "ra", "a2": "ra", "b1": "rb", "b2": "rb", "c1": "rc", "d1": "rd"}, func(b *Bounds) { b.Features.PlaceWait = on })
+		f.kinds = map[string]string{"a1": "plain", "a2": "plain", "b1": "plain", "b2": "plain", "c1": "racked", "d1": "racked"}
+		var plain []string
 		for i := range 30 {
 			step := dataStep(int64(500+100*(i%20)), time.Duration(1+i%4)*time.Second, "")
-			step.Count, step.Gang, step.BestEffort = 1+i%3, i%5 == 0, i%7 == 0
-			f.submit(i%3, step)
+			step.Count, step.Gang, step.BestEffort, step.Label = 1+i%3, i%5 == 0, i%7 == 0, "plain"
+			plain = append(plain, f.submit(i%3, step))
+			racked := dataStep(2000, time.Second, "rc")
+			racked.Label = "racked"
+			f.submit(0, racked)
 			f.run(200 * time.Millisecond)
 			if i%4 == 3 {
 				f.end([]string{"a1", "a2", "b1", "b2"}[i%16/4])
+				f.end("c1")
+				f.end("d1")
+			}
+		}
+		assert.Equal(t, f.owner.Counters().PlaceWaits > 0, on)
+		assert.Assert(t, f.owner.Counters().RemoteStarts > 0)
+		for _, s := range f.starts() {
+			if slices.Contains(plain, s[:strings.Index(s, ".")]) {
+				served[on] = append(served[on], s)
 			}
 		}
-		served[on] = f.starts()
 		// The messages to executors have no fixed order.
 		slices.Sort(served[on])
 	}
+	assert.Assert(t, len(served[true]) > 0)
 	assert.DeepEqual(t, served[true], served[false])
 }
 
@@ -338,3 +372,50 @@
 	assert.DeepEqual(t, f.on(id), []string{"a1", "a1", "b1"})
 	assert.Equal(t, f.owner.Counters().PlaceWaits, uint64(1))
 }
+
+// Guards against waits that are switched off and still limit where a task preempts, or that make it preempt before its delay.
+func TestPreemptionWithoutWaitsIsUnlimited(t *testing.T) {
+	f := newRackFixture(t, twoRacks(), func(b *Bounds) { b.Features.PlaceWait = false })
+	f.run(100 * time.Millisecond)
+	f.submit(2, dataStep(4000, time.Minute, "ra"))
+	f.submit(2, dataStep(4000, time.Minute, "rb"))
+	f.run(500 * time.Millisecond)
+	// The run at the preferred rack would lose more.
+	f.running["a1"][0].ProgressPercent = 50
+	f.run(100 * time.Millisecond)
+	id := f.submit(0, dataStep(1000, time.Second, "ra"))
+	f.run(preemptDelay)
+	assert.Equal(t, len(f.stops()), 0)
+	f.run(preemptInterval + 200*time.Millisecond)
+	assert.Equal(t, len(f.on(id)), 0)
+	assert.Assert(t, len(f.stops()) > 0)
+	for _, s := range f.stops() {
+		assert.Assert(t, strings.HasSuffix(s, "@b1"), s)
+	}
+}
+
+// Guards against a gang that starts on another rack than that of its data, although that has room for it soon, and against
+// one that waits for it on when the room does not come.
+func TestGangWaitsForRackOfItsData(t *testing.T) {
+	for _, free := range []bool{true, false} {
+		f := newRackFixture(t, twoRacks(), nil)
+		f.run(100 * time.Millisecond)
+		f.submit(0, dataStep(1000, time.Second, "ra"))
+		f.run(200 * time.Millisecond)
+		step := gangStep(4, 1000, 2*time.Second)
+		step.DataRack, step.SameRack = "ra", false
+		id := f.submit(0, step)
+		f.run(500 * time.Millisecond)
+		assert.Equal(t, len(f.on(id)), 0)
+		if free {
+			f.end("a1")
+			f.run(200 * time.Millisecond)
+			assert.DeepEqual(t, f.on(id), []string{"a1", "a1", "a1", "a1"})
+			assert.Equal(t, f.owner.Counters().RemoteStarts, uint64(0))
+			continue
+		}
+		f.run(4 * time.Second)
+		assert.DeepEqual(t, f.on(id), []string{"b1", "b1", "b1", "b1"})
+		assert.Equal(t, f.owner.Counters().RemoteStarts, uint64(4))
+	}
+}
