--- a/base/events/dispatch.go
+++ b/base/events/dispatch.go
@@ -63,6 +63,6 @@
 	WriteRefused      = define(670, "write_refused", zerolog.ErrorLevel, "The store refuses the row key for good and has accepted a commit without it. The submission id, if the row is its record, has failed; a row of the contention model is not written again by this owner. All other work goes on.")
 	MemberDeleted     = define(671, "member_deleted", zerolog.InfoLevel, "The owner deletes the row of a process that it has not heard of for ten minutes. error tells why the row stays.")
 	PlaceWaitBegun    = define(678, "place_wait_begun", zerolog.InfoLevel, "A task or a gang, of which task is the first member, waits for room at its rack although it fits elsewhere. there and elsewhere are the times to the expected end, until the time after which it starts elsewhere.")
-	PlaceWaitEnded    = define(679, "place_wait_ended", zerolog.InfoLevel, "A wait for a rack has ended with a start. paid tells whether the run is at the rack, reason why the wait ended.")
+	PlaceWaitEnded    = define(679, "place_wait_ended", zerolog.InfoLevel, "A wait for a rack has ended with a start. local tells whether the run is at the rack, reason why the wait ended.")
 	LogLinesDropped   = define(660, "log_lines_dropped", zerolog.WarnLevel, "Log lines were dropped because the log could not be written fast enough.")
 )
--- a/base/metrics/deployment.go
+++ b/base/metrics/deployment.go
@@ -89,8 +89,8 @@
 		{"chicory_owner_resent_starts_total", "Copies of starts that were sent after the first.", func(c dispatch.Counters) uint64 { return c.Resent }},
 		{"chicory_owner_refused_writes_total", "Changes that the store has refused for good, such as a record that is too large. The submission of a refused record has failed.", func(c dispatch.Counters) uint64 { return c.RefusedWrites }},
 		{"chicory_owner_place_waits_total", "Waits of tasks and gangs for their preferred rack.", func(c dispatch.Counters) uint64 { return c.PlaceWaits }},
-		{"chicory_owner_place_waits_paid_total", "Waits for a rack that ended with a start there.", func(c dispatch.Counters) uint64 { return c.PlaceWaitsPaid }},
-		{"chicory_owner_place_waits_in_vain_total", "Waits for a rack that ended with a start elsewhere.", func(c dispatch.Counters) uint64 { return c.PlaceWaitsInVain }},
+		{"chicory_owner_place_waits_local_total", "Waits for a rack that ended with a start there.", func(c dispatch.Counters) uint64 { return c.PlaceWaitsLocal }},
+		{"chicory_owner_place_waits_remote_total", "Waits for a rack that ended with a start elsewhere.", func(c dispatch.Counters) uint64 { return c.PlaceWaitsRemote }},
 		{"chicory_owner_remote_starts_total", "Runs that started away from their data, or in a gang that is split over racks.", func(c dispatch.Counters) uint64 { return c.RemoteStarts }},
 		{"chicory_owner_refused_starts_total", "Starts that were rejected.", func(c dispatch.Counters) uint64 { return c.Rejected }},
 	} {
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -167,17 +167,17 @@
 	Resent uint64
 	// RefusedWrites counts the changes that the store has refused for good.
 	RefusedWrites uint64
-	// PlaceWaits counts the waits of tasks and gangs for their rack, PlaceWaitsPaid those that ended there, PlaceWaitsInVain
+	// PlaceWaits counts the waits of tasks and gangs for their rack, PlaceWaitsLocal those that ended there, PlaceWaitsRemote
 	// those that ended elsewhere. RemoteStarts counts the runs that started away from their data or split over racks.
-	PlaceWaits, PlaceWaitsPaid, PlaceWaitsInVain, RemoteStarts uint64
+	PlaceWaits, PlaceWaitsLocal, PlaceWaitsRemote, RemoteStarts uint64
 }
 
 func (c Counters) Add(d Counters) Counters {
 	return Counters{Starts: c.Starts + d.Starts, Ends: c.Ends + d.Ends, Failures: c.Failures + d.Failures,
 		Lost: c.Lost + d.Lost, Rejected: c.Rejected + d.Rejected, Withdrawn: c.Withdrawn + d.Withdrawn, ZoneWaits: c.ZoneWaits + d.ZoneWaits,
 		GivenUp: c.GivenUp + d.GivenUp, Resent: c.Resent + d.Resent, RefusedWrites: c.RefusedWrites + d.RefusedWrites,
-		PlaceWaits: c.PlaceWaits + d.PlaceWaits, PlaceWaitsPaid: c.PlaceWaitsPaid + d.PlaceWaitsPaid,
-		PlaceWaitsInVain: c.PlaceWaitsInVain + d.PlaceWaitsInVain, RemoteStarts: c.RemoteStarts + d.RemoteStarts}
+		PlaceWaits: c.PlaceWaits + d.PlaceWaits, PlaceWaitsLocal: c.PlaceWaitsLocal + d.PlaceWaitsLocal,
+		PlaceWaitsRemote: c.PlaceWaitsRemote + d.PlaceWaitsRemote, RemoteStarts: c.RemoteStarts + d.RemoteStarts}
 }
 
 // New returns an owner without work. now is the owner's clock, which includes time in suspension;
--- a/control/dispatch/jobs.go
+++ b/control/dispatch/jobs.go
@@ -205,7 +205,7 @@
 		t.node = nil
 	}
 	t.rec.State, t.rec.Executor, t.rec.Address = submission.TaskPending, submission.Incarnation{}, ""
-	t.phase, t.changedAt, t.hold, t.location = phaseIdle, now, placeHold{}, locationUnknown
+	t.phase, t.changedAt, t.rackWait, t.location = phaseIdle, now, rackWait{}, locationUnknown
 	t.stopping, t.stopAcked, t.progressPercent, t.progressAt, t.missingSnapshots, t.speedBaseAt, t.fullRun = false, 0, 0, 0, 0, 0, false
 	o.markDirty(t)
 	o.placementChanged = true
--- a/control/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -114,7 +114,7 @@
 	}
 	q := o.query(w, p, now)
 	ranking := placement.Rank(q, p.placementNodes)
-	wait := o.rackWait(w, p, q, now)
+	decider := o.rackDecider(w, p, q, now)
 	tasks := w.tasks
 	left, stuck := tasks[:0], false
 	for i, t := range tasks {
@@ -135,7 +135,7 @@
 			o.reportZoneWait(w)
 			break
 		}
-		if wait.holds(t, best, ranking, now) {
+		if decider.waits(t, best, ranking, now) {
 			left = append(left, t)
 			continue
 		}
@@ -149,7 +149,7 @@
 		}
 		ranking.Update(best)
 	}
-	wait.finish(left, stuck, now)
+	decider.finish(left, stuck, now)
 	o.setWaiting(w, left)
 }
 
@@ -248,7 +248,7 @@
 		t.rec.Run = run
 		o.assign(t, p.nodes[chosen[i]], now)
 	}
-	o.endGangHold(w, now)
+	o.endGangRackWait(w, now)
 	o.setWaiting(w, nil)
 }
 
@@ -261,7 +261,7 @@
 	t.node, t.phase, t.changedAt, t.progressPercent, t.speedLimit, t.throttledAt = n, phaseCommitPending, now, 0, fullSpeed, 0
 	t.firstOrderedAt, t.startCopies, t.startedAt, t.latencyInTargetAt, t.latencyOverSince = 0, 0, 0, 0, 0
 	n.reserve(t)
-	o.endTaskHold(t, now)
+	o.endTaskRackWait(t, now)
 	o.markDirty(t)
 	o.uncommitted.starts = append(o.uncommitted.starts, t)
 	events.TaskPlaced.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", n.info.ID).
--- a/control/dispatch/placewait.go
+++ b/control/dispatch/placewait.go
@@ -19,26 +19,29 @@
 	demandWindow = 20 * time.Second
 	// minDemand is the work in processor seconds below which the demand for a rack is forgotten.
 	minDemand = 0.1
-	// maxCountedSlots bounds the tasks of one step that are counted as room on one executor.
+	// maxCountedSlots bounds the tasks of one step that are counted as room on one executor, since each is counted by a trial
+	// and a task without a request would fit without end.
 	maxCountedSlots = 64
 	// minProjectedPercent is the progress from which the end of a run is projected from it: at one percent the
 	// resolution alone makes the projection wrong by up to a factor of two.
 	minProjectedPercent = 5
 	// minRemaining is the shortest time to the expected end of a run: its report has to arrive.
 	minRemaining = 100 * time.Millisecond
-	// overdueShare is the share of its age that a run without known progress is expected to take beyond its estimate.
+	// overdueShare is the share of its age that a run without known progress is expected to take beyond its estimate. The
+	// longer a run is overdue, the less its estimate tells.
 	overdueShare = 0.1
-	// resumedShare is the share of its run time that a task with a checkpoint is expected to need.
+	// resumedShare is the share of its run time that a task with a checkpoint is expected to need. The progress at the
+	// checkpoint is not known, and half is the mean of all that are possible.
 	resumedShare = 0.5
 )
 
-// placeHold is the wait of a task for its preferred rack.
-type placeHold struct {
+// rackWait is the wait of a task for its preferred rack.
+type rackWait struct {
 	// since is when the wait began, 0 for none.
 	since time.Duration
 	// until is when the decision reverses, decideAt when it is taken again at the latest.
 	until, decideAt time.Duration
-	// active is set while the last pass held the task back, although it fits elsewhere.
+	// active is set if the task waited by choice in the last pass, although it fits elsewhere.
 	active bool
 	// rack is the awaited rack, gain the time that a run elsewhere loses.
 	rack string
@@ -77,15 +80,15 @@
 	decayedAt time.Duration
 	// endings are the runs of nodes by their expected ends, computed once in each pass.
 	endings map[*node][]ending
-	// nextTurn is the earliest time at which a decision to wait reverses, 0 for none.
-	nextTurn time.Duration
+	// reconsiderNext is the earliest time at which a decision to wait reverses, 0 for none.
+	reconsiderNext time.Duration
 }
 
 func (o *Owner) placeWaitsOn() bool { return o.bounds.Features.PlaceWait && o.bounds.RemoteFactor > 1 }
 
 // placeWaitDue reports whether a decision to wait reverses.
 func (o *Owner) placeWaitDue(now time.Duration) bool {
-	return o.placeWaits.nextTurn != 0 && now >= o.placeWaits.nextTurn
+	return o.placeWaits.reconsiderNext != 0 && now >= o.placeWaits.reconsiderNext
 }
 
 // beginPlaceWaits prepares the demand of all racks for a placement pass.
@@ -95,7 +98,7 @@
 		return
 	}
 	s := &o.placeWaits
-	s.nextTurn = 0
+	s.reconsiderNext = 0
 	weight := math.Exp(-float64(now-s.decayedAt) / float64(demandWindow))
 	s.decayedAt = now
 	for key, d := range s.demand {
@@ -128,8 +131,8 @@
 
 // count adds the work of a task that wants the rack, once while it waits.
 func (d *rackDemand) count(t *taskEntry, run time.Duration) {
-	if !t.hold.counted {
-		t.hold.counted = true
+	if !t.rackWait.counted {
+		t.rackWait.counted = true
 		d.work[t.job.sub.Priority] += min(run, demandWindow).Seconds() * float64(t.step().Request.CPU) / 1000
 	}
 }
@@ -182,73 +185,73 @@
 	d.ahead = append(d.ahead, claim{need, run, count})
 }
 
-// rackWait decides for the tasks of one step in one pass.
-type rackWait struct {
+// rackDecider decides for the tasks of one step in one pass.
+type rackDecider struct {
 	owner  *Owner
 	step   *waitingStep
 	pool   *pool
 	query  placement.Query
 	demand *rackDemand
 	task   placewait.Task
-	place  placewait.Place
-	// sized is set once the place is known, declined once the rest of the step starts elsewhere for the same reason.
+	state  placewait.Rack
+	// sized is set once the state is known, declined once the rest of the step starts elsewhere for the same reason.
 	sized, declined bool
 	reason          placewait.Reason
 }
 
-// rackWait returns the decision for a step whose tasks want a rack, nil for other steps.
-func (o *Owner) rackWait(w *waitingStep, p *pool, q placement.Query, now time.Duration) *rackWait {
-	w.countHeldTime(now)
+// rackDecider returns the decision for a step whose tasks want a rack, nil for other steps.
+func (o *Owner) rackDecider(w *waitingStep, p *pool, q placement.Query, now time.Duration) *rackDecider {
+	w.countRackWaitTime(now)
 	step := &w.job.sub.Steps[w.key.step]
 	if !o.placeWaitsOn() || step.DataRack == "" || step.LongRunning {
 		return nil
 	}
 	for _, t := range w.tasks {
-		t.hold.active = false
+		t.rackWait.active = false
 	}
 	key := rackKey{o.service(w.job.sub), step.DataRack}
-	r := &rackWait{owner: o, step: w, pool: p, query: q, demand: o.rackDemand(key), task: o.waitTask(w)}
+	r := &rackDecider{owner: o, step: w, pool: p, query: q, demand: o.rackDemand(key), task: o.waitTask(w)}
 	for _, t := range w.tasks {
 		r.demand.count(t, r.task.Run)
 	}
 	return r
 }
 
-// holds reports whether a task waits for its rack, given the best executor for it now.
-func (r *rackWait) holds(t *taskEntry, best int, ranking *placement.Ranking, now time.Duration) bool {
+// waits reports whether a task waits for its rack, given the best executor for it now.
+func (r *rackDecider) waits(t *taskEntry, best int, ranking *placement.Ranking, now time.Duration) bool {
 	if r == nil {
 		return false
 	}
 	rack := t.step().DataRack
 	there := r.pool.placementNodes[best].Rack == rack
 	if there || r.declined {
-		t.hold.reason = r.reason
+		t.rackWait.reason = r.reason
 		return false
 	}
-	if now < t.hold.decideAt {
-		t.hold.active = true
+	if now < t.rackWait.decideAt {
+		t.rackWait.active = true
 		r.demand.claim(t.step().Request, r.task.Run, 1)
-		r.owner.turnAt(t.hold.until)
+		r.owner.reconsiderAt(t.rackWait.until)
 		return true
 	}
 	if !r.sized && r.hasRoom(rack, ranking) {
 		// The better choice for this task is another for a reason such as a fault there. The tasks that follow may take
 		// the room.
-		t.hold.reason = placewait.RoomNow
+		t.rackWait.reason = placewait.RoomNow
 		return false
 	}
 	if !r.sized {
 		r.size(rack, best, ranking, now)
 	}
 	if r.declined {
-		t.hold.reason = r.reason
+		t.rackWait.reason = r.reason
 		return false
 	}
 	return r.decide(t, best, now)
 }
 
 // hasRoom reports whether an executor of the rack can take a task of the step now.
-func (r *rackWait) hasRoom(rack string, ranking *placement.Ranking) bool {
+func (r *rackDecider) hasRoom(rack string, ranking *placement.Ranking) bool {
 	for i, n := range r.pool.placementNodes {
 		if n.Rack == rack && ranking.Fits(i) {
 			return true
@@ -258,26 +261,26 @@
 }
 
 // size evaluates the rack once for the step. Nothing of the step starts there in this pass anymore, since it has no room.
-func (r *rackWait) size(rack string, best int, ranking *placement.Ranking, now time.Duration) {
+func (r *rackDecider) size(rack string, best int, ranking *placement.Ranking, now time.Duration) {
 	r.sized = true
 	o := r.owner
 	r.task.ElsewhereSlowdown = r.pool.nodes[best].speed.Slowdown(now)
-	var holdable bool
-	r.place, holdable = o.waitPlace(r.step, r.pool, r.query, ranking, rack, r.task, now)
-	if !holdable {
+	var usable bool
+	r.state, usable = o.rackState(r.step, r.pool, r.query, ranking, rack, r.task, now)
+	if !usable {
 		r.decline(placewait.NoRack)
 	}
 }
 
-func (r *rackWait) decline(reason placewait.Reason) { r.declined, r.reason = true, reason }
+func (r *rackDecider) decline(reason placewait.Reason) { r.declined, r.reason = true, reason }
 
-func (r *rackWait) decide(t *taskEntry, best int, now time.Duration) bool {
+func (r *rackDecider) decide(t *taskEntry, best int, now time.Duration) bool {
 	o, step := r.owner, t.step()
-	r.place.Ahead = r.demand.claims(step.Request, r.place.Ahead[:0])
+	r.state.Ahead = r.demand.claims(step.Request, r.state.Ahead[:0])
 	r.task.Displaced = min(1, o.demand(rackKey{o.service(t.job.sub), r.pool.placementNodes[best].Rack}, t.job.sub.Priority, r.pool, now))
-	r.task.Waited = t.hold.waited(now)
-	d := placewait.Decide(r.task, r.place, now)
-	t.hold.reason = d.Reason
+	r.task.Waited = t.rackWait.waited(now)
+	d := placewait.Decide(r.task, r.state, now)
+	t.rackWait.reason = d.Reason
 	if !d.Wait {
 		if !ofOneTask(d.Reason) {
 			r.decline(d.Reason)
@@ -285,7 +288,7 @@
 		return false
 	}
 	r.demand.claim(step.Request, r.task.Run, 1)
-	o.hold([]*taskEntry{t}, step.DataRack, placewait.Gain(r.task, r.place), d, now)
+	o.beginRackWait([]*taskEntry{t}, step.DataRack, placewait.Gain(r.task, r.state), d, now)
 	return true
 }
 
@@ -295,16 +298,16 @@
 }
 
 // finish records what is left of a step after its tasks were placed. stuck is set if a task fits no executor.
-func (r *rackWait) finish(left []*taskEntry, stuck bool, now time.Duration) {
+func (r *rackDecider) finish(left []*taskEntry, stuck bool, now time.Duration) {
 	if r == nil {
 		return
 	}
 	for _, t := range left {
 		switch {
-		case stuck && !t.hold.active:
+		case stuck && !t.rackWait.active:
 			r.demand.claim(t.step().Request, r.task.Run, 1)
-		case !stuck && t.hold.active:
-			r.step.heldAt = now
+		case !stuck && t.rackWait.active:
+			r.step.rackWaitAt = now
 		}
 	}
 }
@@ -328,29 +331,29 @@
 	return n
 }
 
-func (h *placeHold) waited(now time.Duration) time.Duration {
+func (h *rackWait) waited(now time.Duration) time.Duration {
 	if h.since == 0 {
 		return 0
 	}
 	return now - h.since
 }
 
-// turnAt plans a placement pass for the time at which a decision reverses.
-func (o *Owner) turnAt(until time.Duration) {
-	if o.placeWaits.nextTurn == 0 || until < o.placeWaits.nextTurn {
-		o.placeWaits.nextTurn = until
+// reconsiderAt plans a placement pass for the time at which a decision reverses.
+func (o *Owner) reconsiderAt(until time.Duration) {
+	if o.placeWaits.reconsiderNext == 0 || until < o.placeWaits.reconsiderNext {
+		o.placeWaits.reconsiderNext = until
 	}
 }
 
-// hold marks tasks as waiting for a rack.
-func (o *Owner) hold(tasks []*taskEntry, rack string, gain time.Duration, d placewait.Decision, now time.Duration) {
-	o.turnAt(d.Until)
-	begun := tasks[0].hold.since == 0
+// beginRackWait marks tasks as waiting for a rack.
+func (o *Owner) beginRackWait(tasks []*taskEntry, rack string, gain time.Duration, d placewait.Decision, now time.Duration) {
+	o.reconsiderAt(d.Until)
+	begun := tasks[0].rackWait.since == 0
 	for _, t := range tasks {
-		t.hold.active, t.hold.rack, t.hold.gain, t.hold.reason = true, rack, gain, d.Reason
-		t.hold.until, t.hold.decideAt = d.Until, min(d.Until, now+placeInterval)
-		if t.hold.since == 0 {
-			t.hold.since = now
+		t.rackWait.active, t.rackWait.rack, t.rackWait.gain, t.rackWait.reason = true, rack, gain, d.Reason
+		t.rackWait.until, t.rackWait.decideAt = d.Until, min(d.Until, now+placeInterval)
+		if t.rackWait.since == 0 {
+			t.rackWait.since = now
 		}
 	}
 	if begun {
@@ -360,50 +363,50 @@
 	}
 }
 
-// endHold records the start of a task or a gang that prefers a rack, and the end of its wait if it has waited.
-func (o *Owner) endHold(tasks []*taskEntry, there bool, now time.Duration) {
+// endRackWait records the start of a task or a gang that prefers a rack, and the end of its wait if it has waited.
+func (o *Owner) endRackWait(tasks []*taskEntry, there bool, now time.Duration) {
 	if !there {
 		o.counters.RemoteStarts += uint64(len(tasks))
 	}
-	h := tasks[0].hold
+	wait := tasks[0].rackWait
 	for _, t := range tasks {
-		t.hold = placeHold{}
+		t.rackWait = rackWait{}
 	}
-	if h.since == 0 {
+	if wait.since == 0 {
 		return
 	}
-	reason := h.reason
+	reason := wait.reason
 	if there {
-		o.counters.PlaceWaitsPaid++
+		o.counters.PlaceWaitsLocal++
 		reason = placewait.RoomNow
 	} else {
-		o.counters.PlaceWaitsInVain++
+		o.counters.PlaceWaitsRemote++
 	}
-	events.PlaceWaitEnded.Log(o.log).Str("task", tasks[0].name()).Int("tasks", len(tasks)).Str("rack", h.rack).Bool("paid", there).
-		Dur("waited", now-h.since).Str("reason", reason.String()).Send()
+	events.PlaceWaitEnded.Log(o.log).Str("task", tasks[0].name()).Int("tasks", len(tasks)).Str("rack", wait.rack).Bool("local", there).
+		Dur("waited", now-wait.since).Str("reason", reason.String()).Send()
 }
 
-// endTaskHold records the start of a task that is not a member of a gang. Remote starts are counted also while no task waits.
-func (o *Owner) endTaskHold(t *taskEntry, now time.Duration) {
+// endTaskRackWait records the start of a task that is not a member of a gang. Remote starts are counted also while no task waits.
+func (o *Owner) endTaskRackWait(t *taskEntry, now time.Duration) {
 	if s := t.step(); o.bounds.RemoteFactor > 1 && !s.Gang && s.DataRack != "" && !s.LongRunning {
-		o.endHold([]*taskEntry{t}, t.node.info.Rack == s.DataRack, now)
+		o.endRackWait([]*taskEntry{t}, t.node.info.Rack == s.DataRack, now)
 	}
 }
 
-// countHeldTime adds the time since the last pass if the step was held then.
-func (w *waitingStep) countHeldTime(now time.Duration) {
-	if w.heldAt != 0 {
-		w.heldTime += now - w.heldAt
-		w.heldAt = 0
+// countRackWaitTime adds the time since the last pass if the step waited for its rack then.
+func (w *waitingStep) countRackWaitTime(now time.Duration) {
+	if w.rackWaitAt != 0 {
+		w.rackWaitTime += now - w.rackWaitAt
+		w.rackWaitAt = 0
 	}
 }
 
 // waited returns how long the step has waited for want of an executor. The time for which it waits for a rack by choice
 // does not count.
 func (w *waitingStep) waited(now time.Duration) time.Duration {
-	waited := now - w.since - w.heldTime
-	if w.heldAt != 0 {
-		waited -= now - w.heldAt
+	waited := now - w.since - w.rackWaitTime
+	if w.rackWaitAt != 0 {
+		waited -= now - w.rackWaitAt
 	}
 	return waited
 }
@@ -446,10 +449,10 @@
 	return run, spread
 }
 
-// waitPlace evaluates the room of a rack for a step. ok is false if no executor there could hold a task of it.
-func (o *Owner) waitPlace(w *waitingStep, p *pool, q placement.Query, ranking *placement.Ranking, rack string, t placewait.Task, now time.Duration) (placewait.Place, bool) {
-	var place placewait.Place
-	longest := 2 * placewait.Gain(t, place)
+// rackState evaluates the room of a rack for a step. ok is false if no executor there could hold a task of it.
+func (o *Owner) rackState(w *waitingStep, p *pool, q placement.Query, ranking *placement.Ranking, rack string, t placewait.Task, now time.Duration) (placewait.Rack, bool) {
+	var state placewait.Rack
+	longest := 2 * placewait.Gain(t, state)
 	nodes, empty, slowdown := 0, 0, 0.0
 	for i, n := range p.nodes {
 		c := p.placementNodes[i]
@@ -469,16 +472,16 @@
 		}
 		nodes++
 		slowdown += n.speed.Slowdown(now)
-		place.Free += float64(r.slots)
-		place.Releases = append(place.Releases, o.releases(w, n, r, longest, now)...)
+		state.Free += float64(r.slots)
+		state.Releases = append(state.Releases, o.releases(w, n, r, longest, now)...)
 	}
 	if nodes == 0 || empty < t.Width {
-		return place, false
+		return state, false
 	}
-	slices.SortStableFunc(place.Releases, func(a, b placewait.Release) int { return cmp.Compare(a.At, b.At) })
-	place.Slowdown, place.Taken = slowdown/float64(nodes), p.reservedShare()
-	place.Demand = o.demand(rackKey{o.service(w.job.sub), rack}, w.job.sub.Priority, p, now)
-	return place, true
+	slices.SortStableFunc(state.Releases, func(a, b placewait.Release) int { return cmp.Compare(a.At, b.At) })
+	state.Slowdown, state.Taken = slowdown/float64(nodes), p.reservedShare()
+	state.Demand = o.demand(rackKey{o.service(w.job.sub), rack}, w.job.sub.Priority, p, now)
+	return state, true
 }
 
 // room counts how many tasks of a step a copy of a node can take.
@@ -530,6 +533,7 @@
 	left time.Duration
 }
 
+// never is the time to the end of a run without end. It is above the longest wait, so that the run's slots are no room.
 const never = time.Duration(math.MaxInt64)
 
 // endings returns the runs of a node in the order of their expected ends.
@@ -678,7 +682,7 @@
 // preemptionPool returns the executors on which runs may be preempted for a waiting task, and the loss up to which that
 // is worth it, 0 for any. A task that waits for its rack by choice preempts only there.
 func (o *Owner) preemptionPool(w *waitingStep, t *taskEntry, p *pool, now time.Duration) (*pool, time.Duration) {
-	if !t.hold.active {
+	if !t.rackWait.active {
 		if w.waited(now) < preemptDelay {
 			return new(pool), 0
 		}
@@ -686,12 +690,12 @@
 	}
 	rack := new(pool)
 	for i, n := range p.nodes {
-		if n.info.Rack == t.hold.rack {
+		if n.info.Rack == t.rackWait.rack {
 			rack.nodes = append(rack.nodes, n)
 			rack.placementNodes = append(rack.placementNodes, p.placementNodes[i])
 		}
 	}
-	return rack, t.hold.gain
+	return rack, t.rackWait.gain
 }
 
 // totalLoss returns the run time that is lost when the runs are stopped.
--- a/control/dispatch/placewait_gang.go
+++ b/control/dispatch/placewait_gang.go
@@ -116,7 +116,7 @@
 
 // placesForGang returns positions for all members of a gang; ok is false if the gang waits, for an executor or by choice for a rack.
 func (o *Owner) placesForGang(w *waitingStep, p *pool, q placement.Query, now time.Duration) (chosen []int, ok bool) {
-	w.countHeldTime(now)
+	w.countRackWaitTime(now)
 	if !o.placeWaitsOn() || !w.wantsRack() {
 		chosen, _, ok = tryGang(w, q, p.placementNodes)
 		return chosen, ok
@@ -134,8 +134,8 @@
 		o.releaseGang(w, placewait.NoRack)
 		return nil, false
 	}
-	if o.gangHolds(w, p, q, chosen, now) {
-		w.heldAt = now
+	if o.gangWaits(w, p, q, chosen, now) {
+		w.rackWaitAt = now
 		return nil, false
 	}
 	return chosen, true
@@ -144,7 +144,7 @@
 // releaseGang ends the choice to wait.
 func (o *Owner) releaseGang(w *waitingStep, reason placewait.Reason) {
 	for _, t := range w.tasks {
-		t.hold.active, t.hold.reason = false, reason
+		t.rackWait.active, t.rackWait.reason = false, reason
 	}
 }
 
@@ -158,10 +158,10 @@
 	return d
 }
 
-// gangHolds reports whether a gang waits for one rack, given where it could start now.
-func (o *Owner) gangHolds(w *waitingStep, p *pool, q placement.Query, elsewhere []int, now time.Duration) bool {
+// gangWaits reports whether a gang waits for one rack, given where it could start now.
+func (o *Owner) gangWaits(w *waitingStep, p *pool, q placement.Query, elsewhere []int, now time.Duration) bool {
 	t := o.waitTask(w)
-	t.Width, t.Waited = len(w.tasks), w.tasks[0].hold.waited(now)
+	t.Width, t.Waited = len(w.tasks), w.tasks[0].rackWait.waited(now)
 	for _, i := range elsewhere {
 		t.ElsewhereSlowdown = max(t.ElsewhereSlowdown, p.nodes[i].speed.Slowdown(now))
 		t.Displaced = max(t.Displaced, min(1, o.demand(rackKey{o.service(w.job.sub), p.nodes[i].info.Rack}, w.job.sub.Priority, p, now)))
@@ -172,14 +172,14 @@
 		if q.Step.DataRack != "" && r.rack != q.Step.DataRack {
 			continue
 		}
-		place, ok := o.waitPlace(w, p, q, ranking, r.rack, t, now)
+		state, ok := o.rackState(w, p, q, ranking, r.rack, t, now)
 		if !ok {
 			continue
 		}
-		place.Ahead = o.rackDemand(rackKey{o.service(w.job.sub), r.rack}).claims(q.Step.Request, nil)
-		d := placewait.Decide(t, place, now)
+		state.Ahead = o.rackDemand(rackKey{o.service(w.job.sub), r.rack}).claims(q.Step.Request, nil)
+		d := placewait.Decide(t, state, now)
 		if bestRack == "" || d.Wait && (!best.Wait || d.There < best.There) {
-			best, bestRack, bestGain = d, r.rack, placewait.Gain(t, place)
+			best, bestRack, bestGain = d, r.rack, placewait.Gain(t, state)
 		}
 	}
 	if bestRack == "" {
@@ -196,13 +196,13 @@
 	}
 	d := o.countGang(w, bestRack)
 	d.claim(q.Step.Request, t.Run, len(w.tasks))
-	o.hold(w.tasks, bestRack, bestGain, best, now)
+	o.beginRackWait(w.tasks, bestRack, bestGain, best, now)
 	return true
 }
 
-// endGangHold records the start of a gang that wants one rack.
-func (o *Owner) endGangHold(w *waitingStep, now time.Duration) {
+// endGangRackWait records the start of a gang that wants one rack.
+func (o *Owner) endGangRackWait(w *waitingStep, now time.Duration) {
 	if o.bounds.RemoteFactor > 1 && w.wantsRack() {
-		o.endHold(w.tasks, !w.tasks[0].isRemote(), now)
+		o.endRackWait(w.tasks, !w.tasks[0].isRemote(), now)
 	}
 }
--- a/control/dispatch/placewait_test.go
+++ b/control/dispatch/placewait_test.go
@@ -123,12 +123,12 @@
 	f.run(200 * time.Millisecond)
 	assert.DeepEqual(t, f.on(id), []string{"a1"})
 	assert.Equal(t, f.owner.Counters().PlaceWaits, uint64(1))
-	assert.Equal(t, f.owner.Counters().PlaceWaitsPaid, uint64(1))
+	assert.Equal(t, f.owner.Counters().PlaceWaitsLocal, uint64(1))
 	assert.Equal(t, f.owner.Counters().RemoteStarts, uint64(0))
 }
 
-// Guards against a task that waits on when the expected room does not come, and against one whose turn elsewhere is missed.
-func TestTaskStartsElsewhereAtTurningPoint(t *testing.T) {
+// Guards against a task that waits on when the expected room does not come, and against one that misses its start elsewhere.
+func TestTaskStartsElsewhereWhenWaitEnds(t *testing.T) {
 	f, id := busyRack(t, time.Second, nil)
 	began := f.now
 	for f.now < began+3*time.Second && len(f.on(id)) == 0 {
@@ -137,7 +137,7 @@
 	assert.DeepEqual(t, f.on(id), []string{"b1"})
 	assert.Assert(t, f.now-began > 500*time.Millisecond, "started elsewhere after %s", f.now-began)
 	assert.Assert(t, f.now-began <= 2200*time.Millisecond, "waited %s for a gain of 2 s", f.now-began)
-	assert.Equal(t, f.owner.Counters().PlaceWaitsInVain, uint64(1))
+	assert.Equal(t, f.owner.Counters().PlaceWaitsRemote, uint64(1))
 	assert.Equal(t, f.owner.Counters().RemoteStarts, uint64(1))
 }
 
@@ -247,7 +247,7 @@
 }
 
 // Guards against a gang that is split although a rack has room for all of it soon, and against one that never starts.
-func TestGangWaitsForOneRackUntilTurningPoint(t *testing.T) {
+func TestGangWaitsForOneRackUntilWaitEnds(t *testing.T) {
 	for _, free := range []bool{true, false} {
 		f := newRackFixture(t, twoRacks(), nil)
 		f.run(100 * time.Millisecond)
@@ -261,12 +261,12 @@
 			f.end("a1")
 			f.run(200 * time.Millisecond)
 			assert.DeepEqual(t, f.on(id), []string{"a1", "a1", "a1", "a1"})
-			assert.Equal(t, f.owner.Counters().PlaceWaitsPaid, uint64(1))
+			assert.Equal(t, f.owner.Counters().PlaceWaitsLocal, uint64(1))
 			continue
 		}
 		f.run(1800 * time.Millisecond)
 		assert.Equal(t, len(f.on(id)), 4)
-		assert.Equal(t, f.owner.Counters().PlaceWaitsInVain, uint64(1))
+		assert.Equal(t, f.owner.Counters().PlaceWaitsRemote, uint64(1))
 		assert.Equal(t, f.owner.Counters().RemoteStarts, uint64(4))
 	}
 }
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -83,8 +83,8 @@
 	missingSnapshots int
 	// failedOn lists the executors on which a run has failed.
 	failedOn []string
-	// hold is the wait for the preferred rack.
-	hold placeHold
+	// rackWait is the wait for the preferred rack.
+	rackWait rackWait
 	// location tells whether the run of a gang's member is away from its rack.
 	location runLocation
 	// lostOn is the incarnation with which the last run was lost.
@@ -209,8 +209,8 @@
 	onNode map[string]int
 	// since is when the step became ready.
 	since time.Duration
-	// heldTime is how long the step waited by choice for its rack, heldAt the last pass that held it, 0 if it did not.
-	heldTime, heldAt time.Duration
+	// rackWaitTime is how long the step waited by choice for its rack, rackWaitAt the last pass in which it did, 0 if that did not.
+	rackWaitTime, rackWaitAt time.Duration
 	// awaitsZone is set once it was logged that only evacuated zones could run the step.
 	awaitsZone bool
 }
--- a/control/placewait/placewait.go
+++ b/control/placewait/placewait.go
@@ -12,7 +12,8 @@
 const (
 	// MaxSpread is the highest relative spread of run time estimates that is assumed, also while a queue's is unknown.
 	MaxSpread = 0.9
-	// spreadWeight is the share of the spread by which the expected gain of a wait is lowered.
+	// spreadWeight is the share of the spread by which the expected gain of a wait is lowered. In trials with the weight 0.9,
+	// work with wrong estimates took more time to its end (docs/design/place-wait.md).
 	spreadWeight = 0.5
 	// maxDemand is the demand for a rack, as a share of its room, from which its queue counts as one that does not drain.
 	// It is above 1 since a demand that was observed over some seconds varies.
@@ -20,7 +21,8 @@
 	// maxSlowdown bounds the slowdown of an executor in the comparison. Runs are moved off executors that are slower, and
 	// the estimate of one that ran a single task varies.
 	maxSlowdown = 2.0
-	// maxTaken bounds the share of released slots that count as lost for a gang.
+	// maxTaken bounds the share of released slots that count as lost for a gang, so that its expected delay stays finite while
+	// all slots of the pool are reserved.
 	maxTaken = 0.95
 )
 
@@ -59,8 +61,8 @@
 	Count int
 }
 
-// Place is the preferred rack. A slot is room for one task of the asking step.
-type Place struct {
+// Rack is the preferred rack. A slot is room for one task of the asking step.
+type Rack struct {
 	// Free is the number of slots that are free now.
 	Free float64
 	// Releases are in the order of their times.
@@ -114,24 +116,24 @@
 func (r Reason) String() string { return reasonNames[r] }
 
 // Gain returns by how much a run elsewhere is expected to take longer than one at the rack.
-func Gain(t Task, p Place) time.Duration {
-	return scale(t.Run, t.RemoteFactor*slowdown(t.ElsewhereSlowdown)) - scale(t.Run, slowdown(p.Slowdown))
+func Gain(t Task, r Rack) time.Duration {
+	return scale(t.Run, t.RemoteFactor*slowdown(t.ElsewhereSlowdown)) - scale(t.Run, slowdown(r.Slowdown))
 }
 
 // MaxWait returns the longest wait for the rack: what the run elsewhere loses itself, and what it takes from other work by
 // that. It is at most twice the gain, which is the bound on what a wait in vain costs.
-func MaxWait(t Task, p Place) time.Duration {
-	return scale(Gain(t, p), 1+min(max(t.Displaced, 0), 1))
+func MaxWait(t Task, r Rack) time.Duration {
+	return scale(Gain(t, r), 1+min(max(t.Displaced, 0), 1))
 }
 
 // Decide compares the expected ends.
-func Decide(t Task, p Place, now time.Duration) Decision {
-	longest := MaxWait(t, p)
+func Decide(t Task, r Rack, now time.Duration) Decision {
+	longest := MaxWait(t, r)
 	if longest <= 0 {
 		return Decision{Reason: NoGain}
 	}
-	delay, reached := p.delay(t.Width, now, now+longest)
-	local := scale(t.Run, slowdown(p.Slowdown))
+	delay, reached := r.delay(t.Width, now, now+longest)
+	local := scale(t.Run, slowdown(r.Slowdown))
 	d := Decision{There: delay + local, Elsewhere: local + longest}
 	until, limit := t.limit(longest, now)
 	switch {
@@ -139,7 +141,7 @@
 		d.Reason = RoomNow
 	case until <= now:
 		d.Reason = limit
-	case p.Demand >= maxDemand:
+	case r.Demand >= maxDemand:
 		d.Reason = NeverDrains
 	case !reached || delay >= scale(longest, t.confidence()):
 		d.Reason = ElsewhereSooner
@@ -171,19 +173,19 @@
 
 // delay returns the time until width slots are free after the work ahead was served, and whether that is before the
 // horizon. The work ahead gives its slots back after its run time.
-func (p Place) delay(width int, now, horizon time.Duration) (time.Duration, bool) {
-	r := room{free: p.Free, at: now, horizon: horizon, releases: p.Releases}
-	for _, c := range p.Ahead {
-		if !r.serve(c) {
+func (r Rack) delay(width int, now, horizon time.Duration) (time.Duration, bool) {
+	follow := room{free: r.Free, at: now, horizon: horizon, releases: r.Releases}
+	for _, c := range r.Ahead {
+		if !follow.serve(c) {
 			return horizon - now, false
 		}
 	}
-	if !r.advance(float64(width)) {
+	if !follow.advance(float64(width)) {
 		return horizon - now, false
 	}
-	wait := r.at - now
+	wait := follow.at - now
 	if width > 1 && wait > 0 {
-		wait = scale(wait, 1/(1-min(max(p.Taken, 0), maxTaken)))
+		wait = scale(wait, 1/(1-min(max(r.Taken, 0), maxTaken)))
 	}
 	return min(wait, horizon-now), wait < horizon-now
 }
--- a/control/placewait/placewait_test.go
+++ b/control/placewait/placewait_test.go
@@ -139,7 +139,7 @@
 	if x.held == 0 {
 		x.held = w.now
 	}
-	place := placewait.Place{Free: float64(w.free[x.rack]), Ahead: ahead, Slowdown: w.slow[x.rack], Demand: w.demand[x.rack],
+	place := placewait.Rack{Free: float64(w.free[x.rack]), Ahead: ahead, Slowdown: w.slow[x.rack], Demand: w.demand[x.rack],
 		Taken: w.use}
 	for _, r := range w.runs {
 		if r.rack == x.rack {
@@ -208,7 +208,7 @@
 			RemoteFactor: 1 + rng.Float64(), ElsewhereSlowdown: 1 + rng.Float64(), Displaced: rng.Float64(),
 			LatestElsewhere: now + time.Duration(rng.Int64N(int64(8*time.Second))) - 2*time.Second}
 		for {
-			place := placewait.Place{Free: 8 * rng.Float64(), Taken: rng.Float64(), Slowdown: 1}
+			place := placewait.Rack{Free: 8 * rng.Float64(), Taken: rng.Float64(), Slowdown: 1}
 			for at := now; rng.IntN(8) > 0; at += time.Duration(rng.Int64N(int64(time.Second))) {
 				place.Releases = append(place.Releases, placewait.Release{At: at, Slots: 4 * rng.Float64()})
 			}
@@ -233,7 +233,7 @@
 	rng := rand.New(rand.NewPCG(8, 8))
 	waits := 0
 	for range 20_000 {
-		single := placewait.Place{Free: 4 * rng.Float64(), Slowdown: 1}
+		single := placewait.Rack{Free: 4 * rng.Float64(), Slowdown: 1}
 		for at := time.Duration(0); rng.IntN(8) > 0; at += time.Duration(rng.Int64N(int64(time.Second))) {
 			single.Releases = append(single.Releases, placewait.Release{At: at, Slots: 4 * rng.Float64()})
 		}
