placewait: loss of a preemption and accuracy of estimates computed in one place

cheapestPreemption returns the loss that it has computed, in place of a second sum over the runs. The ratio and the spread of a queue are looked up in one function. expectedFullRun stays beside expectedDuration: the speed of an executor is compared with others only and not by estimates that vary much, while a wait needs an expected run time always. No change of behavior.

--- a/control/dispatch/placewait.go
+++ b/control/dispatch/placewait.go
@@ -413,40 +413,42 @@
 
 // waitTask returns what a decision needs to know of the tasks of a step.
 func (o *Owner) waitTask(w *waitingStep) placewait.Task {
-	run, spread := o.expectedRun(w)
+	ratio, spread := o.accuracy(w.job.sub.Queue)
 	key := w.orderingKey()
-	ratio := 1.0
-	if e := o.estimates[w.job.sub.Queue]; e != nil {
-		if x, _, ok := e.Accuracy(); ok {
-			ratio = x
-		}
-	}
 	path := time.Duration(float64(key.RemainingPath) * ratio * o.bounds.RemoteFactor)
-	return placewait.Task{Width: 1, Run: run, Spread: spread, RemoteFactor: o.bounds.RemoteFactor, ElsewhereSlowdown: 1, LatestElsewhere: key.SoftDeadline - path}
-}
-
-// expectedRun returns the expected run time of a step's tasks at full speed near their data, and the spread of the
-// queue's estimates.
-func (o *Owner) expectedRun(w *waitingStep) (time.Duration, float64) {
-	spread := placewait.MaxSpread
-	run := w.job.sub.Steps[w.key.step].Estimate
-	if e := o.estimates[w.job.sub.Queue]; e != nil {
-		if ratio, deviation, ok := e.Accuracy(); ok {
-			spread = deviation
-			run = time.Duration(float64(run) * ratio)
-		}
-	}
-	if samples := w.job.durations[w.key]; samples != nil {
-		if d, ok := samples.MedianElsewhere(""); ok {
-			run = d
+	return placewait.Task{Width: 1, Run: o.expectedRun(w), Spread: spread, RemoteFactor: o.bounds.RemoteFactor, ElsewhereSlowdown: 1, LatestElsewhere: key.SoftDeadline - path}
+}
+
+// accuracy returns the typical ratio of run time to estimate in a queue and the spread of the run times around it, 1 and
+// the highest spread while they are unknown.
+func (o *Owner) accuracy(queue string) (ratio, spread float64) {
+	if e := o.estimates[queue]; e != nil {
+		if ratio, spread, ok := e.Accuracy(); ok {
+			return ratio, spread
 		}
 	}
+	return 1, placewait.MaxSpread
+}
+
+// expectedRun returns the expected run time of a waiting step's tasks at full speed near their data.
+func (o *Owner) expectedRun(w *waitingStep) time.Duration {
+	run := o.expectedFullRun(w.job, w.key)
 	for _, t := range w.tasks {
 		if t.rec.Checkpoint != "" {
-			return time.Duration(float64(run) * resumedShare), spread
+			return time.Duration(float64(run) * resumedShare)
 		}
 	}
-	return run, spread
+	return run
+}
+
+// expectedFullRun returns the expected run time of a step's tasks from their start, at full speed near their data. Other than
+// expectedDuration, by which the speed of executors is measured, it also uses estimates that vary much.
+func (o *Owner) expectedFullRun(j *job, k stepKey) time.Duration {
+	if d, ok := j.stepDurations(k).MedianElsewhere(""); ok {
+		return d
+	}
+	ratio, _ := o.accuracy(j.sub.Queue)
+	return time.Duration(float64(j.sub.Steps[k.step].Estimate) * ratio)
 }
 
 // rackState evaluates the room of a rack for a step. ok is false if no executor there could hold a task of it.
@@ -614,8 +616,7 @@
 		whole := time.Duration(float64(t.progressAt-t.changedAt) * 100 / float64(percent))
 		return max(whole-age, minRemaining)
 	}
-	run, _ := o.expectedRun(&waitingStep{key: t.stepKey(), job: t.job})
-	whole := float64(run) * o.remoteFactorOf(t) * t.node.speed.Slowdown(now)
+	whole := float64(o.expectedFullRun(t.job, t.stepKey())) * o.remoteFactorOf(t) * t.node.speed.Slowdown(now)
 	left := time.Duration(whole * float64(100-percent) / 100)
 	if percent == 0 {
 		left = max(left-age, time.Duration(overdueShare*float64(age)))
@@ -697,12 +698,3 @@
 	}
 	return rack, t.rackWait.gain
 }
-
-// totalLoss returns the run time that is lost when the runs are stopped.
-func totalLoss(runs []*taskEntry) time.Duration {
-	var sum time.Duration
-	for _, t := range runs {
-		sum += t.evictionLoss()
-	}
-	return sum
-}
--- a/control/dispatch/placewait_gang.go
+++ b/control/dispatch/placewait_gang.go
@@ -151,7 +151,7 @@
 // countGang counts the work of a gang for a rack and returns the rack's demand.
 func (o *Owner) countGang(w *waitingStep, rack string) *rackDemand {
 	d := o.rackDemand(rackKey{o.service(w.job.sub), rack})
-	run, _ := o.expectedRun(w)
+	run := o.expectedRun(w)
 	for _, t := range w.tasks {
 		d.count(t, run)
 	}
--- a/control/dispatch/preempt.go
+++ b/control/dispatch/preempt.go
@@ -43,8 +43,8 @@
 				continue
 			}
 			targets, maxLoss := o.preemptionPool(w, waiting, p, now)
-			n, runs := cheapestPreemption(q, targets, w.job.sub.Priority, taken)
-			if n == nil || len(runs) > left || maxLoss > 0 && totalLoss(runs) >= maxLoss {
+			n, runs, loss := cheapestPreemption(q, targets, w.job.sub.Priority, taken)
+			if n == nil || len(runs) > left || maxLoss > 0 && loss >= maxLoss {
 				break
 			}
 			// An executor takes one waiting task in each search, even where the capacity comes
@@ -75,10 +75,10 @@
 }
 
 // cheapestPreemption returns the executor on which preempting runs of lower priority for a task
-// loses the least work, and those runs. There are no runs when those being stopped already free
+// loses the least work, those runs, and the loss. There are no runs when those being stopped already free
 // enough capacity. It returns nil when no executor can make room, or when a task fits already and
 // waits for another reason.
-func cheapestPreemption(q placement.Query, p *pool, priority int, taken map[*node]struct{}) (*node, []*taskEntry) {
+func cheapestPreemption(q placement.Query, p *pool, priority int, taken map[*node]struct{}) (*node, []*taskEntry, time.Duration) {
 	var best *node
 	var runs []*taskEntry
 	var least time.Duration
@@ -87,12 +87,12 @@
 			continue
 		}
 		if placement.Fits(q, p.placementNodes[i]) {
-			return nil, nil
+			return nil, nil, 0
 		}
 		trial := *p.placementNodes[i]
 		trial.Reserved = trial.Reserved.Sub(n.stoppingResources())
 		if placement.Fits(q, &trial) {
-			return n, nil
+			return n, nil, 0
 		}
 		free := n.placementNode.Capacity.Sub(trial.Reserved)
 		trial.Reserved = task.Resources{}
@@ -109,7 +109,7 @@
 			runs = append(runs, tasks[c])
 		}
 	}
-	return best, runs
+	return best, runs, least
 }
 
 // stoppingResources returns what the runs that are being stopped on the node hold.
