--- a/base/events/dispatch.go
+++ b/base/events/dispatch.go
@@ -67,6 +67,8 @@
 	BacklogEstimated  = define(674, "backlog_estimated", zerolog.InfoLevel, "Work waits for processors. queue names the queue with the longest expected delay of a new submission (delay), least is the lower bound of that delay, queues the number of queues with a considerable backlog, waiting_steps that of all steps that wait.")
 	CopyStarted       = define(676, "copy_started", zerolog.InfoLevel, "A second run of a task is started beside the older one, as its step allows. reason is silent if nothing was heard of the executor of the older run for the time silent or the connection to its agent has ended, slow if the older run makes much less progress than similar ones.")
 	CopyEnded         = define(677, "copy_ended", zerolog.InfoLevel, "It is decided which of two runs of a task counts. winner is copy if the second run was done first, older if the run beside which it was started was, none if the copy was lost or has failed, or its submission has ended.")
+	PlaceWaitBegun    = define(678, "place_wait_begun", zerolog.InfoLevel, "A task or a gang, of which task is the first member, waits for room at its rack although it fits elsewhere. there and elsewhere are the times to the expected end, until the time after which it starts elsewhere.")
+	PlaceWaitEnded    = define(679, "place_wait_ended", zerolog.InfoLevel, "A wait for a rack has ended with a start. local tells whether the run is at the rack, reason why the wait ended.")
 	LogLinesDropped   = define(660, "log_lines_dropped", zerolog.WarnLevel, "Log lines were dropped because the log could not be written fast enough.")
 )
 
--- a/base/metrics/deployment.go
+++ b/base/metrics/deployment.go
@@ -96,6 +96,10 @@
 		{"chicory_owner_copies_started_total", "Speculative copies of runs that were started.", func(c dispatch.Counters) uint64 { return c.CopiesStarted }},
 		{"chicory_owner_copies_won_total", "Speculative copies that were done before the run beside which they were started.", func(c dispatch.Counters) uint64 { return c.CopiesWon }},
 		{"chicory_owner_copies_lost_total", "Speculative copies that were not done first: the older run was, the copy was lost or has failed, or its submission has ended.", func(c dispatch.Counters) uint64 { return c.CopiesLost }},
+		{"chicory_owner_place_waits_total", "Waits of tasks and gangs for their preferred rack.", func(c dispatch.Counters) uint64 { return c.PlaceWaits }},
+		{"chicory_owner_place_waits_local_total", "Waits for a rack that ended with a start there.", func(c dispatch.Counters) uint64 { return c.PlaceWaitsLocal }},
+		{"chicory_owner_place_waits_remote_total", "Waits for a rack that ended with a start elsewhere.", func(c dispatch.Counters) uint64 { return c.PlaceWaitsRemote }},
+		{"chicory_owner_remote_starts_total", "Runs that started away from their data, or in a gang that is split over racks.", func(c dispatch.Counters) uint64 { return c.RemoteStarts }},
 		{"chicory_owner_refused_starts_total", "Starts that were rejected.", func(c dispatch.Counters) uint64 { return c.Rejected }},
 	} {
 		m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: c.name, Help: c.help},
--- a/control/dispatch/backlog.go
+++ b/control/dispatch/backlog.go
@@ -74,7 +74,7 @@
 	in := &backlog.Input{Now: now, FairShares: o.bounds.Features.FairShares, Nodes: make([]backlog.Node, 0, len(o.executors)), Waiting: make([]backlog.Work, 0, 2*len(o.waiting))}
 	for i := range o.manifest.Routes {
 		r := &o.manifest.Routes[i]
-		in.Queues = append(in.Queues, backlog.Policy{Queue: r.Name, Service: r.Service, Priority: r.Priority, Accuracy: o.accuracy(r.Name)})
+		in.Queues = append(in.Queues, backlog.Policy{Queue: r.Name, Service: r.Service, Priority: r.Priority, Accuracy: o.meanAccuracy(r.Name)})
 	}
 	totals := make(map[string]task.Resources)
 	work := make(occurrences)
@@ -101,8 +101,8 @@
 	return in
 }
 
-// accuracy returns the typical run time of a queue's tasks as a multiple of the estimate, 0 while it is not known.
-func (o *Owner) accuracy(queue string) float64 {
+// meanAccuracy returns the typical run time of a queue's tasks as a multiple of the estimate, 0 while it is not known.
+func (o *Owner) meanAccuracy(queue string) float64 {
 	e := o.estimates[queue]
 	if e == nil {
 		return 0
@@ -116,7 +116,7 @@
 		Open: n.adopted && n.connected && !n.leaseExpired && now >= n.closedUntil && !n.held()}
 	for t := range n.tasks {
 		s := t.step()
-		r := backlog.Run{Priority: t.job.sub.Priority, CPU: t.reserved().CPU, IdleCPU: s.Request.CPU, Accuracy: o.accuracy(t.job.sub.Queue),
+		r := backlog.Run{Priority: t.job.sub.Priority, CPU: t.reserved().CPU, IdleCPU: s.Request.CPU, Accuracy: o.meanAccuracy(t.job.sub.Queue),
 			Permanent: s.LongRunning && !t.stopping, Preemptible: t.preemptible()}
 		if !t.stopping {
 			r.Remaining = s.Estimate * time.Duration(100-min(t.progressPercent, 100)) / 100
@@ -136,7 +136,7 @@
 func (o *Owner) waitingWork(w *waitingStep, total task.Resources) backlog.Work {
 	s := &w.job.sub.Steps[w.key.step]
 	out := backlog.Work{Queue: w.job.sub.Queue, Service: o.service(w.job.sub), Order: w.orderingKey(), Duration: s.Estimate, TaskCPU: s.Request.CPU,
-		Accuracy: o.accuracy(w.job.sub.Queue), Restricted: o.restricted(w.job.sub, s, total)}
+		Accuracy: o.meanAccuracy(w.job.sub.Queue), Restricted: o.restricted(w.job.sub, s, total)}
 	work := float64(len(w.tasks)) * s.Work()
 	switch {
 	case s.LongRunning:
@@ -195,7 +195,7 @@
 // Others may begin before that.
 func (o *Owner) laterWork(k occurrenceKey, active activeTasks) (backlog.Work, bool) {
 	sub := k.job.sub
-	out := backlog.Work{Queue: sub.Queue, Service: o.service(sub), Accuracy: o.accuracy(sub.Queue), Restricted: true}
+	out := backlog.Work{Queue: sub.Queue, Service: o.service(sub), Accuracy: o.meanAccuracy(sub.Queue), Restricted: true}
 	first := math.MaxInt
 	for i, remaining := range k.job.remaining[k.occurrence] {
 		s := &sub.Steps[i]
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -6,8 +6,9 @@
 // The tables are in tables.go and neighbours.go; jobs.go and reports.go change them by submissions and
 // by reports. records.go divides the record of a job into rows. Each pass of Tick has a file: place.go, poolplan.go, preempt.go, move.go, relocation.go, copies.go, zones.go, stall.go and speed.go,
 // contention.go for speed limits. crash.go attributes crashes of executors to tasks. commit.go and orders.go
-// turn decisions into records and orders, and refusal.go handles commits that the store refuses. What can be decided without the tables is in packages of its own:
-// ordering, placement, poolplan, relocation, speculation, backlog, contention, speed, blame, eviction and advice.
+// turn decisions into records and orders, and refusal.go handles commits that the store refuses. placewait.go and placewait_gang.go
+// hold tasks and gangs back for their rack. What can be decided without the tables is in packages of its own:
+// ordering, placement, placewait, poolplan, relocation, speculation, backlog, contention, speed, blame, eviction and advice.
 //
 // The package uses no network and no clock of its own. An Owner is not safe for concurrent use.
 package dispatch
@@ -53,7 +54,9 @@
 	Retention time.Duration
 	// MaxRowBytes is the size of the largest value that the store accepts, 0 for no limit.
 	MaxRowBytes int
-	Features    Features
+	// RemoteFactor is the ratio of a task's run time away from its preferred rack to that there, 0 if unknown.
+	RemoteFactor float64
+	Features     Features
 }
 
 // Features are the optional decisions. Each takes effect only on work and pools that call for it.
@@ -150,9 +153,10 @@
 	// crashes holds the last crash on each VM, by the name of its agent.
 	crashes map[string]crash
 	// pools are the executors that can take tasks in this scheduling pass, by service.
-	pools    map[string]*pool
-	advice   *advice.Table
-	counters Counters
+	pools      map[string]*pool
+	placeWaits placeWaits
+	advice     *advice.Table
+	counters   Counters
 	// backlogLoggedAt is when a backlog was last logged.
 	backlogLoggedAt time.Duration
 	// heldEnds are the ends of older runs that wait until it is known whether the start of the newer one was carried out.
@@ -186,6 +190,9 @@
 	// CopiesStarted counts the speculative copies, CopiesWon those that were done first, CopiesLost those that were not, since the
 	// older run was done first, the copy was lost or failed, or its submission has ended.
 	CopiesStarted, CopiesWon, CopiesLost uint64
+	// PlaceWaits counts the waits of tasks and gangs for their rack, PlaceWaitsLocal those that ended there, PlaceWaitsRemote
+	// those that ended elsewhere. RemoteStarts counts the runs that started away from their data or split over racks.
+	PlaceWaits, PlaceWaitsLocal, PlaceWaitsRemote, RemoteStarts uint64
 }
 
 func (c Counters) Add(d Counters) Counters {
@@ -193,7 +200,9 @@
 		Lost: c.Lost + d.Lost, Rejected: c.Rejected + d.Rejected, Withdrawn: c.Withdrawn + d.Withdrawn, ZoneWaits: c.ZoneWaits + d.ZoneWaits,
 		GivenUp: c.GivenUp + d.GivenUp, Resent: c.Resent + d.Resent, RefusedWrites: c.RefusedWrites + d.RefusedWrites,
 		PlannedMoves: c.PlannedMoves + d.PlannedMoves, Relocated: c.Relocated + d.Relocated,
-		CopiesStarted: c.CopiesStarted + d.CopiesStarted, CopiesWon: c.CopiesWon + d.CopiesWon, CopiesLost: c.CopiesLost + d.CopiesLost}
+		CopiesStarted: c.CopiesStarted + d.CopiesStarted, CopiesWon: c.CopiesWon + d.CopiesWon, CopiesLost: c.CopiesLost + d.CopiesLost,
+		PlaceWaits: c.PlaceWaits + d.PlaceWaits, PlaceWaitsLocal: c.PlaceWaitsLocal + d.PlaceWaitsLocal,
+		PlaceWaitsRemote: c.PlaceWaitsRemote + d.PlaceWaitsRemote, RemoteStarts: c.RemoteStarts + d.RemoteStarts}
 }
 
 // New returns an owner without work. now is the owner's clock, which includes time in suspension;
--- a/control/dispatch/jobs.go
+++ b/control/dispatch/jobs.go
@@ -208,7 +208,7 @@
 		t.node = nil
 	}
 	t.rec.State, t.rec.Executor, t.rec.Address = submission.TaskPending, submission.Incarnation{}, ""
-	t.phase, t.changedAt = phaseIdle, now
+	t.phase, t.changedAt, t.rackWait, t.location = phaseIdle, now, rackWait{}, locationUnknown
 	t.clearRun()
 	o.markDirty(t)
 	o.placementChanged = true
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -86,6 +86,10 @@
 	missingSnapshots int
 	// failedOn lists the executors on which a run has failed.
 	failedOn []string
+	// rackWait is the wait for the preferred rack.
+	rackWait rackWait
+	// location tells whether the run of a gang's member is away from its rack.
+	location runLocation
 	// lostOn is the incarnation with which the last run was lost.
 	lostOn submission.Incarnation
 	copyState
@@ -214,6 +218,8 @@
 	onNode map[string]int
 	// since is when the step became ready.
 	since time.Duration
+	// rackWaitTime is how long the step waited by choice for its rack, rackWaitAt the last pass in which it did, 0 if that did not.
+	rackWaitTime, rackWaitAt time.Duration
 	// awaitsZone is set once it was logged that only evacuated zones could run the step.
 	awaitsZone bool
 }
