gateway: a write without a timely answer goes through the owner in parallel

Cause: a request waited for the store's answer for its whole budget of 700 ms before the owner was asked, so that an entry that the store does not answer had used up the caller's time and answered 504. Reads and cancellations waited for up to 2.8 s. A call that was cut off while it dialed counted as sent.

Change: rowWrite has one attempt in progress on each path. The owner gets the write after four mean latencies, 100 to 200 ms, at once while nothing has been answered since, and alone while the breaker is open. The first success or conflict is the answer and cancels the other attempt. Retries are 50, 100 and 150 ms apart. All that a request waits for ends within 0.22 of the caller's time. Nothing is sent to an owner that is silent or has not committed for 1.6 s, and an owner whose last commit is 1 s old refuses such writes: definite refusals instead of unknown outcomes. early_forward.enabled switches the second path off.

Evidence: without the second path 6 of the 18 cases of TestWriteWhileStoreIsUnresponsive fail, and TestFurtherWritesGoThroughOwnerAtOnce and TestOwnerThatConnectsLaterGetsTheWrite. In virtual time an entry whose store is silent answers after 100 ms, further requests within 10 ms. Soak and histories pass. TestRejectedWriteIsNotTriedAgainWithoutTimeLeft uses the new name of the budget, which is 660 ms; its assertion is unchanged.

--- a/base/metrics/deployment.go
+++ b/base/metrics/deployment.go
@@ -53,7 +53,7 @@
 		Registry:  prometheus.NewRegistry(),
 		Responses: counter("chicory_requester_answers_total", "Responses to requesters.", "method", "status"),
 		Refusals:  counter("chicory_refusals_total", "Rejected work by error kind.", "kind"),
-		Forwards:  counter("chicory_forwarded_writes_total", "Writes through the owner of the work, while the store did not serve this process, by error kind.", "kind"),
+		Forwards:  counter("chicory_forwarded_writes_total", "Writes through the owner of the work, while the store did not serve this process or was late with its answer, by error kind. Those that the store's answer has overtaken are not counted.", "kind"),
 		Orders:    counter("chicory_executor_orders_total", "Replies of executors to orders.", "order", "outcome", "reason"),
 		Duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "chicory_requester_duration_seconds", Help: "Time from the arrival of a request to its response.",
--- a/base/settings/deployment.go
+++ b/base/settings/deployment.go
@@ -18,4 +18,7 @@
 	Succession struct {
 		Enabled bool `koanf:"enabled" default:"true" doc:"Prefer VMs with more processor, memory and bandwidth as the owner of the work."`
 	} `koanf:"succession"`
+	EarlyForward struct {
+		Enabled bool `koanf:"enabled" default:"true" doc:"Send a write of an entry through the owner too as soon as the store is late with its answer."`
+	} `koanf:"early_forward"`
 }
--- a/control/coordinator/owner.go
+++ b/control/coordinator/owner.go
@@ -38,6 +38,11 @@
 	statusInterval = 2 * time.Second
 	// maxForwardedWrites bounds the writes in progress for entries that the store does not serve.
 	maxForwardedWrites = 64
+	// forwardedWriteTimeout bounds such a write. The entry does not wait for longer.
+	forwardedWriteTimeout = 700 * time.Millisecond
+	// maxCommitAgeToForward is the age of the last commit from which the store does not seem to serve the owner either, so
+	// that it refuses such writes instead of leaving their outcome unknown.
+	maxCommitAgeToForward = 2 * maxCommitInterval
 	// inboxSize bounds the events queued for the owner's loop.
 	inboxSize = 4096
 )
@@ -213,7 +218,12 @@
 		return wire.ErrorReply(errkind.New(errkind.QueueFull, "%d forwarded writes are in progress; nothing was written", maxForwardedWrites))
 	}
 	defer func() { <-o.forwardedWrites }()
-	_, err := o.cfg.Store.Commit(context.Background(), store.Txn{Conds: []store.Cond{{Key: m.Key}}, Writes: []store.Write{{Key: m.Key, Value: m.Value}}})
+	if age := o.cfg.Clock.Now() - time.Duration(o.lastCommitSent.Load()); age > maxCommitAgeToForward {
+		return wire.ErrorReply(errkind.New(errkind.StoreUnavailable, "the owner's last commit is %s old; nothing was written", age.Round(time.Millisecond)))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), forwardedWriteTimeout)
+	defer cancel()
+	_, err := o.cfg.Store.Commit(ctx, store.Txn{Conds: []store.Cond{{Key: m.Key}}, Writes: []store.Write{{Key: m.Key, Value: m.Value}}})
 	if err != nil {
 		return wire.ErrorReply(err)
 	}
--- a/ingress/gateway/gateway.go
+++ b/ingress/gateway/gateway.go
@@ -24,17 +24,8 @@
 const (
 	// ownerTimeout bounds a state query to the owner, after which the store is read.
 	ownerTimeout = 400 * time.Millisecond
-	// writeRetryInterval is the delay before a failed write is retried.
-	writeRetryInterval = 50 * time.Millisecond
-	// writeBudget bounds the retries of a write, after which the requester is told to retry.
-	writeBudget = 700 * time.Millisecond
-	// minAttemptTime is the least time for an attempt after the first. One that is cut off by the end of
-	// the budget leaves the outcome of the write unknown.
-	minAttemptTime = 100 * time.Millisecond
-	// forwardTimeout bounds a write through the owner.
-	forwardTimeout = 500 * time.Millisecond
-	// responseMargin is the time reserved before the requester's deadline to send the response.
-	responseMargin = 150 * time.Millisecond
+	// cancelReadTimeout bounds the read before a cancellation, after which the owner is asked.
+	cancelReadTimeout = 200 * time.Millisecond
 	// countsMaxAge is the maximum age of a queue count that is returned.
 	countsMaxAge = 5 * time.Second
 	// maxCachedStates bounds the cache of final states.
@@ -59,6 +50,8 @@
 	observeForward func(err error)
 	maxRowBytes    int
 	breaker        breaker
+	forwardEarly   bool
+	writeLatency   latency
 
 	mu          sync.Mutex
 	finalStates map[string]submission.State
@@ -83,13 +76,16 @@
 	Observe func(method string, status int, took time.Duration, err error)
 	// ObserveForward records the outcome of each write through the owner in the metrics.
 	ObserveForward func(err error)
+	// ForwardEarly sends a write through the owner too while the store has not answered the direct one. Without it the
+	// owner gets writes only after the direct one has failed.
+	ForwardEarly bool
 }
 
 // New returns a gateway.
 func New(c Config) *Gateway {
 	return &Gateway{store: c.Store, clock: c.Clock, log: c.Log, owner: c.Owner, manifest: c.Manifest, manifestAge: c.ManifestAge, maxManifestAge: c.MaxManifestAge,
 		observe: c.Observe, observeForward: c.ObserveForward, maxRowBytes: c.MaxRowBytes,
-		breaker: breaker{clock: c.Clock, lastResponse: c.StoreLastResponse}, finalStates: make(map[string]submission.State)}
+		forwardEarly: c.ForwardEarly, breaker: breaker{clock: c.Clock, lastResponse: c.StoreLastResponse}, finalStates: make(map[string]submission.State)}
 }
 
 // Manifest returns the current manifest, nil before the first is received.
@@ -106,6 +102,8 @@
 
 // Submit makes a submission durable. A repeated submission succeeds without effect.
 func (g *Gateway) Submit(ctx context.Context, r *manifest.Route, s *submission.Submission) error {
+	ctx, cancel := limitAnswerTime(ctx)
+	defer cancel()
 	s.Queue, s.Service, s.Priority, s.MaxAttempts = r.Name, r.Service, r.Priority, r.MaxAttempts
 	s.Stretch, s.TargetLatency, s.Accepted = r.Stretch, r.TargetLatency, time.Now().UnixMilli()
 	value, err := s.Encode()
@@ -118,106 +116,13 @@
 	return g.create(ctx, dispatch.WorkKey(s.ID), value)
 }
 
-// create creates a row, with retries. It succeeds too when the row exists: an earlier request with
-// the same id has created it. It returns errkind.StoreUnavailable only when no attempt can have taken
-// effect.
-func (g *Gateway) create(ctx context.Context, key string, value []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, g.budget(ctx))
-	defer cancel()
-	uncertain, failing := false, g.breaker.open()
-	for {
-		err := g.attempt(ctx, key, value)
-		switch errkind.Of(err) {
-		case errkind.None, errkind.Conflict:
-			return nil
-		case errkind.StoreAmbiguous:
-			uncertain = true
-		case errkind.StoreUnavailable:
-			if failing && !uncertain {
-				return err
-			}
-		default:
-			if uncertain {
-				return unknownOutcome(err)
-			}
-			return err
-		}
-		select {
-		case <-time.After(writeRetryInterval):
-			if uncertain && ctx.Err() == nil || timeLeft(ctx) >= minAttemptTime {
-				continue
-			}
-		case <-ctx.Done():
-		}
-		if uncertain {
-			return unknownOutcome(err)
-		}
-		return errkind.Wrap(errkind.StoreUnavailable, err, "nothing was written")
-	}
-}
-
-// timeLeft returns the time until the deadline of a context that has one.
-func timeLeft(ctx context.Context) time.Duration {
-	deadline, _ := ctx.Deadline()
-	return time.Until(deadline)
-}
-
-// unknownOutcome returns the error of a write of which an attempt may take effect.
-func unknownOutcome(err error) error {
-	return errkind.Wrap(errkind.StoreAmbiguous, err, "the outcome of the write is unknown")
-}
-
-// attempt writes the row once: to the store or, where the store does not answer or rejects this
-// process, through the owner, which the store may serve.
-func (g *Gateway) attempt(ctx context.Context, key string, value []byte) error {
-	err := errkind.New(errkind.StoreUnavailable, "the store does not respond; nothing was sent")
-	if !g.breaker.open() {
-		startedAt := g.clock.Now()
-		_, err = g.store.Commit(ctx, store.Txn{Conds: []store.Cond{{Key: key}}, Writes: []store.Write{{Key: key, Value: value}}})
-		failed := errkind.Of(err) == errkind.StoreAmbiguous || errkind.Of(err) == errkind.StoreUnavailable
-		g.breaker.record(failed, startedAt)
-		if !failed {
-			return err
-		}
-	}
-	forwarded := g.forward(ctx, key, value)
-	kind := errkind.Of(forwarded)
-	switch {
-	case kind == errkind.None || kind == errkind.Conflict:
-		return nil
-	case kind.Attributes().Execution != errkind.ExecutionNotRun:
-		return errkind.Wrap(errkind.StoreAmbiguous, forwarded, "write through the owner")
-	}
-	return err
-}
-
-// forward writes the row through the owner of the work.
-func (g *Gateway) forward(ctx context.Context, key string, value []byte) error {
-	p := g.owner.Peer()
-	if p == nil {
-		return errkind.New(errkind.NotReady, "no owner is connected; nothing was sent")
-	}
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
-	defer cancel()
-	_, err := p.Call(ctx, &wire.CreateRow{Key: key, Value: value})
-	g.observeForward(err)
-	return err
-}
-
-// budget returns the time within which a write may be retried.
-func (g *Gateway) budget(ctx context.Context) time.Duration {
-	budget := writeBudget
-	if d, ok := ctx.Deadline(); ok {
-		budget = min(budget, time.Until(d)-responseMargin)
-	}
-	return max(budget, writeRetryInterval)
-}
-
 // State returns the state of a submission, or errkind.NotFound when it does not exist.
 func (g *Gateway) State(ctx context.Context, _ *manifest.Route, id string) (submission.State, error) {
 	if state, ok := g.cachedState(id); ok {
 		return state, nil
 	}
+	ctx, cancel := limitAnswerTime(ctx)
+	defer cancel()
 	state, known := g.queryOwner(ctx, id)
 	if !known {
 		var err error
@@ -232,7 +137,7 @@
 }
 
 func (g *Gateway) queryOwner(ctx context.Context, id string) (submission.State, bool) {
-	p := g.owner.Peer()
+	p := g.ownerPeer()
 	if p == nil {
 		return 0, false
 	}
@@ -291,7 +196,11 @@
 
 // Cancel makes a cancellation durable.
 func (g *Gateway) Cancel(ctx context.Context, _ *manifest.Route, id string) error {
-	rows, err := g.store.Get(ctx, dispatch.WorkKey(id))
+	ctx, cancel := limitAnswerTime(ctx)
+	defer cancel()
+	readCtx, cancelRead := context.WithTimeout(ctx, cancelReadTimeout)
+	defer cancelRead()
+	rows, err := g.store.Get(readCtx, dispatch.WorkKey(id))
 	if err != nil {
 		if _, known := g.queryOwner(ctx, id); !known {
 			return err
--- a/ingress/gateway/gateway_test.go
+++ b/ingress/gateway/gateway_test.go
@@ -27,7 +27,7 @@
 	c := clock.Boottime{}
 	return New(Config{Store: table, Clock: c, Log: zerolog.Nop(), Owner: member.NewOwnerLink(c, zerolog.Nop()),
 		Manifest: func() *manifest.Manifest { return nil }, ManifestAge: func() time.Duration { return 0 }, StoreLastResponse: lastResponse,
-		MaxRowBytes: standin.MaxRowBytes, Observe: func(string, int, time.Duration, error) {}, ObserveForward: func(error) {}})
+		MaxRowBytes: standin.MaxRowBytes, Observe: func(string, int, time.Duration, error) {}, ObserveForward: func(error) {}, ForwardEarly: true})
 }
 
 func noResponse() time.Duration { return 0 }
@@ -167,7 +167,7 @@
 	for range 3 {
 		start := time.Now()
 		assert.NilError(t, g.Submit(t.Context(), &manifest.Route{Name: "q"}, testSubmission()))
-		assert.Assert(t, time.Since(start) < writeBudget/2, "the answer took %v", time.Since(start))
+		assert.Assert(t, time.Since(start) < defaultAnswerTime/2, "the answer took %v", time.Since(start))
 	}
 	assert.Equal(t, rowVersion(t, table, dispatch.WorkKey(testID)), uint64(1))
 }
@@ -210,7 +210,7 @@
 	link.SetDisconnected(true)
 	start := time.Now()
 	connectOwner(t, g, func(_ *wire.CreateRow, reply wire.Reply) {
-		if time.Since(start) < writeBudget-minAttemptTime+writeRetryInterval/2 {
+		if time.Since(start) < defaultAnswerTime-minAttemptTime+writeRetryInterval/2 {
 			reply(wire.ErrorReply(errkind.New(errkind.QueueFull, "nothing was written")))
 		}
 	})
