succession: owner on a capable entry, by takeover delays and hand-overs

Cause: only the link speed counted in a takeover, and an entry that owned the work kept it, however small it was.

Ruled out: absolute thresholds (they delay deployments whose entries are all small), a named successor (a wait for one that may be dead), a weighted sum of resources (near-equal machines would swap places), a time of the last hand-over in the row (clocks differ).

Change: entries register processor, memory and link. One clearly exceeds another with less of nothing and twice of something. The owner's row carries the capability of the strongest where entries differ; one that it exceeds waits 0.3 to 0.6 s longer. An owner gives the row up for a clearly more capable entry that has been connected for 5 s, between two commits, with all executors settled, at most once in 30 s (a mark in the row, removed after 30 s of a term) and in two minutes of a process. Without succession.enabled, without capabilities and where entries are alike the rule of before stands and rows have the same bytes.

links_test.go builds memberConns with the new map; nothing else of it changed. The random histories send writes through the owner early, as the platform does.

--- a/base/events/dispatch.go
+++ b/base/events/dispatch.go
@@ -63,4 +63,6 @@
 	WriteRefused      = define(670, "write_refused", zerolog.ErrorLevel, "The store refuses the row key for good and has accepted a commit without it. The submission id, if the row is its record, has failed; a row of the contention model is not written again by this owner. All other work goes on.")
 	MemberDeleted     = define(671, "member_deleted", zerolog.InfoLevel, "The owner deletes the row of a process that it has not heard of for ten minutes. error tells why the row stays.")
 	LogLinesDropped   = define(660, "log_lines_dropped", zerolog.WarnLevel, "Log lines were dropped because the log could not be written fast enough.")
+
+	OwnershipHandedOver = define(680, "ownership_handed_over", zerolog.InfoLevel, "The owner resigns, since the entry to is clearly more capable. cpu is in thousandths of a processor. ownership_taken on that entry or another one follows.")
 )
--- a/base/metrics/deployment.go
+++ b/base/metrics/deployment.go
@@ -88,6 +88,7 @@
 		{"chicory_owner_given_up_tasks_total", "Tasks that were given up since they crash their executors.", func(c dispatch.Counters) uint64 { return c.GivenUp }},
 		{"chicory_owner_resent_starts_total", "Copies of starts that were sent after the first.", func(c dispatch.Counters) uint64 { return c.Resent }},
 		{"chicory_owner_refused_writes_total", "Changes that the store has refused for good, such as a record that is too large. The submission of a refused record has failed.", func(c dispatch.Counters) uint64 { return c.RefusedWrites }},
+		{"chicory_owner_hand_overs_total", "Hand-overs of the ownership to a more capable entry.", func(c dispatch.Counters) uint64 { return c.HandOvers }},
 		{"chicory_owner_refused_starts_total", "Starts that were rejected.", func(c dispatch.Counters) uint64 { return c.Rejected }},
 	} {
 		m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: c.name, Help: c.help},
--- a/command/deployed/entry.go
+++ b/command/deployed/entry.go
@@ -60,7 +60,7 @@
 	e := &entryProcess{process: p, manifest: manifest.NewFollower(platform.ManifestKey, platform.DecodeManifest, p.log),
 		evacuations: evacuation.NewFollower(platform.EvacuatedZone, p.log)}
 	e.follower = follow.New(p.store, platform.OperatorTable, follow.Sinks{e.manifest, e.evacuations}, p.clock, p.log)
-	self := p.registration(member.Entry)
+	self := p.entryRegistration()
 	var adviceClient advice.Client
 	if p.settings.AdviceAddress != "" {
 		adviceClient = platform.NewAdviceClient(p.settings.AdviceAddress)
--- a/command/deployed/process.go
+++ b/command/deployed/process.go
@@ -28,6 +28,7 @@
 	"github.com/chicorystand/chicorystand/base/settings"
 	"github.com/chicorystand/chicorystand/command/run"
 	"github.com/chicorystand/chicorystand/control/dispatch"
+	"github.com/chicorystand/chicorystand/control/succession"
 	"github.com/chicorystand/chicorystand/platform"
 	"github.com/chicorystand/chicorystand/state/member"
 )
@@ -178,14 +179,20 @@
 		Features:    dispatch.Features{PoolPlan: o.PoolPlan.Enabled, Backlog: o.Overload.Enabled, Copies: o.Copies.Enabled, PlaceWait: o.PlaceWait.Enabled}}
 }
 
-// takeoverDelay returns how much longer than others this entry waits before it takes over the ownership.
-// A new owner reads all unfinished work, which takes seconds on a slow link.
+// takeoverDelay returns how much longer than others this entry waits before it takes over the ownership, as long as it
+// knows nothing of the capability of the others.
 func (p *process) takeoverDelay() time.Duration {
-	const slowLinkMbps, slowLinkDelay = 50, 300 * time.Millisecond
-	if p.settings.LinkMbps > 0 && p.settings.LinkMbps < slowLinkMbps {
-		return slowLinkDelay
+	return succession.TakeoverDelay(succession.Capability{LinkMbps: p.settings.LinkMbps}, succession.Capability{})
+}
+
+// entryRegistration returns the member record of an entry. Without a capability the entry neither hands over the ownership nor is
+// handed it.
+func (p *process) entryRegistration() member.Member {
+	m := p.registration(member.Entry)
+	if p.options.Succession.Enabled {
+		m.CPU, m.MemoryMB, m.LinkMbps = p.settings.CPU, int64(p.settings.MemoryMB), p.settings.LinkMbps
 	}
-	return 0
+	return m
 }
 
 // registration returns the member record under which this process registers. Its address uses the first
--- a/control/coordinator/candidate.go
+++ b/control/coordinator/candidate.go
@@ -80,6 +80,8 @@
 	lastRow        ownerRow
 	unchangedSince time.Duration
 	jitter         time.Duration
+	// handedOverAt is when this process last handed over the ownership, 0 for never.
+	handedOverAt time.Duration
 	// counters are the totals of all ownership terms of this process.
 	counters counters
 }
@@ -153,7 +155,8 @@
 	if now-c.unchangedSince < c.takeoverWait(&h) {
 		return ownerRow{}, false
 	}
-	to := OwnerRecord{Epoch: h.Epoch + 1, Owner: c.cfg.Member.Name, Incarnation: c.cfg.Member.Incarnation}
+	to := OwnerRecord{Epoch: h.Epoch + 1, Owner: c.cfg.Member.Name, Incarnation: c.cfg.Member.Incarnation,
+		Strongest: h.Strongest, HandedOver: h.HandedOver}
 	c.claimedVersion = h.version
 	c.fire(eventClaim)
 	taken, err := writeOwnerRow(ctx, c.cfg.Store, h, to, nil)
@@ -170,9 +173,9 @@
 		// The work has had no owner yet, or the owner was an earlier incarnation of this process.
 		return 0
 	case h.Owner == "":
-		return c.cfg.TakeoverDelay
+		return c.takeoverDelay(h)
 	}
-	return takeoverAfter + c.jitter + c.cfg.TakeoverDelay
+	return takeoverAfter + c.jitter + c.takeoverDelay(h)
 }
 
 // serve runs the owner until the ownership is lost.
@@ -184,12 +187,16 @@
 	// has an epoch of its own.
 	c.servedEpoch = h.Epoch
 	o := newOwner(c.cfg, h, c.previousOwnerWindow())
-	o.counters = &c.counters
+	o.counters, o.sinceHandOver = &c.counters, c.sinceHandOver()
 	err := o.run(ctx)
-	c.counters.endTerm()
+	handOver := errors.Is(err, errHandOver)
+	if handOver {
+		c.handedOverAt = c.cfg.Clock.Now()
+	}
+	c.counters.endTerm(handOver)
 	events.OwnershipLost.Log(c.cfg.Log).Uint64("epoch", h.Epoch).AnErr("cause", err).Send()
-	if ctx.Err() != nil && errkind.Of(err) != errkind.NotOwner {
-		c.resign(o)
+	if handOver || ctx.Err() != nil && errkind.Of(err) != errkind.NotOwner {
+		c.resign(o, handOver)
 	}
 	c.unchangedSince = 0
 }
@@ -208,11 +215,11 @@
 }
 
 // resign clears the owner row, so that another entry can take over at once.
-func (c *Candidate) resign(o *owner) {
+func (c *Candidate) resign(o *owner, handOver bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
 	defer cancel()
 	to := o.committer.row.OwnerRecord
-	to.Owner, to.Sequence = "", to.Sequence+1
+	to.Owner, to.Sequence, to.HandedOver = "", to.Sequence+1, to.HandedOver || handOver
 	// On failure, another entry takes over once the row has been unchanged for takeoverAfter.
 	_, _ = writeOwnerRow(ctx, c.cfg.Store, o.committer.row, to, nil)
 }
--- a/control/coordinator/counters.go
+++ b/control/coordinator/counters.go
@@ -20,11 +20,14 @@
 	c.current = now
 }
 
-// endTerm adds the totals of the running term to those of the ended ones.
-func (c *counters) endTerm() {
+// endTerm adds the totals of the running term to those of the ended ones. handOver is set if the term ended by a hand-over.
+func (c *counters) endTerm(handOver bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ended, c.current = c.ended.Add(c.current), dispatch.Counters{}
+	if handOver {
+		c.ended.HandOvers++
+	}
 }
 
 func (c *counters) load() dispatch.Counters {
--- a/control/coordinator/head.go
+++ b/control/coordinator/head.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/chicorystand/chicorystand/base/errkind"
+	"github.com/chicorystand/chicorystand/control/succession"
 	"github.com/chicorystand/chicorystand/state/store"
 )
 
@@ -30,6 +31,10 @@
 	// Entries are the entries that must acknowledge the owner for it to extend
 	// leases while it cannot commit.
 	Entries []string `msgpack:"n,omitempty"`
+	// Strongest is the capability of the most capable entry, nil where the entries are alike or it is unknown.
+	Strongest *succession.Capability `msgpack:"c,omitempty"`
+	// HandedOver is set from a hand-over until an owner has served for succession.HandOverInterval.
+	HandedOver bool `msgpack:"h,omitempty"`
 }
 
 // sameCommit reports whether both records were written by the same commit.
--- a/control/coordinator/links.go
+++ b/control/coordinator/links.go
@@ -58,7 +58,9 @@
 	registeredAt map[string]time.Duration
 	// lastAcked holds the send time of the last heartbeat that each member answered.
 	lastAcked map[string]time.Duration
-	wg        sync.WaitGroup
+	// connectedAt is when the connections in peers were established.
+	connectedAt map[string]time.Duration
+	wg          sync.WaitGroup
 }
 
 // setMember adds or updates a member, whose row has the given version, and starts to connect to its address.
@@ -155,12 +157,14 @@
 		return false
 	}
 	l.peers[m.Name] = p
+	l.setConnectedLocked(m.Name)
 	l.mu.Unlock()
 	events.MemberConnected.Log(l.log).Str("member", m.Name).Send()
 	l.heartbeatLoop(ctx, m.Name, p)
 	l.mu.Lock()
 	if l.peers[m.Name] == p {
 		delete(l.peers, m.Name)
+		delete(l.connectedAt, m.Name)
 	}
 	l.mu.Unlock()
 	if ctx.Err() == nil {
--- a/control/coordinator/links_test.go
+++ b/control/coordinator/links_test.go
@@ -29,7 +29,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := clock.Boottime{}
 			link := member.NewOwnerLink(c, zerolog.Nop())
-			l := &memberConns{leadMessage: func() *wire.Lead { return &wire.Lead{Epoch: 1} }, clock: c, log: zerolog.Nop(), registeredAt: make(map[string]time.Duration), lastAcked: make(map[string]time.Duration),
+			l := &memberConns{leadMessage: func() *wire.Lead { return &wire.Lead{Epoch: 1} }, clock: c, log: zerolog.Nop(), registeredAt: make(map[string]time.Duration), lastAcked: make(map[string]time.Duration), connectedAt: make(map[string]time.Duration),
 				onDisconnect: func(member.Member) {}, peers: make(map[string]*wire.Peer), cancels: make(map[string]context.CancelFunc), ended: make(map[string]chan struct{}), members: make(map[string]member.Member),
 				versions: make(map[string]uint64)}
 			l.dial = func(context.Context, string) (net.Conn, error) {
@@ -56,7 +56,7 @@
 	c := clock.Boottime{}
 	link := member.NewOwnerLink(c, zerolog.Nop())
 	events := make(chan string, 10)
-	l := &memberConns{leadMessage: func() *wire.Lead { return &wire.Lead{Epoch: 1} }, clock: c, log: zerolog.Nop(), registeredAt: make(map[string]time.Duration), lastAcked: make(map[string]time.Duration),
+	l := &memberConns{leadMessage: func() *wire.Lead { return &wire.Lead{Epoch: 1} }, clock: c, log: zerolog.Nop(), registeredAt: make(map[string]time.Duration), lastAcked: make(map[string]time.Duration), connectedAt: make(map[string]time.Duration),
 		handler: func(*wire.Peer, wire.Message, wire.Reply) { events <- "message" },
 		peers:   make(map[string]*wire.Peer), cancels: make(map[string]context.CancelFunc), ended: make(map[string]chan struct{}), members: make(map[string]member.Member),
 		versions: make(map[string]uint64)}
--- a/control/coordinator/loop.go
+++ b/control/coordinator/loop.go
@@ -98,6 +98,9 @@
 		o.dispatcher.SetEvacuations(o.cfg.Evacuations())
 	}
 	o.dispatcher.EntriesAcknowledged(o.conns.earliestAck(o.ackEntries))
+	if err := o.considerHandOver(now); err != nil {
+		return err
+	}
 	if o.pendingBatch == nil && now-o.lastCommit >= minCommitInterval {
 		o.dispatcher.Tick(now)
 		if o.dispatcher.Dirty() || now-o.lastCommit >= maxCommitInterval {
--- a/control/coordinator/owner.go
+++ b/control/coordinator/owner.go
@@ -103,7 +103,10 @@
 	lastQueueCounts    time.Duration
 	lastMemberCleanup  time.Duration
 	lastStatus         time.Duration
-	wg                 sync.WaitGroup
+	lastHandOverCheck  time.Duration
+	// startedAt is when the term began, sinceHandOver the time since this process last handed over then, 0 if it never did.
+	startedAt, sinceHandOver time.Duration
+	wg                       sync.WaitGroup
 }
 
 type commitResult struct {
@@ -119,7 +122,7 @@
 	bounds := cfg.Bounds
 	bounds.PreviousOwnerWindow = previousOwnerWindow
 	o.lastCommitSent.Store(int64(cfg.Clock.Now()))
-	o.lastMemberCleanup = cfg.Clock.Now()
+	o.lastMemberCleanup, o.startedAt = cfg.Clock.Now(), cfg.Clock.Now()
 	o.dispatcher = dispatch.New(bounds, row.Epoch, cfg.Clock.Now(), unix, cfg.Log)
 	o.committer = committer{table: cfg.Store, row: row, onRetry: func(err error) {
 		events.CommitRetried.Log(cfg.Log).Err(err).Uint64("epoch", row.Epoch).Send()
@@ -129,7 +132,7 @@
 		dial = dialTCP
 	}
 	o.conns = &memberConns{leadMessage: o.leadMessage, clock: cfg.Clock, log: cfg.Log, dial: dial, handler: o.receive,
-		registeredAt: make(map[string]time.Duration), lastAcked: make(map[string]time.Duration),
+		registeredAt: make(map[string]time.Duration), lastAcked: make(map[string]time.Duration), connectedAt: make(map[string]time.Duration),
 		onDisconnect: o.memberDisconnected,
 		peers:        make(map[string]*wire.Peer), cancels: make(map[string]context.CancelFunc), ended: make(map[string]chan struct{}), members: make(map[string]member.Member),
 		versions: make(map[string]uint64)}
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -163,12 +163,15 @@
 	Resent uint64
 	// RefusedWrites counts the changes that the store has refused for good.
 	RefusedWrites uint64
+	// HandOvers counts the terms that ended since a more capable entry was to own the work.
+	HandOvers uint64
 }
 
 func (c Counters) Add(d Counters) Counters {
 	return Counters{Starts: c.Starts + d.Starts, Ends: c.Ends + d.Ends, Failures: c.Failures + d.Failures,
 		Lost: c.Lost + d.Lost, Rejected: c.Rejected + d.Rejected, Withdrawn: c.Withdrawn + d.Withdrawn, ZoneWaits: c.ZoneWaits + d.ZoneWaits,
-		GivenUp: c.GivenUp + d.GivenUp, Resent: c.Resent + d.Resent, RefusedWrites: c.RefusedWrites + d.RefusedWrites}
+		GivenUp: c.GivenUp + d.GivenUp, Resent: c.Resent + d.Resent, RefusedWrites: c.RefusedWrites + d.RefusedWrites,
+		HandOvers: c.HandOvers + d.HandOvers}
 }
 
 // New returns an owner without work. now is the owner's clock, which includes time in suspension;
--- a/state/member/member.go
+++ b/state/member/member.go
@@ -32,6 +32,10 @@
 	Zone    string `msgpack:"z"`
 	// Incarnation distinguishes successive starts of the process.
 	Incarnation uint64 `msgpack:"i"`
+	// CPU (in thousandths of a processor), MemoryMB and LinkMbps are what the machine of an entry has, 0 if unknown.
+	CPU      int64   `msgpack:"c,omitempty"`
+	MemoryMB int64   `msgpack:"m,omitempty"`
+	LinkMbps float64 `msgpack:"l,omitempty"`
 }
 
 // Register writes the member's row.
--- a/verify/histories/cluster_test.go
+++ b/verify/histories/cluster_test.go
@@ -15,6 +15,7 @@
 	"github.com/chicorystand/chicorystand/control/dispatch"
 	"github.com/chicorystand/chicorystand/control/evacuation"
 	"github.com/chicorystand/chicorystand/control/manifest"
+	"github.com/chicorystand/chicorystand/control/succession"
 	"github.com/chicorystand/chicorystand/control/task"
 	"github.com/chicorystand/chicorystand/ingress/gateway"
 	"github.com/chicorystand/chicorystand/state/follow"
@@ -56,6 +57,8 @@
 	log   zerolog.Logger
 	// requests is the gateway of an entry.
 	requests *gateway.Gateway
+	// candidate is that of an entry.
+	candidate *coordinator.Candidate
 	// agent is the agent of an executor.
 	agent *vmagent.Agent
 }
@@ -72,6 +75,9 @@
 	entries   [entryCount]*process
 	agents    [executorCount]*process
 	executors [executorCount]*standin.Executor
+	machines  [entryCount]succession.Capability
+	// handOvers counts the hand-overs of entries that have been killed since.
+	handOvers uint64
 	manifest  *manifest.Manifest
 	log       zerolog.Logger
 
@@ -83,9 +89,9 @@
 	down map[string]bool
 }
 
-func newCluster(ctx context.Context, taskWork map[string]standin.Work) *cluster {
+func newCluster(ctx context.Context, taskWork map[string]standin.Work, machines [entryCount]succession.Capability) *cluster {
 	start := time.Now()
-	c := &cluster{ctx: ctx, start: start, net: inmem.NewNet(1), table: standin.NewTable(800, 2000), clock: clock.NewRuntime(), taskWork: taskWork,
+	c := &cluster{ctx: ctx, start: start, net: inmem.NewNet(1), table: standin.NewTable(800, 2000), clock: clock.NewRuntime(), taskWork: taskWork, machines: machines,
 		recorder: history.NewRecorder(func() time.Duration { return time.Since(start) }), partitioned: make(map[string]bool), down: make(map[string]bool), log: zerolog.Nop()}
 	if *logLines {
 		c.log = zerolog.New(zerolog.SyncWriter(os.Stderr)).With().Timestamp().Logger()
@@ -148,10 +154,11 @@
 	p, ctx := c.newProcess(entryName(i))
 	c.entries[i] = p
 	self := c.member(p.name, member.Entry)
+	self.CPU, self.MemoryMB, self.LinkMbps = c.machines[i].CPU, c.machines[i].MemoryMB, c.machines[i].LinkMbps
 	owner := member.NewOwnerLink(c.clock, p.log)
 	current := func() *manifest.Manifest { return c.manifest }
 	p.requests = gateway.New(gateway.Config{Store: p.link, Clock: c.clock, Log: p.log, Owner: owner, Manifest: current, ManifestAge: func() time.Duration { return 0 }, MaxManifestAge: time.Second,
-		StoreLastResponse: c.clock.Now, Observe: func(string, int, time.Duration, error) {}, ObserveForward: func(error) {}})
+		StoreLastResponse: c.clock.Now, Observe: func(string, int, time.Duration, error) {}, ObserveForward: func(error) {}, ForwardEarly: true})
 	zones := evacuation.NewFollower(evacuatedZone, p.log)
 	follower := follow.New(p.link, operatorTable, follow.Sinks{zones}, c.clock, p.log)
 	evacuations := func() evacuation.State {
@@ -161,6 +168,7 @@
 	candidate := coordinator.NewCandidate(coordinator.Config{Store: p.link, Evacuations: evacuations, Clock: c.clock, Log: p.log, Member: self,
 		Dial: c.net.Dialer(p.name), HighestEpoch: owner.Epoch, Manifest: current,
 		Bounds: dispatch.Bounds{LeaseDuration: testLease, Evacuation: history.EvacuationBound, AckValidity: 2 * time.Second, MaxStoreOutage: 15 * time.Second, StopTimeout: testStopTimeout, Retention: time.Hour}}, owner)
+	p.candidate = candidate
 	l := c.net.Listen(p.name, self.Address)
 	go member.Serve(l, owner, owner.Handle)
 	go member.KeepRegistered(ctx, p.link, self, owner.SinceLastMessage)
@@ -270,6 +278,11 @@
 	p.stop()
 	c.net.Kill(p.name)
 	<-p.ended
+	if p.candidate != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.handOvers += p.candidate.Counters().HandOvers
+	}
 }
 
 // setPartitioned cuts a process off from all others, or reconnects it.
--- a/verify/histories/histories_test.go
+++ b/verify/histories/histories_test.go
@@ -61,7 +61,7 @@
 	var violations []history.Violation
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		c := newCluster(ctx, p.work.TaskWork)
+		c := newCluster(ctx, p.work.TaskWork, p.machines)
 		done := make(chan struct{}, len(p.work.Requests)+len(p.faults))
 		for i := range p.work.Requests {
 			go func() {
@@ -83,6 +83,9 @@
 		events := c.recorder.Events()
 		violations = history.Check(events, history.Options{Finished: true})
 		t.Logf("%d submissions, %d faults, %d events, %v of virtual time", len(p.work.Requests), len(p.faults), len(events), time.Since(c.start))
+		if p.inspect != nil {
+			p.inspect(c)
+		}
 		c.shutdown()
 		cancel()
 		synctest.Wait()
--- a/verify/histories/plan_test.go
+++ b/verify/histories/plan_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/chicorystand/chicorystand/control/succession"
 	"github.com/chicorystand/chicorystand/verify/workload"
 )
 
@@ -62,6 +63,10 @@
 type plan struct {
 	work   workload.Plan
 	faults []fault
+	// machines are the capabilities of the entries, nothing for unknown ones.
+	machines [entryCount]succession.Capability
+	// inspect, if not nil, is called at the end of the run.
+	inspect func(*cluster)
 }
 
 func milliseconds(t *rapid.T, label string, from, to time.Duration) time.Duration {
