entry: requests are answered during a graceful stop

Cause, shown on the code before by a probe with loopback connections: at SIGTERM all idle connections were closed, so that a request on its way on one got "unexpected EOF"; a request in progress that ended 0.55 s after the regular service (writes take up to 0.7 s) was cut off, since the final stop was given 0.5 s of the last second; connections that waited to be accepted were reset when the socket was closed. A term of the owner that did not end kept the stop from beginning.

Ruled out: closing idle connections at SIGTERM (HTTP/1 cannot announce it), keeping them for the whole grace period (restarts take longer).

Change: each response ends its connection; connections not used for 2.5 s are closed at the end. The listener accepts for 50 ms more before its socket is closed. What is in progress has until 150 ms before SIGKILL. The end of the owner's term is awaited beside that.

Evidence: stop_test.go, 20 times with the race detector; soak passes. Left: a request that arrives on an unused connection in the moment of the end, and a body that is not complete then.

--- a/command/deployed/entry.go
+++ b/command/deployed/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -32,8 +31,13 @@
 	// rotationExitDelay is how long the platform takes to stop sending new connections here: two
 	// readiness probes, one second apart, and a margin.
 	rotationExitDelay = 2500 * time.Millisecond
-	// shutdownMargin is reserved at the end of the grace period for the final shutdown.
+	// shutdownMargin is reserved at the end of the grace period to answer the requests in progress, which takes less than
+	// a quarter of the requesters' time.
 	shutdownMargin = time.Second
+	// drainTime is how long connections are accepted after that, so that none waits when the socket is closed.
+	drainTime = 50 * time.Millisecond
+	// exitMargin is left of the grace period for the end of the process.
+	exitMargin = 150 * time.Millisecond
 	// idleCheckInterval is the interval between checks for open connections during a stop.
 	idleCheckInterval = 50 * time.Millisecond
 	// headerTimeout and idleTimeout are the timeouts of requester connections.
@@ -47,9 +51,9 @@
 	manifest    *manifest.Follower
 	evacuations *evacuation.Follower
 	// follower follows the operators' table for manifest and evacuations.
-	follower  *follow.Follower
-	stopping  atomic.Bool
-	openConns atomic.Int64
+	follower *follow.Follower
+	stopping atomic.Bool
+	conns    requestConns
 }
 
 func (p *process) runEntry() error {
@@ -85,12 +89,13 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: platform.RequestHandler(g), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: e.trackConn}
+	server := &http.Server{Handler: closeWhenStopping(platform.RequestHandler(g), &e.stopping), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: e.conns.track}
 	readinessServer := &http.Server{Handler: platform.ReadinessHandler(e.ready), ReadHeaderTimeout: headerTimeout}
 	go e.follower.Run(workCtx, 0)
 	go member.Serve(control, p.link, p.link.Handle)
 	go member.KeepRegistered(workCtx, p.store, self, p.link.SinceLastMessage)
-	go p.serveHTTP(server, requests)
+	drainable := newDrainListener(requests)
+	go p.serveHTTP(server, drainable)
 	go p.serveHTTP(readinessServer, readiness)
 	go p.serveMetrics(ctx, m.Registry)
 	candidateDone := make(chan struct{})
@@ -101,7 +106,7 @@
 	events.ProcessStarted.Log(p.log).Str("role", "entry").Str("requests", p.settings.RequestAddress).Str("control", self.Address).
 		Uint64("incarnation", self.Incarnation).Send()
 	<-ctx.Done()
-	e.shutdown(server, candidateDone)
+	e.shutdown(server, drainable, candidateDone)
 	return nil
 }
 
@@ -128,32 +133,26 @@
 	return !e.stopping.Load() && e.manifest.Current() != nil && ok && age < maxStoreSilence
 }
 
-func (e *entryProcess) trackConn(_ net.Conn, s http.ConnState) {
-	switch s {
-	case http.StateNew:
-		e.openConns.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		e.openConns.Add(-1)
-	default:
-	}
-}
-
-// shutdown releases the ownership, reports the entry as not ready, and serves open connections
-// until they are closed or the grace period is nearly over.
-func (e *entryProcess) shutdown(server *http.Server, candidateDone <-chan struct{}) {
+// shutdown releases the ownership, reports the entry as not ready, and serves requests as before until no more arrive or the
+// grace period is nearly over. Each response then ends its connection.
+func (e *entryProcess) shutdown(server *http.Server, requests *drainListener, candidateDone <-chan struct{}) {
 	start := time.Now()
 	e.stopping.Store(true)
-	events.ProcessStopping.Log(e.log).Int64("connections", e.openConns.Load()).Send()
-	server.SetKeepAlivesEnabled(false)
-	<-candidateDone
-	end := start.Add(e.settings.Bounds.GracePeriod - shutdownMargin)
-	for time.Now().Before(end) && (time.Since(start) < rotationExitDelay || e.openConns.Load() > 0) {
+	events.ProcessStopping.Log(e.log).Int("connections", e.conns.count()).Send()
+	end := start.Add(e.settings.Bounds.GracePeriod)
+	for time.Until(end) > shutdownMargin && (time.Since(start) < rotationExitDelay || e.conns.busy()) {
 		time.Sleep(idleCheckInterval)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownMargin/2)
+	requests.drain(drainTime)
+	e.conns.closeUnused()
+	ctx, cancel := context.WithTimeout(context.Background(), max(time.Until(end)-exitMargin, shutdownMargin/2))
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
-		events.StopTimedOut.Log(e.log).Int64("connections", e.openConns.Load()).Err(err).Send()
+		events.StopTimedOut.Log(e.log).Int("connections", e.conns.count()).Err(err).Send()
+	}
+	select {
+	case <-candidateDone:
+	case <-ctx.Done():
 	}
 	events.ProcessStopped.Log(e.log).Send()
 }
