listeners: bounds on connections, headers and time beside the request listener

Cause: the listeners for heartbeats, readiness, metrics and the owner's connections accepted any number of connections, 1 MiB of headers and bodies without a deadline; each connection to the control port could queue 8 MiB of replies; each new id in a heartbeat took a goroutine for good.

Ruled out: refusing new connections above a limit (a client that holds connections keeps the owner and the probe out), closing the oldest (it is the one in use).

Change: base/connlimit closes the connection that was silent for longest above 64; serveInternal adds timeouts and 8 KiB of headers. A member holds 16 connections, the owner's never gives way; 256 KiB are queued before an owner's message was accepted, and 30 s of silence end a connection. An agent takes 256 executors. The operators' and upstream listeners of the daemons close idle connections after 2 min.

Evidence: without the limit TestUnneededConnectionsGiveWayToTheOwner sees 48 open connections, without the read timeout TestUnfinishedRequestsEnd one of 2 min. A read timeout of the operators' listener was tried and dropped: net/http cancels profiles that take longer. Left: the sum of the bodies at the product's own API (docs/design/listeners.md).

--- a/base/metrics/deployment.go
+++ b/base/metrics/deployment.go
@@ -22,6 +22,8 @@
 	Refusals *prometheus.CounterVec
 	// Forwards counts the writes through the owner by error kind.
 	Forwards *prometheus.CounterVec
+	// Connections counts the refused connections of the listeners that serve the platform.
+	Connections *Connections
 	// Orders counts the replies of executors by order, outcome and reason.
 	Orders *prometheus.CounterVec
 	// Owning is 1 while this process is the owner of the work.
@@ -50,11 +52,12 @@
 // NewDeployment returns registered metrics.
 func NewDeployment(s DeploymentSources) *Deployment {
 	m := &Deployment{
-		Registry:  prometheus.NewRegistry(),
-		Responses: counter("chicory_requester_answers_total", "Responses to requesters.", "method", "status"),
-		Refusals:  counter("chicory_refusals_total", "Rejected work by error kind.", "kind"),
-		Forwards:  counter("chicory_forwarded_writes_total", "Writes through the owner of the work, while the store did not serve this process or was late with its answer, by error kind. Those that the store's answer has overtaken are not counted.", "kind"),
-		Orders:    counter("chicory_executor_orders_total", "Replies of executors to orders.", "order", "outcome", "reason"),
+		Registry:    prometheus.NewRegistry(),
+		Connections: newConnections(),
+		Responses:   counter("chicory_requester_answers_total", "Responses to requesters.", "method", "status"),
+		Refusals:    counter("chicory_refusals_total", "Rejected work by error kind.", "kind"),
+		Forwards:    counter("chicory_forwarded_writes_total", "Writes through the owner of the work, while the store did not serve this process or was late with its answer, by error kind. Those that the store's answer has overtaken are not counted.", "kind"),
+		Orders:      counter("chicory_executor_orders_total", "Replies of executors to orders.", "order", "outcome", "reason"),
 		Duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "chicory_requester_duration_seconds", Help: "Time from the arrival of a request to its response.",
 			Buckets: []float64{.002, .005, .01, .02, .05, .1, .25, .5, 1, 2, 5},
@@ -94,7 +97,7 @@
 		m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: c.name, Help: c.help},
 			func() float64 { return float64(c.value(s.OwnerCounters())) }))
 	}
-	m.Registry.MustRegister(m.Responses, m.Refusals, m.Forwards, m.Orders, m.Duration, m.Owning, m.ManifestVersion, m.ManifestAge, m.EvacuatedZones, m.OwnerSilence)
+	m.Registry.MustRegister(m.Responses, m.Refusals, m.Forwards, m.Connections.Refused, m.Orders, m.Duration, m.Owning, m.ManifestVersion, m.ManifestAge, m.EvacuatedZones, m.OwnerSilence)
 	return m
 }
 
--- a/command/daemon/daemon.go
+++ b/command/daemon/daemon.go
@@ -174,7 +174,8 @@
 
 // ServeHTTP serves h on l until ctx is cancelled.
 func ServeHTTP(ctx context.Context, l net.Listener, h http.Handler) error {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 64 << 10}
+	// There is no read timeout: net/http cancels a handler that goes on for longer, such as that of a long profile.
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10}
 	var wg sync.WaitGroup
 	wg.Add(1)
 	go func() { defer wg.Done(); <-ctx.Done(); _ = s.Close() }()
--- a/command/deployed/agent.go
+++ b/command/deployed/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -44,10 +43,9 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: platform.HeartbeatHandler(a), ReadHeaderTimeout: time.Second}
-	go p.serveHTTP(server, heartbeats)
+	go p.serveInternal("heartbeats", platform.HeartbeatHandler(a), heartbeats, m.Connections)
 	go member.Serve(control, p.link, a.Handle)
-	go p.serveMetrics(ctx, m.Registry)
+	go p.serveMetrics(ctx, m)
 	go member.KeepRegistered(workCtx, p.store, self, p.link.SinceLastMessage)
 	events.ProcessStarted.Log(p.log).Str("role", "agent").Str("heartbeats", p.settings.HeartbeatAddress).Str("control", self.Address).
 		Uint64("incarnation", self.Incarnation).Send()
--- a/command/deployed/entry.go
+++ b/command/deployed/entry.go
@@ -90,14 +90,13 @@
 		return err
 	}
 	server := &http.Server{Handler: closeWhenStopping(platform.RequestHandler(g), &e.stopping), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: e.conns.track}
-	readinessServer := &http.Server{Handler: platform.ReadinessHandler(e.ready), ReadHeaderTimeout: headerTimeout}
 	go e.follower.Run(workCtx, 0)
 	go member.Serve(control, p.link, p.link.Handle)
 	go member.KeepRegistered(workCtx, p.store, self, p.link.SinceLastMessage)
 	drainable := newDrainListener(requests)
 	go p.serveHTTP(server, drainable)
-	go p.serveHTTP(readinessServer, readiness)
-	go p.serveMetrics(ctx, m.Registry)
+	go p.serveInternal("readiness", platform.ReadinessHandler(e.ready), readiness, m.Connections)
+	go p.serveMetrics(ctx, m)
 	candidateDone := make(chan struct{})
 	go func() {
 		defer close(candidateDone)
--- a/command/deployed/process.go
+++ b/command/deployed/process.go
@@ -17,7 +17,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
@@ -25,6 +24,7 @@
 
 	"github.com/chicorystand/chicorystand/base/clock"
 	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/base/metrics"
 	"github.com/chicorystand/chicorystand/base/settings"
 	"github.com/chicorystand/chicorystand/command/run"
 	"github.com/chicorystand/chicorystand/control/dispatch"
@@ -227,14 +227,14 @@
 }
 
 // serveMetrics serves the metrics. If the port is in use, the process runs without them.
-func (p *process) serveMetrics(ctx context.Context, r *prometheus.Registry) {
+func (p *process) serveMetrics(ctx context.Context, m *metrics.Deployment) {
 	l, err := p.listen(ctx, fmt.Sprintf("%s:%d", p.settings.IP, MetricsPort))
 	if err != nil {
 		return // listen has logged the error
 	}
 	mux := http.NewServeMux()
-	mux.Handle("/metrics", promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
-	p.serveHTTP(&http.Server{Handler: mux, ReadHeaderTimeout: time.Second}, l)
+	mux.Handle("/metrics", promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{}))
+	p.serveInternal("metrics", mux, l, m.Connections)
 }
 
 // signalContext returns a context that is cancelled on SIGTERM or SIGINT. On SIGHUP the settings are read
--- a/state/member/link.go
+++ b/state/member/link.go
@@ -25,6 +25,7 @@
 // Serve accepts the owner's connections on l until l is closed.
 func Serve(l net.Listener, link *OwnerLink, handle wire.Handler) {
 	failing := false
+	open := newConnSet(link)
 	for number := uint64(1); ; number++ {
 		conn, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -44,8 +45,10 @@
 			p.Value.Store(number)
 			handle(p, msg, reply)
 		}, firstFrameTimeout)
+		p.LimitQueue(maxUnknownQueue)
+		open.add(p)
 		go func() {
-			<-p.Done()
+			open.await(p)
 			link.Disconnected(p)
 		}()
 	}
@@ -145,6 +148,9 @@
 	if m.Epoch != l.epoch {
 		events.OwnerSeen.Log(l.log).Uint64("epoch", m.Epoch).Str("owner", m.Owner).Uint64("before", l.epoch).Send()
 	}
+	if l.peer != p {
+		p.LimitQueue(wire.MaxQueued)
+	}
 	l.epoch, l.peer = m.Epoch, p
 	l.commitAge = time.Duration(m.CommitAgeMS) * time.Millisecond
 	l.lastMessageAt.Store(int64(l.clock.Now()))
--- a/state/member/link_test.go
+++ b/state/member/link_test.go
@@ -87,3 +87,51 @@
 	assert.NilError(t, l.Close())
 	<-ended
 }
+
+// Guards against connections that nobody needs and that take all memory or descriptors of a member, and against an owner that cannot reach it
+// because of them.
+func TestUnneededConnectionsGiveWayToTheOwner(t *testing.T) {
+	var lc net.ListenConfig
+	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	link := NewOwnerLink(clock.Boottime{}, zerolog.Nop())
+	go Serve(l, link, link.Handle)
+	connect := func() *wire.Peer {
+		conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", l.Addr().String())
+		assert.NilError(t, err)
+		p := wire.NewPeer(conn, nil)
+		t.Cleanup(p.Close)
+		return p
+	}
+	lead := func(p *wire.Peer, epoch uint64) {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_, err := p.Call(ctx, &wire.Lead{Epoch: epoch, Owner: "owner"})
+		assert.NilError(t, err)
+	}
+	owner := connect()
+	lead(owner, 1)
+	var others []*wire.Peer
+	for range 3 * maxConns {
+		p := connect()
+		assert.NilError(t, p.Notify(&wire.Ack{}))
+		others = append(others, p)
+	}
+	lead(owner, 1)
+	lead(connect(), 2)
+	open := func() (n int) {
+		for _, p := range others {
+			select {
+			case <-p.Done():
+			default:
+				n++
+			}
+		}
+		return n
+	}
+	for end := time.Now().Add(5 * time.Second); open() >= maxConns && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	}
+	assert.Assert(t, open() < maxConns, "%d connections are open", open())
+}
--- a/vm/vmagent/vmagent.go
+++ b/vm/vmagent/vmagent.go
@@ -31,6 +31,10 @@
 	Observe func(order string, a executor.Answer)
 }
 
+// maxExecutors bounds the executors on the VM, each of which takes a connection and a goroutine. Heartbeats of further ones
+// are not accepted.
+const maxExecutors = 256
+
 // Agent manages the executors on the VM.
 type Agent struct {
 	cfg Config
@@ -61,6 +65,9 @@
 		// A delayed heartbeat of an earlier incarnation.
 		return true
 	}
+	if _, known := a.executors[info.Incarnation]; !known && len(a.executors) >= maxExecutors {
+		return false
+	}
 	a.newest[info.Address] = info.StartedAt
 	for inc, u := range a.executors {
 		if inc != info.Incarnation && inc.StartedAt < info.StartedAt && (u.info.Address == info.Address || inc.ID == info.ID) {
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -19,8 +19,8 @@
 	writeTimeout = time.Second
 	// frameTimeout bounds the time from the first to the last byte of a received frame.
 	frameTimeout = 5 * time.Second
-	// maxQueued bounds the bytes that are queued behind a write in progress.
-	maxQueued  = 8 << 20
+	// MaxQueued bounds the bytes that are queued behind a write in progress, unless LimitQueue sets another bound.
+	MaxQueued  = 8 << 20
 	readBuffer = 16 << 10
 	// receiptDelay is how long a receipt may be delayed to share a write with the reply. It
 	// keeps the extra write off the request path; entries wait at least 50 ms for receipts.
@@ -47,6 +47,7 @@
 	queue       []byte
 	spare       []byte
 	writing     bool
+	maxQueued   int
 	writeFailed bool
 	// receipts is the number of receipts in queue; receiptFlushScheduled is set while a
 	// timer to flush them is pending.
@@ -99,7 +100,7 @@
 }
 
 func newPeer(conn net.Conn, handler Handler, firstFrameTimeout time.Duration) *Peer {
-	p := &Peer{conn: conn, handler: handler, start: time.Now(), pending: make(map[uint32]*Pending), done: make(chan struct{})}
+	p := &Peer{conn: conn, handler: handler, start: time.Now(), maxQueued: MaxQueued, pending: make(map[uint32]*Pending), done: make(chan struct{})}
 	if firstFrameTimeout > 0 {
 		_ = conn.SetReadDeadline(time.Now().Add(firstFrameTimeout))
 	}
@@ -119,6 +120,13 @@
 // Idle returns the time since the last frame was received.
 func (p *Peer) Idle() time.Duration { return time.Since(p.start) - time.Duration(p.lastRead.Load()) }
 
+// LimitQueue sets the bound on the bytes that are queued for writing. What is queued already stays.
+func (p *Peer) LimitQueue(bytes int) {
+	p.writeMu.Lock()
+	defer p.writeMu.Unlock()
+	p.maxQueued = bytes
+}
+
 // Close ends the connection; pending calls fail with errkind.OutcomeUnknown.
 func (p *Peer) Close() { p.fail(errkind.New(errkind.OutcomeUnknown, "connection closed")) }
 
@@ -190,7 +198,7 @@
 	if p.writeFailed {
 		return errkind.New(errkind.NotReady, "connection is closed; nothing was sent")
 	}
-	if len(p.queue) > 0 && len(p.queue)+len(frame) > maxQueued {
+	if len(p.queue) > 0 && len(p.queue)+len(frame) > p.maxQueued {
 		return errkind.New(errkind.NotReady, "%d bytes are queued for writing; nothing was sent", len(p.queue))
 	}
 	p.queue = append(p.queue, frame...)
