succession: the time since a hand-over is taken at each check

Cause: an owner read the time since its process's own hand-over once, when the term began. A process that regained the ownership within two minutes of its hand-over kept it for the whole term.

Change: the owner holds the time of the hand-over and compares it at each check. setConnectedLocked is inlined; its comment restated its name.

Evidence: TestHandOver, new case in which both other entries lack the store for 12 s: fails on the code before, passes now. "Large one lacks store" now runs for three minutes and requires the large entry as owner; it passes on the code before too, since there another entry takes over in between.

--- a/control/coordinator/candidate.go
+++ b/control/coordinator/candidate.go
@@ -187,7 +187,7 @@
 	// has an epoch of its own.
 	c.servedEpoch = h.Epoch
 	o := newOwner(c.cfg, h, c.previousOwnerWindow())
-	o.counters, o.sinceHandOver = &c.counters, c.sinceHandOver()
+	o.counters, o.handedOverAt = &c.counters, c.handedOverAt
 	err := o.run(ctx)
 	handOver := errors.Is(err, errHandOver)
 	if handOver {
--- a/control/coordinator/links.go
+++ b/control/coordinator/links.go
@@ -157,7 +157,7 @@
 		return false
 	}
 	l.peers[m.Name] = p
-	l.setConnectedLocked(m.Name)
+	l.connectedAt[m.Name] = l.clock.Now()
 	l.mu.Unlock()
 	events.MemberConnected.Log(l.log).Str("member", m.Name).Send()
 	l.heartbeatLoop(ctx, m.Name, p)
--- a/control/coordinator/owner.go
+++ b/control/coordinator/owner.go
@@ -104,9 +104,9 @@
 	lastMemberCleanup  time.Duration
 	lastStatus         time.Duration
 	lastHandOverCheck  time.Duration
-	// startedAt is when the term began, sinceHandOver the time since this process last handed over then, 0 if it never did.
-	startedAt, sinceHandOver time.Duration
-	wg                       sync.WaitGroup
+	// startedAt is when the term began, handedOverAt when this process last handed over, 0 for never.
+	startedAt, handedOverAt time.Duration
+	wg                      sync.WaitGroup
 }
 
 type commitResult struct {
--- a/control/coordinator/succession.go
+++ b/control/coordinator/succession.go
@@ -36,11 +36,11 @@
 }
 
 // sinceHandOver returns the time since this process last handed over, 0 if it never did.
-func (c *Candidate) sinceHandOver() time.Duration {
-	if c.handedOverAt == 0 {
+func (o *owner) sinceHandOver(now time.Duration) time.Duration {
+	if o.handedOverAt == 0 {
 		return 0
 	}
-	return c.cfg.Clock.Now() - c.handedOverAt
+	return now - o.handedOverAt
 }
 
 // entriesNow returns the entries other than this one.
@@ -61,11 +61,6 @@
 	return entries
 }
 
-// setConnectedLocked records that a connection to a member was established. The caller holds mu.
-func (l *memberConns) setConnectedLocked(name string) {
-	l.connectedAt[name] = l.clock.Now()
-}
-
 // considerHandOver updates what the owner's row tells its successors, and returns errHandOver if a more
 // capable entry should own the work now. It runs on the owner's loop.
 func (o *owner) considerHandOver(now time.Duration) error {
@@ -80,7 +75,8 @@
 		o.committer.row.HandedOver = false
 	}
 	calm := now-time.Duration(o.lastCommitSent.Load()) <= maxCalmCommitAge && o.dispatcher.Settled()
-	to, ok := succession.ShouldHandOver(self, entries, succession.Situation{Calm: calm, RecentHandOver: o.committer.row.HandedOver, SinceOwnHandOver: o.sinceHandOver})
+	situation := succession.Situation{Calm: calm, RecentHandOver: o.committer.row.HandedOver, SinceOwnHandOver: o.sinceHandOver(now)}
+	to, ok := succession.ShouldHandOver(self, entries, situation)
 	if !ok {
 		return nil
 	}
--- a/verify/histories/handover_test.go
+++ b/verify/histories/handover_test.go
@@ -30,6 +30,8 @@
 		owner int
 		// max bounds the number of hand-overs.
 		max uint64
+		// settles is how long the owner has to settle after the work, 2*succession.HandOverInterval if 0.
+		settles time.Duration
 	}
 	var flapping []fault
 	for i := range 6 {
@@ -41,7 +43,9 @@
 		"rows without the key":  {machines: [entryCount]succession.Capability{smallMachine, {}, {}}, owner: -1},
 		"large entry flaps":     {machines: oneLarge, faults: flapping, owner: 1, max: 2},
 		"large entry dies":      {machines: oneLarge, faults: []fault{{at: 12 * s, kind: killEntry, target: 1}}, owner: 1, max: 3},
-		"large one lacks store": {machines: oneLarge, faults: []fault{{at: 4 * s, duration: 12 * s, kind: cutEntryStore, target: 1}}, owner: -1, max: 2},
+		"large one lacks store": {machines: oneLarge, faults: []fault{{at: 4 * s, duration: 12 * s, kind: cutEntryStore, target: 1}}, owner: 1, max: 2, settles: 3 * time.Minute},
+		"others lack store": {machines: oneLarge, owner: 1, max: 2, settles: 3 * time.Minute, faults: []fault{
+			{at: 4 * s, duration: 12 * s, kind: cutEntryStore, target: 1}, {at: 4 * s, duration: 12 * s, kind: cutEntryStore, target: 2}}},
 	}
 	// The first check that finds the large entry connected for long enough is 5 to 7 s after the start.
 	for at := 5 * s; at < 7*s; at += 200 * ms {
@@ -55,7 +59,7 @@
 				work := workload.Generate(rand.New(rand.NewPCG(seed, 3)),
 					workload.Config{MinSubmissions: 10, MaxSubmissions: 20, ArrivalWindow: arrivalWindow, Executors: executorCount})
 				inspect := func(cluster *cluster) {
-					time.Sleep(2 * succession.HandOverInterval)
+					time.Sleep(max(c.settles, 2*succession.HandOverInterval))
 					owner, handOvers := cluster.ownerAndHandOvers()
 					assert.Assert(t, owner >= 0 && (c.owner < 0 || owner == c.owner), "entry %d owns the work", owner)
 					assert.Assert(t, handOvers <= c.max, "%d hand-overs", handOvers)
