gateway: outcome of unfinished attempts, cancelled writes, the owner's own writes

Cause: a write whose time ended before any attempt had a result was answered as a success: wrapping no error gives none. A direct write cancelled for a faster answer or a gone requester counted as a failure of the store and taught the latency nothing. The owner forwarded early to itself, two calls for one write. The read of a cancellation had 200 ms of about 660.

Ruled out: recording no cancelled write as failed. The breaker then never opens at a silent store behind a fast owner (TestFurtherWritesGoThroughOwnerAtOnce). Such a write counts only while the store has answered nothing since one went without an answer.

Change: also, apply is split by path, bare numbers have names, ctx is bounded only in Submit, State and Cancel, the time without a deadline is computed.

Evidence: TestWriteWhileStoreIsUnresponsive "call goes on, no early write" (a success before), TestCancelledWritesAreNoStoreFailures, TestOwnerMakesNoEarlyWritesThroughItself and TestCancellationAtSlowStoreWithoutOwner fail without their part of the change. First forms of two cases passed without it: the error of the forward stood in, and after 1.6 s the test's owner counted as silent. With both paths at 400 ms: one call each.

--- a/command/deployed/entry.go
+++ b/command/deployed/entry.go
@@ -76,7 +76,7 @@
 	g := gateway.New(gateway.Config{Store: p.store, Clock: p.clock, Log: p.log, Owner: p.link, Manifest: e.manifest.Current,
 		ManifestAge: e.manifestAge, MaxManifestAge: p.settings.Bounds.ConfigApply, MaxRowBytes: p.settings.MaxRowBytes,
 		StoreLastResponse: e.follower.LastAnswer, Observe: m.ObserveResponse, ObserveForward: m.ObserveForward,
-		ForwardEarly: p.options.EarlyForward.Enabled})
+		ForwardEarly: p.options.EarlyForward.Enabled, Owning: candidate.Owning})
 	control, err := p.listen(ctx, self.Address)
 	if err != nil {
 		return err
--- a/ingress/gateway/gateway.go
+++ b/ingress/gateway/gateway.go
@@ -24,8 +24,9 @@
 const (
 	// ownerTimeout bounds a state query to the owner, after which the store is read.
 	ownerTimeout = 400 * time.Millisecond
-	// cancelReadTimeout bounds the read before a cancellation, after which the owner is asked.
-	cancelReadTimeout = 200 * time.Millisecond
+	// cancelReadDivisor gives the read before a cancellation a part of the time left, after which the owner is asked. A store that takes
+	// longer would not answer the write either.
+	cancelReadDivisor = 2
 	// countsMaxAge is the maximum age of a queue count that is returned.
 	countsMaxAge = 5 * time.Second
 	// maxCachedStates bounds the cache of final states.
@@ -51,6 +52,7 @@
 	maxRowBytes    int
 	breaker        breaker
 	forwardEarly   bool
+	owning         func() bool
 	writeLatency   latency
 
 	mu          sync.Mutex
@@ -79,13 +81,18 @@
 	// ForwardEarly sends a write through the owner too while the store has not answered the direct one. Without it the
 	// owner gets writes only after the direct one has failed.
 	ForwardEarly bool
+	// Owning reports whether this process is the owner, which then makes no early writes through itself. Nil stands for never.
+	Owning func() bool
 }
 
 // New returns a gateway.
 func New(c Config) *Gateway {
+	if c.Owning == nil {
+		c.Owning = func() bool { return false }
+	}
 	return &Gateway{store: c.Store, clock: c.Clock, log: c.Log, owner: c.Owner, manifest: c.Manifest, manifestAge: c.ManifestAge, maxManifestAge: c.MaxManifestAge,
 		observe: c.Observe, observeForward: c.ObserveForward, maxRowBytes: c.MaxRowBytes,
-		forwardEarly: c.ForwardEarly, breaker: breaker{clock: c.Clock, lastResponse: c.StoreLastResponse}, finalStates: make(map[string]submission.State)}
+		forwardEarly: c.ForwardEarly, owning: c.Owning, breaker: breaker{clock: c.Clock, lastResponse: c.StoreLastResponse}, finalStates: make(map[string]submission.State)}
 }
 
 // Manifest returns the current manifest, nil before the first is received.
@@ -198,7 +205,7 @@
 func (g *Gateway) Cancel(ctx context.Context, _ *manifest.Route, id string) error {
 	ctx, cancel := limitAnswerTime(ctx)
 	defer cancel()
-	readCtx, cancelRead := context.WithTimeout(ctx, cancelReadTimeout)
+	readCtx, cancelRead := context.WithTimeout(ctx, timeLeft(ctx)/cancelReadDivisor)
 	defer cancelRead()
 	rows, err := g.store.Get(readCtx, dispatch.WorkKey(id))
 	if err != nil {
--- a/ingress/gateway/latency.go
+++ b/ingress/gateway/latency.go
@@ -30,8 +30,16 @@
 	l.mean += (took - l.mean) / latencyWeight
 }
 
+// observeAtLeast adds the time of a write that was cancelled without an answer, if it is above the mean. Its answer would
+// have taken longer still.
+func (l *latency) observeAtLeast(took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mean += max(took-l.mean, 0) / latencyWeight
+}
+
 // forwardDelay returns the time without an answer after which a write is also sent through the owner. It grows with
-// the latency, so that a store that is slow for all does not get each write twice.
+// the latency up to maxForwardDelay: a store that takes up to that long for all does not get each write twice, a slower one does.
 func (l *latency) forwardDelay() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/ingress/gateway/write.go
+++ b/ingress/gateway/write.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/chicorystand/chicorystand/base/errkind"
 	"github.com/chicorystand/chicorystand/state/store"
 	"github.com/chicorystand/chicorystand/wire"
@@ -14,17 +16,23 @@
 	// maxWriteRetryInterval, so that a store that fails fast gets few calls for each request.
 	writeRetryInterval    = 50 * time.Millisecond
 	maxWriteRetryInterval = 150 * time.Millisecond
-	// answerShare is the part of the requester's time within which a request is answered that cannot be carried out. It
+	// answerPercent is the part of the requester's time within which a request is answered that cannot be carried out. It
 	// is below a quarter by the time to send the response.
-	answerShare = 0.22
-	// maxAnswerTime bounds that time for requesters that wait for long, defaultAnswerTime is that of requests without a deadline.
-	maxAnswerTime     = 700 * time.Millisecond
-	defaultAnswerTime = 660 * time.Millisecond
+	answerPercent = 22
+	// maxAnswerTime bounds that time for requesters that wait for long.
+	maxAnswerTime = 700 * time.Millisecond
+	// defaultRequestTime is the time of a requester that names no deadline, defaultAnswerTime the part for its answer.
+	defaultRequestTime = 3 * time.Second
+	defaultAnswerTime  = defaultRequestTime * answerPercent / 100
 	// minAnswerTime leaves a healthy store time to answer, however short the requester's deadline is.
 	minAnswerTime = 50 * time.Millisecond
 	// minAttemptTime is the least time for an attempt after the first. One that is cut off by the end of
 	// the budget leaves the outcome of the write unknown.
 	minAttemptTime = 100 * time.Millisecond
+	// minAttemptDivisor bounds that time to a part of a short budget, so that such a write has further attempts too.
+	minAttemptDivisor = 4
+	// maxForwardDivisor bounds the delay of the write through the owner to a part of the time left, so that most of it remains.
+	maxForwardDivisor = 3
 	// forwardTimeout bounds a write through the owner.
 	forwardTimeout = 500 * time.Millisecond
 	// settleTime is how long a write waits, after its time has ended, for calls that are being cancelled. They tell
@@ -35,18 +43,16 @@
 	maxOwnerSilence = 1600 * time.Millisecond
 )
 
-type answerTimeKey struct{}
+// errAnswered is the cause of the end of the attempts of a write that has an answer.
+var errAnswered = errors.New("another attempt of the write was faster")
 
-// limitAnswerTime bounds ctx by the time within which a request is answered. A context that is bounded already is returned unchanged.
+// limitAnswerTime bounds ctx by the time within which a request is answered.
 func limitAnswerTime(ctx context.Context) (context.Context, context.CancelFunc) {
-	if ctx.Value(answerTimeKey{}) != nil {
-		return ctx, func() {}
-	}
 	limit := defaultAnswerTime
 	if deadline, ok := ctx.Deadline(); ok {
-		limit = min(time.Duration(answerShare*float64(time.Until(deadline))), maxAnswerTime)
+		limit = min(time.Until(deadline)*answerPercent/100, maxAnswerTime)
 	}
-	return context.WithTimeout(context.WithValue(ctx, answerTimeKey{}, true), max(limit, minAnswerTime))
+	return context.WithTimeout(ctx, max(limit, minAnswerTime))
 }
 
 // timeLeft returns the time until the deadline of a context that has one.
@@ -55,26 +61,34 @@
 	return time.Until(deadline)
 }
 
-// unknownOutcome returns the error of a write of which an attempt may take effect.
+// unknownOutcome returns the error of a write of which an attempt may take effect. err is nil if no attempt has ended.
 func unknownOutcome(err error) error {
+	if err == nil {
+		return errkind.New(errkind.StoreAmbiguous, "no attempt has ended; the outcome of the write is unknown")
+	}
 	return errkind.Wrap(errkind.StoreAmbiguous, err, "the outcome of the write is unknown")
 }
 
 // create creates a row, with retries. It succeeds too when the row exists: an earlier request with
 // the same id has created it. It returns errkind.StoreUnavailable only when no attempt can have taken
-// effect.
+// effect. The context is bounded by limitAnswerTime.
 func (g *Gateway) create(ctx context.Context, key string, value []byte) error {
-	ctx, cancel := limitAnswerTime(ctx)
-	defer cancel()
 	// The context of the attempts ends with the write, which cancels the attempts that are no longer needed.
-	ctx, cancelAttempts := context.WithCancel(ctx)
-	defer cancelAttempts()
-	w := &rowWrite{g: g, key: key, value: value, results: make(chan attemptResult, 2), failing: g.breaker.open(),
-		minAttemptTime: min(minAttemptTime, timeLeft(ctx)/4), retryDelay: writeRetryInterval, timer: time.NewTimer(time.Hour)}
+	ctx, cancelAttempts := context.WithCancelCause(ctx)
+	defer cancelAttempts(errAnswered)
+	w := &rowWrite{g: g, key: key, value: value, results: make(chan attemptResult, pathCount), failing: g.breaker.open(),
+		leastAttempt: min(minAttemptTime, timeLeft(ctx)/minAttemptDivisor), retryDelay: writeRetryInterval, timer: stoppedTimer()}
 	defer w.timer.Stop()
 	return w.run(ctx)
 }
 
+// stoppedTimer returns a timer that does not fire before it is reset.
+func stoppedTimer() *time.Timer {
+	t := time.NewTimer(0)
+	t.Stop()
+	return t
+}
+
 // path is a way to the store.
 type path int
 
@@ -83,6 +97,8 @@
 	direct path = iota
 	// viaOwner is a call to the owner of the work, which writes to the store.
 	viaOwner
+	// pathCount is the number of paths.
+	pathCount
 )
 
 type attemptResult struct {
@@ -99,7 +115,7 @@
 	// results has room for one result of each path, so that no attempt waits for a reader.
 	results chan attemptResult
 	// inProgress holds the attempts without a result, by path.
-	inProgress [2]bool
+	inProgress [pathCount]bool
 	// failing is set if the store was known not to serve this process when the write began.
 	failing bool
 	// uncertain is set once an attempt has ended that may take effect.
@@ -107,9 +123,10 @@
 	// refusal is an error of the store that no further attempt changes.
 	refusal error
 	// lastErr is the error of the last attempt that ended.
-	lastErr        error
-	minAttemptTime time.Duration
-	retryDelay     time.Duration
+	lastErr error
+	// leastAttempt is the least time for an attempt after the first.
+	leastAttempt time.Duration
+	retryDelay   time.Duration
 	// timer runs until the next attempt.
 	timer *time.Timer
 }
@@ -141,11 +158,12 @@
 	}
 	w.start(ctx, direct)
 	switch {
-	case !w.g.forwardEarly:
+	case !w.g.forwardEarly || w.g.owning():
+		// A process that is the owner would only repeat its own call.
 	case w.g.breaker.suspect():
 		w.start(ctx, viaOwner)
 	default:
-		w.timer.Reset(min(w.g.writeLatency.forwardDelay(), timeLeft(ctx)/3))
+		w.timer.Reset(min(w.g.writeLatency.forwardDelay(), timeLeft(ctx)/maxForwardDivisor))
 	}
 }
 
@@ -161,7 +179,7 @@
 
 // forwardIfTimeAllows starts an attempt through the owner unless it would be cut off.
 func (w *rowWrite) forwardIfTimeAllows(ctx context.Context) {
-	if timeLeft(ctx) >= w.minAttemptTime {
+	if timeLeft(ctx) >= w.leastAttempt {
 		w.start(ctx, viaOwner)
 	}
 }
@@ -184,33 +202,60 @@
 // apply takes in the result of an attempt. It reports whether the write has ended.
 func (w *rowWrite) apply(ctx context.Context, r attemptResult) (bool, error) {
 	w.record(r)
-	switch kind := errkind.Of(r.err); {
-	case kind == errkind.None || kind == errkind.Conflict:
+	if created(r.err) {
 		return true, nil
-	case w.busy() && r.path == direct:
-		return false, nil
-	case w.refusal != nil && !w.busy():
-		return true, w.failure()
-	case r.path == direct:
-		if w.forwardIfTimeAllows(ctx); w.busy() {
-			return false, nil
-		}
-	case w.failing && !w.busy() && !w.uncertain:
-		return true, w.failure()
 	}
-	if !w.scheduleRetry(ctx) && !w.busy() {
+	ended := false
+	if r.path == direct {
+		ended = w.directFailed(ctx)
+	} else {
+		ended = w.viaOwnerFailed(ctx)
+	}
+	if ended {
 		return true, w.failure()
 	}
 	return false, nil
 }
 
+// created reports whether the row exists after an attempt with this error.
+func created(err error) bool {
+	kind := errkind.Of(err)
+	return kind == errkind.None || kind == errkind.Conflict
+}
+
+// directFailed continues after a failed direct attempt: with the attempt in progress through the owner, else with a new one, else
+// with a retry. It reports whether the write has failed.
+func (w *rowWrite) directFailed(ctx context.Context) bool {
+	if w.busy() {
+		return false
+	}
+	if w.refusal != nil {
+		return true
+	}
+	w.forwardIfTimeAllows(ctx)
+	return !w.busy() && !w.scheduleRetry(ctx)
+}
+
+// viaOwnerFailed continues after a failed attempt through the owner: with a retry, while a direct attempt in progress goes on. It
+// reports whether the write has failed.
+func (w *rowWrite) viaOwnerFailed(ctx context.Context) bool {
+	if w.busy() {
+		w.scheduleRetry(ctx)
+		return false
+	}
+	if w.refusal != nil || w.failing && !w.uncertain {
+		return true
+	}
+	return !w.scheduleRetry(ctx)
+}
+
 // record updates the state by the result of an attempt.
 func (w *rowWrite) record(r attemptResult) {
 	w.inProgress[r.path] = false
 	w.lastErr = r.err
 	kind := errkind.Of(r.err)
 	switch {
-	case kind == errkind.None || kind == errkind.Conflict:
+	case created(r.err):
 	case r.path == viaOwner:
 		w.uncertain = w.uncertain || kind.Attributes().Execution != errkind.ExecutionNotRun
 	case kind == errkind.StoreAmbiguous:
@@ -225,7 +270,7 @@
 func (w *rowWrite) scheduleRetry(ctx context.Context) bool {
 	delay := w.retryDelay
 	if !w.uncertain {
-		delay = min(delay, timeLeft(ctx)-w.minAttemptTime)
+		delay = min(delay, timeLeft(ctx)-w.leastAttempt)
 	}
 	if delay <= 0 {
 		return false
@@ -242,11 +287,11 @@
 		select {
 		case r := <-w.results:
 			w.record(r)
-			if kind := errkind.Of(r.err); kind == errkind.None || kind == errkind.Conflict {
+			if created(r.err) {
 				return nil
 			}
 		case <-timeout:
-			w.uncertain, w.inProgress = true, [2]bool{}
+			w.uncertain, w.inProgress = true, [pathCount]bool{}
 		}
 	}
 	return w.failure()
@@ -270,13 +315,29 @@
 	startedAt := g.clock.Now()
 	_, err := g.store.Commit(ctx, store.Txn{Conds: []store.Cond{{Key: key}}, Writes: []store.Write{{Key: key, Value: value}}})
 	failed := errkind.Of(err) == errkind.StoreAmbiguous || errkind.Of(err) == errkind.StoreUnavailable
-	g.breaker.record(failed, startedAt)
-	if !failed {
-		g.writeLatency.observe(g.clock.Now() - startedAt)
+	took := g.clock.Now() - startedAt
+	switch {
+	case !failed:
+		g.breaker.record(false, startedAt)
+		g.writeLatency.observe(took)
+	case ctx.Err() == context.Canceled:
+		g.recordCancelled(context.Cause(ctx), startedAt, took)
+	default:
+		g.breaker.record(true, startedAt)
 	}
 	return err
 }
 
+// recordCancelled records a write that was cancelled without an answer. The end of the request says nothing about the store. A
+// faster answer of the owner counts as a failure of the store only while the store has answered nothing to this process
+// since a write went without a timely answer; otherwise the store may just be slower than the owner.
+func (g *Gateway) recordCancelled(cause error, startedAt, took time.Duration) {
+	g.writeLatency.observeAtLeast(took)
+	if errors.Is(cause, errAnswered) && g.breaker.suspect() {
+		g.breaker.record(true, startedAt)
+	}
+}
+
 // ownerPeer returns the connection from the owner, nil when there is none or the owner is silent.
 func (g *Gateway) ownerPeer() *wire.Peer {
 	if g.owner.SinceLastMessage() > maxOwnerSilence {
@@ -302,8 +363,8 @@
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	_, err := p.Call(ctx, &wire.CreateRow{Key: key, Value: value})
-	if context.Cause(ctx) == context.Canceled {
-		return err // the direct write was faster
+	if ctx.Err() == context.Canceled {
+		return err // the direct write was faster, or the request has ended
 	}
 	g.observeForward(err)
 	return err
--- a/ingress/gateway/write_test.go
+++ b/ingress/gateway/write_test.go
@@ -36,8 +36,9 @@
 	answer  answer
 	calls   atomic.Int64
 	pending atomic.Int64
-	// atEnd is the kind of the error of a commit that is cut off.
-	atEnd errkind.Kind
+	// atEnd is the kind of the error of a commit that is cut off, endsAfter how long it then takes to end.
+	atEnd     errkind.Kind
+	endsAfter time.Duration
 }
 
 func (a *answeringTable) Commit(ctx context.Context, _ store.Txn) ([]uint64, error) {
@@ -46,6 +47,7 @@
 	defer a.pending.Add(-1)
 	select {
 	case <-ctx.Done():
+		time.Sleep(a.endsAfter)
 		return nil, errkind.New(a.atEnd, "no answer")
 	case <-time.After(a.answer.after):
 	}
@@ -95,6 +97,12 @@
 		owner    *answer
 		want     errkind.Kind
 		min, max time.Duration
+		// commits and forwards are the numbers of calls on each path, 0 for any that is allowed.
+		commits, forwards int64
+		// endsAfter is how long a call to the store goes on after it was cancelled.
+		endsAfter time.Duration
+		// noForward is set if nothing goes through the owner before the direct write has failed.
+		noForward bool
 	}{
 		"store in time":                          {store: answer{after: 20 * ms}, owner: &ok, min: 20 * ms, max: 20 * ms},
 		"store silent, owner served":             {store: silent, owner: &ok, min: 100 * ms, max: 110 * ms},
@@ -106,6 +114,10 @@
 		"store silent, owner cut off":            {store: silent, owner: &silent, want: ambiguous, min: 600 * ms, max: 750 * ms},
 		"both late, store first":                 {store: answer{after: 400 * ms}, owner: &answer{after: 350 * ms}, min: 400 * ms, max: 400 * ms},
 		"both late, owner first":                 {store: answer{after: 500 * ms}, owner: &answer{after: 300 * ms}, min: 400 * ms, max: 410 * ms},
+		"both take 400 ms":                       {store: answer{after: 400 * ms}, owner: &answer{after: 400 * ms}, min: 400 * ms, max: 400 * ms, commits: 1, forwards: 1},
+		"call goes on, no owner":                 {store: silent, want: ambiguous, endsAfter: 50 * ms, min: 600 * ms, max: 750 * ms},
+		"call goes on, owner cut off":            {store: silent, owner: &silent, want: ambiguous, endsAfter: 50 * ms, min: 600 * ms, max: 750 * ms},
+		"call goes on, no early write":           {store: silent, owner: &ok, noForward: true, want: ambiguous, endsAfter: 50 * ms, min: 600 * ms, max: 750 * ms},
 		"both too late":                          {store: answer{after: 900 * ms}, owner: &answer{after: 800 * ms}, want: ambiguous, min: 600 * ms, max: 750 * ms},
 		"store resets, owner served":             {store: answer{kind: ambiguous}, owner: &ok, max: 10 * ms},
 		"store resets, owner refuses":            {store: answer{kind: ambiguous}, owner: &answer{kind: queueFull}, want: ambiguous, min: 600 * ms, max: 750 * ms},
@@ -117,11 +129,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				table := &answeringTable{answer: c.store, atEnd: ambiguous}
+				table := &answeringTable{answer: c.store, atEnd: ambiguous, endsAfter: c.endsAfter}
 				if c.unsent {
 					table.atEnd = unavailable
 				}
 				g := virtualGateway(table)
+				g.forwardEarly = !c.noForward
 				forwarded := new(atomic.Int64)
 				if c.owner != nil {
 					forwarded = connectAnsweringOwner(t, g, *c.owner)
@@ -131,7 +144,9 @@
 				took := time.Since(start)
 				assert.Equal(t, errkind.Of(err), c.want, "%v", err)
 				assert.Assert(t, took >= c.min && took <= c.max, "the answer took %v", took)
+				time.Sleep(c.endsAfter)
 				synctest.Wait()
+				assert.Assert(t, c.commits == 0 || table.calls.Load() == c.commits && forwarded.Load() == c.forwards, "%d and %d calls", table.calls.Load(), forwarded.Load())
 				assert.Equal(t, table.pending.Load(), int64(0), "a commit goes on after the answer")
 				assert.Assert(t, table.calls.Load() <= 6 && forwarded.Load() <= 6, "%d and %d calls", table.calls.Load(), forwarded.Load())
 			})
@@ -206,3 +221,61 @@
 	<-ctx.Done()
 	return nil, errkind.New(errkind.StoreUnavailable, "no answer")
 }
+
+// Guards against a breaker that opens although the store answers: a cancelled write is none that has failed.
+func TestCancelledWritesAreNoStoreFailures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := virtualGateway(&answeringTable{answer: answer{after: 300 * time.Millisecond}, atEnd: errkind.StoreAmbiguous})
+		// The store answers other calls of this process all the time.
+		g.breaker.lastResponse = func() time.Duration { return g.clock.Now() }
+		connectAnsweringOwner(t, g, answer{after: 10 * time.Millisecond})
+		// More writes would last longer than maxOwnerSilence.
+		for range 6 {
+			assert.NilError(t, g.Submit(t.Context(), &manifest.Route{Name: "q"}, testSubmission()))
+			synctest.Wait()
+			assert.Equal(t, g.breaker.failingSince, time.Duration(0), "a write that the owner was faster with counts as failed")
+		}
+		assert.Equal(t, g.writeLatency.forwardDelay(), maxForwardDelay, "the latency is not learnt from cancelled writes")
+	})
+	synctest.Test(t, func(t *testing.T) {
+		g := virtualGateway(&answeringTable{answer: answer{after: never}, atEnd: errkind.StoreAmbiguous})
+		for range 20 {
+			ctx, cancel := context.WithCancel(t.Context())
+			time.AfterFunc(50*time.Millisecond, cancel)
+			assert.Assert(t, g.Submit(ctx, &manifest.Route{Name: "q"}, testSubmission()) != nil)
+			synctest.Wait()
+		}
+		assert.Assert(t, !g.breaker.open(), "requesters that go away open the breaker")
+	})
+}
+
+// Guards against an owner that sends each write twice to a store that is slow for it.
+func TestOwnerMakesNoEarlyWritesThroughItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &answeringTable{answer: answer{after: 400 * time.Millisecond}, atEnd: errkind.StoreAmbiguous}
+		g := virtualGateway(table)
+		g.owning = func() bool { return true }
+		forwarded := connectAnsweringOwner(t, g, answer{})
+		assert.NilError(t, g.Submit(t.Context(), &manifest.Route{Name: "q"}, testSubmission()))
+		assert.Equal(t, forwarded.Load(), int64(0))
+		assert.Equal(t, table.calls.Load(), int64(1))
+	})
+}
+
+// Guards against a cancellation that fails although its read and its write take less than the time left.
+func TestCancellationAtSlowStoreWithoutOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := virtualGateway(slowTable{&answeringTable{answer: answer{after: 250 * time.Millisecond}, atEnd: errkind.StoreAmbiguous}})
+		assert.NilError(t, g.Cancel(t.Context(), &manifest.Route{Name: "q"}, testID))
+	})
+}
+
+// slowTable takes as long for reads as for writes. Each row exists.
+type slowTable struct{ *answeringTable }
+
+func (s slowTable) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
+	if _, err := s.Commit(ctx, store.Txn{}); err != nil {
+		return nil, err
+	}
+	return []store.Row{{Key: keys[0]}}, nil
+}
--- a/verify/histories/cluster_test.go
+++ b/verify/histories/cluster_test.go
@@ -158,7 +158,8 @@
 	owner := member.NewOwnerLink(c.clock, p.log)
 	current := func() *manifest.Manifest { return c.manifest }
 	p.requests = gateway.New(gateway.Config{Store: p.link, Clock: c.clock, Log: p.log, Owner: owner, Manifest: current, ManifestAge: func() time.Duration { return 0 }, MaxManifestAge: time.Second,
-		StoreLastResponse: c.clock.Now, Observe: func(string, int, time.Duration, error) {}, ObserveForward: func(error) {}, ForwardEarly: true})
+		StoreLastResponse: c.clock.Now, Observe: func(string, int, time.Duration, error) {}, ObserveForward: func(error) {}, ForwardEarly: true,
+		Owning: func() bool { return p.candidate != nil && p.candidate.Owning() }})
 	zones := evacuation.NewFollower(evacuatedZone, p.log)
 	follower := follow.New(p.link, operatorTable, follow.Sinks{zones}, c.clock, p.log)
 	evacuations := func() evacuation.State {
