--- a/base/events/dispatch.go
+++ b/base/events/dispatch.go
@@ -70,6 +70,8 @@
 	PlaceWaitBegun    = define(678, "place_wait_begun", zerolog.InfoLevel, "A task or a gang, of which task is the first member, waits for room at its rack although it fits elsewhere. there and elsewhere are the times to the expected end, until the time after which it starts elsewhere.")
 	PlaceWaitEnded    = define(679, "place_wait_ended", zerolog.InfoLevel, "A wait for a rack has ended with a start. local tells whether the run is at the rack, reason why the wait ended.")
 	LogLinesDropped   = define(660, "log_lines_dropped", zerolog.WarnLevel, "Log lines were dropped because the log could not be written fast enough.")
+
+	OwnershipHandedOver = define(680, "ownership_handed_over", zerolog.InfoLevel, "The owner resigns, since the entry to is clearly more capable. cpu is in thousandths of a processor. ownership_taken on that entry or another one follows.")
 )
 
 // Events of admission control.
--- a/command/deployed/entry.go
+++ b/command/deployed/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -32,8 +31,18 @@
 	// rotationExitDelay is how long the platform takes to stop sending new connections here: two
 	// readiness probes, one second apart, and a margin.
 	rotationExitDelay = 2500 * time.Millisecond
-	// shutdownMargin is reserved at the end of the grace period for the final shutdown.
-	shutdownMargin = time.Second
+	// shutdownMargin is reserved at the end of the grace period to answer the requests in progress.
+	shutdownMargin = drainTime + maxRequestTime + exitMargin
+	// drainTime is how long connections are accepted after that, so that none waits when the socket is closed. A process may be
+	// held off its processor for one period of the operating system's quota, 100 ms.
+	drainTime = 200 * time.Millisecond
+	// maxRequestTime is the longest time for a request while the store does not answer.
+	maxRequestTime = 700 * time.Millisecond
+	// exitMargin is left of the grace period for the end of the process, three periods of that quota.
+	exitMargin = 300 * time.Millisecond
+	// drainDivisor and exitDivisor bound these times to parts of a short grace period.
+	drainDivisor = 4
+	exitDivisor  = 2
 	// idleCheckInterval is the interval between checks for open connections during a stop.
 	idleCheckInterval = 50 * time.Millisecond
 	// headerTimeout and idleTimeout are the timeouts of requester connections.
@@ -47,9 +56,9 @@
 	manifest    *manifest.Follower
 	evacuations *evacuation.Follower
 	// follower follows the operators' table for manifest and evacuations.
-	follower  *follow.Follower
-	stopping  atomic.Bool
-	openConns atomic.Int64
+	follower *follow.Follower
+	stopping atomic.Bool
+	conns    requestConns
 }
 
 func (p *process) runEntry() error {
@@ -60,7 +69,7 @@
 	e := &entryProcess{process: p, manifest: manifest.NewFollower(platform.ManifestKey, platform.DecodeManifest, p.log),
 		evacuations: evacuation.NewFollower(platform.EvacuatedZone, p.log)}
 	e.follower = follow.New(p.store, platform.OperatorTable, follow.Sinks{e.manifest, e.evacuations}, p.clock, p.log)
-	self := p.registration(member.Entry)
+	self := p.entryRegistration()
 	var adviceClient advice.Client
 	if p.settings.AdviceAddress != "" {
 		adviceClient = platform.NewAdviceClient(p.settings.AdviceAddress)
@@ -71,7 +80,8 @@
 		ManifestVersion: e.manifestVersion, ManifestAge: e.manifestAge, OwnerSilence: p.link.SinceLastMessage, OwnerCounters: candidate.Counters})
 	g := gateway.New(gateway.Config{Store: p.store, Clock: p.clock, Log: p.log, Owner: p.link, Manifest: e.manifest.Current,
 		ManifestAge: e.manifestAge, MaxManifestAge: p.settings.Bounds.ConfigApply, MaxRowBytes: p.settings.MaxRowBytes,
-		StoreLastResponse: e.follower.LastAnswer, Observe: m.ObserveResponse, ObserveForward: m.ObserveForward, Admission: p.admission(self, m)})
+		StoreLastResponse: e.follower.LastAnswer, Observe: m.ObserveResponse, ObserveForward: m.ObserveForward,
+		ForwardEarly: p.options.EarlyForward.Enabled, Owning: candidate.Owning, Admission: p.admission(self, m)})
 	control, err := p.listen(ctx, self.Address)
 	if err != nil {
 		return err
@@ -84,14 +94,14 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: platform.RequestHandler(g), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: e.trackConn}
-	readinessServer := &http.Server{Handler: platform.ReadinessHandler(e.ready), ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: closeWhenStopping(platform.RequestHandler(g), &e.stopping), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: e.conns.track}
 	go e.follower.Run(workCtx, 0)
 	go member.Serve(control, p.link, p.link.Handle)
 	go member.KeepRegistered(workCtx, p.store, self, p.link.SinceLastMessage)
-	go p.serveHTTP(server, requests)
-	go p.serveHTTP(readinessServer, readiness)
-	go p.serveMetrics(ctx, m.Registry)
+	drainable := newDrainListener(requests)
+	go p.serveHTTP(server, drainable)
+	go p.serveInternal("readiness", platform.ReadinessHandler(e.ready), readiness, m.Connections)
+	go p.serveMetrics(ctx, m)
 	candidateDone := make(chan struct{})
 	go func() {
 		defer close(candidateDone)
@@ -100,7 +110,7 @@
 	events.ProcessStarted.Log(p.log).Str("role", "entry").Str("requests", p.settings.RequestAddress).Str("control", self.Address).
 		Uint64("incarnation", self.Incarnation).Send()
 	<-ctx.Done()
-	e.shutdown(server, candidateDone)
+	e.shutdown(server, drainable, candidateDone)
 	return nil
 }
 
@@ -127,32 +137,29 @@
 	return !e.stopping.Load() && e.manifest.Current() != nil && ok && age < maxStoreSilence
 }
 
-func (e *entryProcess) trackConn(_ net.Conn, s http.ConnState) {
-	switch s {
-	case http.StateNew:
-		e.openConns.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		e.openConns.Add(-1)
-	default:
-	}
-}
-
-// shutdown releases the ownership, reports the entry as not ready, and serves open connections
-// until they are closed or the grace period is nearly over.
-func (e *entryProcess) shutdown(server *http.Server, candidateDone <-chan struct{}) {
+// shutdown releases the ownership, reports the entry as not ready, and serves requests as before until no more arrive or the
+// grace period is nearly over. Each response then ends its connection.
+func (e *entryProcess) shutdown(server *http.Server, requests *drainListener, candidateDone <-chan struct{}) {
 	start := time.Now()
 	e.stopping.Store(true)
-	events.ProcessStopping.Log(e.log).Int64("connections", e.openConns.Load()).Send()
-	server.SetKeepAlivesEnabled(false)
-	<-candidateDone
-	end := start.Add(e.settings.Bounds.GracePeriod - shutdownMargin)
-	for time.Now().Before(end) && (time.Since(start) < rotationExitDelay || e.openConns.Load() > 0) {
-		time.Sleep(idleCheckInterval)
+	events.ProcessStopping.Log(e.log).Int("connections", e.conns.count()).Send()
+	end := start.Add(e.settings.Bounds.GracePeriod)
+	for time.Until(end) > shutdownMargin && (time.Since(start) < rotationExitDelay || e.conns.busy()) {
+		time.Sleep(min(idleCheckInterval, time.Until(end)-shutdownMargin))
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownMargin/2)
+	grace := e.settings.Bounds.GracePeriod
+	if err := requests.drain(min(drainTime, grace/drainDivisor)); err != nil {
+		events.ListenerNotDrained.Log(e.log).Err(err).Send()
+	}
+	e.conns.closeUnused()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Until(end)-min(exitMargin, grace/exitDivisor))
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
-		events.StopTimedOut.Log(e.log).Int64("connections", e.openConns.Load()).Err(err).Send()
+		events.StopTimedOut.Log(e.log).Int("connections", e.conns.count()).Err(err).Send()
+	}
+	select {
+	case <-candidateDone:
+	case <-ctx.Done():
 	}
 	events.ProcessStopped.Log(e.log).Send()
 }
--- a/control/coordinator/owner.go
+++ b/control/coordinator/owner.go
@@ -38,6 +38,11 @@
 	statusInterval = 2 * time.Second
 	// maxForwardedWrites bounds the writes in progress for entries that the store does not serve.
 	maxForwardedWrites = 64
+	// forwardedWriteTimeout bounds such a write. The entry does not wait for longer.
+	forwardedWriteTimeout = 700 * time.Millisecond
+	// maxCommitAgeToForward is the age of the last commit from which the store does not seem to serve the owner either, so
+	// that it refuses such writes instead of leaving their outcome unknown.
+	maxCommitAgeToForward = 2 * maxCommitInterval
 	// inboxSize bounds the events queued for the owner's loop.
 	inboxSize = 4096
 )
@@ -98,7 +103,10 @@
 	lastQueueCounts    time.Duration
 	lastMemberCleanup  time.Duration
 	lastStatus         time.Duration
-	wg                 sync.WaitGroup
+	lastHandOverCheck  time.Duration
+	// startedAt is when the term began, handedOverAt when this process last handed over, 0 for never.
+	startedAt, handedOverAt time.Duration
+	wg                      sync.WaitGroup
 }
 
 type commitResult struct {
@@ -114,7 +122,7 @@
 	bounds := cfg.Bounds
 	bounds.PreviousOwnerWindow = previousOwnerWindow
 	o.lastCommitSent.Store(int64(cfg.Clock.Now()))
-	o.lastMemberCleanup = cfg.Clock.Now()
+	o.lastMemberCleanup, o.startedAt = cfg.Clock.Now(), cfg.Clock.Now()
 	o.dispatcher = dispatch.New(bounds, row.Epoch, cfg.Clock.Now(), unix, cfg.Log)
 	o.committer = committer{table: cfg.Store, row: row, onRetry: func(err error) {
 		events.CommitRetried.Log(cfg.Log).Err(err).Uint64("epoch", row.Epoch).Send()
@@ -124,7 +132,7 @@
 		dial = dialTCP
 	}
 	o.conns = &memberConns{leadMessage: o.leadMessage, clock: cfg.Clock, log: cfg.Log, dial: dial, handler: o.receive,
-		registeredAt: make(map[string]time.Duration), lastAcked: make(map[string]time.Duration),
+		registeredAt: make(map[string]time.Duration), lastAcked: make(map[string]time.Duration), connectedAt: make(map[string]time.Duration),
 		onDisconnect: o.memberDisconnected,
 		peers:        make(map[string]*wire.Peer), cancels: make(map[string]context.CancelFunc), ended: make(map[string]chan struct{}), members: make(map[string]member.Member),
 		versions: make(map[string]uint64)}
@@ -213,7 +221,12 @@
 		return wire.ErrorReply(errkind.New(errkind.QueueFull, "%d forwarded writes are in progress; nothing was written", maxForwardedWrites))
 	}
 	defer func() { <-o.forwardedWrites }()
-	_, err := o.cfg.Store.Commit(context.Background(), store.Txn{Conds: []store.Cond{{Key: m.Key}}, Writes: []store.Write{{Key: m.Key, Value: m.Value}}})
+	if age := o.cfg.Clock.Now() - time.Duration(o.lastCommitSent.Load()); age > maxCommitAgeToForward {
+		return wire.ErrorReply(errkind.New(errkind.StoreUnavailable, "the owner's last commit is %s old; nothing was written", age.Round(time.Millisecond)))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), forwardedWriteTimeout)
+	defer cancel()
+	_, err := o.cfg.Store.Commit(ctx, store.Txn{Conds: []store.Cond{{Key: m.Key}}, Writes: []store.Write{{Key: m.Key, Value: m.Value}}})
 	if err != nil {
 		return wire.ErrorReply(err)
 	}
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -193,6 +193,8 @@
 	// PlaceWaits counts the waits of tasks and gangs for their rack, PlaceWaitsLocal those that ended there, PlaceWaitsRemote
 	// those that ended elsewhere. RemoteStarts counts the runs that started away from their data or split over racks.
 	PlaceWaits, PlaceWaitsLocal, PlaceWaitsRemote, RemoteStarts uint64
+	// HandOvers counts the terms that ended since a more capable entry was to own the work.
+	HandOvers uint64
 }
 
 func (c Counters) Add(d Counters) Counters {
@@ -202,7 +204,8 @@
 		PlannedMoves: c.PlannedMoves + d.PlannedMoves, Relocated: c.Relocated + d.Relocated,
 		CopiesStarted: c.CopiesStarted + d.CopiesStarted, CopiesWon: c.CopiesWon + d.CopiesWon, CopiesLost: c.CopiesLost + d.CopiesLost,
 		PlaceWaits: c.PlaceWaits + d.PlaceWaits, PlaceWaitsLocal: c.PlaceWaitsLocal + d.PlaceWaitsLocal,
-		PlaceWaitsRemote: c.PlaceWaitsRemote + d.PlaceWaitsRemote, RemoteStarts: c.RemoteStarts + d.RemoteStarts}
+		PlaceWaitsRemote: c.PlaceWaitsRemote + d.PlaceWaitsRemote, RemoteStarts: c.RemoteStarts + d.RemoteStarts,
+		HandOvers: c.HandOvers + d.HandOvers}
 }
 
 // New returns an owner without work. now is the owner's clock, which includes time in suspension;
--- a/state/member/member.go
+++ b/state/member/member.go
@@ -35,6 +35,10 @@
 	Incarnation uint64 `msgpack:"i"`
 	// LastMessage is the highest type of the owner's messages that the process decodes, 0 where its build does not state it.
 	LastMessage uint8 `msgpack:"lm,omitempty"`
+	// CPU (in thousandths of a processor), MemoryMB and LinkMbps are what the machine of an entry has, 0 if unknown.
+	CPU      int64   `msgpack:"c,omitempty"`
+	MemoryMB int64   `msgpack:"m,omitempty"`
+	LinkMbps float64 `msgpack:"l,omitempty"`
 }
 
 // Understands reports whether the member decodes messages of a type. Types up to wire.TypeCreateRow are older than the
--- a/verify/histories/cluster_test.go
+++ b/verify/histories/cluster_test.go
@@ -15,6 +15,7 @@
 	"github.com/chicorystand/chicorystand/control/dispatch"
 	"github.com/chicorystand/chicorystand/control/evacuation"
 	"github.com/chicorystand/chicorystand/control/manifest"
+	"github.com/chicorystand/chicorystand/control/succession"
 	"github.com/chicorystand/chicorystand/control/task"
 	"github.com/chicorystand/chicorystand/ingress/gateway"
 	"github.com/chicorystand/chicorystand/state/follow"
@@ -56,6 +57,8 @@
 	log   zerolog.Logger
 	// requests is the gateway of an entry.
 	requests *gateway.Gateway
+	// candidate is that of an entry.
+	candidate *coordinator.Candidate
 	// agent is the agent of an executor.
 	agent *vmagent.Agent
 }
@@ -72,6 +75,9 @@
 	entries   [entryCount]*process
 	agents    [executorCount]*process
 	executors [executorCount]*standin.Executor
+	machines  [entryCount]succession.Capability
+	// handOvers counts the hand-overs of entries that have been killed since.
+	handOvers uint64
 	manifest  *manifest.Manifest
 	// unguarded is set if the executors don't guard their capacity.
 	unguarded bool
@@ -87,7 +93,7 @@
 
 func newCluster(ctx context.Context, p plan) *cluster {
 	start := time.Now()
-	c := &cluster{ctx: ctx, start: start, net: inmem.NewNet(1), table: standin.NewTable(800, 2000), clock: clock.NewRuntime(), taskWork: p.work.TaskWork, unguarded: p.unguarded,
+	c := &cluster{ctx: ctx, start: start, net: inmem.NewNet(1), table: standin.NewTable(800, 2000), clock: clock.NewRuntime(), taskWork: p.work.TaskWork, unguarded: p.unguarded, machines: p.machines,
 		recorder: history.NewRecorder(func() time.Duration { return time.Since(start) }), partitioned: make(map[string]bool), down: make(map[string]bool), log: zerolog.Nop()}
 	if *logLines {
 		c.log = zerolog.New(zerolog.SyncWriter(os.Stderr)).With().Timestamp().Logger()
@@ -150,10 +156,12 @@
 	p, ctx := c.newProcess(entryName(i))
 	c.entries[i] = p
 	self := c.member(p.name, member.Entry)
+	self.CPU, self.MemoryMB, self.LinkMbps = c.machines[i].CPU, c.machines[i].MemoryMB, c.machines[i].LinkMbps
 	owner := member.NewOwnerLink(c.clock, p.log)
 	current := func() *manifest.Manifest { return c.manifest }
 	p.requests = gateway.New(gateway.Config{Store: p.link, Clock: c.clock, Log: p.log, Owner: owner, Manifest: current, ManifestAge: func() time.Duration { return 0 }, MaxManifestAge: time.Second,
-		StoreLastResponse: c.clock.Now, Observe: func(string, int, time.Duration, error) {}, ObserveForward: func(error) {}})
+		StoreLastResponse: c.clock.Now, Observe: func(string, int, time.Duration, error) {}, ObserveForward: func(error) {}, ForwardEarly: true,
+		Owning: func() bool { return p.candidate != nil && p.candidate.Owning() }})
 	zones := evacuation.NewFollower(evacuatedZone, p.log)
 	follower := follow.New(p.link, operatorTable, follow.Sinks{zones}, c.clock, p.log)
 	evacuations := func() evacuation.State {
@@ -164,6 +172,7 @@
 		Dial: c.net.Dialer(p.name), HighestEpoch: owner.Epoch, Manifest: current,
 		Bounds: dispatch.Bounds{LeaseDuration: testLease, Evacuation: history.EvacuationBound, AckValidity: 2 * time.Second, MaxStoreOutage: 15 * time.Second, StopTimeout: testStopTimeout, Retention: time.Hour,
 			Features: dispatch.Features{Copies: true}}}, owner)
+	p.candidate = candidate
 	l := c.net.Listen(p.name, self.Address)
 	go member.Serve(l, owner, owner.Handle)
 	go member.KeepRegistered(ctx, p.link, self, owner.SinceLastMessage)
@@ -273,6 +282,11 @@
 	p.stop()
 	c.net.Kill(p.name)
 	<-p.ended
+	if p.candidate != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.handOvers += p.candidate.Counters().HandOvers
+	}
 }
 
 // setPartitioned cuts a process off from all others, or reconnects it.
--- a/verify/histories/histories_test.go
+++ b/verify/histories/histories_test.go
@@ -89,6 +89,9 @@
 		events = c.recorder.Events()
 		violations = history.Check(events, history.Options{Finished: true})
 		t.Logf("%d submissions, %d faults, %d events, %v of virtual time", len(p.work.Requests), len(p.faults), len(events), time.Since(c.start))
+		if p.inspect != nil {
+			p.inspect(c)
+		}
 		c.shutdown()
 		cancel()
 		synctest.Wait()
--- a/verify/histories/plan_test.go
+++ b/verify/histories/plan_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/chicorystand/chicorystand/control/succession"
 	"github.com/chicorystand/chicorystand/verify/workload"
 )
 
@@ -67,6 +68,10 @@
 	faults []fault
 	// unguarded is set if the executors don't guard their capacity.
 	unguarded bool
+	// machines are the capabilities of the entries, nothing for unknown ones.
+	machines [entryCount]succession.Capability
+	// inspect, if not nil, is called at the end of the run.
+	inspect func(*cluster)
 }
 
 func milliseconds(t *rapid.T, label string, from, to time.Duration) time.Duration {
