--- a/base/settings/deployment.go
+++ b/base/settings/deployment.go
@@ -11,9 +11,6 @@
 		// FairShares is off by default: on the known deployments its effect has not been measured.
 		FairShares bool `koanf:"fair_shares" default:"false" doc:"Divide the capacity equally among the queues of one priority while more work waits than there is room for."`
 	} `koanf:"overload"`
-	Copies struct {
-		Enabled bool `koanf:"enabled" default:"true" doc:"Start speculative copies of runs for steps that allow them."`
-	} `koanf:"copies"`
 	PlaceWait struct {
 		Enabled bool `koanf:"enabled" default:"true" doc:"Let tasks wait for their preferred rack as long as that is expected to pay."`
 	} `koanf:"place_wait"`
--- a/base/settings/settings_test.go
+++ b/base/settings/settings_test.go
@@ -77,10 +77,10 @@
 
 // Guards against a process on the platform that ignores a switch in its environment, or accepts an undefined value.
 func TestDeploymentFromEnvironment(t *testing.T) {
-	t.Setenv("CHICORY_COPIES_ENABLED", "false")
+	t.Setenv("CHICORY_OVERLOAD_ENABLED", "false")
 	var s settings.Deployment
 	assert.NilError(t, settings.Load(&s, "", nil))
-	assert.Assert(t, !s.Copies.Enabled && s.PlaceWait.Enabled)
+	assert.Assert(t, !s.Overload.Enabled && s.PlaceWait.Enabled)
 	t.Setenv("CHICORY_PLACE__WAIT_ENABLED", "later")
 	assert.ErrorContains(t, settings.Load(&s, "", nil), `environment CHICORY_PLACE__WAIT_ENABLED: place_wait.enabled: "later" is not allowed`)
 }
--- a/command/deployed/process.go
+++ b/command/deployed/process.go
@@ -176,7 +176,7 @@
 	return dispatch.Bounds{LeaseDuration: min(leaseDuration, b.MaxLease), MaxStoreOutage: maxStoreOutage, AckValidity: ackValidity, StopTimeout: b.StopTimeout, Restore: b.Restore,
 		Evacuation: b.Evacuation, MaxInterference: b.MaxInterference, Retention: 2 * b.StatusRetention,
 		MaxRowBytes: p.settings.MaxRowBytes, RemoteFactor: b.RemoteFactor,
-		Features: dispatch.Features{PoolPlan: o.PoolPlan.Enabled, Backlog: o.Overload.Enabled, FairShares: o.Overload.FairShares, Copies: o.Copies.Enabled, PlaceWait: o.PlaceWait.Enabled}}
+		Features: dispatch.Features{PoolPlan: o.PoolPlan.Enabled, Backlog: o.Overload.Enabled, FairShares: o.Overload.FairShares, PlaceWait: o.PlaceWait.Enabled}}
 }
 
 // takeoverDelay returns how much longer than others this entry waits before it takes over the ownership, as long as it
--- a/control/dispatch/checkpoint.go
+++ b/control/dispatch/checkpoint.go
@@ -2,18 +2,18 @@
 
 import "github.com/chicorystand/chicorystand/control/submission"
 
-// observeCheckpoint records a checkpoint that the executor has reported for the task's run, with its progress.
+// observeCheckpoint records a checkpoint that the executor has reported for the task's run.
 //
 // The members of a gang work only together from the same checkpoint, and that of any member is valid for all.
 // All records hold the one that was new last, since its order among the others is not known from the values. A
 // member that reports its earlier one again, as those do that end with another member, does not bring it back.
-func (o *Owner) observeCheckpoint(t *taskEntry, checkpoint string, percent int) {
+func (o *Owner) observeCheckpoint(t *taskEntry, checkpoint string) {
 	if checkpoint == "" || checkpoint == t.reportedCheckpoint {
 		return
 	}
 	t.reportedCheckpoint = checkpoint
 	if !t.step().Gang {
-		t.keepCheckpoint(checkpoint, percent)
+		t.rec.Checkpoint = checkpoint
 		return
 	}
 	for _, member := range t.job.stepTasks(t.stepKey()) {
--- a/control/dispatch/commit.go
+++ b/control/dispatch/commit.go
@@ -171,14 +171,14 @@
 func (o *Owner) addAcks(b *Batch, later []*recordPart) {
 	for n, end := range o.uncommitted.acks {
 		if len(later) == 0 {
-			b.acks[n] = o.acknowledgeable(n, n.lastEnd)
+			b.acks[n] = n.lastEnd
 			delete(o.uncommitted.acks, n)
 			continue
 		}
 		if end.dirtySequence >= later[0].dirtySince {
 			continue
 		}
-		b.acks[n] = o.acknowledgeable(n, end.number)
+		b.acks[n] = end.number
 		delete(o.uncommitted.acks, n)
 		if n.lastEnd > end.number {
 			o.awaitCommit(n)
--- a/control/dispatch/contention.go
+++ b/control/dispatch/contention.go
@@ -63,7 +63,7 @@
 	var latencies []contention.TaskLatency
 	var reporting []*taskEntry
 	for i := range running {
-		t := o.findRun(running[i].Task, running[i].Number)
+		t := o.find(running[i].Task)
 		switch {
 		case t == nil || t.node != n:
 		case t.step().BestEffort:
@@ -168,7 +168,6 @@
 // PauseOverdue pauses the best-effort work on the nodes whose time for it has come since their last
 // report. It needs no commit, so that it is called while one is in progress too.
 func (o *Owner) PauseOverdue(now time.Duration) {
-	o.observePass(now)
 	for _, n := range o.executors {
 		if n.gone || !n.connected || !n.pauseDue(now) {
 			continue
@@ -223,7 +222,7 @@
 
 // cheapToMove reports whether a run is throttled and can be stopped at little loss.
 func (t *taskEntry) cheapToMove(now time.Duration) bool {
-	if !t.step().BestEffort || t.step().LongRunning || t.paired() || t.phase != phaseRunning || t.stopping || t.speedLimit > maxMoveSpeed || t.speedLimit < 0 || now-t.changedAt < settleTime {
+	if !t.step().BestEffort || t.step().LongRunning || t.phase != phaseRunning || t.stopping || t.speedLimit > maxMoveSpeed || t.speedLimit < 0 || now-t.changedAt < settleTime {
 		return false
 	}
 	return t.step().Checkpoints || t.progressPercent <= maxMovePercent
--- a/control/dispatch/crash.go
+++ b/control/dispatch/crash.go
@@ -104,7 +104,6 @@
 	for i, t := range tasks {
 		if runs[i].AgeKnown {
 			t.rec.CrashAge = max(runs[i].Age, time.Millisecond)
-			t.task().rec.CrashAge = t.rec.CrashAge
 		}
 	}
 	for _, i := range blamed {
@@ -115,9 +114,6 @@
 		if t.suspected() && !before {
 			n.suspects++
 		}
-		if t.main != nil {
-			o.shareCrash(t)
-		}
 		events.CrashAttributed.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", n.info.ID).
 			Dur("age", runs[i].Age).Uint16("crashes", t.rec.Crashes).Int("runs", len(runs)).Send()
 		switch {
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -4,11 +4,11 @@
 // over them. Orders leave the package only after the records that they depend on are committed.
 //
 // The tables are in tables.go and neighbours.go; jobs.go and reports.go change them by submissions and
-// by reports. records.go divides the record of a job into rows. Each pass of Tick has a file: place.go, poolplan.go, preempt.go, move.go, relocation.go, copies.go, zones.go, stall.go and speed.go,
+// by reports. records.go divides the record of a job into rows. Each pass of Tick has a file: place.go, poolplan.go, preempt.go, move.go, relocation.go, zones.go, stall.go and speed.go,
 // contention.go for speed limits. crash.go attributes crashes of executors to tasks. commit.go and orders.go
 // turn decisions into records and orders, and refusal.go handles commits that the store refuses. placewait.go and placewait_gang.go
 // hold tasks and gangs back for their rack. What can be decided without the tables is in packages of its own:
-// ordering, placement, placewait, poolplan, relocation, speculation, backlog, contention, speed, blame, eviction and advice.
+// ordering, placement, placewait, poolplan, relocation, backlog, contention, speed, blame, eviction and advice.
 //
 // The package uses no network and no clock of its own. An Owner is not safe for concurrent use.
 package dispatch
@@ -67,8 +67,6 @@
 	Backlog bool
 	// FairShares divides the capacity among the queues of one priority while they ask for more than there is.
 	FairShares bool
-	// Copies starts speculative copies for steps that allow them.
-	Copies bool
 	// PlaceWait lets tasks wait for their preferred rack.
 	PlaceWait bool
 }
@@ -159,16 +157,6 @@
 	counters   Counters
 	// backlogLoggedAt is when a backlog was last logged.
 	backlogLoggedAt time.Duration
-	// heldEnds are the ends of older runs that wait until it is known whether the start of the newer one was carried out.
-	heldEnds []heldEnd
-	// passedAt is when this process last made a pass, inContactSince since when it has made them without interruption.
-	passedAt, inContactSince time.Duration
-	// copiedAt is when runs to copy were last searched for.
-	copiedAt time.Duration
-	// fullForCopies holds the steps for which the last search found no room.
-	fullForCopies map[stepKey]bool
-	// unresponsiveIDs are the IDs of the executors that did not respond in the last search, empty if the owner itself may have been cut off.
-	unresponsiveIDs map[string]bool
 }
 
 // Counters are totals since the owner started.
@@ -187,9 +175,6 @@
 	PlannedMoves, Relocated uint64
 	// RefusedWrites counts the changes that the store has refused for good.
 	RefusedWrites uint64
-	// CopiesStarted counts the speculative copies, CopiesWon those that were done first, CopiesLost those that were not, since the
-	// older run was done first, the copy was lost or failed, or its submission has ended.
-	CopiesStarted, CopiesWon, CopiesLost uint64
 	// PlaceWaits counts the waits of tasks and gangs for their rack, PlaceWaitsLocal those that ended there, PlaceWaitsRemote
 	// those that ended elsewhere. RemoteStarts counts the runs that started away from their data or split over racks.
 	PlaceWaits, PlaceWaitsLocal, PlaceWaitsRemote, RemoteStarts uint64
@@ -202,7 +187,6 @@
 		Lost: c.Lost + d.Lost, Rejected: c.Rejected + d.Rejected, Withdrawn: c.Withdrawn + d.Withdrawn, ZoneWaits: c.ZoneWaits + d.ZoneWaits,
 		GivenUp: c.GivenUp + d.GivenUp, Resent: c.Resent + d.Resent, RefusedWrites: c.RefusedWrites + d.RefusedWrites,
 		PlannedMoves: c.PlannedMoves + d.PlannedMoves, Relocated: c.Relocated + d.Relocated,
-		CopiesStarted: c.CopiesStarted + d.CopiesStarted, CopiesWon: c.CopiesWon + d.CopiesWon, CopiesLost: c.CopiesLost + d.CopiesLost,
 		PlaceWaits: c.PlaceWaits + d.PlaceWaits, PlaceWaitsLocal: c.PlaceWaitsLocal + d.PlaceWaitsLocal,
 		PlaceWaitsRemote: c.PlaceWaitsRemote + d.PlaceWaitsRemote, RemoteStarts: c.RemoteStarts + d.RemoteStarts,
 		HandOvers: c.HandOvers + d.HandOvers}
@@ -218,7 +202,7 @@
 	return &Owner{bounds: b, epoch: epoch, startedAt: now, now: now, modelWrittenAt: now, lastCommit: now, log: log, unixMillis: unix, jobs: make(map[string]*job),
 		executors: make(map[submission.Incarnation]*node), incarnations: make(map[string][]*node), waiting: make(map[stepKey]*waitingStep), scheduled: make(map[string]*job),
 		dirty: make(map[*recordPart]struct{}), outbox: make(map[submission.Incarnation]*outbox), uncommitted: newEffects(), estimates: make(map[string]*speed.EstimateAccuracy), contention: model,
-		compatibility: make(map[string]float64), crashes: make(map[string]crash), pools: make(map[string]*pool), moveTargets: make(map[stepKey]*pool), fullForCopies: make(map[stepKey]bool), unresponsiveIDs: make(map[string]bool), advice: advice.NewTable()}
+		compatibility: make(map[string]float64), crashes: make(map[string]crash), pools: make(map[string]*pool), moveTargets: make(map[stepKey]*pool), advice: advice.NewTable()}
 }
 
 func (o *Owner) Epoch() uint64 { return o.epoch }
@@ -237,9 +221,7 @@
 func (o *Owner) Tick(now time.Duration) {
 	o.now = now
 	clear(o.pools)
-	o.observePass(now)
 	o.expireLeases(now)
-	o.settleHeldEnds(now)
 	o.releaseDueOccurrences(now)
 	o.saveDrainingRuns(now)
 	o.withdrawStarts(now)
@@ -250,7 +232,6 @@
 		o.moveRuns(now)
 		o.placeWaiting(now)
 		o.preempt(now)
-		o.startCopies(now)
 	}
 	o.retryOrders(now)
 	o.removeExpired(now)
--- a/control/dispatch/dispatch_test.go
+++ b/control/dispatch/dispatch_test.go
@@ -21,8 +21,6 @@
 	now      time.Duration
 	messages []AgentMessage
 	rows     map[string][]byte
-	// features are those of new owners.
-	features Features
 }
 
 const testEpoch = 3
@@ -44,9 +42,7 @@
 }
 
 func (f *fixture) newOwner(epoch uint64) *Owner {
-	b := testBounds()
-	b.Features = f.features
-	return New(b, epoch, f.now, func(now time.Duration) int64 { return now.Milliseconds() }, zerolog.Nop())
+	return New(testBounds(), epoch, f.now, func(now time.Duration) int64 { return now.Milliseconds() }, zerolog.Nop())
 }
 
 // executor reports an executor with its running and ended runs.
--- a/control/dispatch/jobs.go
+++ b/control/dispatch/jobs.go
@@ -53,7 +53,6 @@
 	for i, t := range j.tasks {
 		t.rec = r.Tasks[i]
 		t.startCheckpoint, t.reportedCheckpoint = t.rec.Checkpoint, t.rec.Checkpoint
-		o.restoreCopies(t)
 		j.started = j.started || t.rec.Begun()
 		switch t.rec.State {
 		case submission.TaskDone:
@@ -128,7 +127,7 @@
 	}
 	w.tasks = w.tasks[:0]
 	for _, t := range j.stepTasks(k) {
-		if t.rec.State == submission.TaskPending && t.alternate == nil {
+		if t.rec.State == submission.TaskPending {
 			w.tasks = append(w.tasks, t)
 		}
 	}
@@ -182,8 +181,6 @@
 		}
 	}
 	for _, t := range j.tasks {
-		o.endCopy(t, noneWon)
-		o.stopAlternate(t, now)
 		if t.rec.State != submission.TaskAssigned {
 			continue
 		}
@@ -209,19 +206,13 @@
 	}
 	t.rec.State, t.rec.Executor, t.rec.Address = submission.TaskPending, submission.Incarnation{}, ""
 	t.phase, t.changedAt, t.rackWait, t.location = phaseIdle, now, rackWait{}, locationUnknown
-	t.clearRun()
+	t.stopping, t.stopAcked, t.progressPercent, t.progressAt, t.missingSnapshots, t.speedBaseAt, t.fullRun = false, 0, 0, 0, 0, 0, false
 	o.markDirty(t)
 	o.placementChanged = true
 }
 
-// requeue unassigns the task and queues it for another start, once no other run of it is left. A gang is queued once none of its
-// members has a run.
+// requeue unassigns the task and queues it for another start. A gang is queued once none of its members has a run.
 func (o *Owner) requeue(t *taskEntry, now time.Duration) {
-	if t.main != nil {
-		o.dropAlternate(t, now)
-		return
-	}
-	o.endCopy(t, noneWon)
 	o.unassign(t, now)
 	if t.job.state.Final() {
 		return
@@ -260,8 +251,6 @@
 // completeTask marks the task as done and queues the steps that depended on it.
 func (o *Owner) completeTask(t *taskEntry, now time.Duration) {
 	j := t.job
-	o.endCopy(t, copyWon)
-	o.stopAlternate(t, now)
 	o.unassign(t, now)
 	t.rec.State, t.rec.Checkpoint = submission.TaskDone, ""
 	if j.state.Final() {
--- a/control/dispatch/move.go
+++ b/control/dispatch/move.go
@@ -35,7 +35,7 @@
 			})
 		}
 		if slowdown := n.speed.Slowdown(now); slowdown >= moveSlowdown && !n.info.Draining {
-			o.moveFrom(n, suspectSlowdown, now, func(t *taskEntry) bool { return o.fasterElsewhere(t, slowdown) && !o.copyDue(t, now) }, func(t *taskEntry) {
+			o.moveFrom(n, suspectSlowdown, now, func(t *taskEntry) bool { return o.fasterElsewhere(t, slowdown) }, func(t *taskEntry) {
 				events.RunSlow.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", n.info.ID).
 					Float64("factor", slowdown).Int("percent", t.progressPercent).Send()
 				t.moves++
--- a/control/dispatch/orders.go
+++ b/control/dispatch/orders.go
@@ -159,7 +159,7 @@
 		return
 	}
 	for _, result := range r.Results {
-		t := o.findRun(result.Task, result.Run)
+		t := o.find(result.Task)
 		if t == nil || t.node != n || t.rec.Run != result.Run || t.rec.State != submission.TaskAssigned {
 			continue
 		}
--- a/control/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -158,7 +158,7 @@
 // query returns the placement query for a waiting step.
 func (o *Owner) query(w *waitingStep, p *pool, now time.Duration) placement.Query {
 	step := &w.job.sub.Steps[w.key.step]
-	w.allowed = o.responsive(step, o.allowed(w, p.nodes, now))
+	w.allowed = o.allowed(w, p.nodes, now)
 	w.onNode = nil
 	if step.MaxPerExecutor > 0 {
 		w.onNode = o.countByNode(w)
@@ -211,9 +211,6 @@
 		if t.node != nil {
 			counts[t.node.info.ID]++
 		}
-		if t.alternate != nil {
-			counts[t.alternate.node.info.ID]++
-		}
 	}
 	return counts
 }
--- a/control/dispatch/preempt.go
+++ b/control/dispatch/preempt.go
@@ -150,10 +150,10 @@
 	return t.job.sub.Priority > priority && t.preemptible()
 }
 
-// evictionLoss returns the run time that is lost when the task is stopped. The other run of a task goes on.
+// evictionLoss returns the run time that is lost when the task is stopped.
 func (t *taskEntry) evictionLoss() time.Duration {
 	s := t.step()
-	if s.Checkpoints || t.paired() {
+	if s.Checkpoints {
 		return moveCost
 	}
 	return moveCost + s.Estimate*time.Duration(t.progressPercent)/100
--- a/control/dispatch/relocation.go
+++ b/control/dispatch/relocation.go
@@ -67,7 +67,7 @@
 // relocatable reports whether a run can be stopped and resumed elsewhere without losing its work.
 func (t *taskEntry) relocatable() bool {
 	s := t.step()
-	return s.BestEffort && s.Checkpoints && !s.Gang && !s.LongRunning && t.phase == phaseRunning && !t.stopping && !t.restoring && !t.paired()
+	return s.BestEffort && s.Checkpoints && !s.Gang && !s.LongRunning && t.phase == phaseRunning && !t.stopping && !t.restoring
 }
 
 // addedUtilization returns what a best-effort run adds to the utilization of the latency-critical image on its node that it
--- a/control/dispatch/reports.go
+++ b/control/dispatch/reports.go
@@ -150,8 +150,8 @@
 // AgentDisconnected marks the executors of an agent as disconnected.
 func (o *Owner) AgentDisconnected(agent string) {
 	for _, n := range o.executors {
-		if n.agent == agent && n.connected {
-			n.connected, n.disconnectedAt = false, o.now
+		if n.agent == agent {
+			n.connected = false
 		}
 	}
 }
@@ -180,10 +180,7 @@
 		}
 		n.lastEnd = e.Number
 		applied = true
-		t := o.findRun(e.Task, e.Run)
-		if o.applyOtherEnd(t, n, e, now) {
-			continue
-		}
+		t := o.find(e.Task)
 		o.adoptEnded(t, n, e, now)
 		if t == nil || t.rec.State != submission.TaskAssigned || t.rec.Run != e.Run || t.node != n {
 			events.EndIgnored.Log(o.log).Str("task", e.Task).Uint32("run", e.Run).Str("cause", e.Cause.String()).
@@ -235,7 +232,7 @@
 	o.counters.Ends++
 	events.RunEnded.Log(o.log).Str("task", e.Task).Uint32("run", e.Run).Str("cause", e.Cause.String()).
 		Str("executor", n.info.ID).Dur("after", now-t.changedAt).Int64("end", e.Number).Send()
-	o.observeCheckpoint(t, e.Checkpoint, t.progressPercent)
+	o.observeCheckpoint(t, e.Checkpoint)
 	switch e.Cause {
 	case executor.Done:
 		n.health.observe(false, now)
@@ -273,27 +270,17 @@
 		o.requeue(t, now)
 		return
 	}
-	o.countFailure(t, t.rec.Run)
-	if t.attemptsUsedUp() && !t.job.state.Final() {
-		o.failTask(t, now)
+	t.rec.Failures++
+	if t.job.sub.MaxAttempts > 0 && int(t.rec.Failures) >= t.job.sub.MaxAttempts && !t.job.state.Final() {
+		o.unassign(t, now)
+		t.rec.State = submission.TaskFailed
+		events.AttemptsUsedUp.Log(o.log).Str("task", t.name()).Uint16("failures", t.rec.Failures).Strs("executors", t.failedOn).Send()
+		o.finishJob(t.job, submission.Failed, now)
 		return
 	}
 	o.requeue(t, now)
 }
 
-// attemptsUsedUp reports whether the task has failed as often as its queue allows.
-func (t *taskEntry) attemptsUsedUp() bool {
-	return t.job.sub.MaxAttempts > 0 && int(t.rec.Failures) >= t.job.sub.MaxAttempts
-}
-
-// failTask fails the submission of a task that has used up its attempts.
-func (o *Owner) failTask(t *taskEntry, now time.Duration) {
-	o.unassign(t, now)
-	t.rec.State = submission.TaskFailed
-	events.AttemptsUsedUp.Log(o.log).Str("task", t.name()).Uint16("failures", t.rec.Failures).Strs("executors", t.failedOn).Send()
-	o.finishJob(t.job, submission.Failed, now)
-}
-
 // applySnapshot reconciles the tables with a snapshot of the executor's runs.
 func (o *Owner) applySnapshot(n *node, r *wire.Report, now time.Duration) {
 	listed := o.applyRuns(n, r.Running, n.readAt(r.Info.Clock, now), now)
@@ -309,13 +296,10 @@
 	listed := make(map[*taskEntry]struct{}, len(running))
 	for i := range running {
 		r := &running[i]
-		t := o.findRun(r.Task, r.Number)
+		t := o.find(r.Task)
 		if t == nil || t.node != n || t.rec.Run != r.Number || t.rec.State != submission.TaskAssigned {
 			events.RunUnknown.Log(o.log).Str("task", r.Task).Uint32("run", r.Number).Str("executor", n.info.ID).Send()
 			o.outboxFor(n).stop(r.Task, r.Number)
-			if t := o.keepUnknownRun(n, r, now); t != nil {
-				listed[t] = struct{}{}
-			}
 			continue
 		}
 		listed[t] = struct{}{}
@@ -347,7 +331,7 @@
 		o.confirmRunning(t, now)
 	}
 	t.missingSnapshots = 0
-	o.observeCheckpoint(t, r.Checkpoint, r.ProgressPercent)
+	o.observeCheckpoint(t, r.Checkpoint)
 	o.observeProgress(t, r.ProgressPercent, readAt, now)
 	if t.job.state.Final() && !t.stopping {
 		o.stop(t, now)
--- a/control/dispatch/speed.go
+++ b/control/dispatch/speed.go
@@ -107,7 +107,7 @@
 // earlier after a move.
 func (o *Owner) fasterElsewhere(t *taskEntry, slowdown float64) bool {
 	s := t.step()
-	if t.phase != phaseRunning || t.stopping || t.paired() || s.LongRunning || s.Gang || t.moves >= maxMovesPerTask || t.speedLimit != fullSpeed {
+	if t.phase != phaseRunning || t.stopping || s.LongRunning || s.Gang || t.moves >= maxMovesPerTask || t.speedLimit != fullSpeed {
 		return false
 	}
 	expected, ok := o.expectedDuration(t)
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -92,12 +92,6 @@
 	location runLocation
 	// lostOn is the incarnation with which the last run was lost.
 	lostOn submission.Incarnation
-	copyState
-}
-
-// clearRun forgets what belongs to the last run.
-func (t *taskEntry) clearRun() {
-	t.stopping, t.stopAcked, t.progressPercent, t.progressAt, t.missingSnapshots, t.speedBaseAt, t.fullRun = false, 0, 0, 0, 0, 0, false
 }
 
 func (t *taskEntry) step() *submission.Step { return &t.job.sub.Steps[t.id.Step] }
@@ -193,7 +187,7 @@
 // idle reports whether no run of the job is assigned.
 func (j *job) idle() bool {
 	for _, t := range j.tasks {
-		if t.rec.State == submission.TaskAssigned || t.alternate != nil {
+		if t.rec.State == submission.TaskAssigned {
 			return false
 		}
 	}
@@ -233,10 +227,8 @@
 	adopted bool
 	// connected reports whether the connection to the agent is up.
 	connected bool
-	// disconnectedAt is when the connection was found to be down.
-	disconnectedAt time.Duration
-	gone           bool
-	goneAt         time.Duration
+	gone      bool
+	goneAt    time.Duration
 	// leaseExpired is set when the lease has expired without contact.
 	leaseExpired bool
 	// clock is the executor's clock in milliseconds at the owner's time clockAt.
--- a/control/submission/record.go
+++ b/control/submission/record.go
@@ -59,9 +59,6 @@
 	Run uint32
 	// Failures counts the runs that ended as failed.
 	Failures uint16
-	// FailedRuns holds the numbers of the runs that ended as failed, up to 64, as bits from that of run 1 on. It is
-	// kept for tasks that may have two runs at once.
-	FailedRuns uint64
 	// Crashes counts the crashes of executors that are attributed to the task.
 	Crashes uint16
 	// CrashAge is the age of the task's run at the last crash of its executor, a millisecond at least, 0 for none.
@@ -112,8 +109,7 @@
 }
 
 // encodedCrashes holds Crashes and CrashAge of a task. A map of them by task follows the record where there are
-// any: a reader of an array rejects one with more elements than it knows, and ignores what follows it. A map of FailedRuns by
-// task follows that one, likewise.
+// any: a reader of an array rejects one with more elements than it knows, and ignores what follows it.
 type encodedCrashes struct {
 	Count uint16 `msgpack:"n"`
 	AgeMS int64  `msgpack:"a"`
@@ -124,7 +120,7 @@
 	n := len(r.Tasks)
 	e := encodedRecord{State: r.State, Ended: r.Ended, States: make([]byte, n), Runs: make([]uint32, n),
 		Failures: make([]uint16, n), Assigned: make([]uint16, n)}
-	crashes, failedRuns := make(map[int]encodedCrashes), make(map[int]uint64)
+	crashes := make(map[int]encodedCrashes)
 	positions := make(map[executorRef]uint16)
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
@@ -135,9 +131,6 @@
 		if (t.Crashes > 0 || t.CrashAge > 0) && t.State != TaskDone {
 			crashes[i] = encodedCrashes{Count: t.Crashes, AgeMS: t.CrashAge.Milliseconds()}
 		}
-		if t.FailedRuns != 0 && t.State != TaskDone {
-			failedRuns[i] = t.FailedRuns
-		}
 		if t.Checkpoint != "" && t.State != TaskDone {
 			if e.Checkpoints == nil {
 				e.Checkpoints = make(map[int]string)
@@ -146,12 +139,9 @@
 		}
 	}
 	values := []any{&e}
-	if len(crashes) > 0 || len(failedRuns) > 0 {
+	if len(crashes) > 0 {
 		values = append(values, crashes)
 	}
-	if len(failedRuns) > 0 {
-		values = append(values, failedRuns)
-	}
 	var b bytes.Buffer
 	err := msgpack.NewEncoder(&b).EncodeMulti(values...)
 	return b.Bytes(), errkind.Wrap(errkind.Internal, err, "encode progress record")
@@ -203,17 +193,13 @@
 	if err := decoder.Decode(&crashes); err != nil && !errors.Is(err, io.EOF) {
 		return Record{}, errkind.Wrap(errkind.InvalidArgument, err, "decode crashes of progress record")
 	}
-	var failedRuns map[int]uint64
-	if err := decoder.Decode(&failedRuns); err != nil && !errors.Is(err, io.EOF) {
-		return Record{}, errkind.Wrap(errkind.InvalidArgument, err, "decode failed runs of progress record")
-	}
 	if len(e.States) != tasks || len(e.Runs) != tasks || len(e.Failures) != tasks || len(e.Assigned) != tasks || e.State > Cancelled {
 		return Record{}, errkind.New(errkind.InvalidArgument, "progress record has %d tasks, expected %d", len(e.States), tasks)
 	}
 	r := Record{State: e.State, Ended: e.Ended, Tasks: make([]TaskRecord, tasks)}
 	for i := range r.Tasks {
 		t := TaskRecord{State: TaskState(e.States[i]), Run: e.Runs[i], Failures: e.Failures[i], Checkpoint: e.Checkpoints[i],
-			FailedRuns: failedRuns[i], Crashes: crashes[i].Count, CrashAge: time.Duration(crashes[i].AgeMS) * time.Millisecond}
+			Crashes: crashes[i].Count, CrashAge: time.Duration(crashes[i].AgeMS) * time.Millisecond}
 		if t.State > TaskFailed {
 			return Record{}, errkind.New(errkind.InvalidArgument, "task state %d is not defined", t.State)
 		}
--- a/control/submission/submission_test.go
+++ b/control/submission/submission_test.go
@@ -26,7 +26,6 @@
 				task.Address = rapid.SampledFrom([]string{"10.0.0.1:1", "10.0.0.2:1"}).Draw(t, "address")
 			}
 			if task.State != TaskDone {
-				task.FailedRuns = rapid.Uint64().Draw(t, "failed runs")
 				task.Checkpoint = rapid.SampledFrom([]string{"", "c1", "c2"}).Draw(t, "checkpoint")
 			}
 			r.Tasks = append(r.Tasks, task)
--- a/verify/histories/cluster_test.go
+++ b/verify/histories/cluster_test.go
@@ -79,8 +79,6 @@
 	// handOvers counts the hand-overs of entries that have been killed since.
 	handOvers uint64
 	manifest  *manifest.Manifest
-	// unguarded is set if the executors don't guard their capacity.
-	unguarded bool
 	log       zerolog.Logger
 
 	// mu guards the fields below, entries, agents and the executors' fault state.
@@ -91,16 +89,16 @@
 	down map[string]bool
 }
 
-func newCluster(ctx context.Context, p plan) *cluster {
+func newCluster(ctx context.Context, taskWork map[string]standin.Work, machines [entryCount]succession.Capability) *cluster {
 	start := time.Now()
-	c := &cluster{ctx: ctx, start: start, net: inmem.NewNet(1), table: standin.NewTable(800, 2000), clock: clock.NewRuntime(), taskWork: p.work.TaskWork, unguarded: p.unguarded, machines: p.machines,
+	c := &cluster{ctx: ctx, start: start, net: inmem.NewNet(1), table: standin.NewTable(800, 2000), clock: clock.NewRuntime(), taskWork: taskWork, machines: machines,
 		recorder: history.NewRecorder(func() time.Duration { return time.Since(start) }), partitioned: make(map[string]bool), down: make(map[string]bool), log: zerolog.Nop()}
 	if *logLines {
 		c.log = zerolog.New(zerolog.SyncWriter(os.Stderr)).With().Timestamp().Logger()
 	}
 	c.net.Delay = func(string, string) time.Duration { return networkDelay }
 	c.manifest = &manifest.Manifest{Version: 1, Routes: []manifest.Route{{Name: "q", Prefix: "/q/", Service: "pool", MaxAttempts: workload.MaxAttempts, Stretch: 2}},
-		Services: map[string]manifest.Service{"pool": {Name: "pool", EnforcesCapacity: !p.unguarded}}}
+		Services: map[string]manifest.Service{"pool": {Name: "pool", EnforcesCapacity: true}}}
 	c.manifest.BuildIndex()
 	for i := range c.entries {
 		c.startEntry(i)
@@ -170,8 +168,7 @@
 	}
 	candidate := coordinator.NewCandidate(coordinator.Config{Store: p.link, Evacuations: evacuations, Clock: c.clock, Log: p.log, Member: self,
 		Dial: c.net.Dialer(p.name), HighestEpoch: owner.Epoch, Manifest: current,
-		Bounds: dispatch.Bounds{LeaseDuration: testLease, Evacuation: history.EvacuationBound, AckValidity: 2 * time.Second, MaxStoreOutage: 15 * time.Second, StopTimeout: testStopTimeout, Retention: time.Hour,
-			Features: dispatch.Features{Copies: true}}}, owner)
+		Bounds: dispatch.Bounds{LeaseDuration: testLease, Evacuation: history.EvacuationBound, AckValidity: 2 * time.Second, MaxStoreOutage: 15 * time.Second, StopTimeout: testStopTimeout, Retention: time.Hour}}, owner)
 	p.candidate = candidate
 	l := c.net.Listen(p.name, self.Address)
 	go member.Serve(l, owner, owner.Handle)
@@ -189,7 +186,7 @@
 		maxEnds = shortEndList
 	}
 	e := standin.NewExecutor(standin.ExecutorConfig{VM: executorName(i), MaxListedEnds: maxEnds, Service: "pool", Zone: zoneName(i), Address: fmt.Sprintf("10.0.0.%d:1", i),
-		Rack: fmt.Sprintf("r%d", i/2), Capacity: executorCapacity, Unguarded: c.unguarded, Clock: c.clock, ClockRate: 1 - 0.02*float64(i%2), MaxLease: testMaxLease,
+		Rack: fmt.Sprintf("r%d", i/2), Capacity: executorCapacity, Clock: c.clock, ClockRate: 1 - 0.02*float64(i%2), MaxLease: testMaxLease,
 		StopTimeout: testStopTimeout, CheckpointInterval: time.Second, Recorder: c.recorder,
 		Work: func(name string, _ uint32) standin.Work { return c.taskWork[name] }})
 	e.Boot(false)
--- a/verify/histories/histories_test.go
+++ b/verify/histories/histories_test.go
@@ -58,16 +58,10 @@
 // runPlan runs a plan in virtual time and returns the violations in its history.
 func runPlan(t *testing.T, p plan) []history.Violation {
 	t.Helper()
-	_, violations := playPlan(t, p)
-	return violations
-}
-
-// playPlan runs a plan in virtual time and returns its history and the violations in it.
-func playPlan(t *testing.T, p plan) (events []history.Event, violations []history.Violation) {
-	t.Helper()
+	var violations []history.Violation
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		c := newCluster(ctx, p)
+		c := newCluster(ctx, p.work.TaskWork, p.machines)
 		done := make(chan struct{}, len(p.work.Requests)+len(p.faults))
 		for i := range p.work.Requests {
 			go func() {
@@ -86,7 +80,7 @@
 		}
 		c.awaitFinalStates(p)
 		c.recordFinalStates(t, p)
-		events = c.recorder.Events()
+		events := c.recorder.Events()
 		violations = history.Check(events, history.Options{Finished: true})
 		t.Logf("%d submissions, %d faults, %d events, %v of virtual time", len(p.work.Requests), len(p.faults), len(events), time.Since(c.start))
 		if p.inspect != nil {
@@ -96,7 +90,7 @@
 		cancel()
 		synctest.Wait()
 	})
-	return events, violations
+	return violations
 }
 
 // sleepUntil sleeps until the given time since the start of the run.
--- a/verify/histories/plan_test.go
+++ b/verify/histories/plan_test.go
@@ -47,9 +47,6 @@
 	rejectingExecutor, lostOrderReplies, delayedOrders, failingRuns, storeDown, storeSlow, storeLosesReplies, storeDelaysCommits, storeCompacts, drainExecutors,
 	evacuateZone, evacuateAllZones}
 
-// copyFaultKinds are those that lead to copies, or meet them halfway.
-var copyFaultKinds = []faultKind{unresponsiveExecutor, unresponsiveExecutor, cutAgent, lostOrderReplies, delayedOrders, failingRuns, killEntry}
-
 // fault is one fault of a plan. The meaning of amount depends on the kind.
 type fault struct {
 	at, duration time.Duration
@@ -66,8 +63,6 @@
 type plan struct {
 	work   workload.Plan
 	faults []fault
-	// unguarded is set if the executors don't guard their capacity.
-	unguarded bool
 	// machines are the capabilities of the entries, nothing for unknown ones.
 	machines [entryCount]succession.Capability
 	// inspect, if not nil, is called at the end of the run.
@@ -78,28 +73,14 @@
 	return time.Duration(rapid.Int64Range(from.Milliseconds(), to.Milliseconds()).Draw(t, label)) * time.Millisecond
 }
 
-func generatePlan(t *rapid.T) plan { return drawPlan(t, false) }
-
-// generatePlanWithCopies is generatePlan with steps whose tasks may have two runs at once.
-func generatePlanWithCopies(t *rapid.T) plan { return drawPlan(t, true) }
-
-func drawPlan(t *rapid.T, copies bool) plan {
+func generatePlan(t *rapid.T) plan {
 	seed := rapid.Uint64().Draw(t, "work")
 	p := plan{work: workload.Generate(rand.New(rand.NewPCG(seed, 1)),
-		workload.Config{MinSubmissions: 4, MaxSubmissions: 12, ArrivalWindow: arrivalWindow, Executors: executorCount, Copies: copies})}
+		workload.Config{MinSubmissions: 4, MaxSubmissions: 12, ArrivalWindow: arrivalWindow, Executors: executorCount})}
 	for range rapid.IntRange(1, 6).Draw(t, "faults") {
-		p.faults = append(p.faults, drawFault(t, faultKinds))
-	}
-	if copies {
-		for range rapid.IntRange(2, 5).Draw(t, "faults around copies") {
-			p.faults = append(p.faults, drawFault(t, copyFaultKinds))
-		}
+		p.faults = append(p.faults, fault{at: milliseconds(t, "at", time.Second, arrivalWindow), duration: milliseconds(t, "lasts", 200*time.Millisecond, 7*time.Second),
+			kind: rapid.SampledFrom(faultKinds).Draw(t, "kind"), target: rapid.IntRange(0, executorCount-1).Draw(t, "target"),
+			amount: rapid.IntRange(1, 5).Draw(t, "amount")})
 	}
 	return p
 }
-
-func drawFault(t *rapid.T, kinds []faultKind) fault {
-	return fault{at: milliseconds(t, "at", time.Second, arrivalWindow), duration: milliseconds(t, "lasts", 200*time.Millisecond, 7*time.Second),
-		kind: rapid.SampledFrom(kinds).Draw(t, "kind"), target: rapid.IntRange(0, executorCount-1).Draw(t, "target"),
-		amount: rapid.IntRange(1, 5).Draw(t, "amount")}
-}
--- a/verify/history/check.go
+++ b/verify/history/check.go
@@ -100,8 +100,6 @@
 	dependsOn   []string
 	maxFailures int
 	cancelled   bool
-	// speculative is set if two attempts may execute at once.
-	speculative bool
 	// outcomes holds how attempts exited on their own; successConfirmed and
 	// confirmedFailures cover the ends that the system has confirmed.
 	outcomes          map[uint32]string
@@ -183,7 +181,7 @@
 func (c *checker) applyTask(t *taskState, e Event) {
 	switch e.Kind {
 	case TaskAccepted:
-		t.accepted, t.dependsOn, t.maxFailures, t.speculative = true, e.DependsOn, e.MaxFailures, e.Speculative
+		t.accepted, t.dependsOn, t.maxFailures = true, e.DependsOn, e.MaxFailures
 	case TaskCancelled:
 		t.cancelled = true
 	case TaskEndConfirmed:
@@ -202,7 +200,7 @@
 	case TaskCheckpoint:
 		// Progress is transmitted in whole milliseconds.
 		t.checkpoints[e.Progress.Truncate(time.Millisecond)] = true
-		if t.ended[e.Attempt] || e.Attempt < t.lastAttempt && !t.speculative {
+		if t.ended[e.Attempt] || e.Attempt < t.lastAttempt {
 			c.report(ResumeOnce, e.At, "attempt %d of task %s stored a checkpoint after attempt %d had started", e.Attempt, e.Task, t.lastAttempt)
 		}
 	case TaskEvicted:
@@ -238,12 +236,8 @@
 
 func (c *checker) attemptExecuting(t *taskState, e Event) {
 	current := execution{e.VM, e.Attempt}
-	others := len(t.running)
-	if _, ok := t.running[current]; ok {
-		others--
-	}
 	for p := range t.running {
-		if p != current && (!t.speculative || others > 1 || p.vm == e.VM || p.attempt == e.Attempt) {
+		if p != current {
 			c.report(NoDoubleRun, e.At, "attempt %d of task %s runs on %s and attempt %d on %s", p.attempt, e.Task, p.vm, e.Attempt, e.VM)
 		}
 	}
--- a/verify/history/history.go
+++ b/verify/history/history.go
@@ -97,8 +97,6 @@
 	// 0 for no limit.
 	DependsOn   []string
 	MaxFailures int
-	// Speculative belongs to TaskAccepted: two attempts may execute at once.
-	Speculative bool
 }
 
 // Recorder collects events. A nil Recorder drops them. It is safe for concurrent use.
--- a/verify/standin/executor.go
+++ b/verify/standin/executor.go
@@ -31,9 +31,7 @@
 	VM, Service, Zone, Rack, Kind string
 	Address                       string
 	Capacity                      task.Resources
-	// Unguarded lets the executor start runs beyond its capacity.
-	Unguarded bool
-	Clock     clock.Clock
+	Clock                         clock.Clock
 	// ClockRate is the rate of the executor's clock relative to Clock; 0 means 1.
 	ClockRate float64
 	// MaxLease is the maximum duration of a lease.
@@ -423,7 +421,7 @@
 	}
 	e.extendLease(s.Deadline)
 	w := e.cfg.Work(s.Task, s.Run)
-	if !e.cfg.Unguarded && !e.reserved().Add(w.Request).Fits(e.cfg.Capacity) {
+	if !e.reserved().Add(w.Request).Fits(e.cfg.Capacity) {
 		return e.rejected(executor.ReasonCapacity)
 	}
 	if e.faults.FailRuns {
--- a/verify/workload/workload.go
+++ b/verify/workload/workload.go
@@ -39,8 +39,6 @@
 	ArrivalWindow time.Duration
 	// Executors limits the number of tasks of steps with MaxPerExecutor, so that they can be placed.
 	Executors int
-	// Copies lets half of the steps of tasks that end have two runs of a task at once.
-	Copies bool
 }
 
 // randomDuration returns a random duration in whole milliseconds, both limits included.
@@ -60,13 +58,6 @@
 		s := &p.Requests[i].Submission
 		forEachTask(s, func(name string, id submission.TaskID) { p.TaskWork[name] = generateWork(r, &s.Steps[id.Step]) })
 	}
-	// Drawn last, so that the same seed gives the same plan otherwise.
-	for i := range p.Requests {
-		for k := range p.Requests[i].Submission.Steps {
-			step := &p.Requests[i].Submission.Steps[k]
-			step.Speculative = c.Copies && !step.LongRunning && oneIn(r, 2)
-		}
-	}
 	return p
 }
 
@@ -121,7 +112,6 @@
 	forEachTask(s, func(name string, id submission.TaskID) {
 		e := history.Event{Kind: history.TaskAccepted, Task: name}
 		step := &s.Steps[id.Step]
-		e.Speculative = step.Speculative
 		if !step.LongRunning {
 			e.MaxFailures = MaxAttempts
 		}
