intake: a budget for the bodies and connections of requests

Cause: an entry buffers each body whole, a body has no deadline, and nothing bounds the total or the number of connections, so that clients that stop just short of the end of a request end the process.

Change: package ingress/intake decides which connections are kept and which bodies are read, without a network or a clock; ingress/receive applies it between net/http and the request handler. The limits follow from limits.memoryMb and limits.fileDescriptors; without either the server stays as it was. A body for which there is no room gets 503 with Retry-After before anything is stored. Among bodies a stalled one gives way first, then the one with the most bytes missing; among connections those without a request. The receive and send buffers in the kernel get a fixed size, since what waits there counts as memory too. A submission with too many steps, fields or too deep nesting is refused before it is decoded: an empty step of three bytes takes a hundred times as much once it is built.

Ruled out: buffers of the declared length at once (a crowd that declares and sends nothing would take all room), one read deadline for all bodies (cuts off slow clients on an idle machine).

--- a/command/deployed/entry.go
+++ b/command/deployed/entry.go
@@ -85,6 +85,9 @@
 		return err
 	}
 	server := &http.Server{Handler: platform.RequestHandler(g), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: e.trackConn}
+	if requests, err = p.limitRequests(workCtx, server, requests, g, m.Registry); err != nil {
+		return err
+	}
 	readinessServer := &http.Server{Handler: platform.ReadinessHandler(e.ready), ReadHeaderTimeout: headerTimeout}
 	go e.follower.Run(workCtx, 0)
 	go member.Serve(control, p.link, p.link.Handle)
--- /dev/null
+++ b/ingress/receive/conn.go
@@ -0,0 +1,198 @@
+package receive
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicorystand/chicorystand/base/events"
+	"github.com/chicorystand/chicorystand/ingress/intake"
+)
+
+// conn is a connection that counts in the budget.
+type conn struct {
+	*net.TCPConn
+	receiver *Receiver
+	// state is guarded by the receiver's mutex.
+	state intake.Conn
+	// inHeader is set while bytes that are read belong to a header, stopped once no more is to be read.
+	inHeader, stopped atomic.Bool
+	// header is the memory that the header takes, last that of the latest bytes that were read. The server may keep these for the
+	// next request. Only the goroutine that reads uses them.
+	header, last int64
+	// counted is set once bytes of the header have come.
+	counted bool
+	// whole is set while the body of the request has been read. Only the goroutine of the request uses it.
+	whole bool
+}
+
+// listener counts the connections that it accepts.
+type listener struct {
+	net.Listener
+	receiver *Receiver
+}
+
+// Listen returns a listener whose connections count in the budget. Their receive buffers get the configured size.
+func (r *Receiver) Listen(l net.Listener) (net.Listener, error) {
+	if tcp, ok := l.(*net.TCPListener); ok && r.cfg.ReceiveBuffer > 0 {
+		// Accepted connections inherit the sizes, also while they wait to be accepted.
+		if err := setBuffers(tcp, r.cfg.ReceiveBuffer); err != nil {
+			return nil, err
+		}
+	}
+	return &listener{Listener: l, receiver: r}, nil
+}
+
+func setBuffers(l *net.TCPListener, size int) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "access the listening socket")
+	}
+	var optErr error
+	err = raw.Control(func(fd uintptr) {
+		if optErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, size); optErr == nil {
+			optErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, size)
+		}
+	})
+	if err == nil {
+		err = optErr
+	}
+	return errors.Wrap(err, "set the buffer sizes of the listening socket")
+}
+
+// Accept implements net.Listener. It closes connections for which there is no room.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := accepted.(*net.TCPConn)
+		if !ok {
+			return accepted, nil
+		}
+		c := &conn{TCPConn: tcp, receiver: l.receiver}
+		c.state.Owner = c
+		if c.open() {
+			return c, nil
+		}
+	}
+}
+
+func (c *conn) open() bool {
+	r := c.receiver
+	r.mu.Lock()
+	victim, ok := r.budget.Open(&c.state, r.cfg.Clock.Now())
+	r.mu.Unlock()
+	if victim != nil {
+		r.evict([]*intake.Conn{victim}, ReasonConnections)
+	}
+	if !ok {
+		r.report(events.ConnectionEvicted, c, ReasonConnections, 0)
+		// Nothing was read from it.
+		_ = c.TCPConn.Close()
+	}
+	c.inHeader.Store(true)
+	return ok
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	r := c.receiver
+	r.mu.Lock()
+	r.budget.Close(&c.state)
+	r.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+// Read implements net.Conn. It counts the bytes of headers.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n <= 0 {
+		return n, err
+	}
+	c.last = headerMemory(n, lineEnds(p[:n]))
+	if c.inHeader.Load() && !c.readHeader() {
+		// The error of a closed connection ends the request.
+		_ = c.Close()
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// readHeader counts bytes of a header, and returns false if there is no room for it.
+func (c *conn) readHeader() bool {
+	c.header += c.last
+	if c.counted && c.header <= usualHeader {
+		return true
+	}
+	c.counted = true
+	r := c.receiver
+	r.mu.Lock()
+	victims, ok := r.budget.Head(&c.state, c.header, usualHeader, r.cfg.Clock.Now())
+	r.mu.Unlock()
+	r.evict(victims, ReasonRoomNeeded)
+	if !ok {
+		r.report(events.ConnectionEvicted, c, ReasonHeader, 0)
+	}
+	return ok
+}
+
+// Write implements net.Conn. A client that does not read does not hold the connection for ever.
+func (c *conn) Write(p []byte) (int, error) {
+	r := c.receiver
+	r.mu.Lock()
+	r.budget.Answer(&c.state, r.cfg.Clock.Now())
+	r.mu.Unlock()
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.TCPConn.Write(p)
+}
+
+// changed follows the states that the server reports.
+func (c *conn) changed(s http.ConnState) {
+	r := c.receiver
+	switch s {
+	case http.StateActive:
+		c.inHeader.Store(false)
+		r.mu.Lock()
+		r.budget.Handle(&c.state, r.cfg.Clock.Now())
+		r.mu.Unlock()
+	case http.StateIdle:
+		c.header, c.counted = c.last, false
+		c.inHeader.Store(true)
+		r.mu.Lock()
+		keep := r.budget.Idle(&c.state, r.cfg.Clock.Now())
+		r.mu.Unlock()
+		if !keep {
+			r.report(events.ConnectionEvicted, c, ReasonConnections, 0)
+			// The client has its answer.
+			_ = c.Close()
+		}
+	default:
+	}
+}
+
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// stopReading ends the reading of a body; the server can still answer.
+func (c *conn) stopReading() {
+	c.stopped.Store(true)
+	// A connection that is closed reads no more either.
+	_ = c.TCPConn.SetReadDeadline(longAgo)
+}
+
+// SetReadDeadline implements net.Conn. The server sets deadlines of its own, which must not resume what was stopped.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	err := c.TCPConn.SetReadDeadline(t)
+	if c.stopped.Load() {
+		return c.TCPConn.SetReadDeadline(longAgo)
+	}
+	return err
+}
