--- a/base/settings/deployment.go
+++ b/base/settings/deployment.go
@@ -26,8 +26,8 @@
 // Requests limits the memory and the connections that requests take before they are stored.
 type Requests struct {
 	Enabled                 bool          `koanf:"enabled" default:"true" doc:"Limit the memory and the connections that requests take before they are stored, where the platform's settings name the VM's memory or descriptors."`
-	BodyMemoryPercent       int           `koanf:"body_memory_percent" default:"12" min:"1" max:"50" doc:"Part of the VM's memory for request bodies that are being read, in percent."`
-	ConnectionMemoryPercent int           `koanf:"connection_memory_percent" default:"36" min:"1" max:"60" doc:"Part of the VM's memory for connections, in percent. The number of connections follows from it and from the VM's descriptors."`
+	BodyMemoryPercent       int           `koanf:"body_memory_percent" default:"10" min:"1" max:"50" doc:"Part of the VM's memory for request bodies that are being read, in percent."`
+	ConnectionMemoryPercent int           `koanf:"connection_memory_percent" default:"30" min:"1" max:"60" doc:"Part of the VM's memory for connections, in percent. The number of connections follows from it and from the VM's descriptors."`
 	SmallBody               Bytes         `koanf:"small_body" default:"16KiB" min:"1KiB" max:"1MiB" doc:"Size up to which a body counts as small."`
 	SmallBodyPercent        int           `koanf:"small_body_percent" default:"25" min:"0" max:"90" doc:"Part of the memory for bodies that only small ones get, in percent."`
 	ReceiveBuffer           Bytes         `koanf:"receive_buffer" default:"16KiB" min:"4KiB" max:"4MiB" doc:"Size of the receive buffer and of the send buffer of a connection."`
--- a/ingress/intake/budget.go
+++ b/ingress/intake/budget.go
@@ -83,8 +83,13 @@
 	return victim, true
 }
 
+// quietTime is the time without a byte after which a connection gives way before others. A process that is busy accepts many
+// connections before it reads from them, and must not close them for each other.
+const quietTime = time.Second
+
 // leastUseful returns the connection to close for a new one, nil if there is none. A client that does not read its answer goes
-// first, then those without a whole header, then idle ones, then those with a body, which may be ordinary requests.
+// first. Of quiet connections those without a whole header go first, then idle ones, then those with a body, which may be ordinary
+// requests. If none is quiet, the one with the least recent progress goes.
 func (b *Budget) leastUseful(now time.Duration) *Conn {
 	var worst *Conn
 	for _, c := range b.conns {
@@ -92,13 +97,24 @@
 		case c.phase == answering && now-c.progress > b.limits.ScarcePace.Stall:
 			return c
 		case c.phase >= answering:
-		case worst == nil || c.phase < worst.phase || c.phase == worst.phase && c.givesWayBefore(worst):
+		case worst == nil || c.lessUseful(worst, now):
 			worst = c
 		}
 	}
 	return worst
 }
 
+func (c *Conn) lessUseful(other *Conn, now time.Duration) bool {
+	quiet, otherQuiet := now-c.progress > quietTime, now-other.progress > quietTime
+	if quiet != otherQuiet {
+		return quiet
+	}
+	if !quiet {
+		return c.progress < other.progress
+	}
+	return c.phase < other.phase || c.phase == other.phase && c.givesWayBefore(other)
+}
+
 func (b *Budget) dismissOldest() {
 	var oldest *Conn
 	for _, c := range b.conns {
--- a/ingress/receive/conn.go
+++ b/ingress/receive/conn.go
@@ -24,10 +24,13 @@
 	// header is the memory that the header takes, last that of the latest bytes that were read. The server may keep these for the
 	// next request. Only the goroutine that reads uses them.
 	header, last int64
+	// lines and lastLines are their ends of lines.
+	lines, lastLines int
 	// counted is set once bytes of the header have come.
 	counted bool
-	// whole is set while the body of the request has been read. Only the goroutine of the request uses it.
-	whole bool
+	// whole is set once the body of the request has been read, refused if there was no room for it. Only the goroutine of the request
+	// uses them.
+	whole, refused bool
 }
 
 // listener counts the connections that it accepts.
@@ -115,7 +118,8 @@
 	if n <= 0 {
 		return n, err
 	}
-	c.last = headerMemory(n, lineEnds(p[:n]))
+	c.lastLines = lineEnds(p[:n])
+	c.last = headerMemory(n, c.lastLines)
 	if c.inHeader.Load() && !c.readHeader() {
 		// The error of a closed connection ends the request.
 		_ = c.Close()
@@ -127,6 +131,11 @@
 // readHeader counts bytes of a header, and returns false if there is no room for it.
 func (c *conn) readHeader() bool {
 	c.header += c.last
+	c.lines += c.lastLines
+	if c.lines > maxHeaderLines {
+		c.receiver.report(events.ConnectionEvicted, c, ReasonHeader, 0)
+		return false
+	}
 	if c.counted && c.header <= usualHeader {
 		return true
 	}
@@ -164,7 +173,7 @@
 		r.budget.Handle(&c.state, r.cfg.Clock.Now())
 		r.mu.Unlock()
 	case http.StateIdle:
-		c.header, c.counted = c.last, false
+		c.header, c.lines, c.counted = c.last, 0, false
 		c.inHeader.Store(true)
 		r.mu.Lock()
 		keep := r.budget.Idle(&c.state, r.cfg.Clock.Now())
--- a/ingress/receive/receiver.go
+++ b/ingress/receive/receiver.go
@@ -159,6 +159,7 @@
 	data, err := b.read(req)
 	if errkind.Of(err) == errkind.CapacityExceeded {
 		w.Header().Set("Connection", "close")
+		c.refused = true
 	}
 	return data, err
 }
@@ -172,9 +173,14 @@
 			next.ServeHTTP(w, req)
 			return
 		}
-		c.whole = false
+		c.whole, c.refused = false, false
 		next.ServeHTTP(w, req)
-		if !c.whole {
+		switch {
+		case c.whole:
+		case c.refused && req.ContentLength < 0:
+			// Reading many small chunks to their end takes more time of the processor than they are worth.
+			c.stopReading()
+		default:
 			// The connection may have been closed.
 			_ = c.SetReadDeadline(time.Now().Add(drainTimeout))
 		}
@@ -326,10 +332,14 @@
 
 // Memory that a header takes beyond its bytes: the reader keeps them twice, and a line takes an entry in the map of the
 // header. Up to usualHeader is a part of what a connection takes.
+// While they grow, the maps of short lines take several times that.
 const (
 	headerCopies    = 2
 	headerLineBytes = 128
 	usualHeader     = 16 << 10
+	// maxHeaderLines bounds the lines of a header. The bytes that are read with its end may belong to a body and are counted too: 4 KiB
+	// of a body with lines of 6 bytes on the average stay below it.
+	maxHeaderLines = 700
 )
 
 // headerCharge returns the charge of a whole header.
@@ -354,4 +364,4 @@
 }
 
 // lineEnds returns the number of ends of lines.
-func lineEnds(p []byte) int { return bytes.Count(p, []byte("\n")) }
+func lineEnds(p []byte) int { return bytes.Count(p, []byte{'\n'}) }
