--- a/command/deployed/requests.go
+++ b/command/deployed/requests.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/chicorystand/chicorystand/base/clock"
 	"github.com/chicorystand/chicorystand/base/metrics"
 	"github.com/chicorystand/chicorystand/base/settings"
 	"github.com/chicorystand/chicorystand/ingress/intake"
@@ -24,7 +25,7 @@
 		return l, nil
 	}
 	var m *metrics.Intake
-	r := receive.New(receive.Config{Limits: limits, ReceiveBuffer: int(o.ReceiveBuffer), MaxHeaderBytes: int(o.MaxHeaderBytes), Clock: p.clock, Log: p.log,
+	r := receive.New(receive.Config{Limits: limits, ReceiveBuffer: int(o.ReceiveBuffer), MaxHeaderBytes: int(o.MaxHeaderBytes), Clock: clock.NewRuntime(), Log: p.log,
 		Observe: func(reason string) { m.Observe(reason) }})
 	m = metrics.NewIntake(reg, receive.Reasons(), r.Use)
 	s.Handler = platform.LimitedRequestHandler(g, r)
--- a/ingress/intake/budget.go
+++ b/ingress/intake/budget.go
@@ -44,8 +44,8 @@
 // Evicted reports whether the connection was chosen to give way.
 func (c *Conn) Evicted() bool { return c.evicted }
 
-// Waiting reports whether the connection has no request that could be answered.
-func (c *Conn) Waiting() bool { return c.phase < reading }
+// Unanswerable reports whether the connection has no request that could still be answered.
+func (c *Conn) Unanswerable() bool { return c.phase < reading || c.phase == answering }
 
 // Missing returns the number of bytes to come.
 func (c *Conn) Missing() int64 { return max(0, c.size-c.received) }
@@ -289,7 +289,7 @@
 		b.limits.Connections > 0 && len(b.conns) > b.limits.Connections/half
 }
 
-// Overdue evicts and returns the connections whose bodies come too slowly.
+// Overdue evicts and returns the connections whose bodies come, or whose answers are read, too slowly.
 func (b *Budget) Overdue(now time.Duration) []*Conn {
 	pace := b.limits.Pace
 	if b.Scarce() {
@@ -297,7 +297,9 @@
 	}
 	var victims []*Conn
 	for _, c := range b.conns {
-		if c.phase == reading && !c.evicted && !pace.keeps(now-c.started, now-c.progress, c.received) {
+		slow := c.phase == reading && !pace.keeps(now-c.started, now-c.progress, c.received) ||
+			c.phase == answering && now-c.progress > pace.Stall
+		if slow && !c.evicted {
 			b.evict(c)
 			victims = append(victims, c)
 		}
--- a/ingress/intake/intake_test.go
+++ b/ingress/intake/intake_test.go
@@ -133,6 +133,10 @@
 	b.Answer(b.conns[1], 3*time.Second)
 	victim, ok := b.Open(new(Conn), 7*time.Second)
 	assert.Assert(t, ok && victim != nil)
+	b.Handle(b.conns[0], 7*time.Second)
+	b.Answer(b.conns[0], 7*time.Second)
+	assert.Equal(t, len(b.Overdue(8*time.Second)), 0)
+	assert.Equal(t, len(b.Overdue(time.Minute)), 1, "a client that does not read its answer")
 }
 
 // Guards against closing connections that were just accepted, and not read yet, for each other: stalled ones stayed instead.
--- a/ingress/receive/conn.go
+++ b/ingress/receive/conn.go
@@ -151,15 +151,12 @@
 	return ok
 }
 
-// Write implements net.Conn. A client that does not read does not hold the connection for ever.
+// Write implements net.Conn. Run closes the connection of a client that does not read, without a timer for each answer.
 func (c *conn) Write(p []byte) (int, error) {
 	r := c.receiver
 	r.mu.Lock()
 	r.budget.Answer(&c.state, r.cfg.Clock.Now())
 	r.mu.Unlock()
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
-	}
 	return c.TCPConn.Write(p)
 }
 
--- a/ingress/receive/receiver.go
+++ b/ingress/receive/receiver.go
@@ -25,9 +25,7 @@
 	firstBuffer = 4 << 10
 	// drainTimeout bounds reading the rest of a body that was refused, so that its client gets the answer and not a reset.
 	drainTimeout = time.Second
-	// writeTimeout bounds sending an answer to a client that does not read it.
-	writeTimeout = 10 * time.Second
-	// sweepInterval is the interval between looks for bodies that come too slowly.
+	// sweepInterval is the interval between looks for bodies and answers that take too long.
 	sweepInterval = 500 * time.Millisecond
 )
 
@@ -37,7 +35,7 @@
 	ReasonNoRoom = "no_room"
 	// ReasonRoomNeeded is a connection that gave its room to another.
 	ReasonRoomNeeded = "room_needed"
-	// ReasonSlow is a body that came too slowly.
+	// ReasonSlow is a body that came, or an answer that was read, too slowly.
 	ReasonSlow = "slow"
 	// ReasonConnections is a connection that was closed since there were too many.
 	ReasonConnections = "connections"
@@ -98,7 +96,7 @@
 	}
 }
 
-// Run closes connections whose bodies come too slowly until ctx is done.
+// Run ends bodies and answers that take too long until ctx is done.
 func (r *Receiver) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -115,7 +113,7 @@
 	}
 }
 
-// evict ends the reading of bodies, which are then refused, and closes connections without a body.
+// evict ends the reading of bodies, which are then refused, and closes other connections.
 func (r *Receiver) evict(victims []*intake.Conn, reason string) {
 	for _, v := range victims {
 		c, ok := v.Owner.(*conn)
@@ -123,10 +121,10 @@
 			continue
 		}
 		r.mu.Lock()
-		waiting, missing := v.Waiting(), v.Missing()
+		unanswerable, missing := v.Unanswerable(), v.Missing()
 		r.mu.Unlock()
 		r.report(events.ConnectionEvicted, c, reason, missing)
-		if waiting || reason == ReasonConnections {
+		if unanswerable || reason == ReasonConnections {
 			// The client may have closed it already.
 			_ = c.Close()
 			continue
