--- a/ingress/receive/receiver.go
+++ b/ingress/receive/receiver.go
@@ -144,11 +144,11 @@
 // room for it; the connection then ends with the answer.
 func (r *Receiver) ReadBody(w http.ResponseWriter, req *http.Request, limit int) ([]byte, error) {
 	if req.ContentLength > int64(limit) {
-		return nil, tooLarge(limit)
+		return nil, TooLarge(limit)
 	}
 	c, ok := req.Context().Value(connKey{}).(*conn)
 	if !ok || req.ContentLength == 0 {
-		return readAll(req.Body, limit)
+		return ReadAll(req.Body, limit)
 	}
 	b := body{receiver: r, conn: c, limit: limit, size: limit + 1}
 	if req.ContentLength > 0 {
@@ -185,17 +185,19 @@
 	})
 }
 
-func tooLarge(limit int) error {
+// TooLarge returns the error for a body of more than limit bytes.
+func TooLarge(limit int) error {
 	return errkind.New(errkind.TooLarge, "request body exceeds %d bytes", limit)
 }
 
-func readAll(in io.Reader, limit int) ([]byte, error) {
+// ReadAll reads a body of at most limit bytes without a budget.
+func ReadAll(in io.Reader, limit int) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(in, int64(limit)+1))
 	if err != nil {
 		return nil, errkind.Wrap(errkind.InvalidArgument, err, "read request body")
 	}
 	if len(data) > limit {
-		return nil, tooLarge(limit)
+		return nil, TooLarge(limit)
 	}
 	return data, nil
 }
@@ -322,7 +324,7 @@
 		return nil, refused()
 	}
 	if len(b.data) > b.limit {
-		return nil, tooLarge(b.limit)
+		return nil, TooLarge(b.limit)
 	}
 	b.conn.whole = true
 	return b.data, nil
