--- a/verify/crowd/entry_test.go
+++ b/verify/crowd/entry_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -52,6 +51,16 @@
 	memory, descriptors atomic.Int64
 }
 
+// started counts the entries of this process.
+var started atomic.Int64
+
+// nextAddress returns a loopback address of this process alone, so that runs beside each other don't share ports.
+func nextAddress() string {
+	const first, values = 16, 200
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", first+pid%values, first+pid/values%values, started.Add(1))
+}
+
 // startEntry runs the program until the test ends. It is built without the race detector, which uses several times the memory.
 func startEntry(t *testing.T, limits bounds) *entry {
 	t.Helper()
@@ -59,7 +68,7 @@
 	build := exec.CommandContext(t.Context(), "go", "build", "-buildvcs=false", "-o", dir, "../../cmd/chicory-entry")
 	out, err := build.CombinedOutput()
 	assert.NilError(t, err, string(out))
-	ip := fmt.Sprintf("127.%d.%d.1", 16+rand.IntN(200), 16+rand.IntN(200))
+	ip := nextAddress()
 	e := &entry{T: t, exited: make(chan struct{}), address: net.JoinHostPort(ip, strconv.Itoa(requestPort))}
 	s := stub.Settings{Node: "entry-1", IP: ip, Zone: "z1", StoreAddress: serveStore(t), FirstPort: firstPort, LastPort: lastPort, RequestAddress: e.address,
 		ReadinessAddress: net.JoinHostPort(ip, strconv.Itoa(readinessPort)), MaxLease: 6 * time.Second, StopTimeout: time.Second, GracePeriod: gracePeriod,
