intake: idle connections are not scarcity, marks end with the pressure

Cause: on an entry with 184 MB, 442 idle connections that are kept alive made the pace of bodies strict. Each refused connection marked one more to end with its answer; the marks stayed when there were few connections again, and closed them while clients could send the next request.

Change: idle connections do not count for the pace. A marked connection stays if there are fewer than the limit by the time of its answer.

--- a/ingress/intake/budget.go
+++ b/ingress/intake/budget.go
@@ -167,7 +167,10 @@
 func (b *Budget) Idle(c *Conn, now time.Duration) bool {
 	b.release(c)
 	c.phase, c.progress, c.size, c.received = idle, now, 0, 0
-	return !c.leaving && !c.evicted
+	ends := c.evicted || c.leaving && len(b.conns) >= b.limits.Connections
+	// Below the limit nobody needs the connection any more.
+	c.leaving = false
+	return !ends
 }
 
 // Head records bytes of a header that takes the given memory in all, of which the usual part is not charged.
@@ -282,11 +285,23 @@
 	c.charged, c.large = 0, false
 }
 
-// Scarce reports whether more than half of the room is taken.
+// Scarce reports whether more than half of the bytes, or of the connections without the idle ones, is in use. Idle connections are
+// closed for new ones at any time.
 func (b *Budget) Scarce() bool {
 	const half = 2
 	return b.limits.Bytes > 0 && (b.bytes > b.limits.Bytes/half || b.large > b.limits.LargeBytes/half) ||
-		b.limits.Connections > 0 && len(b.conns) > b.limits.Connections/half
+		b.limits.Connections > 0 && b.busy() > b.limits.Connections/half
+}
+
+// busy returns the number of connections that are not idle.
+func (b *Budget) busy() int {
+	n := 0
+	for _, c := range b.conns {
+		if c.phase != idle {
+			n++
+		}
+	}
+	return n
 }
 
 // Overdue evicts and returns the connections whose bodies come, or whose answers are read, too slowly.
--- a/ingress/intake/intake_test.go
+++ b/ingress/intake/intake_test.go
@@ -139,6 +139,45 @@
 	assert.Equal(t, len(b.Overdue(time.Minute)), 1, "a client that does not read its answer")
 }
 
+// Guards against closing a connection after its answer for a pressure that is over, while its client sends the next request.
+func TestConnectionStaysOnceThereAreFewer(t *testing.T) {
+	l := limits
+	l.Connections = 3
+	b := NewBudget(l)
+	conns := []*Conn{new(Conn), new(Conn), new(Conn)}
+	for _, c := range conns {
+		b.Open(c, 0)
+		b.Handle(c, 0)
+	}
+	for range conns {
+		_, ok := b.Open(new(Conn), time.Second)
+		assert.Assert(t, !ok)
+	}
+	assert.Assert(t, !b.Idle(conns[0], time.Second))
+	b.Close(conns[0])
+	assert.Assert(t, b.Idle(conns[1], time.Second))
+	b.Open(new(Conn), time.Second)
+	b.Handle(conns[1], time.Second)
+	assert.Assert(t, b.Idle(conns[1], time.Second), "the mark has ended with the pressure")
+}
+
+// Guards against idle connections that make the pace of bodies stricter.
+func TestIdleConnectionsAreNotScarcity(t *testing.T) {
+	b := NewBudget(limits)
+	for range limits.Connections - 1 {
+		c := new(Conn)
+		b.Open(c, 0)
+		b.Idle(c, 0)
+	}
+	send(b, 100, 1, 0)
+	assert.Assert(t, !b.Scarce())
+	assert.Equal(t, len(b.Overdue(4*time.Second)), 0)
+	for _, c := range b.conns[:limits.Connections/2] {
+		b.Handle(c, 0)
+	}
+	assert.Assert(t, b.Scarce())
+}
+
 // Guards against closing connections that were just accepted, and not read yet, for each other: stalled ones stayed instead.
 func TestBurstOfConnectionsReplacesStalledOnes(t *testing.T) {
 	l := limits
