--- a/command/deployed/entry.go
+++ b/command/deployed/entry.go
@@ -94,12 +94,17 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: closeWhenStopping(platform.RequestHandler(g), &e.stopping), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: e.conns.track}
+	server := &http.Server{Handler: platform.RequestHandler(g), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: e.conns.track}
+	drainable := newDrainListener(requests)
+	limited, err := p.limitRequests(workCtx, server, drainable, g, m.Registry)
+	if err != nil {
+		return err
+	}
+	server.Handler = closeWhenStopping(server.Handler, &e.stopping)
 	go e.follower.Run(workCtx, 0)
 	go member.Serve(control, p.link, p.link.Handle)
 	go member.KeepRegistered(workCtx, p.store, self, p.link.SinceLastMessage)
-	drainable := newDrainListener(requests)
-	go p.serveHTTP(server, drainable)
+	go p.serveHTTP(server, limited)
 	go p.serveInternal("readiness", platform.ReadinessHandler(e.ready), readiness, m.Connections)
 	go p.serveMetrics(ctx, m)
 	candidateDone := make(chan struct{})
