intake: reasons memory_full and evicted, usual names

Cause: the labels no_room and room_needed of chicory_intake_refusals_total and several names were not terms of the field.

Change: no_room is memory_full, room_needed is evicted; names of phases, marks and choices follow eviction. No change of behaviour.

--- a/base/events/process.go
+++ b/base/events/process.go
@@ -23,8 +23,8 @@
 	SettingsChecked     = define(523, "settings_checked", zerolog.InfoLevel, "The settings file was read again and equals the settings in use.")
 	ReloadFailed        = define(521, "reload_failed", zerolog.ErrorLevel, "Certificates or settings could not be reloaded. The previous ones stay in use.")
 	ConnectionRefused   = defineHot(530, "connection_refused", zerolog.WarnLevel, "A connection was refused. The field reason names the cause.")
-	BodyRefused         = defineHot(532, "body_refused", zerolog.WarnLevel, "The body of a request was refused since there is no room for it. The client got 503 and nothing was stored. The field remote names the client, missing the bytes to come.")
-	ConnectionEvicted   = defineHot(533, "connection_evicted", zerolog.WarnLevel, "A connection of a requester was closed, or its body refused with 503, to stay within the memory and descriptors of the VM. The field reason names the cause: room_needed, slow, connections or header.")
+	BodyRefused         = defineHot(532, "body_refused", zerolog.WarnLevel, "The body of a request was refused since there is no memory for it. The client got 503 and nothing was stored. The field remote names the client, missing the bytes to come.")
+	ConnectionEvicted   = defineHot(533, "connection_evicted", zerolog.WarnLevel, "A connection of a requester was closed, or its body refused with 503, to stay within the memory and descriptors of the VM. The field reason names the cause: evicted, slow, connections or header.")
 	AccessDenied        = defineHot(531, "access_denied", zerolog.WarnLevel, "A caller is not authorized for an operation.")
 )
 
--- a/base/metrics/intake.go
+++ b/base/metrics/intake.go
@@ -2,7 +2,7 @@
 
 import "github.com/prometheus/client_golang/prometheus"
 
-// Intake holds the metrics of the room that requests take before they are stored.
+// Intake holds the metrics of the memory that requests take before they are stored.
 type Intake struct {
 	// Refusals counts refused bodies and closed connections by reason.
 	Refusals *prometheus.CounterVec
--- a/ingress/intake/budget.go
+++ b/ingress/intake/budget.go
@@ -8,8 +8,8 @@
 type phase uint8
 
 const (
-	// heading connections have not sent the whole header of a request yet.
-	heading phase = iota
+	// readingHeader connections have not sent the whole header of a request yet.
+	readingHeader phase = iota
 	// idle connections have had an answer and wait for the next request.
 	idle
 	// reading connections send the body of a request.
@@ -29,9 +29,9 @@
 	Owner any
 
 	phase phase
-	// open is set while the connection counts, evicted once it has been chosen to give way, leaving when it is to end with its answer.
-	open, evicted, leaving bool
-	index                  int
+	// open is set while the connection counts, evicted once it has been chosen for eviction, closeAfterResponse when it is to end with its answer.
+	open, evicted, closeAfterResponse bool
+	index                             int
 	// opened is the time at which the connection came, started that of the beginning of its body, progress that of its last byte.
 	opened, started, progress time.Duration
 	// size is the declared length, or the largest legal one; received is what has come of it.
@@ -41,7 +41,7 @@
 	large   bool
 }
 
-// Evicted reports whether the connection was chosen to give way.
+// Evicted reports whether the connection was chosen for eviction.
 func (c *Conn) Evicted() bool { return c.evicted }
 
 // Unanswerable reports whether the connection has no request that could still be answered.
@@ -71,40 +71,40 @@
 // closed, since all others wait for their answer; the oldest of these then ends with its answer.
 func (b *Budget) Open(c *Conn, now time.Duration) (victim *Conn, ok bool) {
 	if b.limits.Connections > 0 && len(b.conns) >= b.limits.Connections {
-		if victim = b.leastUseful(now); victim == nil {
-			b.dismissOldest()
+		if victim = b.evictionCandidate(now); victim == nil {
+			b.markOldest()
 			return nil, false
 		}
 		b.evict(victim)
 		b.Close(victim)
 	}
-	*c = Conn{Owner: c.Owner, phase: heading, open: true, index: len(b.conns), opened: now, progress: now}
+	*c = Conn{Owner: c.Owner, phase: readingHeader, open: true, index: len(b.conns), opened: now, progress: now}
 	b.conns = append(b.conns, c)
 	return victim, true
 }
 
-// quietTime is the time without a byte after which a connection gives way before others. A process that is busy accepts many
+// quietTime is the time without a byte after which a connection is closed before others. A process that is busy accepts many
 // connections before it reads from them, and must not close them for each other.
 const quietTime = time.Second
 
-// leastUseful returns the connection to close for a new one, nil if there is none. A client that does not read its answer goes
+// evictionCandidate returns the connection to close for a new one, nil if there is none. A client that does not read its answer goes
 // first. Of quiet connections those without a whole header go first, then idle ones, then those with a body, which may be ordinary
 // requests. If none is quiet, the one with the least recent progress goes.
-func (b *Budget) leastUseful(now time.Duration) *Conn {
+func (b *Budget) evictionCandidate(now time.Duration) *Conn {
 	var worst *Conn
 	for _, c := range b.conns {
 		switch {
 		case c.phase == answering && now-c.progress > b.limits.ScarcePace.Stall:
 			return c
 		case c.phase >= answering:
-		case worst == nil || c.lessUseful(worst, now):
+		case worst == nil || c.closesBefore(worst, now):
 			worst = c
 		}
 	}
 	return worst
 }
 
-func (c *Conn) lessUseful(other *Conn, now time.Duration) bool {
+func (c *Conn) closesBefore(other *Conn, now time.Duration) bool {
 	quiet, otherQuiet := now-c.progress > quietTime, now-other.progress > quietTime
 	if quiet != otherQuiet {
 		return quiet
@@ -112,24 +112,24 @@
 	if !quiet {
 		return c.progress < other.progress
 	}
-	return c.phase < other.phase || c.phase == other.phase && c.givesWayBefore(other)
+	return c.phase < other.phase || c.phase == other.phase && c.evictBefore(other)
 }
 
-func (b *Budget) dismissOldest() {
+func (b *Budget) markOldest() {
 	var oldest *Conn
 	for _, c := range b.conns {
-		if !c.leaving && (oldest == nil || c.opened < oldest.opened) {
+		if !c.closeAfterResponse && (oldest == nil || c.opened < oldest.opened) {
 			oldest = c
 		}
 	}
 	if oldest != nil {
-		oldest.leaving = true
+		oldest.closeAfterResponse = true
 	}
 }
 
-// givesWayBefore reports whether c is evicted before other: the one with the most bytes missing, among equals the one with the
+// evictBefore reports whether c is evicted before other: the one with the most bytes missing, among equals the one with the
 // least recent progress.
-func (c *Conn) givesWayBefore(other *Conn) bool {
+func (c *Conn) evictBefore(other *Conn) bool {
 	if c.Missing() != other.Missing() {
 		return c.Missing() > other.Missing()
 	}
@@ -167,15 +167,15 @@
 func (b *Budget) Idle(c *Conn, now time.Duration) bool {
 	b.release(c)
 	c.phase, c.progress, c.size, c.received = idle, now, 0, 0
-	ends := c.evicted || c.leaving && len(b.conns) >= b.limits.Connections
+	ends := c.evicted || c.closeAfterResponse && len(b.conns) >= b.limits.Connections
 	// Below the limit nobody needs the connection any more.
-	c.leaving = false
+	c.closeAfterResponse = false
 	return !ends
 }
 
 // Head records bytes of a header that takes the given memory in all, of which the usual part is not charged.
 func (b *Budget) Head(c *Conn, memory, usual int64, now time.Duration) (victims []*Conn, ok bool) {
-	c.phase, c.progress = heading, now
+	c.phase, c.progress = readingHeader, now
 	if memory <= usual {
 		return nil, c.open
 	}
@@ -201,7 +201,7 @@
 	c.progress = now
 }
 
-// Grow charges a larger buffer for a body. It returns the connections that give way, whose charges are returned at once; ok is
+// Grow charges a larger buffer for a body. It returns the evicted connections, whose charges are returned at once; ok is
 // false if the connection itself has to.
 func (b *Budget) Grow(c *Conn, n int64, now time.Duration) (victims []*Conn, ok bool) {
 	return b.charge(c, n, n > b.limits.SmallBody, now)
@@ -247,7 +247,7 @@
 	return victims, true
 }
 
-// fits reports whether there is room. A single large body is read whatever its size, which the operator's limit bounds.
+// fits reports whether there is enough memory. A single large body is read whatever its size, which the operator's limit bounds.
 func (b *Budget) fits(c *Conn, n int64) bool {
 	if c.large && b.large == c.charged {
 		return true
@@ -255,7 +255,7 @@
 	return b.bytes+n <= b.limits.Bytes && (!c.large || b.large+n <= b.limits.LargeBytes)
 }
 
-// mostMissing returns the connection that gives way to a charge of asker, which may be asker itself. Those that have stalled go
+// mostMissing returns the connection to evict for a charge of asker, which may be asker itself. Those that have stalled go
 // first, then the one with the most bytes missing. A large body takes nothing from a small one.
 func (b *Budget) mostMissing(asker *Conn, now time.Duration) *Conn {
 	worst, worstStalled := asker, false
@@ -264,14 +264,14 @@
 			continue
 		}
 		stalled := now-c.progress > b.limits.ScarcePace.Stall
-		if stalled && !worstStalled || stalled == worstStalled && c.givesWayBefore(worst) {
+		if stalled && !worstStalled || stalled == worstStalled && c.evictBefore(worst) {
 			worst, worstStalled = c, stalled
 		}
 	}
 	return worst
 }
 
-// evict makes a connection give way: its charge is returned, and it gets no other.
+// evict returns the charge of a connection, which gets no other.
 func (b *Budget) evict(c *Conn) {
 	c.evicted = true
 	b.release(c)
@@ -312,7 +312,7 @@
 	}
 	var victims []*Conn
 	for _, c := range b.conns {
-		slow := c.phase == reading && !pace.keeps(now-c.started, now-c.progress, c.received) ||
+		slow := c.phase == reading && !pace.meets(now-c.started, now-c.progress, c.received) ||
 			c.phase == answering && now-c.progress > pace.Stall
 		if slow && !c.evicted {
 			b.evict(c)
--- a/ingress/intake/intake_test.go
+++ b/ingress/intake/intake_test.go
@@ -44,7 +44,7 @@
 	assert.Assert(t, !Derive(0, 0, o).Limited())
 }
 
-// Guards against stalled large bodies that take the room of ordinary requests.
+// Guards against stalled large bodies that take the memory of ordinary requests.
 func TestSmallBodiesKeepTheirShare(t *testing.T) {
 	b := NewBudget(limits)
 	refused := 0
@@ -61,7 +61,7 @@
 }
 
 // Guards against evicting a body that is nearly there before one of which most is missing, or a request that is being stored.
-func TestMostMissingGivesWayFirst(t *testing.T) {
+func TestMostMissingIsEvictedFirst(t *testing.T) {
 	b := NewBudget(limits)
 	stored, _, _ := send(b, mebi, mebi, 0)
 	assert.Assert(t, b.Handle(stored, 0))
@@ -70,10 +70,10 @@
 	growing, _, _ := send(b, 40*kibi, 20*kibi, time.Second)
 	assert.Assert(t, far.Evicted() && !old.Evicted() && !growing.Evicted())
 	_, victims, ok := send(b, mebi, mebi-1, 2*time.Second)
-	assert.Assert(t, !ok && len(victims) == 0, "a new body takes no room of one with less missing")
+	assert.Assert(t, !ok && len(victims) == 0, "a new body takes no memory of one with less missing")
 	victims, ok = b.Grow(growing, mebi, 4*time.Second)
 	assert.Assert(t, ok)
-	assert.Assert(t, len(victims) == 1 && victims[0] == old, "a stalled one gives way although less is missing")
+	assert.Assert(t, len(victims) == 1 && victims[0] == old, "a stalled one is evicted although less is missing")
 	assert.Assert(t, !b.Handle(old, 4*time.Second), "an evicted body is not stored")
 }
 
@@ -111,7 +111,7 @@
 }
 
 // Guards against a crowd of connections that keeps others out: idle ones, and ones that wait for an answer again and again.
-func TestNewConnectionReplacesLeastUseful(t *testing.T) {
+func TestNewConnectionReplacesEvictionCandidate(t *testing.T) {
 	l := limits
 	l.Connections = 3
 	b := NewBudget(l)
@@ -234,7 +234,7 @@
 		assert.Equal(t, b.bytes, bytes)
 		assert.Equal(t, b.large, large)
 		assert.Assert(t, len(b.conns) <= limits.Connections)
-		assert.Assert(t, bytes <= limits.Bytes+largest, "more than the room and one large body")
+		assert.Assert(t, bytes <= limits.Bytes+largest, "more than the memory and one large body")
 	}
 }
 
--- a/ingress/intake/limits.go
+++ b/ingress/intake/limits.go
@@ -11,7 +11,7 @@
 	SmallPercent int
 	// ReceiveBuffer is the size of the receive buffer of a connection.
 	ReceiveBuffer int64
-	// Pace is what a client has to keep to while there is room, ScarcePace while there is little.
+	// Pace is the pace that a client has to meet while memory is free, ScarcePace while it is scarce.
 	Pace, ScarcePace Pace
 }
 
@@ -76,8 +76,8 @@
 // Limited reports whether there is any limit.
 func (l Limits) Limited() bool { return l.Bytes > 0 || l.Connections > 0 }
 
-// keeps reports whether a body keeps to the pace.
-func (p Pace) keeps(age, sinceProgress time.Duration, received int64) bool {
+// meets reports whether a body meets the pace.
+func (p Pace) meets(age, sinceProgress time.Duration, received int64) bool {
 	extension := time.Duration(float64(received) / float64(p.BytesPerSecond) * float64(time.Second))
 	return sinceProgress <= p.Stall && age <= p.Grace+extension
 }
--- a/ingress/receive/conn.go
+++ b/ingress/receive/conn.go
@@ -30,7 +30,7 @@
 	bodyLength int64
 	// counted is set once bytes of the header have come.
 	counted bool
-	// whole is set once the body of the request has been read, refused if there was no room for it. Only the goroutine of the request
+	// whole is set once the body of the request has been read, refused if there was no memory for it. Only the goroutine of the request
 	// uses them.
 	whole, refused bool
 }
@@ -69,7 +69,7 @@
 	return errors.Wrap(err, "set the buffer sizes of the listening socket")
 }
 
-// Accept implements net.Listener. It closes connections for which there is no room.
+// Accept implements net.Listener. It closes connections beyond the limit.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		accepted, err := l.Listener.Accept()
@@ -140,7 +140,7 @@
 	return n, err
 }
 
-// readHeader counts bytes of a header, and returns false if there is no room for it.
+// readHeader counts bytes of a header, and returns false if there is no memory for it.
 func (c *conn) readHeader(p []byte) bool {
 	c.last = c.header.read(p)
 	c.after = int64(len(c.last))
@@ -156,7 +156,7 @@
 	r.mu.Lock()
 	victims, ok := r.budget.Head(&c.state, c.header.memory(), usualHeader, r.cfg.Clock.Now())
 	r.mu.Unlock()
-	r.evict(victims, ReasonRoomNeeded)
+	r.evict(victims, ReasonEvicted)
 	if !ok {
 		r.report(events.ConnectionEvicted, c, ReasonHeader, 0)
 	}
--- a/ingress/receive/header_test.go
+++ b/ingress/receive/header_test.go
@@ -27,7 +27,7 @@
 // shortLines returns a body of lines of three bytes.
 func shortLines(size int) string { return strings.Repeat("a,\n", size/3) }
 
-// fullReceiver returns a receiver whose room for large bodies is taken.
+// fullReceiver returns a receiver whose memory for large bodies is in use.
 func fullReceiver(t *testing.T) *Receiver {
 	t.Helper()
 	r := newReceiver(16*mebi, 0)
@@ -37,7 +37,7 @@
 	return r
 }
 
-// fill takes the room for large bodies for a body that misses one byte.
+// fill uses the memory for large bodies for a body that misses one byte.
 func fill(t *testing.T, r *Receiver) {
 	t.Helper()
 	awaitUse(t, r, func(_ int, held int64) bool { return held == 0 })
@@ -74,7 +74,7 @@
 	assert.Assert(t, strings.HasPrefix(answer, "HTTP/1.1 200"), answer)
 }
 
-// Guards against small requests that get no room beside large bodies because their lines count as a large header.
+// Guards against small requests that get no memory beside large bodies because their lines count as a large header.
 func TestSmallRequestWithLinesBesideLargeBodies(t *testing.T) {
 	body := strings.Repeat("        \"count\": 1,\n", 3<<10/20)
 	answer := exchange(t, serve(t, fullReceiver(t)), post(body, closing))
--- a/ingress/receive/receiver.go
+++ b/ingress/receive/receiver.go
@@ -1,5 +1,5 @@
 // Package receive reads requests within a budget of package intake: it counts the connections of a listener and the bytes of
-// headers and bodies, and closes or refuses what the budget has no room for.
+// headers and bodies, and closes or refuses what the budget has no memory for.
 package receive
 
 import (
@@ -31,21 +31,21 @@
 
 // Reasons of refusals and evictions, as in the log and the metrics.
 const (
-	// ReasonNoRoom is a body for which there is no room.
-	ReasonNoRoom = "no_room"
-	// ReasonRoomNeeded is a connection that gave its room to another.
-	ReasonRoomNeeded = "room_needed"
+	// ReasonMemoryFull is a body for which there is no memory.
+	ReasonMemoryFull = "memory_full"
+	// ReasonEvicted is a connection that was evicted for the memory of another.
+	ReasonEvicted = "evicted"
 	// ReasonSlow is a body that came, or an answer that was read, too slowly.
 	ReasonSlow = "slow"
 	// ReasonConnections is a connection that was closed since there were too many.
 	ReasonConnections = "connections"
-	// ReasonHeader is a header for which there is no room.
+	// ReasonHeader is a header of too many lines, or one for which there is no memory.
 	ReasonHeader = "header"
 )
 
 // Reasons returns all reasons.
 func Reasons() []string {
-	return []string{ReasonNoRoom, ReasonRoomNeeded, ReasonSlow, ReasonConnections, ReasonHeader}
+	return []string{ReasonMemoryFull, ReasonEvicted, ReasonSlow, ReasonConnections, ReasonHeader}
 }
 
 // Config configures a Receiver.
@@ -141,7 +141,7 @@
 }
 
 // ReadBody reads the body of a request of at most limit bytes. An error of kind errkind.CapacityExceeded means that there is no
-// room for it; the connection then ends with the answer.
+// memory for it; the connection then ends with the answer.
 func (r *Receiver) ReadBody(w http.ResponseWriter, req *http.Request, limit int) ([]byte, error) {
 	if req.ContentLength > int64(limit) {
 		return nil, TooLarge(limit)
@@ -266,14 +266,14 @@
 	return nil
 }
 
-// reserve asks the budget for room.
+// reserve charges the budget.
 func (b *body) reserve(ask func(*intake.Budget, time.Duration) ([]*intake.Conn, bool)) error {
 	r := b.receiver
 	r.mu.Lock()
 	victims, ok := ask(r.budget, r.cfg.Clock.Now())
 	evicted := b.conn.state.Evicted()
 	r.mu.Unlock()
-	r.evict(victims, ReasonRoomNeeded)
+	r.evict(victims, ReasonEvicted)
 	if ok {
 		return nil
 	}
@@ -291,11 +291,11 @@
 	r.budget.Drop(&b.conn.state)
 	missing := b.conn.state.Missing()
 	r.mu.Unlock()
-	r.report(events.BodyRefused, b.conn, ReasonNoRoom, missing)
+	r.report(events.BodyRefused, b.conn, ReasonMemoryFull, missing)
 }
 
 func refused() error {
-	return errkind.New(errkind.CapacityExceeded, "there is no room for the body of the request; nothing was stored")
+	return errkind.New(errkind.CapacityExceeded, "there is no memory for the body of the request; nothing was stored")
 }
 
 func (b *body) received(n int) {
@@ -317,7 +317,7 @@
 }
 
 // finish returns a whole body. From then on its connection is not evicted; its charge stays until the answer is sent, since
-// what it decodes to takes the room.
+// what it decodes to takes the memory.
 func (b *body) finish() ([]byte, error) {
 	r := b.receiver
 	r.mu.Lock()
