--- a/command/deployed/connections.go
+++ b/command/deployed/connections.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -118,6 +119,15 @@
 	return nil
 }
 
+// SyscallConn implements syscall.Conn, so that the sizes of the socket's buffers can be set.
+func (l *drainListener) SyscallConn() (syscall.RawConn, error) {
+	socket, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("the listener has no socket")
+	}
+	return socket.SyscallConn()
+}
+
 // drain accepts connections for at most d longer, then closes the socket. The connections remain with the server. It fails if
 // the listener has no deadline; connections that wait are then reset by Close.
 func (l *drainListener) drain(d time.Duration) error {
--- a/command/deployed/stop_test.go
+++ b/command/deployed/stop_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,9 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/chicorystand/chicorystand/base/clock"
+	"github.com/chicorystand/chicorystand/ingress/intake"
+	"github.com/chicorystand/chicorystand/ingress/receive"
 	"github.com/chicorystand/chicorystand/verify/bench/inmem"
 )
 
@@ -222,3 +226,24 @@
 	assert.NilError(t, l.Close())
 	assert.ErrorIs(t, <-ended, net.ErrClosed)
 }
+
+// Guards against connections whose buffers in the kernel are unbounded, since the listener that is drained hides its socket.
+func TestBuffersOfRequestConnectionsAreBounded(t *testing.T) {
+	const size = 16 << 10
+	limits := intake.Limits{Bytes: 1 << 20, LargeBytes: 1 << 20, Connections: 10}
+	l, err := receive.New(receive.Config{Limits: limits, ReceiveBuffer: size, Clock: clock.Boottime{}, Log: zerolog.Nop(), Observe: func(string) {}}).Listen(newTCPDrainListener(t))
+	assert.NilError(t, err)
+	go func() { _, _ = new(net.Dialer).DialContext(t.Context(), "tcp", l.Addr().String()) }()
+	conn, err := l.Accept()
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	socket, ok := conn.(syscall.Conn)
+	assert.Assert(t, ok, "%T gives no access to its socket", conn)
+	raw, err := socket.SyscallConn()
+	assert.NilError(t, err)
+	got, optErr := 0, error(nil)
+	assert.NilError(t, raw.Control(func(fd uintptr) { got, optErr = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF) }))
+	assert.NilError(t, optErr)
+	// Linux reports twice the size, which includes its own bookkeeping.
+	assert.Equal(t, got, 2*size)
+}
--- a/control/backlog/backlog.go
+++ b/control/backlog/backlog.go
@@ -155,12 +155,14 @@
 	}
 	q := &Queue{FreeCPU: c.free, CPU: c.cpu}
 	ahead := w.before
+	before := c.least.reach(ahead.least(), 0)
 	for i := range Classes {
+		// Work of the same class may be larger and then goes after. Work of the same priority goes before a submission that is on
+		// time only as long as it is on time itself.
+		least := max(0, c.least.reach(ahead.least(), 0)-ahead.inFlight())
 		ahead.add(&w.onTime[i])
-		inFlight := ahead.inFlight()
-		q.Delay[i] = max(0, c.expected.reach(ahead.expected, w.permanent)-inFlight)
-		q.Least[i] = max(0, c.least.reach(ahead.least(), 0)-inFlight)
-		q.Least[i] = min(q.Least[i], q.Delay[i])
+		q.Delay[i] = max(0, c.expected.reach(ahead.expected, w.permanent)-ahead.inFlight())
+		q.Least[i] = min(least, max(before, w.longestSlack), q.Delay[i])
 	}
 	worst := q.Delay[Classes-1]
 	for i := range SlackBuckets {
@@ -179,6 +181,8 @@
 	before sum
 	onTime [Classes]sum
 	late   [SlackBuckets]sum
+	// longestSlack is the longest time until work of onTime becomes late.
+	longestSlack time.Duration
 	// smallestTask is the smallest task that takes free processors before a new submission does, in thousandths of a
 	// processor.
 	smallestTask int64
@@ -223,6 +227,7 @@
 	}
 	switch standing, slack := x.Order.Timeliness(now); standing {
 	case ordering.OnTime:
+		w.longestSlack = max(w.longestSlack, slack)
 		return &w.onTime[ClassOf(x.Order.Work)]
 	case ordering.Late:
 		return &w.late[SlackBucket(slack)]
--- a/control/backlog/backlog_test.go
+++ b/control/backlog/backlog_test.go
@@ -147,3 +147,18 @@
 		})
 	}
 }
+
+// Guards against refusing a submission for work that is on time now and will be late, and then goes after it: the bound may not
+// exceed the slack of that work.
+func TestBoundEndsWithTheSlackOfOtherWork(t *testing.T) {
+	in := &Input{Now: testNow, Queues: []Policy{{Queue: "q", Service: "pool", Accuracy: 1}}, Nodes: pool(1, 8, Run{Remaining: time.Second, Accuracy: 1})}
+	for range 1000 {
+		w := work(0, 8, 4*time.Second)
+		w.Queue = "q"
+		in.Waiting = append(in.Waiting, w)
+	}
+	q, ok := Estimate(in)[Key{Queue: "q"}]
+	assert.Assert(t, ok)
+	assert.Assert(t, q.Delay[Classes-1] > 5*time.Minute)
+	assert.Assert(t, q.Least[Classes-1] <= time.Minute, "%s", q.Least[Classes-1])
+}
--- a/ingress/gateway/gateway.go
+++ b/ingress/gateway/gateway.go
@@ -168,7 +168,12 @@
 	if p == nil {
 		return 0, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	limit := ownerTimeout
+	if _, ok := ctx.Deadline(); ok {
+		// The read from the store that follows a failed query needs the rest.
+		limit = min(limit, timeLeft(ctx)/2)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	msg, err := p.Call(ctx, &wire.StateQuery{ID: id})
 	if err != nil {
--- a/ingress/overload/gate.go
+++ b/ingress/overload/gate.go
@@ -15,8 +15,12 @@
 	"github.com/chicorystand/chicorystand/state/store"
 )
 
-// readTimeout bounds the read of the row of a submission that is to be refused.
-const readTimeout = 300 * time.Millisecond
+const (
+	// readTimeout bounds the read of the row of a submission that is to be refused.
+	readTimeout = 300 * time.Millisecond
+	// readShare is the part of the time for an answer that the read may take: the write that follows a failed one needs the rest.
+	readShare = 3
+)
 
 // Gate refuses submissions of requesters. It implements gateway.Admission.
 type Gate struct {
@@ -66,7 +70,11 @@
 
 // absent reports whether it is certain that the store has no submission with the id.
 func (g *Gate) absent(ctx context.Context, id string) bool {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	limit := readTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		limit = min(limit, time.Until(deadline)/readShare)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	rows, err := g.Store.Get(ctx, dispatch.WorkKey(id))
 	return err == nil && len(rows) == 0
--- a/ingress/overload/gate_test.go
+++ b/ingress/overload/gate_test.go
@@ -31,7 +31,7 @@
 
 func submit(t *testing.T, g *gateway.Gateway) error {
 	t.Helper()
-	return g.Submit(t.Context(), &manifest.Route{Name: "q"}, &submission.Submission{ID: testID,
+	return g.Submit(t.Context(), &manifest.Route{Name: "q", Stretch: 1}, &submission.Submission{ID: testID,
 		Steps: []submission.Step{{Count: 1, Request: task.Resources{CPU: 1000}, Estimate: time.Second}}})
 }
 
--- a/ingress/overload/line.go
+++ b/ingress/overload/line.go
@@ -74,6 +74,7 @@
 		// A caller that comes too early keeps its time.
 		wait = max(min(wait, maxRetryAfter), l.places[i].at-now)
 		l.places[i].at = now + wholeSeconds(wait)
+		l.last = max(l.last, now+wait)
 		return wholeSeconds(wait)
 	}
 	if len(l.places) > 0 {
--- a/ingress/overload/request.go
+++ b/ingress/overload/request.go
@@ -16,14 +16,14 @@
 	TaskCPU int64
 	// Chain is the estimated run time of its longest chain of steps, Objective the response time up to which it is on time.
 	Chain, Objective time.Duration
-	// Exempt is set if it is never refused, since it has no end or is not due yet.
+	// Exempt is set if it is never refused, since it has no end, is not due yet, or its queue has no objective.
 	Exempt bool
 }
 
 // RequestOf returns the request for a submission with the policy of its queue.
 func RequestOf(s *submission.Submission) Request {
 	r := Request{ID: s.ID, Queue: s.Queue, Work: s.Work(), Chain: s.CriticalPath(0), Objective: s.Objective(),
-		Exempt: s.LongRunning() || s.Occurrences > 0 || s.FirstStart > 0}
+		Exempt: s.LongRunning() || s.Occurrences > 0 || s.FirstStart > 0 || s.Stretch == 0 && s.TargetLatency == 0}
 	for i := range s.Steps {
 		r.BestEffort = r.BestEffort || s.Steps[i].BestEffort
 		r.TaskCPU = max(r.TaskCPU, s.Steps[i].Request.CPU)
--- a/ingress/receive/conn.go
+++ b/ingress/receive/conn.go
@@ -43,16 +43,20 @@
 
 // Listen returns a listener whose connections count in the budget. Their receive buffers get the configured size.
 func (r *Receiver) Listen(l net.Listener) (net.Listener, error) {
-	if tcp, ok := l.(*net.TCPListener); ok && r.cfg.ReceiveBuffer > 0 {
+	if r.cfg.ReceiveBuffer > 0 {
+		socket, ok := l.(syscall.Conn)
+		if !ok {
+			return nil, errors.Errorf("a listener of type %T gives no access to its socket", l)
+		}
 		// Accepted connections inherit the sizes, also while they wait to be accepted.
-		if err := setBuffers(tcp, r.cfg.ReceiveBuffer); err != nil {
+		if err := setBuffers(socket, r.cfg.ReceiveBuffer); err != nil {
 			return nil, err
 		}
 	}
 	return &listener{Listener: l, receiver: r}, nil
 }
 
-func setBuffers(l *net.TCPListener, size int) error {
+func setBuffers(l syscall.Conn, size int) error {
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return errors.Wrap(err, "access the listening socket")
