backlog: the test of the bound follows the order of work

Cause: TestBacklogFollowsFromTheTables expected the bound to count waiting work of the same size class, which may be larger than the submission and then goes after it, and to exceed the 58 s after which that work is late.

--- a/control/dispatch/backlog_test.go
+++ b/control/dispatch/backlog_test.go
@@ -65,7 +65,9 @@
 	assert.Assert(t, q != nil)
 	class := backlog.ClassOf(2)
 	assert.Assert(t, q.DelayMS[class] > 95_000 && q.DelayMS[class] < 105_000, "%d ms", q.DelayMS[class])
-	assert.Assert(t, q.LeastMS[class] > 60_000 && q.LeastMS[class] <= q.DelayMS[class], "%d ms", q.LeastMS[class])
+	// Work of the same class may be larger, so that only that of smaller ones counts, as long as it has slack: 58 s.
+	assert.Assert(t, q.LeastMS[class] < 2_000, "%d ms", q.LeastMS[class])
+	assert.Assert(t, q.LeastMS[class+1] > 57_000 && q.LeastMS[class+1] <= 58_000, "%d ms", q.LeastMS[class+1])
 	assert.Equal(t, q.FreeCPU, int64(0))
 	assert.Assert(t, queueOf(f.owner.Backlog(f.now), "urgent") == nil, "work of a lower priority holds up a queue")
 }
