--- a/control/dispatch/relocation.go
+++ b/control/dispatch/relocation.go
@@ -16,8 +16,8 @@
 	relocationDelay = 350 * time.Millisecond
 	// relocationInterval is the time until the effect of a move on an executor is reported.
 	relocationInterval = 700 * time.Millisecond
-	// slackFactor allows for estimates that are too short, and for the start of the tasks that are left. It is the multiple of its remaining path that a step has until its soft deadline while it can wait for an
-	// executor with more margin.
+	// slackFactor is the multiple of its remaining path that a step has until its soft deadline while it can wait for an executor
+	// with more margin. The part above 1 is for estimates that are too short, and for the starts that are left.
 	slackFactor = 1.25
 )
 
--- a/control/poolplan/poolplan.go
+++ b/control/poolplan/poolplan.go
@@ -8,13 +8,11 @@
 	"cmp"
 	"slices"
 
+	"github.com/chicorystand/chicorystand/control/placement"
 	"github.com/chicorystand/chicorystand/control/task"
 )
 
 const (
-	// latencyCriticalUse is the share of its processors that a latency-critical task is assumed to use. Placement assumes the
-	// same; the use of a single task is not reported.
-	latencyCriticalUse = 0.5
 	// minGainPerMove is the least gain in usable processors, in thousandths, for which a task is moved. A move keeps the task
 	// from work for a second or two, so that smaller gains take long to repay it.
 	minGainPerMove = 750.0
@@ -141,7 +139,7 @@
 
 // usable returns the share of the processors that are free, or reserved and not used.
 func usable(free, latencyCriticalCPU int64, share float64) float64 {
-	return max(0, float64(free)+(1-latencyCriticalUse)*float64(latencyCriticalCPU)) * share
+	return max(0, float64(free)+(1-placement.LatencyCriticalUse)*float64(latencyCriticalCPU)) * share
 }
 
 // source is an image on a node.
