--- /dev/null
+++ b/review/standins-2/latestart.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// lateBy is how long after it came a start is carried out; the page of kinds names 2 to 12 s.
+	lateBy = 11900 * time.Millisecond
+	// crashAt and bootAt are when the executor crashes and starts again under its id, after the start came.
+	crashAt = 11300 * time.Millisecond
+	bootAt  = 11500 * time.Millisecond
+	// shortWork and shortTasks are those of the submission that runs beside, one task after the other.
+	shortWork  = 200 * time.Millisecond
+	shortTasks = 100
+	lateCPU    = 1000
+)
+
+// lateStart leaves a start without an answer and carries it out late. The task runs to its end in between, as the start is sent again.
+// The executor crashes and starts again under its id before the late start is carried out.
+func lateStart(t *trial) ([]string, error) {
+	if err := t.startSmall(1); err != nil {
+		return nil, err
+	}
+	if !t.client.ready("00000000000000aa", "") {
+		return nil, errNotReady
+	}
+	e := t.executors[0]
+	const id = "0123456789abcdef"
+	var came atomic.Bool
+	arrived := make(chan time.Time, 1)
+	e.mu.Lock()
+	e.holdStartAnswers = func(task string, run uint32) time.Duration {
+		if task != id+".0.0.0" || run != 1 || !came.CompareAndSwap(false, true) {
+			return 0
+		}
+		arrived <- time.Now()
+		if !t.trouble {
+			return 0
+		}
+		return lateBy
+	}
+	e.mu.Unlock()
+	if !t.client.submit("00000000000000b1", shortWork, roomCPU-lateCPU, step{Count: shortTasks, CPU: roomCPU - lateCPU, MemoryMB: 10, EstimatedMS: shortWork.Milliseconds()}) ||
+		!t.client.submit(id, time.Second, lateCPU, step{Count: 1, CPU: lateCPU, MemoryMB: 10, EstimatedMS: 1000}) {
+		return nil, errNotReady
+	}
+	var start time.Time
+	select {
+	case start = <-arrived:
+	case <-time.After(10 * time.Second):
+		return nil, fmt.Errorf("the task did not start: %w", errNotReady)
+	}
+	if state := t.client.await(id, 8*time.Second); state != "completed" {
+		return nil, fmt.Errorf("the submission is %q: %w", state, errNotReady)
+	}
+	if t.trouble {
+		time.Sleep(time.Until(start.Add(crashAt)))
+		life := e.id
+		e.crash()
+		time.Sleep(time.Until(start.Add(bootAt)))
+		if err := e.boot(life); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(time.Until(start.Add(lateBy + 3*time.Second)))
+	return t.rec.twice(), nil
+}
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -24,6 +24,8 @@
 
 var cases = map[string]func(t *trial) (breaks []string, err error){
 	"flapping-executor":    flappingExecutor,
+	"many-tasks":           manyTasks,
+	"late-start":           lateStart,
 	"cancelled-behind-cut": cancelledBehindCut,
 }
 
