--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -27,6 +27,7 @@
 	"many-tasks":           manyTasks,
 	"late-start":           lateStart,
 	"owners-lost":          ownersLost,
+	"stalled-owner":        stalledOwner,
 	"cancelled-behind-cut": cancelledBehindCut,
 }
 
--- a/review/standins-2/record.go
+++ b/review/standins-2/record.go
@@ -121,3 +121,32 @@
 	}
 	return n
 }
+
+// idle returns the longest time, after from, for which no run was at work.
+func (r *record) idle(from time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	longest, busyUntil := time.Duration(0), from
+	for _, x := range r.runs {
+		longest = max(longest, x.from-busyUntil)
+		end := x.to
+		if end == 0 {
+			end = r.since()
+		}
+		busyUntil = max(busyUntil, end)
+	}
+	return max(longest, r.since()-busyUntil)
+}
+
+// done returns the number of tasks that have ended done.
+func (r *record) done() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	tasks := make(map[string]struct{})
+	for _, x := range r.runs {
+		if x.how == "done" {
+			tasks[x.task] = struct{}{}
+		}
+	}
+	return len(tasks)
+}
