--- a/review/standins-2/executor.go
+++ b/review/standins-2/executor.go
@@ -51,6 +51,7 @@
 	changed           chan struct{}
 	server            *http.Server
 	stopTimers        context.CancelFunc
+	lastLapse         time.Duration
 }
 
 type run struct {
@@ -149,6 +150,9 @@
 	}
 	now := time.Now()
 	lapsed := e.clock() >= e.leaseEnd
+	if lapsed {
+		e.lastLapse = e.rec.since()
+	}
 	for task, r := range e.runs {
 		switch {
 		case lapsed:
@@ -390,7 +394,7 @@
 		e.extend(o.DeadlineMS)
 	}
 	for len(e.ends) > 0 && e.ends[0].n <= o.LastSeen {
-		e.rec.endNoted(e.id, e.born, e.ends[0])
+		e.rec.endNoted(e.id, e.lastLapse, e.ends[0])
 		e.ends = e.ends[1:]
 	}
 }
