review: a submission runs after its cancelling was answered with 410

Case 10 is new: the store leaves the write of a submission without an answer and carries it out 5.5 s later; the requester has 504 from both entries, gives up and gets 410 for its DELETE, and over 3 s after that the tasks start.

--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -70,6 +70,8 @@
 	agents    []*process
 	executors []*executor
 	closers   []func()
+	// late is the store in front of table.
+	late *lateWrites
 	// maxHold is maxHoldMs.
 	maxHold time.Duration
 }
@@ -95,10 +97,11 @@
 // serveStore picks a free loopback network and serves the store on it.
 func (f *fleet) serveStore() error {
 	const tries, lowest, highest = 20, 100, 250
+	f.late = &lateWrites{next: &stub.Store{Table: f.table, Rewrite: f.rewrite}, rec: f.rec, table: f.table}
 	var err error
 	for range tries {
 		f.net = lowest + rand.IntN(highest-lowest)
-		if err = f.serve(f.address(partStore, 1, storePort), &stub.Store{Table: f.table, Rewrite: f.rewrite}); err == nil {
+		if err = f.serve(f.address(partStore, 1, storePort), f.late); err == nil {
 			return f.publishRoute(1)
 		}
 	}
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -29,6 +29,7 @@
 	"owners-lost":          ownersLost,
 	"stalled-owner":        stalledOwner,
 	"cancelled-behind-cut": cancelledBehindCut,
+	"late-acceptance":      lateAcceptance,
 }
 
 func main() {
