review: doses of cases 7 and 9 strictly inside those of their sites

Cases 7 and 9 had one executor of seven (0.143), where the site file has 0.14; it is one of eight now. The script's store is slow for 4.5 s in place of 4.9 s.

--- a/review/standins-2/flapping.go
+++ b/review/standins-2/flapping.go
@@ -20,7 +20,7 @@
 // flappingExecutor has one executor of its kind go down and up by turns while a task that needs this kind works there. No run
 // of the task ends failed, so that the submission must not be shown as failed.
 func flappingExecutor(t *trial) ([]string, error) {
-	const plainExecutors = 6
+	const plainExecutors = 7
 	for host := 1; host <= 2; host++ {
 		if err := t.addEntry(host); err != nil {
 			return nil, err
--- a/review/standins-2/owners.go
+++ b/review/standins-2/owners.go
@@ -16,7 +16,7 @@
 	ownerKey = "owner/work"
 	// slowAnswer is an answer that takes 60 times as long, slowFor is for how long answers do.
 	slowAnswer = 60 * storeLatency
-	slowFor    = 4900 * time.Millisecond
+	slowFor    = 4500 * time.Millisecond
 	// darkFor is how long a frontend machine that was killed stays dark.
 	darkFor = 3500 * time.Millisecond
 	// loadingFor is how long the second owner lives.
@@ -29,12 +29,12 @@
 )
 
 // ownersLost kills the entry that owns the work, and the next owner while it loads the tables from a slow store. The machine that
-// runs a task that lasts is lost with the first one. With room on six other executors the task has to run again.
+// runs a task that lasts is lost with the first one. With room on seven other executors the task has to run again.
 func ownersLost(t *trial) ([]string, error) {
-	if err := t.startSmall(7); err != nil {
+	if err := t.startSmall(8); err != nil {
 		return nil, err
 	}
-	const thirdEntry = 10
+	const thirdEntry = 11
 	if err := t.addEntry(thirdEntry); err != nil {
 		return nil, err
 	}
