--- a/review/standins-2/cancelled.go
+++ b/review/standins-2/cancelled.go
@@ -24,6 +24,9 @@
 	// roomWork and roomCPU are those of each task: one takes all room of an executor.
 	roomWork = 6 * time.Second
 	roomCPU  = 8000
+	// smallExecutors is the number of executors without room for a task, smallCPU their size.
+	smallExecutors = 3
+	smallCPU       = 2000
 	// waitingStretch leaves all submissions time to wait, so that they start in the order in which they were handed in.
 	waitingStretch = 20
 )
@@ -43,6 +46,12 @@
 	if err := t.addEntry(thirdEntry); err != nil {
 		return nil, err
 	}
+	// Executors that are too small for the tasks: three frontend machines are a third of the nine in use.
+	for host := thirdEntry + 1; host <= thirdEntry+smallExecutors; host++ {
+		if _, err := t.addExecutor(host, "a", smallCPU); err != nil {
+			return nil, err
+		}
+	}
 	if !t.client.ready("00000000000000aa", "") {
 		return nil, errNotReady
 	}
