standin: the first write after a read of an empty table is a change

The stand-in gave an empty table version 1 in a read and version 1 to its first write, so that a follower whose read came just before the write never saw it.

The read now uses up version 1.

--- a/verify/standin/follow.go
+++ b/verify/standin/follow.go
@@ -39,7 +39,9 @@
 		return store.Page{}, err
 	}
 	t.counts.Reads++
-	page := store.Page{Version: max(1, t.version)}
+	// A store has a version before its first row: version 0 stands for a table that was not read yet.
+	t.version = max(1, t.version)
+	page := store.Page{Version: t.version}
 	for key, r := range t.rows {
 		if strings.HasPrefix(key, table+"/") && key > after {
 			page.Changes = append(page.Changes, store.Change{Row: r})
