gateway: a denied cancellation takes the submission's key

Cause: Cancel read the row, found none and answered 410. The store may carry out a write without an answer seconds later if its condition still holds, and nothing had taken that condition away.

Evidence: the record of the case has both writes, the DELETE, no row of a cancellation, and the late write of the first attempt. Ruled out: a cancellation that the owner dropped (there is no such row), a retry after the DELETE (two writes only).

Change: a tombstone at the submission's key. The store itself then refuses each late write, whichever entry sent it, and a conflict tells a tombstone from a submission. POST of such an id is refused with 503 and the retention time, GET and DELETE are answered with 410. The owner removes tombstones after the retention time of ended submissions, and keeps a cancellation that it reads before its submission.

--- a/base/events/dispatch.go
+++ b/base/events/dispatch.go
@@ -42,6 +42,8 @@
 	RowInvalid        = define(634, "row_invalid", zerolog.ErrorLevel, "A row in the store cannot be decoded and is skipped.")
 	RequestAnswered   = define(640, "request_answered", zerolog.InfoLevel, "A requester got its final response. error names why a request was rejected. manifest_age is the time since the manifest was last known to be the newest.")
 	StateAsked        = defineHot(641, "state_asked", zerolog.InfoLevel, "A requester queried a submission's state or a queue's pending count.")
+	TombstoneWritten  = define(643, "tombstone_written", zerolog.InfoLevel, "A submission that does not exist was cancelled. A tombstone has its key, so that a write of it that had no answer can't take effect. found is set if the tombstone was there already.")
+	TombstonesRemoved = define(644, "tombstones_removed", zerolog.InfoLevel, "The owner removes tombstones after the retention time, and cancellations of submissions that do not exist. left is the number that it still keeps.")
 	ExecutorHeartbeat = define(650, "executor_heartbeat", zerolog.InfoLevel, "The agent has received the first heartbeat of an executor incarnation, or the executor's state has changed.")
 	ExecutorSilent    = define(651, "executor_silent", zerolog.WarnLevel, "The executor does not respond to the agent.")
 	ExecutorAnswers   = define(652, "executor_answers", zerolog.InfoLevel, "The executor responds to the agent again.")
--- a/command/deployed/entry.go
+++ b/command/deployed/entry.go
@@ -80,7 +80,7 @@
 		ManifestVersion: e.manifestVersion, ManifestAge: e.manifestAge, OwnerSilence: p.link.SinceLastMessage, OwnerCounters: candidate.Counters})
 	g := gateway.New(gateway.Config{Store: p.store, Clock: p.clock, Log: p.log, Owner: p.link, Manifest: e.manifest.Current,
 		ManifestAge: e.manifestAge, MaxManifestAge: p.settings.Bounds.ConfigApply, MaxRowBytes: p.settings.MaxRowBytes,
-		StoreLastResponse: e.follower.LastAnswer, Observe: m.ObserveResponse, ObserveForward: m.ObserveForward,
+		TombstoneRetention: p.bounds().Retention, StoreLastResponse: e.follower.LastAnswer, Observe: m.ObserveResponse, ObserveForward: m.ObserveForward,
 		ForwardEarly: p.options.EarlyForward.Enabled, Owning: candidate.Owning, Admission: p.admission(self, m)})
 	control, err := p.listen(ctx, self.Address)
 	if err != nil {
--- a/control/coordinator/load.go
+++ b/control/coordinator/load.go
@@ -95,7 +95,7 @@
 	events.OwnershipLoaded.Log(o.cfg.Log).Uint64("epoch", o.dispatcher.Epoch()).Int("work", len(t.work)).Int("records", len(t.progress)).Send()
 }
 
-// applyWorkRow applies a row of the work table: a submission or a cancellation. records are the values of the progress
+// applyWorkRow applies a row of the work table: a submission, a tombstone or a cancellation. records are the values of the progress
 // table by key, as far as they are known.
 func (o *owner) applyWorkRow(r store.Row, records map[string][]byte, now time.Duration) {
 	id := strings.TrimPrefix(r.Key, dispatch.WorkTable+"/")
@@ -103,6 +103,10 @@
 		o.dispatcher.Cancel(cancelled, now)
 		return
 	}
+	if submission.IsTombstone(r.Value) {
+		o.dispatcher.AddTombstone(id, now)
+		return
+	}
 	s, err := submission.Decode(r.Value)
 	if err == nil {
 		err = o.dispatcher.Add(s, records, now)
--- a/control/coordinator/owner.go
+++ b/control/coordinator/owner.go
@@ -17,6 +17,7 @@
 	"github.com/chicorystand/chicorystand/control/dispatch"
 	"github.com/chicorystand/chicorystand/control/evacuation"
 	"github.com/chicorystand/chicorystand/control/manifest"
+	"github.com/chicorystand/chicorystand/control/worktable"
 	"github.com/chicorystand/chicorystand/state/member"
 	"github.com/chicorystand/chicorystand/state/store"
 	"github.com/chicorystand/chicorystand/wire"
@@ -226,8 +227,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), forwardedWriteTimeout)
 	defer cancel()
-	_, err := o.cfg.Store.Commit(ctx, store.Txn{Conds: []store.Cond{{Key: m.Key}}, Writes: []store.Write{{Key: m.Key, Value: m.Value}}})
-	if err != nil {
+	if err := worktable.Create(ctx, o.cfg.Store, m.Key, m.Value); err != nil {
 		return wire.ErrorReply(err)
 	}
 	return &wire.Ack{}
--- a/control/dispatch/commit.go
+++ b/control/dispatch/commit.go
@@ -44,8 +44,8 @@
 	starts []*taskEntry
 	// acks are the executors with ends that are applied to the tables but not committed.
 	acks map[*node]uncommittedEnd
-	// removed are the jobs whose rows are to be deleted.
-	removed []*job
+	// removed are the keys of the rows to be deleted, by submission.
+	removed [][]string
 }
 
 func newEffects() effects { return effects{acks: make(map[*node]uncommittedEnd)} }
@@ -248,12 +248,12 @@
 	return true
 }
 
-// addRemovals adds the removal of ended submissions, of which each takes a few rows: its work, its cancellation and the
+// addRemovals adds the removal of ended submissions and of tombstones, of which each takes a few rows: its work, its cancellation and the
 // parts of its record, at most submission.MaxTasks/partTasks.
 func (o *Owner) addRemovals(b *Batch) {
 	rows := len(b.Writes())
 	for len(o.uncommitted.removed) > 0 {
-		keys := rowsOf(o.uncommitted.removed[0])
+		keys := o.uncommitted.removed[0]
 		if rows += len(keys); rows > maxBatchWrites {
 			return
 		}
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -4,7 +4,7 @@
 // over them. Orders leave the package only after the records that they depend on are committed.
 //
 // The tables are in tables.go and neighbours.go; jobs.go and reports.go change them by submissions and
-// by reports. records.go divides the record of a job into rows. Each pass of Tick has a file: place.go, poolplan.go, preempt.go, move.go, relocation.go, zones.go, stall.go and speed.go,
+// by reports, tombstones.go by cancellations of submissions that do not exist. records.go divides the record of a job into rows. Each pass of Tick has a file: place.go, poolplan.go, preempt.go, move.go, relocation.go, zones.go, stall.go and speed.go,
 // contention.go for speed limits. crash.go attributes crashes of executors to tasks. commit.go and orders.go
 // turn decisions into records and orders, backlog.go describes the work that waits, share.go orders it by shares of queues, and refusal.go handles commits that the store refuses. placewait.go and placewait_gang.go
 // hold tasks and gangs back for their rack. What can be decided without the tables is in packages of its own:
@@ -105,8 +105,10 @@
 	// placementHeld is set while nothing is placed because the evacuations are not known.
 	placementHeld bool
 
-	jobs      map[string]*job
-	executors map[submission.Incarnation]*node
+	jobs map[string]*job
+	// tombstones are the cancelled submissions without a row.
+	tombstones tombstones
+	executors  map[submission.Incarnation]*node
 	// incarnations lists the executors by their ID and by their address.
 	incarnations map[string][]*node
 	// waiting holds the steps with tasks that are ready to start.
@@ -199,7 +201,7 @@
 	if b.MaxInterference > 0 {
 		model.PauseAfter = max(0, b.MaxInterference-pauseMargin)
 	}
-	return &Owner{bounds: b, epoch: epoch, startedAt: now, now: now, modelWrittenAt: now, lastCommit: now, log: log, unixMillis: unix, jobs: make(map[string]*job),
+	return &Owner{bounds: b, epoch: epoch, startedAt: now, now: now, modelWrittenAt: now, lastCommit: now, log: log, unixMillis: unix, jobs: make(map[string]*job), tombstones: tombstones{byID: make(map[string]*tombstone)},
 		executors: make(map[submission.Incarnation]*node), incarnations: make(map[string][]*node), waiting: make(map[stepKey]*waitingStep), scheduled: make(map[string]*job),
 		dirty: make(map[*recordPart]struct{}), outbox: make(map[submission.Incarnation]*outbox), uncommitted: newEffects(), estimates: make(map[string]*speed.EstimateAccuracy), contention: model,
 		compatibility: make(map[string]float64), crashes: make(map[string]crash), pools: make(map[string]*pool), moveTargets: make(map[stepKey]*pool), advice: advice.NewTable()}
--- a/control/dispatch/jobs.go
+++ b/control/dispatch/jobs.go
@@ -15,6 +15,17 @@
 	if _, ok := o.jobs[s.ID]; ok {
 		return nil
 	}
+	if err := o.addJob(s, rows, now); err != nil {
+		return err
+	}
+	if t := o.tombstones.take(s.ID); t != nil && t.cancellation {
+		// The cancellation was read before the submission.
+		o.Cancel(s.ID, now)
+	}
+	return nil
+}
+
+func (o *Owner) addJob(s *submission.Submission, rows map[string][]byte, now time.Duration) error {
 	j := newJob(s, o.arrivalTime(s, now))
 	r, err := decodeRecord(j, rows)
 	if err != nil {
@@ -156,10 +167,11 @@
 	}
 }
 
-// Cancel cancels a submission. It reports whether the submission is known.
+// Cancel cancels a submission. It reports whether the submission is known; another one is cancelled when it is added.
 func (o *Owner) Cancel(id string, now time.Duration) bool {
 	j := o.jobs[id]
 	if j == nil {
+		o.tombstones.add(id, now).cancellation = true
 		return false
 	}
 	if !j.state.Final() {
@@ -296,9 +308,10 @@
 	for id, j := range o.jobs {
 		if j.state.Final() && j.durableState == j.state && now-j.endedAt > o.bounds.Retention && j.idle() {
 			delete(o.jobs, id)
-			o.uncommitted.removed = append(o.uncommitted.removed, j)
+			o.uncommitted.removed = append(o.uncommitted.removed, rowsOf(j))
 		}
 	}
+	o.removeTombstones(now)
 }
 
 // State returns the durable state of a submission.
--- a/ingress/gateway/gateway.go
+++ b/ingress/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"github.com/chicorystand/chicorystand/base/clock"
 	"github.com/chicorystand/chicorystand/base/errkind"
@@ -25,9 +26,6 @@
 const (
 	// ownerTimeout bounds a state query to the owner, after which the store is read.
 	ownerTimeout = 400 * time.Millisecond
-	// cancelReadDivisor gives the read before a cancellation a part of the time left, after which the owner is asked. A store that takes
-	// longer would not answer the write either.
-	cancelReadDivisor = 2
 	// countsMaxAge is the maximum age of a queue count that is returned.
 	countsMaxAge = 5 * time.Second
 	// maxCachedStates bounds the cache of final states.
@@ -56,6 +54,10 @@
 	forwardEarly   bool
 	owning         func() bool
 	writeLatency   latency
+	// tombstones limits the tombstones that this entry writes.
+	tombstones *rate.Limiter
+	// tombstoneRetention is the delay after which a submission that was cancelled before it was stored may be submitted again.
+	tombstoneRetention time.Duration
 
 	mu          sync.Mutex
 	finalStates map[string]submission.State
@@ -74,6 +76,8 @@
 	MaxManifestAge time.Duration
 	// MaxRowBytes is the size of the largest value that the store accepts, 0 for no limit.
 	MaxRowBytes int
+	// TombstoneRetention is how long the owner keeps a tombstone at least.
+	TombstoneRetention time.Duration
 	// StoreLastResponse returns the clock's time of the store's last response, 0 before the first.
 	StoreLastResponse func() time.Duration
 	// Observe records each response in the metrics.
@@ -104,7 +108,8 @@
 	}
 	return &Gateway{store: c.Store, clock: c.Clock, log: c.Log, owner: c.Owner, manifest: c.Manifest, manifestAge: c.ManifestAge, maxManifestAge: c.MaxManifestAge,
 		observe: c.Observe, observeForward: c.ObserveForward, maxRowBytes: c.MaxRowBytes,
-		admission: c.Admission, forwardEarly: c.ForwardEarly, owning: c.Owning, breaker: breaker{clock: c.Clock, lastResponse: c.StoreLastResponse}, finalStates: make(map[string]submission.State)}
+		admission: c.Admission, forwardEarly: c.ForwardEarly, owning: c.Owning, breaker: breaker{clock: c.Clock, lastResponse: c.StoreLastResponse},
+		tombstones: rate.NewLimiter(tombstonesPerSecond, tombstoneBurst), tombstoneRetention: c.TombstoneRetention, finalStates: make(map[string]submission.State)}
 }
 
 // Manifest returns the current manifest, nil before the first is received.
@@ -119,7 +124,8 @@
 	return nil
 }
 
-// Submit makes a submission durable. A repeated submission succeeds without effect.
+// Submit makes a submission durable. A repeated submission succeeds without effect. It returns errkind.Tombstoned for one that
+// was cancelled before it was stored.
 func (g *Gateway) Submit(ctx context.Context, r *manifest.Route, s *submission.Submission) error {
 	ctx, cancel := limitAnswerTime(ctx)
 	defer cancel()
@@ -133,12 +139,12 @@
 		return errkind.New(errkind.TooLarge, "the submission takes %d bytes in the store, which accepts at most %d; nothing was stored", len(value), g.maxRowBytes)
 	}
 	if g.admission == nil {
-		return g.create(ctx, dispatch.WorkKey(s.ID), value)
+		return g.createOnce(ctx, dispatch.WorkKey(s.ID), value)
 	}
 	if err := g.admission.Admit(ctx, s); err != nil {
 		return err
 	}
-	err = g.create(ctx, dispatch.WorkKey(s.ID), value)
+	err = g.createOnce(ctx, dispatch.WorkKey(s.ID), value)
 	g.admission.Settled(s.ID, err)
 	return err
 }
@@ -204,8 +210,8 @@
 	if err != nil {
 		return 0, err
 	}
-	if len(rows) == 0 {
-		return 0, errkind.New(errkind.NotFound, "no submission has the id %s", id)
+	if len(rows) == 0 || submission.IsTombstone(rows[0].Value) {
+		return 0, unknownSubmission(id)
 	}
 	return submission.Queued, nil
 }
@@ -226,23 +232,6 @@
 	g.finalStates[id] = s
 }
 
-// Cancel makes a cancellation durable.
-func (g *Gateway) Cancel(ctx context.Context, _ *manifest.Route, id string) error {
-	ctx, cancel := limitAnswerTime(ctx)
-	defer cancel()
-	readCtx, cancelRead := context.WithTimeout(ctx, timeLeft(ctx)/cancelReadDivisor)
-	defer cancelRead()
-	rows, err := g.store.Get(readCtx, dispatch.WorkKey(id))
-	if err != nil {
-		if _, known := g.queryOwner(ctx, id); !known {
-			return err
-		}
-	} else if len(rows) == 0 {
-		return errkind.New(errkind.NotFound, "no submission has the id %s", id)
-	}
-	return g.create(ctx, dispatch.CancelKey(id), nil)
-}
-
 // Pending returns the count of pending submissions that the owner last sent.
 func (g *Gateway) Pending(_ context.Context, r *manifest.Route) (int, error) {
 	counts, age := g.owner.QueueCounts()
@@ -258,6 +247,9 @@
 	if errors.As(err, &own) {
 		return own.RetryAfter()
 	}
+	if errkind.Of(err) == errkind.Tombstoned {
+		return max(retryAfter, g.tombstoneRetention)
+	}
 	return retryAfter
 }
 
--- a/ingress/gateway/write.go
+++ b/ingress/gateway/write.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chicorystand/chicorystand/base/errkind"
-	"github.com/chicorystand/chicorystand/state/store"
+	"github.com/chicorystand/chicorystand/control/worktable"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
@@ -69,9 +69,19 @@
 	return errkind.Wrap(errkind.StoreAmbiguous, err, "the outcome of the write is unknown")
 }
 
-// create creates a row, with retries. It succeeds too when the row exists: an earlier request with
-// the same id has created it. It returns errkind.StoreUnavailable only when no attempt can have taken
-// effect. The context is bounded by limitAnswerTime.
+// createOnce creates a row, with retries. It succeeds too when the row exists: an earlier request with
+// the same id has created it. Other errors are those of create.
+func (g *Gateway) createOnce(ctx context.Context, key string, value []byte) error {
+	err := g.create(ctx, key, value)
+	if errkind.Of(err) == errkind.Conflict {
+		return nil
+	}
+	return err
+}
+
+// create creates a row, with retries. It returns errkind.Conflict or errkind.Tombstoned when the key is taken, as
+// worktable.Create does, possibly by an attempt of its own. It returns errkind.StoreUnavailable only when no attempt can have
+// taken effect. The context is bounded by limitAnswerTime.
 func (g *Gateway) create(ctx context.Context, key string, value []byte) error {
 	// The context of the attempts ends with the write, which cancels the attempts that are no longer needed.
 	ctx, cancelAttempts := context.WithCancelCause(ctx)
@@ -202,8 +212,8 @@
 // apply takes in the result of an attempt. It reports whether the write has ended.
 func (w *rowWrite) apply(ctx context.Context, r attemptResult) (bool, error) {
 	w.record(r)
-	if created(r.err) {
-		return true, nil
+	if settled(r.err) {
+		return true, r.err
 	}
 	ended := false
 	if r.path == direct {
@@ -217,10 +227,13 @@
 	return false, nil
 }
 
-// created reports whether the row exists after an attempt with this error.
-func created(err error) bool {
-	kind := errkind.Of(err)
-	return kind == errkind.None || kind == errkind.Conflict
+// settled reports whether the key is taken after an attempt with this error, so that no other attempt can take effect any more.
+func settled(err error) bool {
+	switch errkind.Of(err) {
+	case errkind.None, errkind.Conflict, errkind.Tombstoned:
+		return true
+	}
+	return false
 }
 
 // directFailed continues after a failed direct attempt: with the attempt in progress through the owner, else with a new one, else
@@ -255,7 +268,7 @@
 	w.lastErr = r.err
 	kind := errkind.Of(r.err)
 	switch {
-	case created(r.err):
+	case settled(r.err):
 	case r.path == viaOwner:
 		w.uncertain = w.uncertain || kind.Attributes().Execution != errkind.ExecutionNotRun
 	case kind == errkind.StoreAmbiguous:
@@ -287,8 +300,8 @@
 		select {
 		case r := <-w.results:
 			w.record(r)
-			if created(r.err) {
-				return nil
+			if settled(r.err) {
+				return r.err
 			}
 		case <-timeout:
 			w.uncertain, w.inProgress = true, [pathCount]bool{}
@@ -313,7 +326,7 @@
 // commit writes the row to the store.
 func (g *Gateway) commit(ctx context.Context, key string, value []byte) error {
 	startedAt := g.clock.Now()
-	_, err := g.store.Commit(ctx, store.Txn{Conds: []store.Cond{{Key: key}}, Writes: []store.Write{{Key: key, Value: value}}})
+	err := worktable.Create(ctx, g.store, key, value)
 	failed := errkind.Of(err) == errkind.StoreAmbiguous || errkind.Of(err) == errkind.StoreUnavailable
 	took := g.clock.Now() - startedAt
 	switch {
--- a/state/store/store.go
+++ b/state/store/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 )
 
@@ -51,6 +52,17 @@
 	Commit(ctx context.Context, txn Txn) ([]uint64, error)
 }
 
+// ConflictError is the cause of an errkind.Conflict of a store that tells the current rows.
+type ConflictError struct {
+	// Rows are those that exist among the rows in the conditions.
+	Rows []Row
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%d rows in the conditions exist", len(e.Rows))
+}
+
 // Objects is the object store.
 type Objects interface {
 	// Put stores data under key. It fails with errkind.AlreadyExists when the key exists.
--- a/verify/standin/table.go
+++ b/verify/standin/table.go
@@ -225,12 +225,23 @@
 	for _, c := range conds {
 		if t.rows[c.Key].Version != c.Version {
 			t.counts.Conflicts++
-			return errkind.New(errkind.Conflict, "row %s has version %d, not %d", c.Key, t.rows[c.Key].Version, c.Version)
+			return errkind.Wrap(errkind.Conflict, &store.ConflictError{Rows: t.currentRows(conds)}, "row %s has version %d, not %d", c.Key, t.rows[c.Key].Version, c.Version)
 		}
 	}
 	return nil
 }
 
+// currentRows returns the rows that exist among those in conditions.
+func (t *Table) currentRows(conds []store.Cond) []store.Row {
+	var rows []store.Row
+	for _, c := range conds {
+		if r, ok := t.rows[c.Key]; ok {
+			rows = append(rows, r)
+		}
+	}
+	return rows
+}
+
 func (t *Table) apply(writes []store.Write) []uint64 {
 	t.counts.Commits++
 	t.counts.Rows += int64(len(writes))
