dispatch: no run starts by cancellations that were known too long ago

Cause: an owner that was cut off from the store and reaches it again gets its commit through within 60 ms to 1.2 s, while the poll of its feed that was on its way ends after 2.2 s. In between it placed tasks by what it knew before. It asked for the age of the evacuations only.

Evidence: in the record of the case the starts come before the owner's stops of the same tasks; a trial with a feed that is silent while commits get through starts the task 3 s after its cancellation. Ruled out: a start decided before the cut (the order has the lease's deadline) and a feed that misses the cancellation (the tasks are stopped).

Change: one rule for all inputs of a start (control/dispatch/freshness.go), with the time as of which each is complete and its bound; all decisions that lead to a start, orders after their commit, repetitions and the deadlines of orders follow it. The feed polls often enough for that, and a poll that is overdue while commits get through is repeated.

Clients of the histories that are going to cancel now give up when an outcome is unknown.

--- a/control/coordinator/coordinator_test.go
+++ b/control/coordinator/coordinator_test.go
@@ -26,7 +26,11 @@
 	"github.com/chicorystand/chicorystand/wire"
 )
 
-const testTimeout = 20 * time.Second
+const (
+	testTimeout = 20 * time.Second
+	// testCancel is the bound of cancellations.
+	testCancel = 3 * time.Second
+)
 
 func newTable() *standin.Table { return standin.NewTable(10_000, 100_000) }
 
@@ -55,7 +59,7 @@
 	go member.Serve(l, e.link, e.link.Handle)
 	go member.KeepRegistered(ctx, e.store, self, e.link.SinceLastMessage)
 	bounds := dispatch.Bounds{LeaseDuration: 2 * time.Second, AckValidity: 2 * time.Second, MaxStoreOutage: 15 * time.Second,
-		StopTimeout: 100 * time.Millisecond, Retention: time.Hour}
+		Cancel: testCancel, StopTimeout: 100 * time.Millisecond, Retention: time.Hour}
 	e.candidate = NewCandidate(Config{Store: e.store, Clock: c, Log: zerolog.Nop(), Bounds: bounds, Member: self,
 		Manifest: func() *manifest.Manifest { return nil }, HighestEpoch: e.link.Epoch}, e.link)
 	go func() {
--- a/control/coordinator/load.go
+++ b/control/coordinator/load.go
@@ -21,6 +21,8 @@
 	work, progress, contentionModel []store.Row
 	// version is the store version from which the changes of the work table are followed.
 	version uint64
+	// workAsOf is the time as of which work is complete.
+	workAsOf time.Duration
 }
 
 // load reads all submissions and their progress records. It returns the store version
@@ -70,6 +72,7 @@
 	if t.contentionModel, err = o.cfg.Store.Get(ctx, dispatch.ContentionModelKey); err != nil {
 		return t, err
 	}
+	t.workAsOf = o.cfg.Clock.Now()
 	t.work, t.version, err = store.ReadAll(ctx, o.cfg.Store, dispatch.WorkTable)
 	return t, err
 }
@@ -92,6 +95,7 @@
 	for _, r := range t.work {
 		o.applyWorkRow(r, records, now)
 	}
+	o.dispatcher.SetCancellationsAsOf(t.workAsOf)
 	events.OwnershipLoaded.Log(o.cfg.Log).Uint64("epoch", o.dispatcher.Epoch()).Int("work", len(t.work)).Int("records", len(t.progress)).Send()
 }
 
@@ -116,11 +120,18 @@
 	}
 }
 
-func (o *owner) followTable(ctx context.Context, table string, version uint64, sink follow.Sink) {
+// followWork follows the work table after a version. Its rows are kept recent enough to start runs.
+func (o *owner) followWork(ctx context.Context, version uint64) {
+	o.workFollower = follow.New(o.cfg.Store, dispatch.WorkTable, newWorkSink(o, version), o.cfg.Clock, o.cfg.Log)
+	o.workFollower.KeepWithin(o.cfg.Bounds.MaxInputAge())
+	o.runFollower(ctx, o.workFollower, version)
+}
+
+func (o *owner) runFollower(ctx context.Context, f *follow.Follower, version uint64) {
 	o.wg.Add(1)
 	go func() {
 		defer o.wg.Done()
-		follow.New(o.cfg.Store, table, sink, o.cfg.Clock, o.cfg.Log).Run(ctx, version)
+		f.Run(ctx, version)
 	}()
 }
 
@@ -161,6 +172,11 @@
 	s.delivered = max(s.delivered, version)
 }
 
+// Current implements follow.CurrentSink. It takes the way of the rows, so that these are applied before.
+func (s *workSink) Current(asOf time.Duration) {
+	s.o.enqueue(func(time.Duration) { s.o.dispatcher.SetCancellationsAsOf(asOf) })
+}
+
 func (s *workSink) apply(r store.Row) {
 	s.o.enqueue(func(now time.Duration) { s.o.applyWorkRow(r, nil, now) })
 }
--- a/control/coordinator/loop.go
+++ b/control/coordinator/loop.go
@@ -46,7 +46,10 @@
 	case r.err == nil:
 		o.ackEntries = r.entries
 		o.lastCommitSent.Store(int64(r.sent))
-		o.dispatcher.Committed(r.batch, r.sent, o.cfg.Clock.Now())
+		now := o.cfg.Clock.Now()
+		// The store answers. A poll that takes much longer than the commit did waits on a connection that has gone silent.
+		o.workFollower.RetryOverdue(overduePollFactor*(now-r.sent) + overduePollMargin)
+		o.dispatcher.Committed(r.batch, r.sent, now)
 		return nil
 	case refusedForGood(r.err):
 		return o.dispatcher.Refused(r.batch, r.err)
--- a/control/coordinator/owner.go
+++ b/control/coordinator/owner.go
@@ -18,6 +18,7 @@
 	"github.com/chicorystand/chicorystand/control/evacuation"
 	"github.com/chicorystand/chicorystand/control/manifest"
 	"github.com/chicorystand/chicorystand/control/worktable"
+	"github.com/chicorystand/chicorystand/state/follow"
 	"github.com/chicorystand/chicorystand/state/member"
 	"github.com/chicorystand/chicorystand/state/store"
 	"github.com/chicorystand/chicorystand/wire"
@@ -44,6 +45,10 @@
 	// maxCommitAgeToForward is the age of the last commit from which the store does not seem to serve the owner either, so
 	// that it refuses such writes instead of leaving their outcome unknown.
 	maxCommitAgeToForward = 2 * maxCommitInterval
+	// overduePollFactor and overduePollMargin give the time after which the answer of a poll of the work table is overdue, as a multiple
+	// of what the last commit took and a margin.
+	overduePollFactor = 3
+	overduePollMargin = 100 * time.Millisecond
 	// inboxSize bounds the events queued for the owner's loop.
 	inboxSize = 4096
 )
@@ -73,10 +78,11 @@
 
 // owner runs one term of ownership.
 type owner struct {
-	cfg        Config
-	dispatcher *dispatch.Owner
-	committer  committer
-	conns      *memberConns
+	cfg          Config
+	dispatcher   *dispatch.Owner
+	committer    committer
+	conns        *memberConns
+	workFollower *follow.Follower
 	// ackEntries must acknowledge the owner: those of the last commit and of the one in progress.
 	ackEntries []string
 	// lastCommitSent is the clock reading when the last successful commit was sent.
@@ -159,8 +165,8 @@
 	if err != nil {
 		return err
 	}
-	o.followTable(ctx, dispatch.WorkTable, version, newWorkSink(o, version))
-	o.followTable(ctx, member.Table, 0, memberSink{ctx, o})
+	o.followWork(ctx, version)
+	o.runFollower(ctx, follow.New(o.cfg.Store, member.Table, memberSink{ctx, o}, o.cfg.Clock, o.cfg.Log), 0)
 	return o.loop(ctx)
 }
 
--- a/control/dispatch/commit.go
+++ b/control/dispatch/commit.go
@@ -300,7 +300,7 @@
 	for _, s := range b.starts {
 		if s.task.phase == phaseCommitPending && s.task.rec.Run == s.run {
 			s.task.phase, s.task.changedAt = phaseStartSent, now
-			if o.evacuated(s.task.node) || !o.knowsEvacuations(now) || !s.task.mayOrder(now) {
+			if o.evacuated(s.task.node) || !o.mayStart(now) || !s.task.mayOrder(now) {
 				// A later pass withdraws the start, or orders it once that is possible.
 				s.task.orderedAt = 0
 				continue
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -5,7 +5,7 @@
 //
 // The tables are in tables.go and neighbours.go; jobs.go and reports.go change them by submissions and
 // by reports, tombstones.go by cancellations of submissions that do not exist. records.go divides the record of a job into rows. Each pass of Tick has a file: place.go, poolplan.go, preempt.go, move.go, relocation.go, zones.go, stall.go and speed.go,
-// contention.go for speed limits. crash.go attributes crashes of executors to tasks. commit.go and orders.go
+// contention.go for speed limits. freshness.go limits starts by the age of what they depend on. crash.go attributes crashes of executors to tasks. commit.go and orders.go
 // turn decisions into records and orders, backlog.go describes the work that waits, share.go orders it by shares of queues, and refusal.go handles commits that the store refuses. placewait.go and placewait_gang.go
 // hold tasks and gangs back for their rack. What can be decided without the tables is in packages of its own:
 // ordering, placement, placewait, poolplan, relocation, backlog, contention, speed, blame, eviction and advice.
@@ -43,6 +43,8 @@
 	// Evacuation is how long after the evacuation of a zone was acknowledged a run may still begin
 	// there, 0 where zones can't be evacuated.
 	Evacuation time.Duration
+	// Cancel is how long after the cancellation of a submission was acknowledged a run of it may still begin, 0 for no limit.
+	Cancel time.Duration
 	// MaxInterference is how long best-effort work may keep a latency-critical task over its target, 0 for the
 	// default of package contention.
 	MaxInterference time.Duration
@@ -102,8 +104,11 @@
 
 	manifest    *manifest.Manifest
 	evacuations evacuation.State
-	// placementHeld is set while nothing is placed because the evacuations are not known.
-	placementHeld bool
+	// cancellationsAsOf is the time as of which all cancellations are known, 0 before.
+	cancellationsAsOf time.Duration
+	// placementHeld is set since placementHeldAt while nothing is placed because a start input is not known.
+	placementHeld   bool
+	placementHeldAt time.Duration
 
 	jobs map[string]*job
 	// tombstones are the cancelled submissions without a row.
@@ -227,9 +232,9 @@
 	o.releaseDueOccurrences(now)
 	o.saveDrainingRuns(now)
 	o.withdrawStarts(now)
-	known := o.knowsEvacuations(now)
-	o.holdPlacement(!known, now)
-	if known {
+	mayStart := o.mayStart(now)
+	o.holdPlacement(!mayStart, now)
+	if mayStart {
 		o.planPools(now)
 		o.moveRuns(now)
 		o.placeWaiting(now)
--- a/control/dispatch/orders.go
+++ b/control/dispatch/orders.go
@@ -91,12 +91,12 @@
 
 // retryOrders resends unanswered orders.
 func (o *Owner) retryOrders(now time.Duration) {
-	known := o.knowsEvacuations(now)
+	inputsKnown := o.mayStart(now)
 	for _, n := range o.executors {
 		if n.gone || !n.connected {
 			continue
 		}
-		mayStart := known && !o.evacuated(n)
+		mayStart := inputsKnown && !o.evacuated(n)
 		for t := range n.tasks {
 			if t.phase == phaseStartSent && !t.stopping && mayStart && now-t.orderedAt > startRetryInterval && t.mayOrder(now) {
 				o.sendStart(t, now)
--- a/control/dispatch/zones.go
+++ b/control/dispatch/zones.go
@@ -7,15 +7,6 @@
 	"github.com/chicorystand/chicorystand/base/events"
 	"github.com/chicorystand/chicorystand/control/evacuation"
 	"github.com/chicorystand/chicorystand/control/placement"
-	"github.com/chicorystand/chicorystand/vm/executor"
-)
-
-const (
-	// evacuationMargin is how long before the end of the evacuation bound the last start may begin.
-	evacuationMargin = 500 * time.Millisecond
-	// minStartWindow is the time that a new decision needs until its run begins: a commit and an
-	// order, with a slow store. Nothing is placed when less is left.
-	minStartWindow = time.Second
 )
 
 // SetEvacuations records what this process knows of the evacuated zones. It is called before each
@@ -28,53 +19,6 @@
 // evacuated reports whether the node's zone is evacuated.
 func (o *Owner) evacuated(n *node) bool { return o.evacuations.Zones.Contains(n.info.Zone) }
 
-// startLimit returns the time until which a run may begin by what is known of the evacuations: an
-// operator may have evacuated any zone right after they were last known. limited is false where
-// zones can't be evacuated.
-func (o *Owner) startLimit() (limit time.Duration, limited bool) {
-	if o.bounds.Evacuation == 0 {
-		return 0, false
-	}
-	return o.evacuations.AsOf + o.bounds.Evacuation - evacuationMargin, true
-}
-
-// knowsEvacuations reports whether the evacuations are known recently enough to place tasks. An
-// owner that has just started, or was cut off or suspended, waits until it has read them again.
-func (o *Owner) knowsEvacuations(now time.Duration) bool {
-	limit, limited := o.startLimit()
-	return !limited || (o.evacuations.AsOf != 0 && now+minStartWindow <= limit)
-}
-
-// startDeadline returns the latest time at which a run may begin on the node, in milliseconds on
-// the executor's clock, 0 for no limit but the lease. It holds however late the order is executed:
-// the executor's clock may be slow, but not fast.
-func (o *Owner) startDeadline(n *node) int64 {
-	limit, limited := o.startLimit()
-	if !limited {
-		return 0
-	}
-	left := time.Duration(float64(limit-n.clockAt) * executor.MinClockRate)
-	return n.clock + left.Milliseconds()
-}
-
-// holdPlacement logs when placing stops because the evacuations are not known, and when it goes on.
-func (o *Owner) holdPlacement(held bool, now time.Duration) {
-	if held == o.placementHeld {
-		return
-	}
-	o.placementHeld = held
-	if !held {
-		o.placementChanged = true
-		events.PlacementResumed.Log(o.log).Strs("evacuated", o.evacuations.Zones.Names()).Send()
-		return
-	}
-	age := time.Duration(0)
-	if o.evacuations.AsOf != 0 {
-		age = now - o.evacuations.AsOf
-	}
-	events.PlacementHeld.Log(o.log).Dur("age", age).Send()
-}
-
 // withdrawStarts takes back the starts in evacuated zones that no executor has confirmed. A start
 // that was ordered is called back with a stop, which the executor applies even to a run that has
 // not arrived yet.
--- a/state/follow/follow.go
+++ b/state/follow/follow.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,9 +18,11 @@
 )
 
 const (
-	// changesWait is how long one call waits for changes. An unresponsive connection
+	// maxChangesWait is how long one call waits for changes. An unresponsive connection
 	// is detected after this time plus the timeout of a call.
-	changesWait = time.Second
+	maxChangesWait = time.Second
+	// callsWithinAge is the number of calls within the age that rows may have.
+	callsWithinAge = 3
 	// minRetryDelay and maxRetryDelay bound the backoff after a failure.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
@@ -41,6 +44,13 @@
 	Table(rows []store.Row, version uint64)
 }
 
+// CurrentSink is a sink that is told how recent the rows are.
+type CurrentSink interface {
+	Sink
+	// Current is called after all changes before a time have been delivered.
+	Current(asOf time.Duration)
+}
+
 // Sinks passes the rows of one table on to several sinks.
 type Sinks []Sink
 
@@ -81,6 +91,22 @@
 	// currentAsOf is the time as of which all changes have been delivered, 0 before the first full read.
 	currentAsOf atomic.Int64
 	failing     bool
+	// behind is set if the last call has failed, or has not delivered all changes.
+	behind bool
+	// maxAge is the age that the rows are to have at most, 0 for no bound.
+	maxAge time.Duration
+	// latency is the time for which the store's last answer was on its way.
+	latency time.Duration
+
+	mu      sync.Mutex
+	pending pendingPoll
+}
+
+// pendingPoll is a call for changes in progress.
+type pendingPoll struct {
+	// due is when its answer is due if the store answers at once.
+	due    time.Duration
+	cancel context.CancelFunc
 }
 
 // New returns a follower. Run starts it.
@@ -88,6 +114,20 @@
 	return &Follower{store: s, table: name, sink: sink, log: log, clock: c}
 }
 
+// KeepWithin makes the follower poll often enough for the rows to be at most maxAge old while the store answers as fast as it last
+// did. It must be called before Run.
+func (t *Follower) KeepWithin(maxAge time.Duration) { t.maxAge = maxAge }
+
+// RetryOverdue repeats the poll in progress over a new connection if its answer is overdue by more than late. The caller knows that
+// the store answers other calls faster.
+func (t *Follower) RetryOverdue(late time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.pending.cancel != nil && t.clock.Now() > t.pending.due+late {
+		t.pending.cancel()
+	}
+}
+
 // Age returns the time since the store's last reply; ok is false before the first.
 func (t *Follower) Age() (age time.Duration, ok bool) {
 	at := t.lastAnswer.Load()
@@ -110,14 +150,16 @@
 		sent := t.clock.Now()
 		next, complete, err := t.poll(ctx, version)
 		if err == nil {
+			t.behind = !complete
 			if complete {
-				t.currentAsOf.Store(int64(sent))
+				t.setCurrent(sent)
 			}
 			version, delay = next, minRetryDelay
 			t.lastAnswer.Store(int64(t.clock.Now()))
 			t.logTransition(nil)
 			continue
 		}
+		t.behind = true
 		if errkind.Of(err) == errkind.NotFound && version != 0 {
 			// The store has compacted the history since this version.
 			version = 0
@@ -139,7 +181,7 @@
 // from. complete is false when the store has held back changes for the next call.
 func (t *Follower) poll(ctx context.Context, version uint64) (next uint64, complete bool, err error) {
 	if version != 0 {
-		page, err := t.store.Changes(ctx, t.table, version, changesWait)
+		page, err := t.changes(ctx, version)
 		for _, c := range page.Changes {
 			t.sink.Row(c)
 		}
@@ -153,6 +195,50 @@
 	return version, true, nil
 }
 
+// changes makes one call for the changes after a version.
+func (t *Follower) changes(ctx context.Context, version uint64) (store.Page, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	wait := t.changesWait()
+	sent := t.clock.Now()
+	t.setPending(pendingPoll{due: sent + wait, cancel: cancel})
+	defer t.setPending(pendingPoll{})
+	page, err := t.store.Changes(ctx, t.table, version, wait)
+	took := t.clock.Now() - sent
+	if len(page.Changes) == 0 {
+		t.latency = max(0, took-wait)
+	} else {
+		t.latency = min(t.latency, took)
+	}
+	return page, err
+}
+
+// changesWait returns how long the next call waits for changes. What a call delivers is as old as the call at its end, and is
+// followed by the next one only when that has ended: rows are up to twice as old as a call takes, and a little older if it is late.
+func (t *Follower) changesWait() time.Duration {
+	switch {
+	case t.maxAge == 0:
+		return maxChangesWait
+	case t.behind:
+		return 0
+	}
+	return min(max(0, t.maxAge/callsWithinAge-t.latency), maxChangesWait)
+}
+
+func (t *Follower) setPending(p pendingPoll) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pending = p
+}
+
+// setCurrent records that all changes before a time have been delivered.
+func (t *Follower) setCurrent(asOf time.Duration) {
+	t.currentAsOf.Store(int64(asOf))
+	if s, ok := t.sink.(CurrentSink); ok {
+		s.Current(asOf)
+	}
+}
+
 func (t *Follower) logTransition(err error) {
 	switch {
 	case err != nil && !t.failing:
--- a/verify/histories/cluster_test.go
+++ b/verify/histories/cluster_test.go
@@ -84,7 +84,9 @@
 	// mu guards the fields below, entries, agents and the executors' fault state.
 	mu              sync.Mutex
 	lastIncarnation uint64
-	partitioned     map[string]bool
+	// denied holds the submissions whose cancellation was answered with errkind.NotFound.
+	denied      map[string]bool
+	partitioned map[string]bool
 	// down holds the names of processes and executors that a fault has stopped and not yet restarted.
 	down map[string]bool
 }
@@ -92,7 +94,7 @@
 func newCluster(ctx context.Context, taskWork map[string]standin.Work, machines [entryCount]succession.Capability) *cluster {
 	start := time.Now()
 	c := &cluster{ctx: ctx, start: start, net: inmem.NewNet(1), table: standin.NewTable(800, 2000), clock: clock.NewRuntime(), taskWork: taskWork, machines: machines,
-		recorder: history.NewRecorder(func() time.Duration { return time.Since(start) }), partitioned: make(map[string]bool), down: make(map[string]bool), log: zerolog.Nop()}
+		recorder: history.NewRecorder(func() time.Duration { return time.Since(start) }), denied: make(map[string]bool), partitioned: make(map[string]bool), down: make(map[string]bool), log: zerolog.Nop()}
 	if *logLines {
 		c.log = zerolog.New(zerolog.SyncWriter(os.Stderr)).With().Timestamp().Logger()
 	}
@@ -168,7 +170,7 @@
 	}
 	candidate := coordinator.NewCandidate(coordinator.Config{Store: p.link, Evacuations: evacuations, Clock: c.clock, Log: p.log, Member: self,
 		Dial: c.net.Dialer(p.name), HighestEpoch: owner.Epoch, Manifest: current,
-		Bounds: dispatch.Bounds{LeaseDuration: testLease, Evacuation: history.EvacuationBound, AckValidity: 2 * time.Second, MaxStoreOutage: 15 * time.Second, StopTimeout: testStopTimeout, Retention: time.Hour}}, owner)
+		Bounds: dispatch.Bounds{LeaseDuration: testLease, Evacuation: history.EvacuationBound, Cancel: history.CancelBound, AckValidity: 2 * time.Second, MaxStoreOutage: 15 * time.Second, StopTimeout: testStopTimeout, Retention: time.Hour}}, owner)
 	p.candidate = candidate
 	l := c.net.Listen(p.name, self.Address)
 	go member.Serve(l, owner, owner.Handle)
--- a/verify/histories/histories_test.go
+++ b/verify/histories/histories_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -96,48 +97,10 @@
 // sleepUntil sleeps until the given time since the start of the run.
 func (c *cluster) sleepUntil(at time.Duration) { time.Sleep(at - time.Since(c.start)) }
 
-// runClient retries a submission until it is accepted, and cancels it if the plan requires it.
-func (c *cluster) runClient(r *workload.Request) {
-	c.sleepUntil(r.At)
-	route := &c.manifest.Routes[0]
-	c.callUntilAnswered(r.Entry, func(ctx context.Context, p *process) error {
-		s := r.Submission
-		return p.requests.Submit(ctx, route, &s)
-	})
-	r.RecordAccepted(c.recorder)
-	if r.CancelAfter == 0 {
-		return
-	}
-	time.Sleep(r.CancelAfter)
-	c.callUntilAnswered(r.Entry+1, func(ctx context.Context, p *process) error {
-		return p.requests.Cancel(ctx, route, r.Submission.ID)
-	})
-	r.RecordCancelled(c.recorder)
-}
-
-// callUntilAnswered calls the entries in turn until a call succeeds.
-func (c *cluster) callUntilAnswered(entry int, call func(ctx context.Context, p *process) error) {
-	for i := entry; ; i++ {
-		ctx, cancel := context.WithTimeout(c.ctx, requestDeadline)
-		err := call(ctx, c.entry(i%entryCount))
-		cancel()
-		if err == nil {
-			return
-		}
-		time.Sleep(clientRetry)
-	}
-}
-
 // awaitFinalStates waits until every submission has a final state in the store, for at most settleTime.
 func (c *cluster) awaitFinalStates(p plan) {
 	for deadline := time.Now().Add(settleTime); time.Now().Before(deadline); time.Sleep(200 * time.Millisecond) {
-		finished := 0
-		for i := range p.work.Requests {
-			if state, err := c.state(p.work.Requests[i].Submission.ID); err == nil && state.Final() {
-				finished++
-			}
-		}
-		if finished == len(p.work.Requests) {
+		if !slices.ContainsFunc(p.work.Requests, c.unfinished) {
 			break
 		}
 	}
@@ -145,6 +108,16 @@
 	time.Sleep(5 * time.Second)
 }
 
+// unfinished reports whether a submission that was not denied has no final state in the store.
+func (c *cluster) unfinished(r workload.Request) bool {
+	id := r.Submission.ID
+	if c.wasDenied(id) {
+		return false
+	}
+	state, err := c.state(id)
+	return err != nil || !state.Final()
+}
+
 func (c *cluster) state(id string) (submission.State, error) {
 	rows, err := c.table.Get(c.ctx, dispatch.ProgressKey(id))
 	if err != nil {
--- a/verify/history/check.go
+++ b/verify/history/check.go
@@ -28,13 +28,14 @@
 	FailureBudget     Invariant = "no task starts after its last permitted failure"
 	CancelHolds       Invariant = "cancelled work does not run on"
 	NoWorkInEvacuated Invariant = "no task starts in an evacuated zone after 5 s"
+	NoStartCancelled  Invariant = "no task starts 3 s after its cancellation was acknowledged"
 )
 
 // Invariants lists all invariants.
 func Invariants() []Invariant {
 	return []Invariant{NoOvercommit, NoDoubleRun, ResumeOnce, OwnAnswer, NotRunIsTrue, AtMostOnce,
 		NoWorkAfterDrain, GracefulStop, ConfigInForceFast, ConfigNoRevert, NothingLost,
-		StepOrder, FailureBudget, CancelHolds, NoWorkInEvacuated}
+		StepOrder, FailureBudget, CancelHolds, NoWorkInEvacuated, NoStartCancelled}
 }
 
 // Time limits of the invariants that have one.
@@ -42,6 +43,7 @@
 	DrainBound      = 2 * time.Second
 	ConfigBound     = 3 * time.Second
 	EvacuationBound = 5 * time.Second
+	CancelBound     = 3 * time.Second
 )
 
 // Violation is one violation of an invariant.
@@ -100,6 +102,7 @@
 	dependsOn   []string
 	maxFailures int
 	cancelled   bool
+	cancelledAt time.Duration
 	// outcomes holds how attempts exited on their own; successConfirmed and
 	// confirmedFailures cover the ends that the system has confirmed.
 	outcomes          map[uint32]string
@@ -183,7 +186,7 @@
 	case TaskAccepted:
 		t.accepted, t.dependsOn, t.maxFailures = true, e.DependsOn, e.MaxFailures
 	case TaskCancelled:
-		t.cancelled = true
+		t.cancelled, t.cancelledAt = true, e.At
 	case TaskEndConfirmed:
 		t.successConfirmed = t.successConfirmed || t.outcomes[e.Attempt] == task.Succeeded
 		if t.outcomes[e.Attempt] == task.Failed {
@@ -278,6 +281,9 @@
 	if at, ok := c.evacuated[e.Zone]; ok && e.At > at+EvacuationBound {
 		c.report(NoWorkInEvacuated, e.At, "attempt %d of task %s started on %s %v after the evacuation of zone %s", e.Attempt, e.Task, e.VM, e.At-at, e.Zone)
 	}
+	if t.cancelled && e.At > t.cancelledAt+CancelBound {
+		c.report(NoStartCancelled, e.At, "attempt %d of task %s started on %s %v after its cancellation was acknowledged", e.Attempt, e.Task, e.VM, e.At-t.cancelledAt)
+	}
 	c.trackReserved(e, e.Reserved)
 }
 
