coordinator: an owner that is lost while it loads prolongs no lease

Cause: a takeover and each renewal while loading wrote the owner's row without entries. The next owner did not find itself listed and waited 15 s and a lease for leases that nobody could have granted, in place of 2 s and a lease.

Ruled out: a slow load (the third owner loads from a fast store) and missing room.

Change: the row keeps the entries and the name of the last owner that granted leases until the owner grants leases itself, which is from its first commit after all members were read. Until that commit is confirmed, acknowledgements extend no lease. The window asks for the grantor: an entry that was lost while it loaded and restarted no longer trusts its own name in the row.

--- a/control/coordinator/candidate.go
+++ b/control/coordinator/candidate.go
@@ -155,8 +155,7 @@
 	if now-c.unchangedSince < c.takeoverWait(&h) {
 		return ownerRow{}, false
 	}
-	to := OwnerRecord{Epoch: h.Epoch + 1, Owner: c.cfg.Member.Name, Incarnation: c.cfg.Member.Incarnation,
-		Strongest: h.Strongest, HandedOver: h.HandedOver}
+	to := h.successor(c.cfg.Member.Name, c.cfg.Member.Incarnation)
 	c.claimedVersion = h.version
 	c.fire(eventClaim)
 	taken, err := writeOwnerRow(ctx, c.cfg.Store, h, to, nil)
@@ -201,14 +200,13 @@
 	c.unchangedSince = 0
 }
 
-// previousOwnerWindow returns how long after this takeover the previous owner may have
-// extended leases. The previous owner needs acknowledgements from the entries in its
-// row; an entry that is not among them must assume the longest time without a commit.
-// The row of an earlier incarnation does not list the process itself, but that
-// incarnation has ended and extends no lease.
+// previousOwnerWindow returns how long after this takeover a previous owner may have
+// extended leases. The last one that granted leases needs acknowledgements from the entries in the
+// row; an entry that is not among them must assume the longest time without a commit. One that has granted none
+// adds nothing, and if an earlier incarnation or term of this process was the last to grant leases, it has ended and extends none.
 func (c *Candidate) previousOwnerWindow() time.Duration {
 	name := c.cfg.Member.Name
-	if c.lastRow.version == 0 || c.lastRow.Owner == name || slices.Contains(c.lastRow.Entries, name) {
+	if c.lastRow.version == 0 || c.lastRow.grantor() == name || slices.Contains(c.lastRow.Entries, name) {
 		return c.cfg.Bounds.AckValidity
 	}
 	return c.cfg.Bounds.MaxStoreOutage
--- a/control/coordinator/earlier_test.go
+++ b/control/coordinator/earlier_test.go
@@ -25,6 +25,12 @@
 		"acknowledged the owner": {ownerRow{OwnerRecord: OwnerRecord{Owner: "b", Entries: []string{"a"}}, version: 3}, bounds.AckValidity},
 		"not listed in the row":  {ownerRow{OwnerRecord: OwnerRecord{Owner: "b", Entries: []string{"c"}}, version: 3}, bounds.MaxStoreOutage},
 		"no entry listed":        {ownerRow{OwnerRecord: OwnerRecord{Owner: "b"}, version: 3}, bounds.MaxStoreOutage},
+		// The rows below are of owners that were lost before they granted a lease.
+		"acknowledged the one before":                      {ownerRow{OwnerRecord: OwnerRecord{Owner: "b", Grantor: "c", Entries: []string{"a", "c"}}, version: 3}, bounds.AckValidity},
+		"was the one before":                               {ownerRow{OwnerRecord: OwnerRecord{Owner: "b", Grantor: "a", Entries: []string{"c"}}, version: 3}, bounds.AckValidity},
+		"joined after the one before":                      {ownerRow{OwnerRecord: OwnerRecord{Owner: "b", Grantor: "c", Entries: []string{"c"}}, version: 3}, bounds.MaxStoreOutage},
+		"earlier incarnation that granted none":            {ownerRow{OwnerRecord: OwnerRecord{Owner: "a", Incarnation: 1, Grantor: "c", Entries: []string{"c"}}, version: 3}, bounds.MaxStoreOutage},
+		"earlier incarnation of the build before, loading": {ownerRow{OwnerRecord: OwnerRecord{Owner: "a", Incarnation: 1}, version: 3}, bounds.MaxStoreOutage},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c.lastRow = tc.seen
--- a/control/coordinator/head.go
+++ b/control/coordinator/head.go
@@ -28,13 +28,35 @@
 	Incarnation uint64 `msgpack:"i"`
 	// Sequence counts the commits of the epoch.
 	Sequence uint64 `msgpack:"s"`
-	// Entries are the entries that must acknowledge the owner for it to extend
-	// leases while it cannot commit.
+	// Entries are the entries that must acknowledge the last owner that granted leases for it to extend
+	// these while it cannot commit.
 	Entries []string `msgpack:"n,omitempty"`
 	// Strongest is the capability of the most capable entry, nil where the entries are alike or it is unknown.
 	Strongest *succession.Capability `msgpack:"c,omitempty"`
 	// HandedOver is set from a hand-over until an owner has served for succession.HandOverInterval.
 	HandedOver bool `msgpack:"h,omitempty"`
+	// Grantor is the name of that owner: Owner itself, or an earlier one as long as Owner has granted no lease. It is empty in the rows
+	// of builds before.
+	Grantor string `msgpack:"g,omitempty"`
+}
+
+// grantor returns the name of the last owner that granted leases, empty if it is not known. Builds without
+// Grantor list entries only while they grant leases.
+func (h *OwnerRecord) grantor() string {
+	if h.Grantor == "" && len(h.Entries) > 0 {
+		return h.Owner
+	}
+	return h.Grantor
+}
+
+// successor returns the record of a takeover. The new owner has granted no lease, so the record still tells whose acknowledgements the
+// last one that did needs.
+func (h *OwnerRecord) successor(owner string, incarnation uint64) OwnerRecord {
+	next := OwnerRecord{Epoch: h.Epoch + 1, Owner: owner, Incarnation: incarnation, Strongest: h.Strongest, HandedOver: h.HandedOver, Grantor: h.grantor()}
+	if next.Grantor != "" {
+		next.Entries = h.Entries
+	}
+	return next
 }
 
 // sameCommit reports whether both records were written by the same commit.
@@ -103,13 +125,23 @@
 	return false
 }
 
-// commit returns when the writes are durable. An error means that the ownership
+// grant is what a commit says of the owner's leases.
+type grant struct {
+	// entries must acknowledge the owner for it to extend leases while it cannot commit.
+	entries []string
+}
+
+// commit returns when the writes are durable. The owner grants leases by g; with nil it has granted none yet, and the row
+// keeps the entries and the grantor of the one before. An error means that the ownership
 // is lost, ctx has ended, or the store has refused the writes for good. sent is called at the start of each attempt.
-func (c *committer) commit(ctx context.Context, writes []store.Write, entries []string, sent func()) error {
+func (c *committer) commit(ctx context.Context, writes []store.Write, g *grant, sent func()) error {
 	// A refused commit has a number of its own, so that the next one is not taken for it.
 	c.sequence = max(c.sequence, c.row.Sequence) + 1
 	to := c.row.OwnerRecord
-	to.Sequence, to.Entries = c.sequence, entries
+	to.Sequence = c.sequence
+	if g != nil {
+		to.Grantor, to.Entries = to.Owner, g.entries
+	}
 	for {
 		sent()
 		next, err := writeOwnerRow(ctx, c.table, c.row, to, writes)
--- a/control/coordinator/links.go
+++ b/control/coordinator/links.go
@@ -52,6 +52,8 @@
 	// ended is closed by the end of the last connection under each name.
 	ended   map[string]chan struct{}
 	members map[string]member.Member
+	// membersRead is set once all members' rows have been read, so that no entry is missing.
+	membersRead bool
 	// versions are those of the members' rows.
 	versions map[string]uint64
 	// registeredAt is when this owner last received each member's row.
@@ -251,6 +253,23 @@
 	return rows
 }
 
+func (l *memberConns) setMembersRead() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.membersRead = true
+}
+
+// leaseGrant returns what the next commit says of the owner's leases, nil while not all entries are known.
+func (l *memberConns) leaseGrant(now time.Duration) *grant {
+	l.mu.Lock()
+	read := l.membersRead
+	l.mu.Unlock()
+	if !read {
+		return nil
+	}
+	return &grant{entries: l.presentEntries(now)}
+}
+
 // presentEntries returns the sorted names of the entries that have acknowledged this owner or registered within
 // absentEntryAge. An entry that is not in the owner's row and takes over assumes the longest leases, so that leaving it
 // out is safe.
--- a/control/coordinator/load.go
+++ b/control/coordinator/load.go
@@ -122,11 +122,16 @@
 
 // followWork follows the work table after a version. Its rows are kept recent enough to start runs.
 func (o *owner) followWork(ctx context.Context, version uint64) {
-	o.workFollower = follow.New(o.cfg.Store, dispatch.WorkTable, newWorkSink(o, version), o.cfg.Clock, o.cfg.Log)
-	o.workFollower.KeepWithin(o.cfg.Bounds.MaxInputAge())
+	o.workFollower = o.newWorkFollower(version)
 	o.runFollower(ctx, o.workFollower, version)
 }
 
+func (o *owner) newWorkFollower(version uint64) *follow.Follower {
+	f := follow.New(o.cfg.Store, dispatch.WorkTable, newWorkSink(o, version), o.cfg.Clock, o.cfg.Log)
+	f.KeepWithin(o.cfg.Bounds.MaxInputAge())
+	return f
+}
+
 func (o *owner) runFollower(ctx context.Context, f *follow.Follower, version uint64) {
 	o.wg.Add(1)
 	go func() {
@@ -186,6 +191,9 @@
 	o   *owner
 }
 
+// Current implements follow.CurrentSink.
+func (s memberSink) Current(time.Duration) { s.o.conns.setMembersRead() }
+
 // Row implements follow.Sink.
 func (s memberSink) Row(c store.Change) {
 	name := strings.TrimPrefix(c.Key, member.Table+"/")
--- a/control/coordinator/loop.go
+++ b/control/coordinator/loop.go
@@ -44,7 +44,9 @@
 	o.pendingBatch = nil
 	switch {
 	case r.err == nil:
-		o.ackEntries = r.entries
+		if r.grant != nil {
+			o.ackEntries, o.grantRecorded = r.grant.entries, true
+		}
 		o.lastCommitSent.Store(int64(r.sent))
 		now := o.cfg.Clock.Now()
 		// The store answers. A poll that takes much longer than the commit did waits on a connection that has gone silent.
@@ -100,7 +102,7 @@
 	if o.cfg.Evacuations != nil {
 		o.dispatcher.SetEvacuations(o.cfg.Evacuations())
 	}
-	o.dispatcher.EntriesAcknowledged(o.conns.earliestAck(o.ackEntries))
+	o.dispatcher.EntriesAcknowledged(o.acknowledgedAt())
 	if err := o.considerHandOver(now); err != nil {
 		return err
 	}
@@ -160,8 +162,10 @@
 		return err
 	}
 	o.pendingBatch, o.lastCommit = batch, now
-	entries := o.conns.presentEntries(now)
-	o.ackEntries = union(o.ackEntries, entries)
+	g := o.conns.leaseGrant(now)
+	if g != nil {
+		o.ackEntries = union(o.ackEntries, g.entries)
+	}
 	// A stopping owner waits for the outcome, since it needs the row's version to resign.
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	o.cancelCommit = cancel
@@ -170,12 +174,21 @@
 		defer o.wg.Done()
 		defer cancel()
 		var sent time.Duration
-		err := o.committer.commit(ctx, batch.Writes(), entries, func() { sent = o.cfg.Clock.Now() })
-		o.commitResults <- commitResult{batch, entries, sent, err}
+		err := o.committer.commit(ctx, batch.Writes(), g, func() { sent = o.cfg.Clock.Now() })
+		o.commitResults <- commitResult{batch, g, sent, err}
 	}()
 	return nil
 }
 
+// acknowledgedAt returns when all entries were last known to acknowledge this owner, 0 for never. It is 0 until a commit has recorded that this
+// owner grants leases, since the next owner may be an entry that is not asked.
+func (o *owner) acknowledgedAt() time.Duration {
+	if !o.grantRecorded {
+		return 0
+	}
+	return o.conns.earliestAck(o.ackEntries)
+}
+
 // union returns the sorted names of both lists. Until a commit is confirmed, the owner
 // needs acknowledgements from the entries of both the last and the next commit.
 func union(a, b []string) []string {
--- a/control/coordinator/owner.go
+++ b/control/coordinator/owner.go
@@ -85,6 +85,9 @@
 	workFollower *follow.Follower
 	// ackEntries must acknowledge the owner: those of the last commit and of the one in progress.
 	ackEntries []string
+	// grantRecorded is set once a commit has recorded that this owner grants leases. Before that the row names the entries that an earlier
+	// owner needs.
+	grantRecorded bool
 	// lastCommitSent is the clock reading when the last successful commit was sent.
 	lastCommitSent atomic.Int64
 	inbox          chan func(now time.Duration)
@@ -117,10 +120,10 @@
 }
 
 type commitResult struct {
-	batch   *dispatch.Batch
-	entries []string
-	sent    time.Duration
-	err     error
+	batch *dispatch.Batch
+	grant *grant
+	sent  time.Duration
+	err   error
 }
 
 func newOwner(cfg Config, row ownerRow, previousOwnerWindow time.Duration) *owner {
