gateway: a later attempt is not refused while an earlier one may take effect

Callers saw: POST 504, then POST 503 at the same entry ("nothing was written"), and the submission of the first attempt ran. A 503 promises that it never runs. The same 503 answered a copy of a submission that the entry had accepted, while the store was down.

Cause: whether an attempt may take effect was known within one request only; admission under overload remembered it, the path to the store did not.

Change: the gateway remembers the ids of attempts that were stored or may be (package unsettled, moved out of overload), and answers 504 in place of a refusal for them. Ruled out: an answer of 504 to each failed attempt, which would send all callers of an outage back at once; a tombstone for each refusal, which would keep the id from coming back after its Retry-After.

TestManyUnknownOutcomes checks the same by the exported names.

--- a/ingress/gateway/gateway.go
+++ b/ingress/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/chicorystand/chicorystand/control/dispatch"
 	"github.com/chicorystand/chicorystand/control/manifest"
 	"github.com/chicorystand/chicorystand/control/submission"
+	"github.com/chicorystand/chicorystand/ingress/unsettled"
 	"github.com/chicorystand/chicorystand/state/member"
 	"github.com/chicorystand/chicorystand/state/store"
 	"github.com/chicorystand/chicorystand/wire"
@@ -61,6 +62,8 @@
 
 	mu          sync.Mutex
 	finalStates map[string]submission.State
+	// unsettled are the submissions of which an attempt through this entry has taken effect or may.
+	unsettled *unsettled.IDs
 }
 
 // Config configures a Gateway.
@@ -109,7 +112,7 @@
 	return &Gateway{store: c.Store, clock: c.Clock, log: c.Log, owner: c.Owner, manifest: c.Manifest, manifestAge: c.ManifestAge, maxManifestAge: c.MaxManifestAge,
 		observe: c.Observe, observeForward: c.ObserveForward, maxRowBytes: c.MaxRowBytes,
 		admission: c.Admission, forwardEarly: c.ForwardEarly, owning: c.Owning, breaker: breaker{clock: c.Clock, lastResponse: c.StoreLastResponse},
-		tombstones: rate.NewLimiter(tombstonesPerSecond, tombstoneBurst), tombstoneRetention: c.TombstoneRetention, finalStates: make(map[string]submission.State)}
+		tombstones: rate.NewLimiter(tombstonesPerSecond, tombstoneBurst), tombstoneRetention: c.TombstoneRetention, unsettled: unsettled.New(), finalStates: make(map[string]submission.State)}
 }
 
 // Manifest returns the current manifest, nil before the first is received.
@@ -138,17 +141,43 @@
 	if g.maxRowBytes > 0 && len(value) > g.maxRowBytes {
 		return errkind.New(errkind.TooLarge, "the submission takes %d bytes in the store, which accepts at most %d; nothing was stored", len(value), g.maxRowBytes)
 	}
+	g.beginAttempt(s.ID)
+	err = g.admitAndCreate(ctx, s, value)
+	return g.endAttempt(s.ID, err)
+}
+
+func (g *Gateway) admitAndCreate(ctx context.Context, s *submission.Submission, value []byte) error {
 	if g.admission == nil {
 		return g.createOnce(ctx, dispatch.WorkKey(s.ID), value)
 	}
 	if err := g.admission.Admit(ctx, s); err != nil {
 		return err
 	}
-	err = g.createOnce(ctx, dispatch.WorkKey(s.ID), value)
+	err := g.createOnce(ctx, dispatch.WorkKey(s.ID), value)
 	g.admission.Settled(s.ID, err)
 	return err
 }
 
+func (g *Gateway) beginAttempt(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unsettled.Begin(id)
+}
+
+// endAttempt records the end of an attempt to store a submission, and returns its outcome. An attempt that had no effect does not tell
+// that the submission never runs if another one through this entry has taken effect or may. A tombstone does.
+func (g *Gateway) endAttempt(id string, err error) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	refused := errkind.Of(err).Attributes().Execution == errkind.ExecutionNotRun
+	g.unsettled.End(id, !refused, now)
+	if refused && errkind.Of(err) != errkind.Tombstoned && g.unsettled.Contains(id, now) {
+		return unknownOutcome(err)
+	}
+	return err
+}
+
 // State returns the state of a submission, or errkind.NotFound when it does not exist.
 func (g *Gateway) State(ctx context.Context, _ *manifest.Route, id string) (submission.State, error) {
 	if state, ok := g.cachedState(id); ok {
--- a/ingress/overload/overload.go
+++ b/ingress/overload/overload.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/chicorystand/chicorystand/control/backlog"
+	"github.com/chicorystand/chicorystand/ingress/unsettled"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
@@ -45,13 +46,13 @@
 	mu        sync.Mutex
 	rand      *rand.Rand
 	lines     map[lineKey]*line
-	unsettled *unsettled
+	unsettled *unsettled.IDs
 }
 
 // NewController returns a controller. estimate returns the owner's last message, nil when there is none, and the time since its arrival.
 // The seed is that of the random part of the times of return, which should differ between entries.
 func NewController(estimate func() (*wire.Backlog, time.Duration), seed uint64) *Controller {
-	return &Controller{estimate: estimate, rand: rand.New(rand.NewPCG(seed, 0)), lines: make(map[lineKey]*line), unsettled: newUnsettled()}
+	return &Controller{estimate: estimate, rand: rand.New(rand.NewPCG(seed, 0)), lines: make(map[lineKey]*line), unsettled: unsettled.New()}
 }
 
 // Admit decides on a submission. After an admission, Settle has to be called with the outcome of storing it.
@@ -77,12 +78,12 @@
 func (c *Controller) Settle(id string, outcomeUnknown bool, now time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unsettled.end(id, outcomeUnknown, now)
+	c.unsettled.End(id, outcomeUnknown, now)
 }
 
 func (c *Controller) decide(r *Request, m *wire.Backlog, age, now time.Duration) Decision {
 	d := Decision{Class: backlog.ClassOf(r.Work)}
-	if r.Exempt || r.Objective <= 0 || m == nil || age > maxEstimateAge || c.unsettled.contains(r.ID, now) {
+	if r.Exempt || r.Objective <= 0 || m == nil || age > maxEstimateAge || c.unsettled.Contains(r.ID, now) {
 		return d
 	}
 	q := find(m, r)
@@ -132,5 +133,5 @@
 	if l := c.line(r, now); l != nil {
 		l.leave(r.ID)
 	}
-	c.unsettled.begin(r.ID)
+	c.unsettled.Begin(r.ID)
 }
--- a/ingress/overload/overload_test.go
+++ b/ingress/overload/overload_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chicorystand/chicorystand/control/backlog"
+	"github.com/chicorystand/chicorystand/ingress/unsettled"
 	"github.com/chicorystand/chicorystand/wire"
 )
 
@@ -74,14 +75,14 @@
 // Guards against refusals of submissions with an unknown outcome after so many of them that they can't be kept.
 func TestManyUnknownOutcomes(t *testing.T) {
 	d := newDesk(time.Minute, 40*time.Second)
-	for i := range maxUnsettled + 1 {
+	for i := range unsettled.MaxIDs + 1 {
 		id := fmt.Sprint(i)
 		d.AdmitAccepted(request(id), testNow)
 		d.Settle(id, true, testNow)
 	}
-	assert.Assert(t, d.Admit(request(fmt.Sprint(maxUnsettled)), testNow).OK())
-	assert.Equal(t, len(d.unsettled.unknown), maxUnsettled)
-	assert.Equal(t, d.Admit(request("0"), testNow+unsettledTime).Reason, TooLate, "ids are kept for ever")
+	assert.Assert(t, d.Admit(request(fmt.Sprint(unsettled.MaxIDs)), testNow).OK())
+	assert.Equal(t, d.unsettled.Unknown(), unsettled.MaxIDs)
+	assert.Equal(t, d.Admit(request("0"), testNow+unsettled.Retention).Reason, TooLate, "ids are kept for ever")
 }
 
 // Guards against callers that all return at one moment, or faster than the capacity can serve them: one submission takes
