dispatch: a pass evaluates steps of equal needs once

Cause, by a profile of BenchmarkPassWithBacklog (604 executors, 10,000 waiting steps): 51% ranking all executors for each step, 11% a search through all submissions for one of lower priority, for each step, 10% critical paths and remaining work computed anew in each ordering, then the tasks of a submission searched for a run, and the reserved share of the pool summed up, for each step.

Change: needs that no executor can meet are remembered for the rest of the pass, as executors only fill up in it. The lowest priority is found once in a search; critical paths, the remaining work and the number of runs are kept with the submission, and the reserved share with the pool.

--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -130,6 +130,8 @@
 	movedAt          time.Duration
 	// preemptedAt is when runs to preempt were last searched for.
 	preemptedAt time.Duration
+	// unmet holds the needs that no executor can meet in this scheduling pass.
+	unmet map[needs]struct{}
 	// moveTargets are the executors that can take tasks of a step, computed once in each search
 	// for runs to move.
 	moveTargets map[stepKey]*pool
@@ -209,7 +211,7 @@
 	return &Owner{bounds: b, epoch: epoch, startedAt: now, now: now, modelWrittenAt: now, lastCommit: now, log: log, unixMillis: unix, jobs: make(map[string]*job), tombstones: tombstones{byID: make(map[string]*tombstone)},
 		executors: make(map[submission.Incarnation]*node), incarnations: make(map[string][]*node), waiting: make(map[stepKey]*waitingStep), scheduled: make(map[string]*job),
 		dirty: make(map[*recordPart]struct{}), outbox: make(map[submission.Incarnation]*outbox), uncommitted: newEffects(), estimates: make(map[string]*speed.EstimateAccuracy), contention: model,
-		compatibility: make(map[string]float64), crashes: make(map[string]crash), pools: make(map[string]*pool), moveTargets: make(map[stepKey]*pool), advice: advice.NewTable()}
+		compatibility: make(map[string]float64), crashes: make(map[string]crash), pools: make(map[string]*pool), unmet: make(map[needs]struct{}), moveTargets: make(map[stepKey]*pool), advice: advice.NewTable()}
 }
 
 func (o *Owner) Epoch() uint64 { return o.epoch }
--- a/control/dispatch/jobs.go
+++ b/control/dispatch/jobs.go
@@ -67,7 +67,7 @@
 		j.started = j.started || t.rec.Begun()
 		switch t.rec.State {
 		case submission.TaskDone:
-			j.remaining[t.id.Occurrence][t.id.Step]--
+			j.taskDone(t.id)
 		case submission.TaskAssigned:
 			t.phase, t.changedAt, t.speedLimit = phaseAdopted, now, unknownSpeedLimit
 			n := o.node(t.rec.Executor)
@@ -268,7 +268,7 @@
 	if j.state.Final() {
 		return
 	}
-	j.remaining[t.id.Occurrence][t.id.Step]--
+	j.taskDone(t.id)
 	if j.remaining[t.id.Occurrence][t.id.Step] > 0 {
 		return
 	}
--- a/control/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -20,6 +20,7 @@
 		return
 	}
 	o.placementChanged, o.placedAt = false, now
+	clear(o.unmet)
 	o.beginPlaceWaits(now)
 	for _, w := range o.shareAmongQueues(o.orderedSteps(now), now) {
 		o.placeStep(w, now)
@@ -61,9 +62,9 @@
 	if due := s.ScheduledStart(w.key.occurrence); due > 0 {
 		arrived += time.Duration(due-s.Accepted) * time.Millisecond
 	}
-	objective := s.Objective()
+	objective := w.job.objective
 	return ordering.PendingStep{Priority: s.Priority, SoftDeadline: arrived + objective, HardDeadline: arrived + ordering.HardDeadlineFactor*objective,
-		Work: w.job.remainingWork(w.key.occurrence), RemainingPath: s.CriticalPath(w.key.step), Arrived: arrived, ID: s.ID}
+		Work: w.job.remainingWork(w.key.occurrence), RemainingPath: w.job.criticalPaths[w.key.step], Arrived: arrived, ID: s.ID}
 }
 
 // interferenceDelay is how long a submission without any run waits for an executor on which its
@@ -89,7 +90,13 @@
 		o.placeGang(w, p, now)
 		return
 	}
-	q := o.query(w, p, now)
+	limits := o.interferenceLimits(w, p, now)
+	wanted, comparable := o.needsOf(w, limits)
+	if _, none := o.unmet[wanted]; none && comparable {
+		o.reportZoneWait(w)
+		return
+	}
+	q := o.queryWithin(w, p, limits, now)
 	ranking := placement.Rank(q, p.placementNodes)
 	decider := o.rackDecider(w, p, q, now)
 	tasks := w.tasks
@@ -118,6 +125,10 @@
 			left = append(left, tasks[i:]...)
 			stuck = true
 			o.reportZoneWait(w)
+			if comparable {
+				wanted.allowInterference = q.AllowInterference
+				o.unmet[wanted] = struct{}{}
+			}
 			break
 		}
 		if decider.waits(t, best, ranking, now) {
@@ -155,8 +166,22 @@
 	return s.Service
 }
 
+// interferenceLimits is how much a step may interfere with others now. It grows as the step waits.
+type interferenceLimits struct {
+	allowInterference bool
+	maxLatency        float64
+}
+
+func (o *Owner) interferenceLimits(w *waitingStep, p *pool, now time.Duration) interferenceLimits {
+	return interferenceLimits{w.allowsInterference(p, now), o.latencyBound(w, now)}
+}
+
 // query returns the placement query for a waiting step.
 func (o *Owner) query(w *waitingStep, p *pool, now time.Duration) placement.Query {
+	return o.queryWithin(w, p, o.interferenceLimits(w, p, now), now)
+}
+
+func (o *Owner) queryWithin(w *waitingStep, p *pool, limits interferenceLimits, now time.Duration) placement.Query {
 	step := &w.job.sub.Steps[w.key.step]
 	w.allowed = o.allowed(w, p.nodes, now)
 	w.onNode = nil
@@ -167,7 +192,7 @@
 		w.onNode = make(map[string]int)
 	}
 	v := o.view(step)
-	return placement.Query{Step: step, Allowed: w.allowed, AllowInterference: w.allowsInterference(p, now), MaxLatency: o.latencyBound(w, now),
+	return placement.Query{Step: step, Allowed: w.allowed, AllowInterference: limits.allowInterference, MaxLatency: limits.maxLatency,
 		ExpectedLatency:   func(i int) float64 { return v.expectedLatency(p.nodes[i]) },
 		Compatible:        func(i int) float64 { return o.compatibleShare(p.nodes[i].key, p.nodes[i].images) },
 		CompatibilityLoss: func(i int) float64 { return v.compatibilityLoss(p.nodes[i]) },
@@ -187,12 +212,15 @@
 
 // reservedShare returns the share of the pool's processors that is reserved.
 func (p *pool) reservedShare() float64 {
-	var reserved, capacity int64
-	for _, n := range p.placementNodes {
-		reserved += n.Reserved.CPU
-		capacity += n.Capacity.CPU
+	if !p.reservedKnown {
+		var reserved, capacity int64
+		for _, n := range p.placementNodes {
+			reserved += n.Reserved.CPU
+			capacity += n.Capacity.CPU
+		}
+		p.reserved, p.reservedKnown = float64(reserved)/float64(max(1, capacity)), true
 	}
-	return float64(reserved) / float64(max(1, capacity))
+	return p.reserved
 }
 
 // avoidFilter returns a filter for executors on which a run of the task has failed, nil when there
@@ -246,6 +274,9 @@
 	t.node, t.phase, t.changedAt, t.progressPercent, t.speedLimit, t.throttledAt = n, phaseCommitPending, now, 0, fullSpeed, 0
 	t.firstOrderedAt, t.startCopies, t.startedAt, t.latencyInTargetAt, t.latencyOverSince = 0, 0, 0, 0, 0
 	n.reserve(t)
+	for _, p := range o.pools {
+		p.reservedKnown = false
+	}
 	o.endTaskRackWait(t, now)
 	o.markDirty(t)
 	o.uncommitted.starts = append(o.uncommitted.starts, t)
@@ -271,13 +302,3 @@
 
 // drainLead is how long before the end of an executor's drain time its tasks are stopped.
 const drainLead = 700 * time.Millisecond
-
-// remainingWork returns the estimated work of the tasks that are not done, in processor seconds.
-func (j *job) remainingWork(occurrence int) float64 {
-	work := 0.0
-	for i, n := range j.remaining[occurrence] {
-		s := &j.sub.Steps[i]
-		work += float64(n) * s.Estimate.Seconds() * float64(s.Request.CPU) / 1000
-	}
-	return work
-}
--- a/control/dispatch/preempt.go
+++ b/control/dispatch/preempt.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/chicorystand/chicorystand/base/events"
@@ -29,11 +30,11 @@
 		return
 	}
 	o.preemptedAt = now
-	left := maxPreemptedPerInterval
+	left, lowest := maxPreemptedPerInterval, o.lowestPriority()
 	taken := make(map[*node]struct{})
 	for _, w := range o.orderedSteps(now) {
 		step := &w.job.sub.Steps[w.key.step]
-		if step.BestEffort || step.Gang || now-w.since < preemptDelay || !o.hasLowerPriorityJob(w.job.sub.Priority) {
+		if step.BestEffort || step.Gang || now-w.since < preemptDelay || w.job.sub.Priority >= lowest {
 			continue
 		}
 		p := o.pool(o.service(w.job.sub), now)
@@ -64,14 +65,15 @@
 	}
 }
 
-// hasLowerPriorityJob reports whether any submission of a queue with lower priority is unfinished.
-func (o *Owner) hasLowerPriorityJob(priority int) bool {
+// lowestPriority returns the lowest priority, which is the highest number, of the unfinished submissions.
+func (o *Owner) lowestPriority() int {
+	lowest := math.MinInt
 	for _, j := range o.jobs {
-		if j.sub.Priority > priority && !j.state.Final() {
-			return true
+		if !j.state.Final() {
+			lowest = max(lowest, j.sub.Priority)
 		}
 	}
-	return false
+	return lowest
 }
 
 // cheapestPreemption returns the executor on which preempting runs of lower priority for a task
--- a/control/dispatch/reports.go
+++ b/control/dispatch/reports.go
@@ -373,6 +373,9 @@
 	nodes          []*node
 	// heldCount is the number of executors that are left out because they are held for a suspected task.
 	heldCount int
+	// reserved caches reservedShare while reservedKnown is set.
+	reserved      float64
+	reservedKnown bool
 }
 
 // pool returns the executors that can take tasks of a service. It is built once in each scheduling
--- a/control/dispatch/tables.go
+++ b/control/dispatch/tables.go
@@ -137,6 +137,13 @@
 	arrived time.Duration
 	// remaining counts the tasks that are not done, by occurrence and step.
 	remaining [][]int
+	// remainingCPU caches the estimated work of these tasks in processor seconds, by occurrence. It is negative while it is out of date.
+	remainingCPU []float64
+	// objective and criticalPaths, by step, are those of sub.
+	objective     time.Duration
+	criticalPaths []time.Duration
+	// assigned counts the tasks with a run.
+	assigned int
 	// released is the number of occurrences whose start time has come.
 	released int
 	started  bool
@@ -145,7 +152,7 @@
 }
 
 func newJob(s *submission.Submission, now time.Duration) *job {
-	j := &job{sub: s, arrived: now, durations: make(map[stepKey]*speed.StepSamples)}
+	j := &job{sub: s, arrived: now, durations: make(map[stepKey]*speed.StepSamples), objective: s.Objective(), criticalPaths: s.CriticalPaths()}
 	for k := range s.OccurrenceCount() {
 		counts := make([]int, len(s.Steps))
 		for step := range s.Steps {
@@ -155,6 +162,7 @@
 			}
 		}
 		j.remaining = append(j.remaining, counts)
+		j.remainingCPU = append(j.remainingCPU, outOfDate)
 	}
 	j.parts = newRecordParts(j)
 	return j
@@ -185,13 +193,27 @@
 }
 
 // idle reports whether no run of the job is assigned.
-func (j *job) idle() bool {
-	for _, t := range j.tasks {
-		if t.rec.State == submission.TaskAssigned {
-			return false
+func (j *job) idle() bool { return j.assigned == 0 }
+
+// outOfDate stands for a cached value that has to be computed again.
+const outOfDate = -1
+
+// taskDone counts a task as done.
+func (j *job) taskDone(id submission.TaskID) {
+	j.remaining[id.Occurrence][id.Step]--
+	j.remainingCPU[id.Occurrence] = outOfDate
+}
+
+// remainingWork returns the estimated work of the tasks that are not done, in processor seconds.
+func (j *job) remainingWork(occurrence int) float64 {
+	if j.remainingCPU[occurrence] == outOfDate {
+		work := 0.0
+		for i, n := range j.remaining[occurrence] {
+			work += float64(n) * j.sub.Steps[i].Work()
 		}
+		j.remainingCPU[occurrence] = work
 	}
-	return true
+	return j.remainingCPU[occurrence]
 }
 
 // stepKey identifies a step of one occurrence of a job.
@@ -281,6 +303,7 @@
 // reserve assigns the task to the node and adds what it uses.
 func (n *node) reserve(t *taskEntry) {
 	n.tasks[t] = struct{}{}
+	t.job.assigned++
 	if t.suspected() {
 		n.suspects++
 	}
@@ -301,6 +324,7 @@
 		return
 	}
 	delete(n.tasks, t)
+	t.job.assigned--
 	if t.suspected() {
 		n.suspects--
 	}
--- a/control/submission/submission.go
+++ b/control/submission/submission.go
@@ -139,7 +139,10 @@
 
 // CriticalPath returns the estimated run time of the longest chain of dependent steps from the given step to the end.
 // For step 0 it is that of the whole submission.
-func (s *Submission) CriticalPath(from int) time.Duration {
+func (s *Submission) CriticalPath(from int) time.Duration { return s.CriticalPaths()[from] }
+
+// CriticalPaths returns the critical path from each step.
+func (s *Submission) CriticalPaths() []time.Duration {
 	longest := make([]time.Duration, len(s.Steps))
 	var all time.Duration
 	for i := len(s.Steps) - 1; i >= 0; i-- {
@@ -149,10 +152,8 @@
 		}
 		all = max(all, longest[i])
 	}
-	if from == 0 {
-		return all
-	}
-	return longest[from]
+	longest[0] = all
+	return longest
 }
 
 // Objective returns the response time up to which the submission is on time.
