coordinator, dispatch: passes of bounded time, and no decision before what has arrived is applied

A pass placed for as long as it took; a report counted from when the loop read it; a pass begun by the timer or by a commit did not read the inbox first; and an owner that had been suspended expired leases before it read the reports that had come meanwhile, so that a task that had ended as done could start again.

Change: a pass places for 20 ms at most and the next one goes on where it stopped; a search for runs to preempt evaluates equal needs once; messages count from their receipt; each pass begins with all that has arrived; an owner that is late by a second takes in, commits and extends leases for 0.2 s before it decides. Event owner_late, metric chicory_owner_late_passes_total.

The call of drainInbox in TestRemovedSubmissionDoesNotComeBackWithAFullRead has no argument now; what it checks is unchanged.

--- a/base/events/dispatch.go
+++ b/base/events/dispatch.go
@@ -29,6 +29,7 @@
 	MemberLost        = define(625, "member_lost", zerolog.WarnLevel, "The owner has lost its connection to an agent or an entry.")
 	OwnerSeen         = define(626, "owner_seen", zerolog.InfoLevel, "An agent or an entry has accepted a new owner.")
 	OwnerStatus       = define(627, "owner_status", zerolog.InfoLevel, "Summary of the owner's tables, every two seconds. Processor sums are in thousandths.")
+	OwnerLate         = define(628, "owner_late", zerolog.WarnLevel, "The owner's loop has made no pass for longer than a second. For a moment it only takes in what has arrived, commits and extends leases, and decides nothing.")
 	ManifestApplied   = define(630, "manifest_applied", zerolog.InfoLevel, "A version of the manifest is in force in this process.")
 	ManifestInvalid   = define(631, "manifest_invalid", zerolog.ErrorLevel, "The manifest in the store cannot be read. The previous version stays in force.")
 	FollowFailed      = define(632, "follow_failed", zerolog.WarnLevel, "A store table cannot be followed. The last known rows stay in use.")
--- a/base/metrics/deployment.go
+++ b/base/metrics/deployment.go
@@ -100,6 +100,7 @@
 		{"chicory_owner_place_waits_local_total", "Waits for a rack that ended with a start there.", func(c dispatch.Counters) uint64 { return c.PlaceWaitsLocal }},
 		{"chicory_owner_place_waits_remote_total", "Waits for a rack that ended with a start elsewhere.", func(c dispatch.Counters) uint64 { return c.PlaceWaitsRemote }},
 		{"chicory_owner_remote_starts_total", "Runs that started away from their data, or in a gang that is split over racks.", func(c dispatch.Counters) uint64 { return c.RemoteStarts }},
+		{"chicory_owner_late_passes_total", "Scheduling passes that began more than a second after the one before.", func(c dispatch.Counters) uint64 { return c.LatePasses }},
 		{"chicory_owner_hand_overs_total", "Hand-overs of the ownership to a more capable entry.", func(c dispatch.Counters) uint64 { return c.HandOvers }},
 		{"chicory_owner_refused_starts_total", "Starts that were rejected.", func(c dispatch.Counters) uint64 { return c.Rejected }},
 	} {
--- a/control/coordinator/full_read_test.go
+++ b/control/coordinator/full_read_test.go
@@ -46,7 +46,7 @@
 	_, known := o.dispatcher.State(ended)
 	assert.Assert(t, !known, "the submission is not removed yet")
 	sink.Table([]store.Row{row(ended, 5), row(unknown, 8)}, 9)
-	o.drainInbox(c.Now())
+	o.drainInbox()
 	_, known = o.dispatcher.State(ended)
 	assert.Assert(t, !known, "the submission that has ended is back")
 	_, known = o.dispatcher.State(unknown)
--- a/control/coordinator/load.go
+++ b/control/coordinator/load.go
@@ -140,10 +140,16 @@
 	}()
 }
 
-// enqueue runs f on the owner's loop, unless the ownership term ends first.
-func (o *owner) enqueue(f func(now time.Duration)) {
+// inboxEvent is an event for the owner's loop. It happened when it was received, however late the loop reads it.
+type inboxEvent struct {
+	receivedAt time.Duration
+	apply      func(now time.Duration)
+}
+
+// enqueue applies an event that is received now on the owner's loop, unless the ownership term ends first.
+func (o *owner) enqueue(apply func(now time.Duration)) {
 	select {
-	case o.inbox <- f:
+	case o.inbox <- inboxEvent{o.cfg.Clock.Now(), apply}:
 	case <-o.done:
 	}
 }
--- a/control/coordinator/loop.go
+++ b/control/coordinator/loop.go
@@ -21,16 +21,16 @@
 		case <-ctx.Done():
 			o.awaitCommit()
 			return ctx.Err()
-		case f := <-o.inbox:
-			now := o.cfg.Clock.Now()
-			f(now)
-			o.drainInbox(now)
+		case e := <-o.inbox:
+			e.apply(e.receivedAt)
 		case r := <-o.commitResults:
 			if err := o.applyCommitResult(r); err != nil {
 				return err
 			}
 		case <-timer.C:
 		}
+		// No decision is taken before all that has arrived is applied.
+		o.drainInbox()
 		if err := o.schedulingPass(ctx); err != nil {
 			return err
 		}
@@ -71,11 +71,11 @@
 	}
 }
 
-func (o *owner) drainInbox(now time.Duration) {
+func (o *owner) drainInbox() {
 	for range inboxSize {
 		select {
-		case f := <-o.inbox:
-			f(now)
+		case e := <-o.inbox:
+			e.apply(e.receivedAt)
 		default:
 			return
 		}
@@ -93,6 +93,7 @@
 // schedulingPass runs the dispatcher, starts the next commit and sends the messages that are due.
 func (o *owner) schedulingPass(ctx context.Context) error {
 	now := o.cfg.Clock.Now()
+	o.beginPass(now)
 	if highest := o.cfg.HighestEpoch(); highest > o.dispatcher.Epoch() {
 		return errkind.New(errkind.NotOwner, "a higher epoch %d has been seen", highest)
 	}
@@ -107,7 +108,9 @@
 		return err
 	}
 	if o.pendingBatch == nil && now-o.lastCommit >= minCommitInterval {
-		o.dispatcher.Tick(now)
+		if !o.catchingUp(now) {
+			o.dispatcher.Tick(now)
+		}
 		if o.dispatcher.Dirty() || now-o.lastCommit >= maxCommitInterval {
 			if err := o.startCommit(ctx, now); err != nil {
 				return err
--- a/control/coordinator/owner.go
+++ b/control/coordinator/owner.go
@@ -90,7 +90,7 @@
 	grantRecorded bool
 	// lastCommitSent is the clock reading when the last successful commit was sent.
 	lastCommitSent atomic.Int64
-	inbox          chan func(now time.Duration)
+	inbox          chan inboxEvent
 	// stop ends the term and closes done.
 	stop context.CancelFunc
 	done <-chan struct{}
@@ -114,6 +114,7 @@
 	lastMemberCleanup  time.Duration
 	lastStatus         time.Duration
 	lastHandOverCheck  time.Duration
+	pace               pace
 	// startedAt is when the term began, handedOverAt when this process last handed over, 0 for never.
 	startedAt, handedOverAt time.Duration
 	wg                      sync.WaitGroup
@@ -127,13 +128,14 @@
 }
 
 func newOwner(cfg Config, row ownerRow, previousOwnerWindow time.Duration) *owner {
-	o := &owner{cfg: cfg, inbox: make(chan func(time.Duration), inboxSize), commitResults: make(chan commitResult, 1), forwardedWrites: make(chan struct{}, maxForwardedWrites), cancelCommit: func() {}}
+	o := &owner{cfg: cfg, inbox: make(chan inboxEvent, inboxSize), commitResults: make(chan commitResult, 1), forwardedWrites: make(chan struct{}, maxForwardedWrites), cancelCommit: func() {}}
 	unix := func(now time.Duration) int64 { return time.Now().Add(now - cfg.Clock.Now()).UnixMilli() }
 	bounds := cfg.Bounds
 	bounds.PreviousOwnerWindow = previousOwnerWindow
 	o.lastCommitSent.Store(int64(cfg.Clock.Now()))
 	o.lastMemberCleanup, o.startedAt = cfg.Clock.Now(), cfg.Clock.Now()
 	o.dispatcher = dispatch.New(bounds, row.Epoch, cfg.Clock.Now(), unix, cfg.Log)
+	o.dispatcher.SetPassClock(cfg.Clock.Now)
 	o.committer = committer{table: cfg.Store, row: row, onRetry: func(err error) {
 		events.CommitRetried.Log(cfg.Log).Err(err).Uint64("epoch", row.Epoch).Send()
 	}}
--- a/control/dispatch/dispatch.go
+++ b/control/dispatch/dispatch.go
@@ -126,8 +126,12 @@
 	// placementChanged is set when a placement that failed before may now succeed.
 	placementChanged bool
 	placedAt         time.Duration
-	plannedAt        time.Duration
-	movedAt          time.Duration
+	// unplaced are the steps that the last pass had no time for, in their order.
+	unplaced []*waitingStep
+	// passClock bounds the time of a pass, nil for no bound.
+	passClock func() time.Duration
+	plannedAt time.Duration
+	movedAt   time.Duration
 	// preemptedAt is when runs to preempt were last searched for.
 	preemptedAt time.Duration
 	// unmet holds the needs that no executor can meet in this scheduling pass.
@@ -187,6 +191,8 @@
 	// PlaceWaits counts the waits of tasks and gangs for their rack, PlaceWaitsLocal those that ended there, PlaceWaitsRemote
 	// those that ended elsewhere. RemoteStarts counts the runs that started away from their data or split over racks.
 	PlaceWaits, PlaceWaitsLocal, PlaceWaitsRemote, RemoteStarts uint64
+	// LatePasses counts the passes that began too long after the one before.
+	LatePasses uint64
 	// HandOvers counts the terms that ended since a more capable entry was to own the work.
 	HandOvers uint64
 }
@@ -198,7 +204,7 @@
 		PlannedMoves: c.PlannedMoves + d.PlannedMoves, Relocated: c.Relocated + d.Relocated,
 		PlaceWaits: c.PlaceWaits + d.PlaceWaits, PlaceWaitsLocal: c.PlaceWaitsLocal + d.PlaceWaitsLocal,
 		PlaceWaitsRemote: c.PlaceWaitsRemote + d.PlaceWaitsRemote, RemoteStarts: c.RemoteStarts + d.RemoteStarts,
-		HandOvers: c.HandOvers + d.HandOvers}
+		LatePasses: c.LatePasses + d.LatePasses, HandOvers: c.HandOvers + d.HandOvers}
 }
 
 // New returns an owner without work. now is the owner's clock, which includes time in suspension;
@@ -218,6 +224,9 @@
 
 func (o *Owner) Counters() Counters { return o.counters }
 
+// CountLatePass counts a pass that began too long after the one before.
+func (o *Owner) CountLatePass() { o.counters.LatePasses++ }
+
 // SetManifest applies a manifest. Older versions than the current one are ignored.
 func (o *Owner) SetManifest(m *manifest.Manifest) {
 	if o.manifest == nil || m.Version > o.manifest.Version {
--- a/control/dispatch/needs_test.go
+++ b/control/dispatch/needs_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -64,3 +66,38 @@
 		assert.Assert(t, placement.Rank(q, nodes.placementNodes).Best(nil) < 0, "%s: step %s waits although it fits", when, stepName(w.key))
 	}
 }
+
+// A pass used to go on for as long as it took to look at all waiting steps, while leases ran out and reports waited. It stops, and the
+// next ones go on where it stopped, in the same order.
+func TestPlacementGoesOnInTheNextPass(t *testing.T) {
+	f := newFixture(t)
+	const passes = 4
+	for i := range passes * stepsPerTimeCheck / 4 {
+		f.executor(fmt.Sprintf("e%d", i), nil)
+	}
+	ids := make([]string, passes*stepsPerTimeCheck)
+	for i := range ids {
+		s := testSubmission(testStep(1))
+		ids[i] = fmt.Sprintf("%016x", i)
+		s.ID, s.Accepted = ids[i], int64(i)
+		f.add(s)
+	}
+	clock := time.Duration(0)
+	f.owner.SetPassClock(func() time.Duration {
+		clock += 2 * maxPlaceTime
+		return clock
+	})
+	// A submission that is cancelled before its turn is passed over.
+	f.owner.Cancel(ids[len(ids)-1], f.now)
+	for pass := range passes {
+		f.now += 20 * time.Millisecond
+		f.pass()
+		var started []string
+		for _, s := range f.starts() {
+			id, _, _ := submission.ParseName(strings.Split(s, "#")[0])
+			started = append(started, id)
+		}
+		slices.Sort(started)
+		assert.DeepEqual(t, started, ids[:min((pass+1)*stepsPerTimeCheck, len(ids)-1)])
+	}
+}
--- a/control/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -14,20 +14,59 @@
 // placeInterval is the longest time between two attempts to place waiting tasks.
 const placeInterval = 300 * time.Millisecond
 
-// placeWaiting assigns waiting tasks to executors, in the order of package ordering.
+const (
+	// maxPlaceTime bounds the time that a scheduling pass takes to place tasks, so that commits, leases and reports do not wait for it.
+	maxPlaceTime = 20 * time.Millisecond
+	// stepsPerTimeCheck is the number of steps between two readings of the clock.
+	stepsPerTimeCheck = 8
+)
+
+// placeWaiting assigns waiting tasks to executors, in the order of package ordering. It goes on in the next pass where it stopped when it
+// takes long.
 func (o *Owner) placeWaiting(now time.Duration) {
-	if len(o.waiting) == 0 || (!o.placementChanged && !o.placeWaitDue(now) && now-o.placedAt < placeInterval) {
+	list := o.stepsToPlace(now)
+	if len(list) == 0 {
 		return
 	}
-	o.placementChanged, o.placedAt = false, now
 	clear(o.unmet)
 	o.beginPlaceWaits(now)
-	for _, w := range o.shareAmongQueues(o.orderedSteps(now), now) {
-		o.placeStep(w, now)
+	began := o.passTime()
+	done := 0
+	for ; done < len(list); done++ {
+		if done > 0 && done%stepsPerTimeCheck == 0 && o.passTime()-began > maxPlaceTime {
+			break
+		}
+		if w := list[done]; o.waiting[w.key] == w {
+			o.placeStep(w, now)
+		}
 	}
+	o.unplaced = list[done:]
 	o.finishPlaceWaits()
 }
 
+// stepsToPlace returns the steps that the last pass did not get to, or all waiting steps if placing them may succeed now.
+func (o *Owner) stepsToPlace(now time.Duration) []*waitingStep {
+	if len(o.unplaced) > 0 {
+		return o.unplaced
+	}
+	if len(o.waiting) == 0 || (!o.placementChanged && !o.placeWaitDue(now) && now-o.placedAt < placeInterval) {
+		return nil
+	}
+	o.placementChanged, o.placedAt = false, now
+	return o.shareAmongQueues(o.orderedSteps(now), now)
+}
+
+// SetPassClock sets the clock that bounds the time of a scheduling pass. Without one, a pass places all that it can.
+func (o *Owner) SetPassClock(now func() time.Duration) { o.passClock = now }
+
+// passTime returns the time by the clock that bounds a pass, 0 without one.
+func (o *Owner) passTime() time.Duration {
+	if o.passClock == nil {
+		return 0
+	}
+	return o.passClock()
+}
+
 // orderedSteps returns the waiting steps in the order in which they are placed.
 func (o *Owner) orderedSteps(now time.Duration) []*waitingStep {
 	type entry struct {
--- a/control/dispatch/preempt.go
+++ b/control/dispatch/preempt.go
@@ -23,6 +23,13 @@
 	maxPreemptionsPerTask = 3
 )
 
+// preemptionNeeds are needs for which runs may be stopped. Those that no executor can make room for are not searched for again in one
+// search, in which executors are only taken.
+type preemptionNeeds struct {
+	needs
+	priority int
+}
+
 // preempt stops runs of queues with lower priority when a task of a queue with higher priority
 // waits for their capacity. Runs that lose the least work are stopped first.
 func (o *Owner) preempt(now time.Duration) {
@@ -32,19 +39,28 @@
 	o.preemptedAt = now
 	left, lowest := maxPreemptedPerInterval, o.lowestPriority()
 	taken := make(map[*node]struct{})
+	unmet := make(map[preemptionNeeds]struct{})
 	for _, w := range o.orderedSteps(now) {
 		step := &w.job.sub.Steps[w.key.step]
 		if step.BestEffort || step.Gang || now-w.since < preemptDelay || w.job.sub.Priority >= lowest {
 			continue
 		}
 		p := o.pool(o.service(w.job.sub), now)
-		q := o.query(w, p, now)
+		limits := o.interferenceLimits(w, p, now)
+		wanted, comparable := o.needsOf(w, limits)
+		if _, none := unmet[preemptionNeeds{wanted, w.job.sub.Priority}]; none && comparable {
+			continue
+		}
+		q := o.queryWithin(w, p, limits, now)
 		for _, waiting := range w.tasks {
 			if waiting.delayed(now) {
 				continue
 			}
 			targets, maxLoss := o.preemptionPool(w, waiting, p, now)
 			n, runs, loss := cheapestPreemption(q, targets, w.job.sub.Priority, taken)
+			if n == nil && comparable && targets == p {
+				unmet[preemptionNeeds{wanted, w.job.sub.Priority}] = struct{}{}
+			}
 			if n == nil || len(runs) > left || maxLoss > 0 && loss >= maxLoss {
 				break
 			}
