wire, coordinator: the owner's loop does not wait for members to receive

Cause: the first frame of a batch is written on the calling goroutine. On the owner's loop that is a write to each of some 300 members, and each whose link is full holds the loop until the write's time limit of one second.

Change: connections to members write on a goroutine of their own and hold 1 MB each at most; orders that do not fit are due again, as after the loss of the connection.

TestBackgroundWriterDoesNotWaitForReceiver fails without it (the second message waits for the time limit) and passes.

--- a/control/coordinator/links.go
+++ b/control/coordinator/links.go
@@ -26,6 +26,9 @@
 	// minRedialDelay and maxRedialDelay bound the backoff between two connection attempts.
 	minRedialDelay = 100 * time.Millisecond
 	maxRedialDelay = time.Second
+	// maxQueuedForMember bounds the bytes that wait for a member, whose link may be slow. What does not fit is not sent, and orders are
+	// due again as after the loss of the connection.
+	maxQueuedForMember = 1 << 20
 	// absentEntryAge is the time without an acknowledgement after which an entry counts as gone.
 	absentEntryAge = 30 * time.Second
 	// absentMemberAge is the time after which the row of a member is deleted that has neither acknowledged this owner nor
@@ -150,6 +153,9 @@
 	}
 	p := wire.NewPeer(conn, l.handler)
 	defer p.Close()
+	// The owner's loop sends to all members and must not wait for any.
+	p.WriteInBackground()
+	p.LimitQueue(maxQueuedForMember)
 	if err := l.heartbeat(ctx, m.Name, p); err != nil {
 		return false
 	}
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -43,10 +43,12 @@
 	// lastRead is when the last frame was received, as a duration since start.
 	lastRead atomic.Int64
 
-	writeMu     sync.Mutex
-	queue       []byte
-	spare       []byte
-	writing     bool
+	writeMu sync.Mutex
+	queue   []byte
+	spare   []byte
+	writing bool
+	// background is set if no caller writes itself.
+	background  bool
 	maxQueued   int
 	writeFailed bool
 	// receipts is the number of receipts in queue; receiptFlushScheduled is set while a
@@ -127,6 +129,14 @@
 	p.maxQueued = bytes
 }
 
+// WriteInBackground makes the peer write on a goroutine of its own, so that no caller waits for a link that is slow or a receiver that does
+// not read. It must be called before the first message.
+func (p *Peer) WriteInBackground() {
+	p.writeMu.Lock()
+	defer p.writeMu.Unlock()
+	p.background = true
+}
+
 // Close ends the connection; pending calls fail with errkind.OutcomeUnknown.
 func (p *Peer) Close() { p.fail(errkind.New(errkind.OutcomeUnknown, "connection closed")) }
 
@@ -208,7 +218,7 @@
 	return nil
 }
 
-// flush writes the queue. The first batch is written on the calling goroutine, which
+// flush writes the queue. The first batch is written on the calling goroutine unless the peer writes in the background, which
 // saves a goroutine switch. Frames queued meanwhile are written by a new goroutine, so
 // that the caller isn't held up by the frames of others. The caller holds writeMu.
 func (p *Peer) flush() {
@@ -216,6 +226,10 @@
 		return
 	}
 	p.writing = true
+	if p.background {
+		go p.writeQueue()
+		return
+	}
 	if !p.writeBatch() {
 		return
 	}
@@ -223,13 +237,16 @@
 		p.writing = false
 		return
 	}
-	go func() {
-		p.writeMu.Lock()
-		defer p.writeMu.Unlock()
-		for len(p.queue) > 0 && p.writeBatch() {
-		}
-		p.writing = false
-	}()
+	go p.writeQueue()
+}
+
+// writeQueue writes until the queue is empty.
+func (p *Peer) writeQueue() {
+	p.writeMu.Lock()
+	defer p.writeMu.Unlock()
+	for len(p.queue) > 0 && p.writeBatch() {
+	}
+	p.writing = false
 }
 
 // writeBatch writes the queued frames and reports success. It releases writeMu
--- a/wire/peer_test.go
+++ b/wire/peer_test.go
@@ -143,3 +143,25 @@
 		assert.NilError(t, (<-plain.Result()).Err)
 	})
 }
+
+// The owner's loop sends to hundreds of members. It used to wait up to a second for each whose link was slow, while leases ran out.
+func TestBackgroundWriterDoesNotWaitForReceiver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		p := NewPeer(near, func(*Peer, Message, Reply) {})
+		p.WriteInBackground()
+		const limit = 1 << 10
+		p.LimitQueue(limit)
+		began := time.Now()
+		queued, refused := 0, false
+		for !refused {
+			refused = p.Notify(&StateQuery{ID: "00000000000000aa"}) != nil
+			queued++
+			assert.Assert(t, queued < limit, "nothing bounds what is queued")
+		}
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		assert.Assert(t, queued > 10)
+		p.Close()
+		assert.NilError(t, far.Close())
+	})
+}
