--- a/control/dispatch/advice.go
+++ b/control/dispatch/advice.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/chicorystand/chicorystand/base/events"
 	"github.com/chicorystand/chicorystand/control/advice"
+	"github.com/chicorystand/chicorystand/control/manifest"
 	"github.com/chicorystand/chicorystand/control/submission"
 )
 
@@ -45,7 +47,7 @@
 // placement order. Executors that could hold a task when empty are asked about, as the service
 // takes time for each.
 func (o *Owner) NextAdviceRequest(now time.Duration) (AdviceRequest, bool) {
-	if o.manifest == nil || len(o.waiting) == 0 {
+	if o.manifest == nil || !slices.ContainsFunc(o.manifest.Routes, func(r manifest.Route) bool { return r.RequiresAdvice }) {
 		return AdviceRequest{}, false
 	}
 	for _, w := range o.orderedSteps(now) {
--- a/control/dispatch/preempt.go
+++ b/control/dispatch/preempt.go
@@ -23,13 +23,48 @@
 	maxPreemptionsPerTask = 3
 )
 
-// preemptionNeeds are needs for which runs may be stopped. Those that no executor can make room for are not searched for again in one
-// search, in which executors are only taken.
+// preemptionSearch is one search for runs to preempt. Executors are only taken in it, and nothing changes on the others.
+type preemptionSearch struct {
+	taken map[*node]struct{}
+	// unmet holds the needs that no executor can make room for.
+	unmet map[preemptionNeeds]struct{}
+	// victims holds what the executors could make room by, by the priority that asks.
+	victims map[victimsKey]*victims
+}
+
+// preemptionNeeds are needs for which runs of lower priority may be stopped.
 type preemptionNeeds struct {
 	needs
 	priority int
 }
 
+type victimsKey struct {
+	node     *node
+	priority int
+}
+
+// victims are the runs on an executor that may be preempted.
+type victims struct {
+	candidates []eviction.Candidate
+	tasks      []*taskEntry
+	// stopping is held by runs that are being stopped, reserved by the candidates.
+	stopping, reserved task.Resources
+}
+
+func newPreemptionSearch() *preemptionSearch {
+	return &preemptionSearch{taken: make(map[*node]struct{}), unmet: make(map[preemptionNeeds]struct{}), victims: make(map[victimsKey]*victims)}
+}
+
+func (s *preemptionSearch) victimsOn(n *node, priority int) *victims {
+	key := victimsKey{n, priority}
+	v := s.victims[key]
+	if v == nil {
+		v = evictable(n, priority)
+		s.victims[key] = v
+	}
+	return v
+}
+
 // preempt stops runs of queues with lower priority when a task of a queue with higher priority
 // waits for their capacity. Runs that lose the least work are stopped first.
 func (o *Owner) preempt(now time.Duration) {
@@ -38,8 +73,7 @@
 	}
 	o.preemptedAt = now
 	left, lowest := maxPreemptedPerInterval, o.lowestPriority()
-	taken := make(map[*node]struct{})
-	unmet := make(map[preemptionNeeds]struct{})
+	search := newPreemptionSearch()
 	for _, w := range o.orderedSteps(now) {
 		step := &w.job.sub.Steps[w.key.step]
 		if step.BestEffort || step.Gang || now-w.since < preemptDelay || w.job.sub.Priority >= lowest {
@@ -47,8 +81,9 @@
 		}
 		p := o.pool(o.service(w.job.sub), now)
 		limits := o.interferenceLimits(w, p, now)
-		wanted, comparable := o.needsOf(w, limits)
-		if _, none := unmet[preemptionNeeds{wanted, w.job.sub.Priority}]; none && comparable {
+		needs, comparable := o.needsOf(w, limits)
+		wanted := preemptionNeeds{needs, w.job.sub.Priority}
+		if _, none := search.unmet[wanted]; none && comparable {
 			continue
 		}
 		q := o.queryWithin(w, p, limits, now)
@@ -57,16 +92,16 @@
 				continue
 			}
 			targets, maxLoss := o.preemptionPool(w, waiting, p, now)
-			n, runs, loss := cheapestPreemption(q, targets, w.job.sub.Priority, taken)
+			n, runs, loss := search.cheapest(q, targets, w.job.sub.Priority)
 			if n == nil && comparable && targets == p {
-				unmet[preemptionNeeds{wanted, w.job.sub.Priority}] = struct{}{}
+				search.unmet[wanted] = struct{}{}
 			}
 			if n == nil || len(runs) > left || maxLoss > 0 && loss >= maxLoss {
 				break
 			}
 			// An executor takes one waiting task in each search, even where the capacity comes
 			// from runs that are being stopped already.
-			taken[n] = struct{}{}
+			search.taken[n] = struct{}{}
 			left -= len(runs)
 			for _, t := range runs {
 				events.RunPreempted.Log(o.log).Str("task", t.name()).Uint32("run", t.rec.Run).Str("executor", n.info.ID).
@@ -92,69 +127,61 @@
 	return lowest
 }
 
-// cheapestPreemption returns the executor on which preempting runs of lower priority for a task
+// cheapest returns the executor on which preempting runs of lower priority for a task
 // loses the least work, those runs, and the loss. There are no runs when those being stopped already free
 // enough capacity. It returns nil when no executor can make room, or when a task fits already and
 // waits for another reason.
-func cheapestPreemption(q placement.Query, p *pool, priority int, taken map[*node]struct{}) (*node, []*taskEntry, time.Duration) {
+func (s *preemptionSearch) cheapest(q placement.Query, p *pool, priority int) (*node, []*taskEntry, time.Duration) {
 	var best *node
 	var runs []*taskEntry
 	var least time.Duration
 	for i, n := range p.nodes {
-		if _, ok := taken[n]; ok {
+		if _, ok := s.taken[n]; ok {
 			continue
 		}
 		if placement.Fits(q, p.placementNodes[i]) {
 			return nil, nil, 0
 		}
+		v := s.victimsOn(n, priority)
 		trial := *p.placementNodes[i]
-		trial.Reserved = trial.Reserved.Sub(n.stoppingResources())
+		trial.Reserved = trial.Reserved.Sub(v.stopping)
 		if placement.Fits(q, &trial) {
 			return n, nil, 0
 		}
 		free := n.placementNode.Capacity.Sub(trial.Reserved)
 		trial.Reserved = task.Resources{}
-		if !placement.Fits(q, &trial) {
+		if !placement.Fits(q, &trial) || !q.Step.Request.Fits(free.Add(v.reserved)) {
 			continue
 		}
-		candidates, tasks := evictable(n, priority)
-		chosen, loss, ok := eviction.Choose(candidates, q.Step.Request, free)
+		chosen, loss, ok := eviction.Choose(v.candidates, q.Step.Request, free)
 		if !ok || len(chosen) == 0 || (best != nil && loss >= least) {
 			continue
 		}
 		best, least, runs = n, loss, runs[:0]
 		for _, c := range chosen {
-			runs = append(runs, tasks[c])
+			runs = append(runs, v.tasks[c])
 		}
 	}
 	return best, runs, least
 }
 
-// stoppingResources returns what the runs that are being stopped on the node hold.
-func (n *node) stoppingResources() task.Resources {
-	var sum task.Resources
-	for t := range n.tasks {
-		if t.stopping {
-			sum = sum.Add(t.reserved())
-		}
-	}
-	return sum
-}
-
 // evictable returns the runs on a node that a queue of the priority may preempt. Long-running
 // tasks are excluded since a stop would count against their disruption budget, and gangs since one
 // stop ends the whole gang.
-func evictable(n *node, priority int) ([]eviction.Candidate, []*taskEntry) {
-	var candidates []eviction.Candidate
-	var tasks []*taskEntry
+func evictable(n *node, priority int) *victims {
+	v := new(victims)
 	for t := range n.tasks {
+		if t.stopping {
+			v.stopping = v.stopping.Add(t.reserved())
+		}
 		if !t.preemptibleBy(priority) {
 			continue
 		}
-		candidates = append(candidates, eviction.Candidate{ID: t.name(), Reserved: t.reserved(), Loss: t.evictionLoss()})
-		tasks = append(tasks, t)
+		v.candidates = append(v.candidates, eviction.Candidate{ID: t.name(), Reserved: t.reserved(), Loss: t.evictionLoss()})
+		v.tasks = append(v.tasks, t)
+		v.reserved = v.reserved.Add(t.reserved())
 	}
-	return candidates, tasks
+	return v
 }
 
 // preemptible reports whether a queue of higher priority may stop the run.
