--- a/control/dispatch/needs.go
+++ b/control/dispatch/needs.go
@@ -17,9 +17,9 @@
 	interferenceLimits
 }
 
-// needsOf returns the needs of a step. ok is false for a step with needs of its own: the policy of its queue, a bound for
+// needsOf returns the needs of a step. plain is false for a step with needs of its own: the policy of its queue, a bound for
 // each executor, a preferred rack, or members that start together.
-func (o *Owner) needsOf(w *waitingStep, limits interferenceLimits) (n needs, ok bool) {
+func (o *Owner) needsOf(w *waitingStep, limits interferenceLimits) (n needs, plain bool) {
 	s := &w.job.sub.Steps[w.key.step]
 	if s.Gang || s.MaxPerExecutor > 0 || s.DataRack != "" || s.SameRack || o.needsAdvice(w.job.sub) {
 		return needs{}, false
--- a/control/dispatch/place.go
+++ b/control/dispatch/place.go
@@ -130,8 +130,8 @@
 		return
 	}
 	limits := o.interferenceLimits(w, p, now)
-	wanted, comparable := o.needsOf(w, limits)
-	if _, none := o.unmet[wanted]; none && comparable {
+	wanted, plain := o.needsOf(w, limits)
+	if _, none := o.unmet[wanted]; none && plain {
 		o.reportZoneWait(w)
 		return
 	}
@@ -164,7 +164,7 @@
 			left = append(left, tasks[i:]...)
 			stuck = true
 			o.reportZoneWait(w)
-			if comparable {
+			if plain {
 				wanted.allowInterference = q.AllowInterference
 				o.unmet[wanted] = struct{}{}
 			}
--- a/control/dispatch/preempt.go
+++ b/control/dispatch/preempt.go
@@ -81,9 +81,9 @@
 		}
 		p := o.pool(o.service(w.job.sub), now)
 		limits := o.interferenceLimits(w, p, now)
-		needs, comparable := o.needsOf(w, limits)
-		wanted := preemptionNeeds{needs, w.job.sub.Priority}
-		if _, none := search.unmet[wanted]; none && comparable {
+		n, plain := o.needsOf(w, limits)
+		wanted := preemptionNeeds{n, w.job.sub.Priority}
+		if _, none := search.unmet[wanted]; none && plain {
 			continue
 		}
 		q := o.queryWithin(w, p, limits, now)
@@ -93,7 +93,7 @@
 			}
 			targets, maxLoss := o.preemptionPool(w, waiting, p, now)
 			n, runs, loss := search.cheapest(q, targets, w.job.sub.Priority)
-			if n == nil && comparable && targets == p {
+			if n == nil && plain && targets == p {
 				search.unmet[wanted] = struct{}{}
 			}
 			if n == nil || len(runs) > left || maxLoss > 0 && loss >= maxLoss {
