--- a/state/follow/age_test.go
+++ b/state/follow/age_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,7 +20,7 @@
 type delayedStore struct {
 	store.Follower
 	delay  time.Duration
-	silent bool
+	silent atomic.Bool
 }
 
 func (s *delayedStore) List(context.Context, string, string) (store.Page, error) {
@@ -29,7 +30,7 @@
 
 func (s *delayedStore) Changes(ctx context.Context, _ string, version uint64, wait time.Duration) (store.Page, error) {
 	answer := time.After(wait + s.delay)
-	if s.silent {
+	if s.silent.Load() {
 		answer = nil
 	}
 	select {
@@ -67,13 +68,14 @@
 func TestOverduePollIsRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		s := &delayedStore{silent: true}
+		s := new(delayedStore)
+		s.silent.Store(true)
 		c := clock.NewRuntime()
 		f := follow.New(s, "t", noSink{}, c, zerolog.Nop())
 		f.KeepWithin(1500 * time.Millisecond)
 		go f.Run(ctx, 1)
 		time.Sleep(2 * time.Second)
-		s.silent = false
+		s.silent.Store(false)
 		f.RetryOverdue(3 * time.Second)
 		time.Sleep(time.Second)
 		assert.Equal(t, f.CurrentAsOf(), time.Duration(0), "a call that is not overdue was repeated")
