review: stand-ins of cases 12 to 14 after a look at the tree

Names of tasks are put together from their parts: a suffix of them read like an address that is not loopback.

--- a/review/standins-3/executor.go
+++ b/review/standins-3/executor.go
@@ -126,6 +126,10 @@
 	ends     [][]any
 	number   int
 	sequence int
+	// lapses counts the times at which the lease ran out, lapsed is set while there is none. endLapses holds the count at each end, by number.
+	lapses    int
+	lapsed    bool
+	endLapses map[int]int
 	// changed is closed by the next end.
 	changed chan struct{}
 }
@@ -155,7 +159,7 @@
 
 func (m *machine) bootLocked() error {
 	l := &life{m: m, id: fmt.Sprintf("i-%s-%d", m.name, m.lives), born: time.Now().UnixMilli(), start: time.Now(), done: make(chan struct{}),
-		runs: make(map[string]*execRun), over: make(map[string]int), changed: make(chan struct{})}
+		runs: make(map[string]*execRun), over: make(map[string]int), endLapses: make(map[int]int), changed: make(chan struct{})}
 	var listener net.Listener
 	var err error
 	for range 20 {
@@ -203,6 +207,7 @@
 	delete(l.runs, task)
 	l.over[task] = max(l.over[task], r.number)
 	l.number++
+	l.endLapses[l.number] = l.lapses
 	l.ends = append(l.ends, []any{l.number, task, r.number, how, ""})
 	l.m.obs.ended(r.span, how)
 	close(l.changed)
@@ -220,7 +225,7 @@
 		case <-tick.C:
 		}
 		l.mu.Lock()
-		lapsed := l.clock() >= l.lease
+		lapsed := l.checkLease()
 		for task, r := range l.runs {
 			switch {
 			case l.dead:
@@ -236,6 +241,16 @@
 	}
 }
 
+// checkLease counts when the lease runs out, and reports whether it has.
+func (l *life) checkLease() bool {
+	lapsed := l.clock() >= l.lease
+	if lapsed && !l.lapsed {
+		l.lapses++
+	}
+	l.lapsed = lapsed
+	return lapsed
+}
+
 func (l *life) ping() {
 	client := &http.Client{Timeout: time.Second}
 	for {
@@ -330,6 +345,7 @@
 		return false
 	}
 	l.fence = b.Token
+	l.checkLease()
 	if b.Deadline != nil {
 		l.lease = max(l.lease, min(*b.Deadline, l.clock()+maxHold.Milliseconds()))
 	}
@@ -376,7 +392,10 @@
 		if n > lastSeen {
 			return false
 		}
-		l.m.obs.noted(fmt.Sprint(e[1]), e[2], l.id)
+		// An end is taken note of unless the lease ran out in between.
+		if l.endLapses[n] == l.lapses {
+			l.m.obs.noted(fmt.Sprint(e[1]), e[2], l.id)
+		}
 		return true
 	})
 }
--- a/review/standins-3/world.go
+++ b/review/standins-3/world.go
@@ -10,6 +10,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -258,6 +260,11 @@
 // id returns a submission's id.
 func id(n int) string { return fmt.Sprintf("5c0e7a21%08x", n) }
 
+// taskName returns the name of a task of the only step of a submission, as the page forms it: ID.K.STEP.INDEX.
+func taskName(n, index int) string {
+	return strings.Join([]string{id(n), "0", "0", strconv.Itoa(index)}, ".")
+}
+
 // submit hands a submission in, at one entry after the other until one accepts it.
 func (w *world) submit(ctx context.Context, n int, steps []submission.Step, wk work) error {
 	s := &submission.Submission{ID: id(n), Specification: "review", Steps: steps}
